Add the design, the HTTP layer, settings and the bundle format

Cause: the repository was empty; every later part needs a common base. Ruled out: asyncio streams of a ready-made HTTP server, because the verdict needs to know whether a byte of a request was handed to a socket. Conclusion: the base for the thin path stands; nothing is routed yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+export PYTHONPATH := src:.
+export PYTHONHASHSEED := 0
+
+.PHONY: venv test lint format demo measure fuzz
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -r requirements-dev.txt
+	touch $@
+
+lint: venv
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+format: venv
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+test: venv
+	$(PYTHON) -m pytest
+
+demo: venv
+	$(PYTHON) -m standins.demo
+
+measure: venv
+	$(PYTHON) -m measure
+
+fuzz: venv
+	HEATHERSHUNT_FUZZ=long $(PYTHON) -m pytest tests/fuzz
--- /dev/null
+++ b/src/heathershunt/bundle/__init__.py
@@ -0,0 +1,47 @@
+"""The versioned, signed bundle: model, parts, signatures, and the one in force."""
+
+from heathershunt.bundle.keeper import BundleKeeper
+from heathershunt.bundle.model import (
+    Bundle,
+    BundleError,
+    Call,
+    ClientAccount,
+    Model,
+    Policy,
+    Priority,
+    Service,
+    bundle_from_mapping,
+)
+from heathershunt.bundle.parts import (
+    PartEntry,
+    Root,
+    SignedRoot,
+    assemble,
+    decode_root,
+    encode_root,
+    split_bundle,
+)
+from heathershunt.bundle.signing import new_key_pair, sign_root, verify_root
+
+__all__ = [
+    "Bundle",
+    "BundleError",
+    "BundleKeeper",
+    "Call",
+    "ClientAccount",
+    "Model",
+    "PartEntry",
+    "Policy",
+    "Priority",
+    "Root",
+    "Service",
+    "SignedRoot",
+    "assemble",
+    "bundle_from_mapping",
+    "decode_root",
+    "encode_root",
+    "new_key_pair",
+    "sign_root",
+    "split_bundle",
+    "verify_root",
+]
--- /dev/null
+++ b/src/heathershunt/bundle/parts.py
@@ -0,0 +1,159 @@
+"""Content-addressed parts and the small signed root.
+
+A store value is at most a megabyte, and 27,000 client accounts do not fit into one.
+Accounts are cut by the hash of their name into a power of two of buckets, so that
+a change to one account changes one part and the root.
+"""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+import cbor2
+import msgspec
+
+from heathershunt.bundle.model import Bundle, BundleError, Policy, bundle_from_mapping
+
+ACCOUNTS_PER_PART = 256
+MAX_PART_BYTES = 262_144
+MAX_ROOT_BYTES = 65_536
+HASH_BITS = 256
+
+
+@dataclass(frozen=True)
+class PartEntry:
+    """Reference to one part: what it holds, its hash, and its size in bytes."""
+
+    kind: str
+    bucket: int
+    sha256: str
+    size: int
+
+
+@dataclass(frozen=True)
+class Root:
+    """The small head of a bundle.
+
+    :param previous: hash of the root this one replaces, empty for the first.
+    """
+
+    version: int
+    created_ms: int
+    policy: Policy
+    parts: tuple[PartEntry, ...]
+    previous: str = ""
+
+
+@dataclass(frozen=True)
+class SignedRoot:
+    """Root bytes with signatures and approvals by public key (hexadecimal)."""
+
+    body: bytes
+    signatures_by_key: Mapping[str, bytes] = field(default_factory=dict)
+    approvals_by_key: Mapping[str, bytes] = field(default_factory=dict)
+
+    @property
+    def sha256(self) -> str:
+        """Return the hash of the root's bytes."""
+        return hashlib.sha256(self.body).hexdigest()
+
+    def root(self) -> Root:
+        """Decode the root; raise :class:`BundleError` if it is malformed."""
+        try:
+            return msgspec.convert(cbor2.loads(self.body), Root)
+        except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+            raise BundleError("root", str(error)) from None
+
+
+def canonical(value: Any) -> bytes:
+    """Encode ``value`` as canonical CBOR."""
+    return cbor2.dumps(value, canonical=True)
+
+
+def _part(kind: str, bucket: int, items: list[Any]) -> tuple[PartEntry, bytes]:
+    data = canonical([asdict(item) for item in items])
+    if len(data) > MAX_PART_BYTES:
+        raise BundleError(
+            f"{kind}[bucket {bucket}]", f"larger than {MAX_PART_BYTES} bytes"
+        )
+    digest = hashlib.sha256(data).hexdigest()
+    return PartEntry(kind, bucket, digest, len(data)), data
+
+
+def _bucket_count(accounts: int) -> int:
+    count = 1
+    while count * ACCOUNTS_PER_PART < accounts:
+        count *= 2
+    return count
+
+
+def _bucket(name: str, count: int) -> int:
+    digest = hashlib.sha256(name.encode()).digest()
+    return int.from_bytes(digest, "big") * count >> HASH_BITS
+
+
+def split_bundle(
+    bundle: Bundle, created_ms: int, previous: str = ""
+) -> tuple[Root, dict[str, bytes]]:
+    """Return the root of ``bundle`` and its parts by hash."""
+    count = _bucket_count(len(bundle.accounts_by_name))
+    accounts_by_bucket: dict[int, list[Any]] = {index: [] for index in range(count)}
+    for name, account in sorted(bundle.accounts_by_name.items()):
+        accounts_by_bucket[_bucket(name, count)].append(account)
+    parts = [_part("accounts", *item) for item in accounts_by_bucket.items()]
+    for kind, items_by_name in (
+        ("services", bundle.services_by_name),
+        ("models", bundle.models_by_name),
+        ("priorities", bundle.priorities_by_name),
+    ):
+        parts.append(_part(kind, 0, [items_by_name[n] for n in sorted(items_by_name)]))
+    entries = tuple(entry for entry, _ in parts)
+    root = Root(bundle.version, created_ms, bundle.policy, entries, previous)
+    return root, {entry.sha256: data for entry, data in parts}
+
+
+def encode_root(root: Root) -> bytes:
+    """Return the bytes of a root that are signed."""
+    body = canonical(asdict(root))
+    if len(body) > MAX_ROOT_BYTES:
+        raise BundleError("root", f"larger than {MAX_ROOT_BYTES} bytes")
+    return body
+
+
+def encode_signed_root(signed: SignedRoot) -> bytes:
+    """Return a signed root as it is stored and sent."""
+    return canonical(asdict(signed))
+
+
+def decode_root(data: bytes) -> SignedRoot:
+    """Decode a signed root; raise :class:`BundleError` if it is malformed."""
+    if len(data) > 2 * MAX_ROOT_BYTES:
+        raise BundleError("root", f"larger than {2 * MAX_ROOT_BYTES} bytes")
+    try:
+        return msgspec.convert(cbor2.loads(data), SignedRoot)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+        raise BundleError("root", str(error)) from None
+
+
+def assemble(root: Root, parts_by_sha256: Mapping[str, bytes]) -> Bundle:
+    """Build the bundle of ``root`` from its parts.
+
+    :raises BundleError: if a part is missing, altered or malformed.
+    """
+    raw: dict[str, Any] = {"version": root.version, "policy": asdict(root.policy)}
+    for entry in root.parts:
+        place = f"{entry.kind}[bucket {entry.bucket}]"
+        data = parts_by_sha256.get(entry.sha256)
+        if data is None:
+            raise BundleError(place, "the part is missing")
+        if hashlib.sha256(data).hexdigest() != entry.sha256:
+            raise BundleError(place, "the part does not match its hash")
+        try:
+            items = cbor2.loads(data)
+        except (cbor2.CBORDecodeError, ValueError) as error:
+            raise BundleError(place, str(error)) from None
+        if not isinstance(items, list):
+            raise BundleError(place, "a list is expected")
+        raw.setdefault(entry.kind, []).extend(items)
+    return bundle_from_mapping(raw)
--- /dev/null
+++ b/src/heathershunt/bundle/signing.py
@@ -0,0 +1,85 @@
+"""Ed25519 signatures and approvals of a root."""
+
+from collections.abc import Collection, Mapping
+from dataclasses import replace
+
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+    Ed25519PublicKey,
+)
+
+from heathershunt.bundle.model import BundleError
+from heathershunt.bundle.parts import SignedRoot
+
+# The purpose is part of the signed bytes, so that an approval never passes as a
+# signature.
+SIGNATURE_PURPOSE = b"heathershunt bundle signature\0"
+APPROVAL_PURPOSE = b"heathershunt bundle approval\0"
+
+
+def new_key_pair() -> tuple[str, str]:
+    """Return a new private and public key in hexadecimal."""
+    private = Ed25519PrivateKey.generate()
+    return (
+        private.private_bytes_raw().hex(),
+        private.public_key().public_bytes_raw().hex(),
+    )
+
+
+def sign_root(signed: SignedRoot, private_key: str, *, approve=False) -> SignedRoot:
+    """Return ``signed`` with one more signature, or approval if ``approve``."""
+    private = Ed25519PrivateKey.from_private_bytes(bytes.fromhex(private_key))
+    public = private.public_key().public_bytes_raw().hex()
+    if approve:
+        mark = private.sign(APPROVAL_PURPOSE + signed.body)
+        return replace(
+            signed, approvals_by_key={**signed.approvals_by_key, public: mark}
+        )
+    mark = private.sign(SIGNATURE_PURPOSE + signed.body)
+    return replace(signed, signatures_by_key={**signed.signatures_by_key, public: mark})
+
+
+def _valid_keys(
+    purpose: bytes, body: bytes, marks: Mapping[str, bytes], trusted: Collection[str]
+) -> set[str]:
+    valid = set()
+    for key, mark in marks.items():
+        if key not in trusted:
+            continue
+        try:
+            Ed25519PublicKey.from_public_bytes(bytes.fromhex(key)).verify(
+                mark, purpose + body
+            )
+        except (InvalidSignature, ValueError):
+            continue
+        valid.add(key)
+    return valid
+
+
+def verify_root(
+    signed: SignedRoot, trusted: Collection[str], approvals_needed: int | None = None
+) -> None:
+    """Check signatures and approvals against the policy of the root.
+
+    An approval counts only from a key that has not signed. The policy in force may
+    ask for more approvals than the new root does, so that a roll cannot lower the
+    bar for itself.
+
+    :param approvals_needed: approvals that the policy in force asks for.
+    :raises BundleError: if trusted signatures or approvals are too few.
+    """
+    policy = signed.root().policy
+    signers = _valid_keys(
+        SIGNATURE_PURPOSE, signed.body, signed.signatures_by_key, trusted
+    )
+    if len(signers) < max(1, policy.signatures_needed):
+        raise BundleError("root.signatures", "too few signatures by trusted keys")
+    approvers = _valid_keys(
+        APPROVAL_PURPOSE, signed.body, signed.approvals_by_key, trusted
+    )
+    needed = max(policy.approvals_needed, approvals_needed or 0)
+    if len(approvers - signers) < needed:
+        raise BundleError(
+            "root.approvals", f"{needed} approvals by other trusted keys are needed"
+        )
--- /dev/null
+++ b/src/heathershunt/clock/clock.py
@@ -0,0 +1,63 @@
+"""The millisecond clock that every slice takes its time from."""
+
+import time
+from typing import NewType, Protocol
+
+Millis = NewType("Millis", int)
+
+NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+class Clock(Protocol):
+    """Source of monotonic and wall time in milliseconds.
+
+    .. versionadded:: 0.1
+    """
+
+    def now(self) -> Millis:
+        """Return monotonic time; it never goes back."""
+
+    def wall(self) -> Millis:
+        """Return milliseconds since the Unix epoch; it may be adjusted."""
+
+
+class SystemClock:
+    """Clock of the operating system.
+
+    .. versionadded:: 0.1
+    """
+
+    def now(self) -> Millis:
+        """Return monotonic time in milliseconds."""
+        return Millis(time.monotonic_ns() // NANOSECONDS_PER_MILLISECOND)
+
+    def wall(self) -> Millis:
+        """Return milliseconds since the Unix epoch."""
+        return Millis(time.time_ns() // NANOSECONDS_PER_MILLISECOND)
+
+
+class ManualClock:
+    """Clock that a test or a measurement moves by hand.
+
+    :param start: initial monotonic time in milliseconds.
+    :param wall: initial wall time in milliseconds.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, start: int = 0, wall: int = 1_000_000) -> None:
+        self._now = start
+        self._wall = wall
+
+    def now(self) -> Millis:
+        """Return the current manual monotonic time."""
+        return Millis(self._now)
+
+    def wall(self) -> Millis:
+        """Return the current manual wall time."""
+        return Millis(self._wall)
+
+    def advance(self, milliseconds: int) -> None:
+        """Move both times forward by ``milliseconds``."""
+        self._now += milliseconds
+        self._wall += milliseconds
--- /dev/null
+++ b/src/heathershunt/http/__init__.py
@@ -0,0 +1,32 @@
+"""HTTP/1.1 server and client on h11."""
+
+from heathershunt.http.client import (
+    Address,
+    ClientResponse,
+    HttpClient,
+    TransportError,
+)
+from heathershunt.http.messages import (
+    Request,
+    Response,
+    ResponseStream,
+    StreamResponse,
+    json_response,
+    problem_response,
+)
+from heathershunt.http.server import HttpLimits, HttpServer
+
+__all__ = [
+    "Address",
+    "ClientResponse",
+    "HttpClient",
+    "HttpLimits",
+    "HttpServer",
+    "Request",
+    "Response",
+    "ResponseStream",
+    "StreamResponse",
+    "TransportError",
+    "json_response",
+    "problem_response",
+]
--- /dev/null
+++ b/src/heathershunt/http/client.py
@@ -0,0 +1,276 @@
+"""HTTP/1.1 client that reports how far a failed request travelled."""
+
+import asyncio
+import json
+import ssl
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+from result import Err, Ok, Result
+
+from heathershunt.verdict import Progress
+
+READ_BYTES = 65536
+IDLE_CONNECTIONS_PER_ADDRESS = 32
+CONNECT_TIMEOUT_MS = 1000
+REQUEST_TIMEOUT_MS = 10_000
+
+
+@dataclass(frozen=True)
+class Address:
+    """IP address and port of a listener.
+
+    .. versionadded:: 0.1
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def from_text(cls, text: str) -> "Address":
+        """Parse ``host:port``; raise ``ValueError`` if it is something else."""
+        host, separator, port = text.rpartition(":")
+        if not separator or not host:
+            raise ValueError(f"{text!r} is not of the form host:port")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True)
+class TransportError:
+    """A request that got no complete response.
+
+    :param progress: ``NOT_SENT`` only if no byte was handed to a socket.
+    :param detail: what failed.
+
+    .. versionadded:: 0.1
+    """
+
+    progress: Progress
+    detail: str
+
+
+class ClientResponse:
+    """Response head and a body that is read once.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, client: "HttpClient", connection: "_Connection") -> None:
+        self._client = client
+        self._connection = connection
+        self.status = connection.response.status_code
+        self.headers: Mapping[str, str] = {
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in connection.response.headers
+        }
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield body bytes as they arrive.
+
+        :raises ConnectionError: if the connection ends before the body does.
+        """
+        while (data := await self.read_some()) is not None:
+            yield data
+
+    async def read_some(self) -> bytes | None:
+        """Return what has arrived of the body, ``None`` at its end.
+
+        :raises ConnectionError: if the connection ends before the body does.
+        """
+        data = await self._connection.read_body()
+        if data is None:
+            self._client.release(self._connection)
+        return data
+
+    async def read(self) -> bytes:
+        """Return the rest of the body."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    async def read_json(self) -> Any:
+        """Return the body decoded from JSON; raise ``ValueError`` if it is not."""
+        return json.loads(await self.read())
+
+    def close(self) -> None:
+        """Drop the connection, whatever is left of the body."""
+        self._connection.close()
+
+
+class HttpClient:
+    """Client with a pool of idle connections for each address.
+
+    :param tls: context for TLS connections, or ``None`` for plain TCP.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        self._tls = tls
+        self._idle_by_address: dict[Address, list[_Connection]] = {}
+
+    async def request(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        timeout_ms: int = REQUEST_TIMEOUT_MS,
+        fresh: bool = False,
+    ) -> Result[ClientResponse, TransportError]:
+        """Send a request and return its response head.
+
+        :param timeout_ms: time for the connection and the response head.
+        :param fresh: use a new connection even if an idle one is open.
+        """
+        connection = None
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                connection = await self._connect(address, fresh)
+                await connection.send_request(method, target, headers or {}, body)
+                await connection.read_head()
+                return Ok(ClientResponse(self, connection))
+        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+            progress = Progress.NOT_SENT
+            if connection is not None:
+                progress = connection.progress
+                connection.close()
+            reason = str(error) or type(error).__name__
+            return Err(TransportError(progress, f"{method} {address}: {reason}"))
+        except BaseException:
+            if connection is not None:
+                connection.close()
+            raise
+
+    async def request_json(
+        self, address: Address, method: str, target: str, payload: Any = None, **options
+    ) -> Result[tuple[int, Any], TransportError]:
+        """Send JSON and return the status and the decoded body."""
+        body = b"" if payload is None else json.dumps(payload).encode()
+        timeout_ms = options.get("timeout_ms", REQUEST_TIMEOUT_MS)
+        outcome = await self.request(address, method, target, body=body, **options)
+        if isinstance(outcome, Err):
+            return outcome
+        response = outcome.ok_value
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                raw = await response.read()
+            return Ok((response.status, json.loads(raw) if raw else None))
+        except (OSError, TimeoutError, ValueError, h11.RemoteProtocolError) as error:
+            response.close()
+            return Err(TransportError(Progress.SENT, f"{method} {address}: {error}"))
+
+    async def _connect(self, address: Address, fresh: bool) -> "_Connection":
+        idle = self._idle_by_address.get(address, [])
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.is_usable():
+                return connection
+            connection.close()
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port, ssl=self._tls, limit=READ_BYTES
+            )
+        return _Connection(address, reader, writer)
+
+    def release(self, connection: "_Connection") -> None:
+        """Take back a connection whose response has been read to its end."""
+        idle = self._idle_by_address.setdefault(connection.address, [])
+        if len(idle) < IDLE_CONNECTIONS_PER_ADDRESS and connection.reset():
+            idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                connection.close()
+        self._idle_by_address.clear()
+
+
+class _Connection:
+    """One connection to a target."""
+
+    def __init__(self, address: Address, reader, writer) -> None:
+        self.address = address
+        self._reader = reader
+        self._writer = writer
+        self._h11 = h11.Connection(h11.CLIENT)
+        self.progress = Progress.NOT_SENT
+        self.response: h11.Response | None = None
+        self._ended = False
+
+    def is_usable(self) -> bool:
+        return not (self._reader.at_eof() or self._writer.transport.is_closing())
+
+    async def send_request(
+        self, method: str, target: str, headers: Mapping[str, str], body: bytes
+    ) -> None:
+        fields = [("host", str(self.address)), ("content-length", str(len(body)))]
+        fields += headers.items()
+        data = self._h11.send(h11.Request(method=method, target=target, headers=fields))
+        if body:
+            data += self._h11.send(h11.Data(data=body))
+        data += self._h11.send(h11.EndOfMessage())
+        self.progress = Progress.SENT
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def _next_event(self):
+        while True:
+            event = self._h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._h11.receive_data(await self._reader.read(READ_BYTES))
+
+    async def read_head(self) -> None:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                self.response = event
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("closed before the response")
+
+    async def read_body(self) -> bytes | None:
+        """Return all body bytes that have arrived, joined; ``None`` at the end."""
+        parts: list[bytes] = []
+        while not self._ended:
+            event = self._next_body_event()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._ended = True
+            elif event is not h11.NEED_DATA:
+                raise ConnectionResetError("closed before the end of the response")
+            elif parts:
+                break
+            else:
+                self._h11.receive_data(await self._reader.read(READ_BYTES))
+        return b"".join(parts) if parts else None
+
+    def _next_body_event(self):
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ConnectionResetError(str(error)) from None
+
+    def reset(self) -> bool:
+        """Prepare for the next request; return whether that is possible."""
+        states = (self._h11.our_state, self._h11.their_state)
+        if states != (h11.DONE, h11.DONE) or not self.is_usable():
+            return False
+        self._h11.start_next_cycle()
+        self.progress = Progress.NOT_SENT
+        self.response = None
+        self._ended = False
+        return True
+
+    def close(self) -> None:
+        self._writer.close()
--- /dev/null
+++ b/src/heathershunt/http/server.py
@@ -0,0 +1,338 @@
+"""HTTP/1.1 server: bounded, one task per connection, parsing by h11."""
+
+import asyncio
+import ssl
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+import logbook
+
+from heathershunt.http.messages import (
+    Request,
+    Response,
+    StreamResponse,
+    problem_response,
+)
+from heathershunt.verdict import not_run
+
+log = logbook.Logger("heathershunt.http")
+
+READ_BYTES = 65536
+BACKLOG_HIGH_WATER_BYTES = 262_144
+PORT_CLOSE_GRACE_SECONDS = 5
+
+Handler = Callable[[Request], Awaitable[Response | StreamResponse]]
+
+
+@dataclass(frozen=True)
+class HttpLimits:
+    """Bounds on what one listener accepts.
+
+    :param header_bytes: largest request line and header block.
+    :param body_bytes: largest request body.
+    :param connections: open connections at a time.
+    :param request_ms: longest time from the first byte of a request to its last.
+    :param idle_ms: longest time between two requests on a connection.
+
+    .. versionadded:: 0.1
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 1_048_576
+    connections: int = 4096
+    request_ms: int = 10_000
+    idle_ms: int = 75_000
+
+
+class RequestRejectedError(Exception):
+    """A request that breaks the protocol or a limit.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+class HttpServer:
+    """Listener that hands complete requests to a handler.
+
+    :param handler: coroutine function from a request to its response.
+    :param limits: bounds on requests and connections.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, handler: Handler, limits: HttpLimits | None = None) -> None:
+        self._handler = handler
+        self._limits = limits or HttpLimits()
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+        self._draining = False
+
+    @property
+    def port(self) -> int:
+        """Return the bound TCP port."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(
+        self, host: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> None:
+        """Bind and start to accept connections."""
+        self._server = await asyncio.start_server(
+            self._serve, host, port, ssl=tls, limit=READ_BYTES, backlog=1024
+        )
+
+    async def _serve(self, reader, writer) -> None:
+        connection = _Connection(reader, writer, self._handler, self._limits)
+        if len(self._connections) >= self._limits.connections:
+            await connection.reject(
+                503, "The listener has reached its connection limit."
+            )
+            return
+        self._connections.add(connection)
+        try:
+            await connection.serve(lambda: self._draining)
+        finally:
+            self._connections.discard(connection)
+
+    def drain(self) -> None:
+        """Close idle connections and end busy ones after their response.
+
+        The listening socket stays open, so that late callers get an answer.
+        """
+        self._draining = True
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    async def close(self) -> None:
+        """Stop to accept connections and cut the remaining ones."""
+        if self._server is None:
+            return
+        self._server.close()
+        for connection in list(self._connections):
+            connection.cut()
+
+
+class _Stream:
+    """Writes the body of one streamed response."""
+
+    def __init__(self, connection: "_Connection") -> None:
+        self._connection = connection
+
+    def write(self, data: bytes) -> None:
+        self._connection.send(h11.Data(data=data))
+
+    def backlog(self) -> int:
+        return self._connection.writer.transport.get_write_buffer_size()
+
+    async def drain(self) -> None:
+        await self._connection.writer.drain()
+
+    async def wait_closed(self) -> None:
+        await self._connection.wait_closed()
+
+
+class _Connection:
+    """One accepted connection."""
+
+    def __init__(self, reader, writer, handler: Handler, limits: HttpLimits) -> None:
+        self.reader = reader
+        self.writer = writer
+        self._handler = handler
+        self._limits = limits
+        self._busy = False
+        self._closed = asyncio.Event()
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        writer.transport.set_write_buffer_limits(high=BACKLOG_HIGH_WATER_BYTES)
+
+    async def serve(self, draining: Callable[[], bool]) -> None:
+        """Serve requests one after the other until the connection ends."""
+        try:
+            while await self._serve_one(draining):
+                self._h11.start_next_cycle()
+        except RequestRejectedError as error:
+            await self.reject(error.status, error.detail)
+        except (ConnectionError, TimeoutError, h11.LocalProtocolError):
+            self.cut()
+        finally:
+            self._closed.set()
+            self.writer.close()
+
+    async def _serve_one(self, draining: Callable[[], bool]) -> bool:
+        request = await self._read_request(draining)
+        if request is None:
+            return False
+        self._busy = True
+        response = await self._run_handler(request)
+        await self._respond(response, draining())
+        self._busy = False
+        done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        return done and not draining()
+
+    async def _read_request(self, draining: Callable[[], bool]) -> Request | None:
+        if not self._h11.trailing_data[0]:
+            if draining() or not await self._wait_first_byte():
+                return None
+        try:
+            async with asyncio.timeout(self._limits.request_ms / 1000):
+                return await self._parse_request()
+        except TimeoutError:
+            raise RequestRejectedError(408, "The request took too long.") from None
+        except h11.RemoteProtocolError as error:
+            status = getattr(error, "error_status_hint", 400) or 400
+            raise RequestRejectedError(
+                status, f"The request is not valid HTTP/1.1: {error}."
+            ) from None
+
+    async def _wait_first_byte(self) -> bool:
+        try:
+            async with asyncio.timeout(self._limits.idle_ms / 1000):
+                data = await self.reader.read(READ_BYTES)
+        except TimeoutError:
+            return False
+        if data:
+            self._h11.receive_data(data)
+        return bool(data)
+
+    async def _parse_request(self) -> Request | None:
+        head = None
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                self._send_continue()
+                self._h11.receive_data(await self.reader.read(READ_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    limit = self._limits.body_bytes
+                    raise RequestRejectedError(
+                        413, f"The request body is larger than {limit} bytes."
+                    )
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return self._build_request(head, b"".join(parts))
+            else:
+                return None
+
+    def _send_continue(self) -> None:
+        if self._h11.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _build_request(self, head: h11.Request, body: bytes) -> Request:
+        target = urlsplit(head.target.decode("ascii"))
+        headers = {
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        peer = self.writer.get_extra_info("peername")
+        return Request(
+            head.method.decode("ascii"),
+            unquote(target.path),
+            dict(parse_qsl(target.query, keep_blank_values=True)),
+            headers,
+            body,
+            peer[0] if peer else "",
+        )
+
+    async def _run_handler(self, request: Request) -> Response | StreamResponse:
+        try:
+            return await self._handler(request)
+        except Exception:
+            log.exception("handler failed: {} {}", request.method, request.path)
+            raise ConnectionError("the handler failed") from None
+
+    async def _respond(
+        self, response: Response | StreamResponse, closing: bool
+    ) -> None:
+        headers = list(response.headers.items())
+        if closing:
+            headers.append(("connection", "close"))
+        if isinstance(response, Response):
+            headers.append(("content-length", str(len(response.body))))
+            self._send_head(response.status, headers)
+            if response.body:
+                self.send(h11.Data(data=response.body))
+        else:
+            headers.append(("transfer-encoding", "chunked"))
+            self._send_head(response.status, headers)
+            await self._run_stream(response)
+        self.send(h11.EndOfMessage())
+        await self.writer.drain()
+
+    async def _run_stream(self, response: StreamResponse) -> None:
+        watcher = asyncio.create_task(self._watch_peer())
+        try:
+            await response.run(_Stream(self))
+        except ConnectionError:
+            raise
+        except Exception:
+            log.exception("streamed response failed")
+            raise ConnectionError("the streamed response failed") from None
+        finally:
+            watcher.cancel()
+
+    async def _watch_peer(self) -> None:
+        """Notice the end of the connection while a response is streamed.
+
+        Bytes that arrive early belong to a pipelined request and are kept.
+        """
+        while True:
+            try:
+                data = await self.reader.read(READ_BYTES)
+            except ConnectionError:
+                data = b""
+            if not data:
+                self._closed.set()
+                return
+            self._h11.receive_data(data)
+
+    def _send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self.send(
+            h11.Response(
+                status_code=status,
+                headers=headers,
+                reason=HTTPStatus(status).phrase.encode(),
+            )
+        )
+
+    def send(self, event) -> None:
+        """Write one h11 event; raise ``ConnectionError`` after the end."""
+        if self._closed.is_set() or self.writer.transport.is_closing():
+            raise ConnectionResetError("the caller closed the connection")
+        self.writer.write(self._h11.send(event))
+
+    async def wait_closed(self) -> None:
+        """Wait until the peer has closed the connection."""
+        await self._closed.wait()
+
+    async def reject(self, status: int, detail: str) -> None:
+        """Answer with a problem document and close."""
+        refusal = not_run(status, HTTPStatus(status).phrase, detail)
+        try:
+            if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                await self._respond(problem_response(refusal), True)
+        except (ConnectionError, h11.LocalProtocolError):
+            pass
+        self.writer.close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being served."""
+        if not self._busy and self._h11.their_state is h11.IDLE:
+            self.writer.close()
+
+    def cut(self) -> None:
+        """Abort the connection."""
+        self._closed.set()
+        self.writer.transport.abort()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and the engines, for tests and measurements."""
--- /dev/null
+++ b/tests/http/test_server.py
@@ -0,0 +1,99 @@
+import asyncio
+
+import pytest
+
+from heathershunt.http import (
+    Address,
+    HttpClient,
+    HttpLimits,
+    HttpServer,
+    StreamResponse,
+    json_response,
+)
+from heathershunt.verdict import Progress
+
+
+async def echo(request):
+    if request.path == "/stream":
+        return StreamResponse(200, {}, write_three)
+    if request.path == "/cut":
+        return StreamResponse(200, {}, write_and_fail)
+    return json_response(200, {"path": request.path, "size": len(request.body)})
+
+
+async def write_three(stream):
+    for index in range(3):
+        stream.write(b"%d;" % index)
+        await asyncio.sleep(0)
+
+
+async def write_and_fail(stream):
+    stream.write(b"half")
+    raise RuntimeError("the source of the answer failed")
+
+
+@pytest.fixture
+async def server():
+    server = HttpServer(echo, HttpLimits(body_bytes=100, request_ms=200))
+    await server.start("127.0.0.1", 0)
+    yield server
+    await server.close()
+
+
+@pytest.fixture
+def address(server):
+    return Address("127.0.0.1", server.port)
+
+
+async def test_connection_is_reused_after_a_complete_response(address):
+    client = HttpClient()
+    for _ in range(3):
+        outcome = await client.request_json(address, "POST", "/a", {"x": 1})
+        assert outcome.ok_value == (200, {"path": "/a", "size": 8})
+    client.close()
+
+
+async def test_streamed_body_ends_explicitly(address):
+    client = HttpClient()
+    response = (await client.request(address, "GET", "/stream")).ok_value
+    assert await response.read() == b"0;1;2;"
+    client.close()
+
+
+async def test_failed_stream_never_looks_complete(address):
+    response = (await HttpClient().request(address, "GET", "/cut")).ok_value
+    with pytest.raises(ConnectionError):
+        await response.read()
+
+
+async def test_oversized_body_is_refused(address):
+    outcome = await HttpClient().request_json(address, "POST", "/a", "x" * 200)
+    status, problem = outcome.ok_value
+    assert (status, problem["verdict"]) == (413, "not_run")
+
+
+@pytest.mark.parametrize(
+    "data", [b"\0\1\2\r\n\r\n", b"GET / HTTP/1.1\r\n\r\n", b"GET / HTTP/9\r\na\r\n\r\n"]
+)
+async def test_malformed_request_gets_a_4xx(address, data):
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(data)
+    assert (await reader.read(12))[9:10] == b"4"
+    writer.close()
+
+
+async def test_slow_request_is_ended(address):
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nx")
+    assert (await reader.read(12))[9:12] == b"408"
+    writer.close()
+
+
+async def test_refused_connection_counts_as_not_sent():
+    server = HttpServer(echo)
+    await server.start("127.0.0.1", 0)
+    address = Address("127.0.0.1", server.port)
+    await server.close()
+    await asyncio.sleep(0)
+    outcome = await HttpClient().request(address, "GET", "/")
+    assert outcome.err_value.progress is Progress.NOT_SENT
