--- /dev/null
+++ b/src/heathershunt/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``heathershuntd``: it composes the slices."""
--- /dev/null
+++ b/src/heathershunt/daemon/main.py
@@ -0,0 +1,57 @@
+"""Command line of ``heathershuntd``."""
+
+import asyncio
+import signal
+import sys
+
+import logbook
+
+from heathershunt.daemon.app import Daemon
+from heathershunt.settings import Settings, SettingsError, load_settings
+
+USAGE = "usage: heathershuntd [--check] SETTINGS.toml"
+EXIT_BAD_SETTINGS = 2
+EXIT_USAGE = 64
+
+
+async def serve(settings: Settings) -> None:
+    """Run one daemon until it is asked to stop."""
+    daemon = Daemon(settings)
+    await daemon.start()
+    stop = asyncio.Event()
+    abort = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def on_signal() -> None:
+        (abort if stop.is_set() else stop).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    await stop.wait()
+    draining = asyncio.create_task(daemon.shut_down())
+    aborting = asyncio.create_task(abort.wait())
+    await asyncio.wait({draining, aborting}, return_when="FIRST_COMPLETED")
+
+
+def main() -> None:
+    """Start the daemon, or check its settings with ``--check``."""
+    arguments = sys.argv[1:]
+    check = "--check" in arguments
+    paths = [argument for argument in arguments if argument != "--check"]
+    if len(paths) != 1 or paths[0].startswith("-"):
+        print(USAGE, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    try:
+        settings = load_settings(paths[0])
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        print(f"{paths[0]}: ok")
+        return
+    logbook.StreamHandler(sys.stderr, level=logbook.INFO).push_application()
+    asyncio.run(serve(settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/heathershunt/drafts/__init__.py
@@ -0,0 +1,17 @@
+"""Drafts: pipelined answers of models, from the request to the last token."""
+
+from heathershunt.drafts.engine import EngineClient
+from heathershunt.drafts.execution import DraftExecutor
+from heathershunt.drafts.handler import DraftHandler
+from heathershunt.drafts.journal import Draft, DraftRequest, DraftTable
+from heathershunt.drafts.progress import ProgressMonitor
+
+__all__ = [
+    "Draft",
+    "DraftExecutor",
+    "DraftHandler",
+    "DraftRequest",
+    "DraftTable",
+    "EngineClient",
+    "ProgressMonitor",
+]
--- /dev/null
+++ b/src/heathershunt/drafts/epoch.py
@@ -0,0 +1,215 @@
+"""One epoch of a draft: open at all stages, start, take tokens, notice failures."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from heathershunt.clock import Clock
+from heathershunt.drafts.engine import EngineClient, RunOrder, StageLine, StageStream
+from heathershunt.drafts.journal import Draft
+from heathershunt.drafts.progress import (
+    FIRST_TOKEN_LIMIT_MS,
+    GapEstimator,
+    ProgressMonitor,
+    Watched,
+)
+from heathershunt.verdict import Progress
+
+PROBES_BEFORE_GIVING_UP = 3
+
+
+@dataclass(frozen=True)
+class EpochFailure:
+    """Why an epoch ended before the answer was whole.
+
+    :param suspects: runners to leave out of the next chain.
+    """
+
+    suspects: frozenset[str]
+    detail: str
+
+
+class Epoch:
+    """Runs one epoch of one draft.
+
+    :param estimator: shared by the drafts of a model.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        draft: Draft,
+        order: RunOrder,
+        engine: EngineClient,
+        monitor: ProgressMonitor,
+        estimator: GapEstimator,
+        clock: Clock,
+        on_token: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._draft = draft
+        self._order = order
+        self._engine = engine
+        self._monitor = monitor
+        self._estimator = estimator
+        self._clock = clock
+        self._on_token = on_token
+        self._streams: list[StageStream] = []
+        self._tasks: list[asyncio.Task] = []
+        self._outcome: asyncio.Future = asyncio.get_running_loop().create_future()
+        self._watched = Watched(float("inf"), self._stalled)
+        self._last_token_at: int | None = None
+        self._probes = 0
+        self._expected_trace = [
+            [stage.runner, stage.first_layer, stage.end_layer, order.chain.version]
+            for stage in order.chain.stages
+        ]
+
+    async def run(self) -> Result[None, EpochFailure]:
+        """Run until the answer is whole (``Ok``) or a stage failed (``Err``)."""
+        try:
+            opened = await self._open_all()
+            if isinstance(opened, Err):
+                return opened
+            started = await self._start(opened.ok_value)
+            if isinstance(started, Err):
+                return started
+            return await self._outcome
+        finally:
+            self._monitor.forget(self._watched)
+            for task in self._tasks:
+                task.cancel()
+            for stream in self._streams:
+                stream.close()
+
+    async def _open_all(self) -> Result[list[int], EpochFailure]:
+        stages = self._order.chain.stages
+        outcomes = await asyncio.gather(
+            *(self._engine.open(self._order, index) for index in range(len(stages)))
+        )
+        held = []
+        suspects = {}
+        for stage, outcome in zip(stages, outcomes, strict=True):
+            if isinstance(outcome, Err):
+                suspects[stage.runner] = outcome.err_value.detail
+                continue
+            stream, lines = outcome.ok_value
+            self._streams.append(stream)
+            opened = lines[0] if lines else StageLine("end")
+            if not self._is_expected(stage, opened):
+                suspects[stage.runner] = f"{stage.runner} holds other layers"
+            held.append(opened.kv_positions)
+        if suspects:
+            return Err(EpochFailure(frozenset(suspects), "; ".join(suspects.values())))
+        return Ok(held)
+
+    def _is_expected(self, stage, opened: StageLine) -> bool:
+        return (
+            opened.event == "opened"
+            and opened.runner == stage.runner
+            and opened.first_layer == stage.first_layer
+            and opened.end_layer == stage.end_layer
+            and opened.version == self._order.chain.version
+        )
+
+    async def _start(self, held: list[int]) -> Result[None, EpochFailure]:
+        last = len(self._streams) - 1
+        self._tasks = [
+            asyncio.create_task(self._follow(stream, is_last=index == last))
+            for index, stream in enumerate(self._streams)
+        ]
+        self._watched.deadline = self._clock.now() + FIRST_TOKEN_LIMIT_MS
+        self._monitor.watch(self._watched)
+        # The flag goes up before the call: a cancelled call may have been sent.
+        before = self._draft.may_have_started
+        self._draft.may_have_started = True
+        outcome = await self._engine.start(self._order, held)
+        if isinstance(outcome, Ok):
+            return Ok(None)
+        error = outcome.err_value
+        if error.progress is not Progress.SENT:
+            self._draft.may_have_started = before
+        first = self._order.chain.stages[0].runner
+        return Err(EpochFailure(frozenset({first}), error.detail))
+
+    async def _follow(self, stream: StageStream, is_last: bool) -> None:
+        runner = stream.stage.runner
+        try:
+            while lines := await stream.read_lines():
+                for line in lines:
+                    if line.event == "token" and is_last:
+                        self._take(line, runner)
+                    elif line.event == "end" and not self._draft.is_whole:
+                        if is_last or line.reason != "done":
+                            self._fail({runner}, f"{runner} ended: {line.reason}")
+            if is_last:
+                self._fail({runner}, f"{runner} closed its stream")
+        except (OSError, ValueError) as error:
+            self._fail({runner}, f"stream of {runner}: {error}")
+
+    def _take(self, line: StageLine, runner: str) -> None:
+        if line.epoch != self._order.epoch or self._outcome.done():
+            return
+        if line.trace != self._expected_trace:
+            suspects = self._suspects_of(line.trace) or {runner}
+            self._fail(suspects, f"position {line.position} ran over other stages")
+            return
+        if not self._draft.accept(line.position, line.text, line.last):
+            if line.position > len(self._draft.tokens):
+                self._fail(set(), f"position {line.position} came too early")
+            return
+        self._on_token()
+        self._move_deadline()
+        if self._draft.is_whole:
+            self._outcome.set_result(Ok(None))
+
+    def _suspects_of(self, trace: list) -> set[str]:
+        pairs = zip(self._expected_trace, trace, strict=False)
+        return {expected[0] for expected, seen in pairs if expected != seen}
+
+    def _move_deadline(self) -> None:
+        now = self._clock.now()
+        if self._last_token_at is not None:
+            self._estimator.observe(now - self._last_token_at)
+        self._last_token_at = now
+        self._probes = 0
+        self._watched.deadline = now + self._estimator.deadline_ms()
+
+    def _fail(self, suspects: set[str], detail: str) -> None:
+        if not self._outcome.done():
+            self._outcome.set_result(Err(EpochFailure(frozenset(suspects), detail)))
+
+    def _stalled(self) -> None:
+        self._tasks.append(asyncio.create_task(self._probe_all()))
+
+    async def _probe_all(self) -> None:
+        """Settle a stall over fresh connections before any stage is blamed."""
+        stages = self._order.chain.stages
+        self._probes += 1
+        seen = len(self._draft.tokens)
+        timeout_ms = int(self._estimator.deadline_ms())
+        positions = await asyncio.gather(
+            *(self._engine.probe(s, self._order.run, timeout_ms) for s in stages)
+        )
+        if len(self._draft.tokens) != seen or self._outcome.done():
+            return
+        silent = {s.runner for s, p in zip(stages, positions, strict=True) if p is None}
+        if silent:
+            self._fail(silent, f"no answer to a probe from {', '.join(silent)}")
+        elif positions[-1] >= seen:
+            self._fail(set(), "the stream went silent while the stage goes on")
+        elif self._probes >= PROBES_BEFORE_GIVING_UP:
+            self._fail(self._behind(positions), "the stages make no progress")
+        else:
+            wait_ms = self._estimator.deadline_ms() * 2**self._probes
+            self._watched.deadline = self._clock.now() + wait_ms
+
+    def _behind(self, positions: list[int]) -> set[str]:
+        """Return the first stage that lags behind the one before it."""
+        stages = self._order.chain.stages
+        for index in range(1, len(stages)):
+            if positions[index] < positions[index - 1]:
+                return {stages[index].runner}
+        return {stages[0].runner}
--- /dev/null
+++ b/src/heathershunt/drafts/execution.py
@@ -0,0 +1,156 @@
+"""Execution of drafts: epoch after epoch until the answer is whole."""
+
+import asyncio
+from collections import defaultdict
+
+import logbook
+from result import Err, Ok
+
+from heathershunt.clock import Clock, Millis
+from heathershunt.drafts.chain import Chain, choose_chain
+from heathershunt.drafts.engine import EngineClient, RunOrder
+from heathershunt.drafts.epoch import Epoch, EpochFailure
+from heathershunt.drafts.journal import Draft
+from heathershunt.drafts.progress import GapEstimator, ProgressMonitor
+from heathershunt.runners import RunnerBoard
+from heathershunt.verdict import may_have_run, not_run
+
+log = logbook.Logger("heathershunt.drafts")
+
+MAX_EPOCHS = 12
+SUSPECT_MS = 5_000
+REPLAN_DELAY_MS = 20
+RETRY_AFTER_MS = 1_000
+INITIAL_GAP_MS = 34
+
+
+class DraftExecutor:
+    """Runs drafts over chains of runners and recovers them.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        engine: EngineClient,
+        board: RunnerBoard,
+        monitor: ProgressMonitor,
+        clock: Clock,
+        floor_ms: int,
+    ) -> None:
+        self._engine = engine
+        self._board = board
+        self._monitor = monitor
+        self._clock = clock
+        self._suspect_until_by_runner: dict[str, Millis] = {}
+        self._estimators_by_model: dict[str, GapEstimator] = defaultdict(
+            lambda: GapEstimator(floor_ms, INITIAL_GAP_MS)
+        )
+        self._cancels: set[asyncio.Task] = set()
+
+    async def run(self, draft: Draft) -> None:
+        """Run ``draft`` to its end."""
+        keep: frozenset[str] = frozenset()
+        detail = ""
+        while draft.epoch < MAX_EPOCHS and not draft.ended.is_set():
+            if self._clock.now() >= draft.request.deadline:
+                detail = f"the deadline has passed; {detail}"
+                break
+            chosen = self._choose(draft, keep)
+            if isinstance(chosen, Err):
+                detail = chosen.err_value
+                if draft.epoch == 0:
+                    break
+                draft.epoch += 1
+                await asyncio.sleep(REPLAN_DELAY_MS * 2**draft.epoch / 1000)
+                continue
+            failure = await self._run_epoch(draft, chosen.ok_value)
+            if failure is None:
+                return
+            detail = failure.detail
+            names = {stage.runner for stage in chosen.ok_value.stages}
+            keep = frozenset(names - failure.suspects)
+        self._give_up(draft, detail)
+
+    def _choose(self, draft: Draft, keep: frozenset[str]):
+        now = self._clock.now()
+        request = draft.request
+        suspects = [
+            runner
+            for runner, until in self._suspect_until_by_runner.items()
+            if until > now
+        ]
+        return choose_chain(
+            self._board,
+            request.model,
+            request.version,
+            request.adapter,
+            request.layers,
+            suspects,
+            keep,
+        )
+
+    async def _run_epoch(self, draft: Draft, chain: Chain) -> EpochFailure | None:
+        draft.epoch += 1
+        request = draft.request
+        order = RunOrder(
+            draft.request_id,
+            draft.epoch,
+            chain,
+            request.prompt,
+            tuple(draft.tokens),
+            len(draft.tokens),
+            request.max_tokens,
+            request.seed,
+            request.priority,
+            max(0, request.deadline - self._clock.now()),
+        )
+        epoch = Epoch(
+            draft,
+            order,
+            self._engine,
+            self._monitor,
+            self._estimators_by_model[request.model],
+            self._clock,
+        )
+        for stage in chain.stages:
+            self._board.add_inflight(stage.runner, 1)
+        outcome = None
+        try:
+            outcome = await epoch.run()
+        finally:
+            for stage in chain.stages:
+                self._board.add_inflight(stage.runner, -1)
+            if not isinstance(outcome, Ok):
+                self._cancel(order)
+        if isinstance(outcome, Ok):
+            return None
+        self._suspect(draft, outcome.err_value)
+        return outcome.err_value
+
+    def _suspect(self, draft: Draft, failure: EpochFailure) -> None:
+        until = self._clock.now() + SUSPECT_MS
+        for runner in failure.suspects:
+            self._suspect_until_by_runner[runner] = Millis(until)
+        log.warn(
+            "draft {} epoch {} failed at position {}: {}",
+            draft.request_id,
+            draft.epoch,
+            len(draft.tokens),
+            failure.detail,
+        )
+
+    def _cancel(self, order: RunOrder) -> None:
+        for stage in order.chain.stages:
+            task = asyncio.create_task(
+                self._engine.cancel(stage, order.run, order.epoch)
+            )
+            self._cancels.add(task)
+            task.add_done_callback(self._cancels.discard)
+
+    def _give_up(self, draft: Draft, detail: str) -> None:
+        if draft.may_have_started:
+            refusal = may_have_run(502, "Draft not finished", detail)
+        else:
+            refusal = not_run(503, "No runners", detail, RETRY_AFTER_MS)
+        draft.refuse(refusal)
--- /dev/null
+++ b/src/heathershunt/drafts/handler.py
@@ -0,0 +1,166 @@
+"""Callers' requests for drafts: ``/v1/completions``."""
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from heathershunt.bundle import Bundle, ClientAccount
+from heathershunt.clock import Clock, Millis
+from heathershunt.drafts.execution import DraftExecutor
+from heathershunt.drafts.journal import Draft, DraftRequest, DraftTable
+from heathershunt.drafts.sse import stream_answer, whole_answer
+from heathershunt.http import Request, Response, StreamResponse, problem_response
+from heathershunt.verdict import Refusal, not_run
+
+DEADLINE_HEADER = "x-deadline-ms"
+PRIORITY_HEADER = "x-priority"
+MAX_PROMPT_CHARACTERS = 200_000
+MAX_DEADLINE_MS = 3_600_000
+
+
+@dataclass(frozen=True)
+class CallerExtension:
+    """Fields beyond the OpenAI format, under ``heathershunt``.
+
+    :param received: texts of the tokens that the caller already has.
+    """
+
+    received: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class CompletionBody:
+    """Body of a request in the OpenAI completions format."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 16
+    stream: bool = False
+    seed: int = 0
+    adapter: str = ""
+    heathershunt: CallerExtension = CallerExtension()
+
+
+_decode_body = msgspec.json.Decoder(CompletionBody).decode
+
+
+class DraftHandler:
+    """Checks requests for drafts, starts them and answers them.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self, table: DraftTable, executor: DraftExecutor, clock: Clock
+    ) -> None:
+        self._table = table
+        self._executor = executor
+        self._clock = clock
+        self._tasks: set[asyncio.Task] = set()
+
+    async def complete(
+        self, request: Request, account: ClientAccount, bundle: Bundle
+    ) -> Response | StreamResponse:
+        """Answer ``POST /v1/completions``."""
+        body = _parse_body(request.body)
+        if isinstance(body, Err):
+            return problem_response(body.err_value)
+        wanted = self._check(request, body.ok_value, account, bundle)
+        if isinstance(wanted, Err):
+            return problem_response(wanted.err_value)
+        draft = self.start(wanted.ok_value)
+        if body.ok_value.stream:
+            first = len(draft.request.received)
+            await self._wait_first_token(draft, first)
+            if draft.refusal is not None and len(draft.tokens) == first:
+                return whole_answer(draft)
+            return stream_answer(draft, first - 1)
+        await draft.ended.wait()
+        return whole_answer(draft)
+
+    async def resume(
+        self, request: Request, request_id: str, account: ClientAccount
+    ) -> Response | StreamResponse:
+        """Answer ``GET /v1/completions/<request id>`` from ``Last-Event-ID`` on."""
+        draft = self._table.get(request_id, account.name)
+        if draft is None:
+            detail = f"no draft {request_id!r} of this account is kept here"
+            return problem_response(not_run(404, "Unknown draft", detail))
+        after = request.headers.get("last-event-id", "-1")
+        if not after.lstrip("-").isdigit():
+            detail = "Last-Event-ID is not the number of an event"
+            return problem_response(not_run(400, "Bad request", detail))
+        return stream_answer(draft, max(-1, int(after)))
+
+    def start(self, wanted: DraftRequest) -> Draft:
+        """Start a draft; it goes on when its caller's connection is gone."""
+        draft = self._table.add(wanted)
+        task = asyncio.create_task(self._executor.run(draft))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return draft
+
+    async def _wait_first_token(self, draft: Draft, count: int) -> None:
+        changed = asyncio.Event()
+        unsubscribe = draft.subscribe(changed.set)
+        while len(draft.tokens) == count and not draft.ended.is_set():
+            changed.clear()
+            await changed.wait()
+        unsubscribe()
+
+    def _check(
+        self,
+        request: Request,
+        body: CompletionBody,
+        account: ClientAccount,
+        bundle: Bundle,
+    ) -> Result[DraftRequest, Refusal]:
+        model = bundle.models_by_name.get(body.model)
+        if model is None:
+            return _bad(404, f"the model {body.model!r} is not in the bundle")
+        if not 1 <= body.max_tokens <= model.max_tokens:
+            return _bad(400, f"max_tokens of 1 to {model.max_tokens} is accepted")
+        if not body.prompt or len(body.prompt) > MAX_PROMPT_CHARACTERS:
+            return _bad(
+                400, f"a prompt of 1 to {MAX_PROMPT_CHARACTERS} characters is accepted"
+            )
+        if body.adapter and body.adapter not in model.adapters:
+            return _bad(404, f"the adapter {body.adapter!r} is not in the bundle")
+        if len(body.heathershunt.received) >= body.max_tokens:
+            return _bad(400, "more tokens were received than max_tokens")
+        name = request.headers.get(PRIORITY_HEADER, account.priority)
+        priority = bundle.priorities_by_name.get(name)
+        own = bundle.priorities_by_name[account.priority]
+        if priority is None or priority.rank < own.rank:
+            return _bad(400, f"the priority {name!r} is not open to this account")
+        text = request.headers.get(DEADLINE_HEADER, str(priority.deadline_ms))
+        if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+            return _bad(400, f"{DEADLINE_HEADER}: 1 to {MAX_DEADLINE_MS} is accepted")
+        return Ok(
+            DraftRequest(
+                account.name,
+                model.name,
+                model.version,
+                body.adapter,
+                model.layers,
+                body.prompt,
+                body.max_tokens,
+                body.seed,
+                priority.rank,
+                Millis(self._clock.now() + int(text)),
+                body.heathershunt.received,
+            )
+        )
+
+
+def _parse_body(data: bytes) -> Result[CompletionBody, Refusal]:
+    try:
+        return Ok(_decode_body(data))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return _bad(400, str(error))
+
+
+def _bad(status: int, detail: str) -> Err[Refusal]:
+    return Err(not_run(status, "Request refused", detail))
--- /dev/null
+++ b/src/heathershunt/drafts/journal.py
@@ -0,0 +1,129 @@
+"""Drafts and their tokens, kept in memory for the caller to come back to."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from heathershunt.clock import Clock, Millis
+from heathershunt.verdict import Refusal
+
+
+@dataclass(frozen=True)
+class DraftRequest:
+    """A checked request for a draft.
+
+    :param received: texts that the caller already has from an owner that is gone.
+    :param deadline: monotonic time by which the answer is wanted.
+    """
+
+    account: str
+    model: str
+    version: str
+    adapter: str
+    layers: int
+    prompt: str
+    max_tokens: int
+    seed: int
+    priority: int
+    deadline: Millis
+    received: tuple[str, ...] = ()
+
+
+class Draft:
+    """One draft: its request, its tokens so far, and its end.
+
+    :param request_id: unique over VMs and restarts.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, request_id: str, request: DraftRequest) -> None:
+        self.request_id = request_id
+        self.request = request
+        self.tokens: list[str] = list(request.received)
+        self.epoch = 0
+        self.is_whole = False
+        self.refusal: Refusal | None = None
+        self.may_have_started = False
+        self.ended = asyncio.Event()
+        self.ended_at: Millis | None = None
+        self._subscribers: list[Callable[[], None]] = []
+
+    def accept(self, position: int, text: str, last: bool) -> bool:
+        """Take the next token; ``False`` if ``position`` is not the next one."""
+        if self.ended.is_set() or position != len(self.tokens):
+            return False
+        self.tokens.append(text)
+        if last:
+            self.is_whole = True
+            self.ended.set()
+        self._notify()
+        return True
+
+    def refuse(self, refusal: Refusal) -> None:
+        """End the draft without its whole answer."""
+        if not self.ended.is_set():
+            self.refusal = refusal
+            self.ended.set()
+            self._notify()
+
+    def subscribe(self, callback: Callable[[], None]) -> Callable[[], None]:
+        """Call ``callback`` after each change; return how to stop that."""
+        self._subscribers.append(callback)
+        return lambda: self._subscribers.remove(callback)
+
+    def _notify(self) -> None:
+        for callback in list(self._subscribers):
+            callback()
+
+
+class DraftTable:
+    """All drafts that this VM owns, by request id.
+
+    :param incarnation: of this VM, so that ids differ across restarts.
+    :param window_ms: how long an ended draft is kept.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, vm: str, incarnation: int, clock: Clock, window_ms: int) -> None:
+        self._prefix = f"{vm}.{incarnation}"
+        self._clock = clock
+        self._window_ms = window_ms
+        self._counter = itertools.count(1)
+        self.drafts_by_request: dict[str, Draft] = {}
+
+    def add(self, request: DraftRequest) -> Draft:
+        """Create a draft with a new request id."""
+        request_id = f"{self._prefix}.{next(self._counter)}"
+        draft = Draft(request_id, request)
+        self.drafts_by_request[request_id] = draft
+        return draft
+
+    def get(self, request_id: str, account: str) -> Draft | None:
+        """Return a draft of ``account``; drafts of others do not exist for it."""
+        draft = self.drafts_by_request.get(request_id)
+        if draft is None or draft.request.account != account:
+            return None
+        return draft
+
+    def is_owner(self, request_id: str) -> bool:
+        """Return whether this incarnation issued the id."""
+        return request_id.rpartition(".")[0] == self._prefix
+
+    def remove_old(self) -> None:
+        """Drop drafts that ended longer ago than the window."""
+        now = self._clock.now()
+        for request_id, draft in list(self.drafts_by_request.items()):
+            if not draft.ended.is_set():
+                continue
+            if draft.ended_at is None:
+                draft.ended_at = now
+            elif now - draft.ended_at > self._window_ms:
+                del self.drafts_by_request[request_id]
+
+    @property
+    def running(self) -> int:
+        """Return the number of drafts that have not ended."""
+        return sum(not d.ended.is_set() for d in self.drafts_by_request.values())
--- /dev/null
+++ b/src/heathershunt/store/client.py
@@ -0,0 +1,159 @@
+"""Client of the platform's key-value service."""
+
+import base64
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from heathershunt.http import Address, HttpClient
+from heathershunt.verdict import Progress
+
+CALL_TIMEOUT_MS = 2000
+TOO_MANY_REQUESTS = 429
+CONFLICT = 409
+NOT_FOUND = 404
+GONE = 410
+
+
+class StoreFailure(Enum):
+    """Why a call of the store failed."""
+
+    UNAVAILABLE = "unavailable"
+    OUTCOME_UNKNOWN = "outcome unknown"
+    RATE_LIMITED = "rate limited"
+    LEASE_LAPSED = "lease lapsed"
+
+
+@dataclass(frozen=True)
+class StoreError:
+    """A failed call of the store.
+
+    :param kind: ``OUTCOME_UNKNOWN`` if a write may have taken effect.
+    """
+
+    kind: StoreFailure
+    detail: str
+
+
+@dataclass(frozen=True)
+class Stored:
+    """A value with its revision; ``value`` is ``None`` and ``revision`` 0 if absent."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True)
+class Swapped:
+    """Outcome of a compare-and-swap.
+
+    :param done: whether the new value was written.
+    :param current: the value in the store if it was not.
+    """
+
+    done: bool
+    current: Stored
+
+
+class KeyValueStore:
+    """The key-value service behind one or more addresses.
+
+    :param addresses: tried in order; an address that fails is tried last next time.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, http: HttpClient, addresses: tuple[Address, ...]) -> None:
+        self._http = http
+        self._addresses = list(addresses)
+
+    async def get(self, key: str) -> Result[Stored, StoreError]:
+        """Read one key."""
+        outcome = await self._call("GET", f"/v1/kv?key={quote(key, safe='')}")
+        return outcome.map(lambda reply: _stored(key, reply[1]))
+
+    async def swap(
+        self, key: str, value: bytes | None, expected: int, lease: str | None = None
+    ) -> Result[Swapped, StoreError]:
+        """Write ``value`` if the revision of ``key`` is still ``expected``.
+
+        :param value: ``None`` deletes the key.
+        :param lease: the key vanishes when this lease lapses.
+        """
+        text = None if value is None else base64.b64encode(value).decode()
+        body = {"key": key, "value": text, "expected": expected, "lease": lease}
+        outcome = await self._call("POST", "/v1/kv/swap", body)
+        if isinstance(outcome, Err):
+            return outcome
+        status, reply = outcome.ok_value
+        if status == CONFLICT:
+            return Ok(Swapped(False, _stored(key, reply)))
+        return Ok(Swapped(True, Stored(key, value, reply["revision"])))
+
+    async def watch(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> Result[tuple[list[Stored], int], StoreError]:
+        """Wait for changes after a revision; return them and the new revision."""
+        target = f"/v1/watch?prefix={quote(prefix)}&after={after}&wait_ms={wait_ms}"
+        outcome = await self._call("GET", target, extra_ms=wait_ms)
+        if isinstance(outcome, Err):
+            return outcome
+        reply = outcome.ok_value[1]
+        events = [_stored(event["key"], event) for event in reply["events"]]
+        return Ok((events, reply["revision"]))
+
+    async def grant_lease(self, ttl_ms: int) -> Result[str, StoreError]:
+        """Ask for a lease; return its id."""
+        outcome = await self._call("POST", "/v1/leases", {"ttl_ms": ttl_ms})
+        return outcome.map(lambda reply: reply[1]["lease"])
+
+    async def keep_alive(self, lease: str) -> Result[None, StoreError]:
+        """Renew a lease."""
+        outcome = await self._call("POST", f"/v1/leases/{lease}/keepalive", {})
+        return outcome.map(lambda _: None)
+
+    async def revoke(self, lease: str) -> Result[None, StoreError]:
+        """Give a lease back."""
+        outcome = await self._call("DELETE", f"/v1/leases/{lease}")
+        return outcome.map(lambda _: None)
+
+    async def _call(
+        self, method: str, target: str, body: Any = None, extra_ms: int = 0
+    ) -> Result[tuple[int, Any], StoreError]:
+        error = None
+        for address in list(self._addresses):
+            outcome = await self._http.request_json(
+                address,
+                method,
+                target,
+                body,
+                timeout_ms=CALL_TIMEOUT_MS + extra_ms,
+            )
+            if isinstance(outcome, Ok):
+                return _check_status(*outcome.ok_value)
+            error = outcome.err_value
+            self._addresses.remove(address)
+            self._addresses.append(address)
+            if method != "GET" and error.progress is not Progress.NOT_SENT:
+                return Err(StoreError(StoreFailure.OUTCOME_UNKNOWN, error.detail))
+        return Err(StoreError(StoreFailure.UNAVAILABLE, error.detail))
+
+
+def _check_status(status: int, reply: Any) -> Result[tuple[int, Any], StoreError]:
+    if status == TOO_MANY_REQUESTS:
+        return Err(StoreError(StoreFailure.RATE_LIMITED, "rate limit of the store"))
+    if status == GONE:
+        return Err(StoreError(StoreFailure.LEASE_LAPSED, "the lease has lapsed"))
+    if status in (200, CONFLICT, NOT_FOUND) and isinstance(reply, dict):
+        return Ok((status, reply))
+    return Err(StoreError(StoreFailure.UNAVAILABLE, f"status {status}"))
+
+
+def _stored(key: str, reply: dict[str, Any]) -> Stored:
+    text = reply.get("value")
+    value = None if text is None else base64.b64decode(text)
+    return Stored(key, value, reply.get("revision", 0))
--- /dev/null
+++ b/src/heathershunt/store/vm_list.py
@@ -0,0 +1,96 @@
+"""The platform's lagging list of live and leaving VMs."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import logbook
+import msgspec
+from result import Err
+
+from heathershunt.http import Address, HttpClient
+
+log = logbook.Logger("heathershunt.store")
+
+POLL_MS = 1000
+
+
+class VmRole(Enum):
+    """What a listed VM does."""
+
+    ENTRY = "entry"
+    RUNNER = "runner"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True)
+class ListedVm:
+    """One entry of the list: one address of one VM.
+
+    :param state: ``live`` or ``leaving``.
+    :param service: name of the plain service at this address.
+    """
+
+    vm: str
+    domain: str
+    state: str
+    role: VmRole
+    address: str
+    service: str | None = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the VM must get no new work."""
+        return self.state != "live"
+
+
+class VmList:
+    """Polls the list and keeps the last answer through an outage.
+
+    :param on_change: called with the entries after each change.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        address: Address,
+        on_change: Callable[[tuple[ListedVm, ...]], None],
+    ) -> None:
+        self._http = http
+        self._address = address
+        self._on_change = on_change
+        self.entries: tuple[ListedVm, ...] = ()
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(POLL_MS / 1000)
+
+    async def poll(self) -> None:
+        """Read the list once."""
+        outcome = await self._http.request_json(self._address, "GET", "/v1/vms")
+        if isinstance(outcome, Err):
+            log.warn("VM list not read: {}", outcome.err_value.detail)
+            return
+        status, reply = outcome.ok_value
+        try:
+            raw = reply["vms"] if status == 200 else None
+            entries = msgspec.convert(raw, tuple[ListedVm, ...])
+        except (msgspec.ValidationError, KeyError, TypeError) as error:
+            log.warn("VM list refused: {}", error)
+            return
+        if entries != self.entries:
+            self.entries = entries
+            self._on_change(entries)
+
+    def service_addresses(self, service: str) -> list[Address]:
+        """Return the addresses of a plain service on VMs that are not leaving."""
+        return [
+            Address.from_text(entry.address)
+            for entry in self.entries
+            if entry.service == service and not entry.is_leaving
+        ]
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,493 @@
+"""Stand-in of a model engine that holds a range of layers.
+
+Start with ``python -m standins.engine SPECS.json``; the file holds a list of engine
+specifications. The process prints one JSON line with the bound addresses.
+"""
+
+import asyncio
+import json
+import struct
+import sys
+import time
+from collections import OrderedDict, deque
+from dataclasses import asdict, replace
+
+import cbor2
+import msgspec
+
+from heathershunt.http import (
+    Address,
+    HttpLimits,
+    HttpServer,
+    Request,
+    Response,
+    StreamResponse,
+    json_response,
+)
+from standins import oracle
+from standins.engine_state import EngineSpec, Run, Work
+from standins.prefix import prefix_hashes
+
+FRAME = struct.Struct(">I")
+HOST = "127.0.0.1"
+PROGRESS_SECONDS = 1.0
+ENDED_RUNS_KEPT = 2048
+POSITIONS_PER_BLOCK = 16
+
+
+class Engine:
+    """One engine: HTTP for the router, framed CBOR between stages."""
+
+    def __init__(self, spec: EngineSpec) -> None:
+        self.spec = spec
+        self.incarnation = time.time_ns() // 1_000_000
+        self.fence = 0
+        self.leaving = False
+        self.ledger: list[dict] = []
+        self.orders: list[dict] = []
+        self._runs_by_id: dict[str, Run] = {}
+        self._kv_by_run: OrderedDict[str, int] = OrderedDict()
+        self._epoch_by_run: OrderedDict[str, int] = OrderedDict()
+        self._queue: list[Work] = []
+        self._wake = asyncio.Event()
+        self._links_by_address: dict[str, asyncio.StreamWriter] = {}
+        self._prefixes: OrderedDict[str, int] = OrderedDict()
+        self._events: deque[tuple[float, dict]] = deque(maxlen=4096)
+        self._event_seq = 0
+        self._reports: deque[tuple[float, dict]] = deque(maxlen=512)
+        self._running = 0
+        self.http = HttpServer(self.handle, HttpLimits(idle_ms=600_000))
+        self.fabric: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> dict:
+        """Bind both listeners and return their addresses."""
+        await self.http.start(HOST, self.spec.port)
+        self.fabric = await asyncio.start_server(
+            self._serve_fabric, HOST, self.spec.fabric_port
+        )
+        port = self.fabric.sockets[0].getsockname()[1]
+        fabric = self.spec.advertised_fabric or f"{HOST}:{port}"
+        self.spec = replace(self.spec, advertised_fabric=fabric)
+        self._tasks = [
+            asyncio.create_task(self._step_forever()),
+            asyncio.create_task(self._report_forever()),
+        ]
+        return {
+            "runner": self.spec.runner,
+            "address": f"{HOST}:{self.http.port}",
+            "fabric": f"{HOST}:{port}",
+        }
+
+    # HTTP side
+
+    async def handle(self, request: Request) -> Response | StreamResponse:
+        """Answer one request of the engine protocol."""
+        parts = request.path.strip("/").split("/")
+        key = (request.method, parts[1] if len(parts) > 1 else "", len(parts))
+        try:
+            if key == ("GET", "status", 2):
+                return json_response(200, self._status())
+            if key == ("GET", "events", 2):
+                return json_response(200, self._cache_events(request))
+            if key == ("GET", "ledger", 2):
+                return json_response(200, {"runs": self.ledger, "orders": self.orders})
+            if key == ("POST", "runs", 2):
+                return self._open(json.loads(request.body))
+            if key == ("POST", "runs", 4):
+                return self._start_run(parts[2], json.loads(request.body))
+            if key == ("GET", "runs", 3):
+                return self._probe(parts[2])
+            if key == ("DELETE", "runs", 3):
+                return self._cancel(parts[2], int(request.query.get("epoch", "0")))
+            if key == ("GET", "kv", 3):
+                return self._export_kv(parts[2])
+            if key == ("POST", "orders", 2):
+                return self._order(json.loads(request.body))
+            if key == ("POST", "leave", 2):
+                self.leaving = True
+                return json_response(200, {})
+        except (KeyError, ValueError, TypeError) as error:
+            return json_response(400, {"error": str(error)})
+        return json_response(404, {"error": "no such path"})
+
+    def _status(self) -> dict:
+        spec = self.spec
+        cutoff = time.monotonic() - spec.report_lag_ms / 1000
+        load = self._load()
+        for stamp, report in reversed(self._reports):
+            if stamp <= cutoff:
+                load = report
+                break
+        return {
+            "runner": spec.runner,
+            "incarnation": self.incarnation,
+            "kind": spec.kind,
+            "fence": self.fence,
+            "checks_fence": spec.checks_fence,
+            "leaving": self.leaving,
+            "vm": spec.vm or spec.runner,
+            "domain": spec.domain,
+            "model": spec.model,
+            "version": spec.version,
+            "adapters": list(spec.adapters),
+            "first_layer": spec.first_layer,
+            "end_layer": spec.end_layer,
+            "role": spec.role,
+            "fabric": spec.advertised_fabric,
+            "load": load,
+        }
+
+    def _load(self) -> dict:
+        spec = self.spec
+        return {
+            "running": len(self._runs_by_id),
+            "queued": len(self._queue),
+            "batch_limit": spec.batch_limit,
+            "step_ms": spec.step_ms,
+            "token_ms": spec.token_ms,
+            "prefill_token_ms": spec.prefill_token_ms,
+            "kv_free_tokens": max(
+                0, spec.kv_token_limit - sum(self._kv_by_run.values())
+            ),
+            "at_ms": time.time_ns() // 1_000_000,
+        }
+
+    async def _report_forever(self) -> None:
+        while True:
+            self._reports.append((time.monotonic(), self._load()))
+            await asyncio.sleep(0.05)
+
+    def _cache_events(self, request: Request) -> dict:
+        after = int(request.query.get("after", "0"))
+        cutoff = time.monotonic() - self.spec.report_lag_ms / 1000
+        events = [
+            event
+            for stamp, event in self._events
+            if stamp <= cutoff and event["seq"] > after
+        ]
+        # Every seventh event is lost on purpose: readers must cope with gaps.
+        seen = [event for event in events if event["seq"] % 7]
+        return {"events": seen, "next": events[-1]["seq"] if events else after}
+
+    def _open(self, body: dict) -> Response | StreamResponse:
+        run_id, epoch = body["run"], int(body["epoch"])
+        if epoch <= self._epoch_by_run.get(run_id, 0):
+            return json_response(409, {"error": "an epoch as high was opened already"})
+        spec = self.spec
+        if self.leaving:
+            return json_response(503, {"error": "leaving"})
+        if (body["model"], body["version"]) != (spec.model, spec.version):
+            return json_response(409, {"error": "another model version is loaded"})
+        if body["adapter"] and body["adapter"] not in spec.adapters:
+            return json_response(409, {"error": "the adapter is not loaded"})
+        old = self._runs_by_id.pop(run_id, None)
+        if old is not None:
+            self._end(old, "superseded")
+        run = Run(
+            run_id,
+            epoch,
+            int(body["stage"]),
+            body["chain"],
+            body["prompt"],
+            list(body["tokens"]),
+            int(body["position"]),
+            int(body["max_tokens"]),
+            int(body["seed"]),
+            body["adapter"],
+            int(body["priority"]),
+            0,
+        )
+        run.kv_positions = self._kv_positions(run)
+        self._runs_by_id[run_id] = run
+        self._epoch_by_run[run_id] = epoch
+        while len(self._epoch_by_run) > ENDED_RUNS_KEPT:
+            self._epoch_by_run.popitem(last=False)
+        return StreamResponse(
+            200,
+            {"content-type": "application/x-ndjson"},
+            lambda stream: self._stream_run(run, stream),
+        )
+
+    def _kv_positions(self, run: Run) -> int:
+        limit = run.prompt_positions + run.position
+        held = min(self._kv_by_run.get(run.run, 0), limit)
+        hashes = prefix_hashes(run.prompt)
+        for index in range(len(hashes) - 1, -1, -1):
+            if hashes[index] in self._prefixes:
+                self._prefixes.move_to_end(hashes[index])
+                held = max(held, min((index + 1) * POSITIONS_PER_BLOCK, limit))
+                break
+        return held
+
+    async def _stream_run(self, run: Run, stream) -> None:
+        spec = self.spec
+        opened = {
+            "event": "opened",
+            "runner": spec.runner,
+            "first_layer": spec.first_layer,
+            "end_layer": spec.end_layer,
+            "version": spec.version,
+            "kv_positions": run.kv_positions,
+        }
+        stream.write(_line(opened))
+        closed = asyncio.create_task(stream.wait_closed())
+        get = asyncio.create_task(run.outbox.get())
+        try:
+            while not closed.done():
+                await asyncio.wait({closed, get}, return_when="FIRST_COMPLETED")
+                if not get.done():
+                    continue
+                lines = [get.result()]
+                while not run.outbox.empty():
+                    lines.append(run.outbox.get_nowait())
+                stream.write(b"".join(_line(line) for line in lines))
+                if lines[-1]["event"] == "end":
+                    return
+                get = asyncio.create_task(run.outbox.get())
+        finally:
+            closed.cancel()
+            get.cancel()
+            if self._runs_by_id.get(run.run) is run:
+                self._end(run, "closed")
+
+    def _start_run(self, run_id: str, body: dict) -> Response:
+        run = self._runs_by_id.get(run_id)
+        if run is None or run.epoch != int(body["epoch"]):
+            return json_response(409, {"error": "no such run and epoch"})
+        if run.started:
+            return json_response(200, {})
+        run.started = True
+        held = [int(value) for value in body["kv_positions"]]
+        recompute = tuple(min(held[index:]) for index in range(len(held)))
+        self._enqueue_token(run, recompute)
+        return json_response(200, {})
+
+    def _probe(self, run_id: str) -> Response:
+        run = self._runs_by_id.get(run_id)
+        if run is None:
+            return json_response(404, {"error": "no such run"})
+        return json_response(200, {"epoch": run.epoch, "position": run.position})
+
+    def _cancel(self, run_id: str, epoch: int) -> Response:
+        self._epoch_by_run[run_id] = max(epoch, self._epoch_by_run.get(run_id, 0))
+        run = self._runs_by_id.get(run_id)
+        if run is not None and run.epoch <= epoch:
+            self._end(run, "cancelled")
+        return json_response(200, {})
+
+    def _export_kv(self, run_id: str) -> Response:
+        return json_response(200, {"positions": self._kv_by_run.get(run_id, 0)})
+
+    def _order(self, body: dict) -> Response:
+        fence = int(body["fence"])
+        if self.spec.checks_fence and fence < self.fence:
+            self.orders.append({**body, "done": False})
+            return json_response(409, {"error": "old fencing token"})
+        self.fence = fence
+        self.orders.append({**body, "done": True})
+        self.spec = replace(
+            self.spec,
+            model=body["model"],
+            version=body["version"],
+            adapters=tuple(body["adapters"]),
+            first_layer=int(body["first_layer"]),
+            end_layer=int(body["end_layer"]),
+            role=body["role"],
+        )
+        return json_response(200, {})
+
+    # Steps
+
+    def _enqueue_token(self, run: Run, recompute_from: tuple[int, ...]) -> None:
+        value = oracle.embed(run.prompt, run.seed, run.tokens)
+        self._enqueue(
+            Work(
+                run.run,
+                run.epoch,
+                run.position,
+                value,
+                (),
+                recompute_from,
+                run.priority,
+            )
+        )
+
+    def _enqueue(self, work: Work) -> None:
+        self._queue.append(work)
+        self._wake.set()
+
+    async def _step_forever(self) -> None:
+        spec = self.spec
+        due = time.monotonic()
+        while True:
+            await self._wake.wait()
+            if not self._queue:
+                self._wake.clear()
+                continue
+            self._queue.sort(key=lambda work: work.priority)
+            batch = self._queue[: spec.batch_limit]
+            del self._queue[: spec.batch_limit]
+            cost = spec.step_ms + sum(map(self._cost_ms, batch))
+            due = max(due, time.monotonic() - 0.002) + cost / 1000
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            frames_by_address: dict[str, list] = {}
+            for work in batch:
+                self._finish(work, frames_by_address)
+            for address, items in frames_by_address.items():
+                await self._send(address, items)
+
+    def _cost_ms(self, work: Work) -> float:
+        run = self._runs_by_id.get(work.run)
+        if run is None or run.epoch != work.epoch:
+            return 0.0
+        recompute = run.prompt_positions + work.position
+        missing = max(0, recompute - work.recompute_from[run.stage])
+        return self.spec.token_ms + missing * self.spec.prefill_token_ms
+
+    def _finish(self, work: Work, frames_by_address: dict[str, list]) -> None:
+        run = self._runs_by_id.get(work.run)
+        if run is None or run.epoch != work.epoch:
+            return
+        spec = self.spec
+        salt = oracle.version_salt(spec.model, spec.version, run.adapter)
+        value = oracle.run_layers(work.value, salt, spec.first_layer, spec.end_layer)
+        stop = run.prompt_positions + work.position + 1
+        recomputed = max(0, stop - 1 - work.recompute_from[run.stage])
+        self._kv_by_run[run.run] = stop
+        run.position = work.position
+        entry = [spec.runner, spec.first_layer, spec.end_layer, spec.version]
+        if spec.keep_ledger:
+            self.ledger.append(
+                {
+                    "run": run.run,
+                    "epoch": run.epoch,
+                    "position": work.position,
+                    "stage": run.stage,
+                    "layers": [spec.first_layer, spec.end_layer],
+                    "version": spec.version,
+                    "recomputed": recomputed,
+                }
+            )
+        work = replace(work, value=value, trace=(*work.trace, entry))
+        if run.is_last:
+            self._emit(run, work, frames_by_address)
+        else:
+            now = time.monotonic()
+            if now - run.last_progress >= PROGRESS_SECONDS:
+                run.last_progress = now
+                run.outbox.put_nowait({"event": "progress", "position": work.position})
+            address = run.chain[run.stage + 1]["fabric"]
+            frames_by_address.setdefault(address, []).append(asdict(work))
+
+    def _emit(self, run: Run, work: Work, frames_by_address: dict) -> None:
+        text = oracle.decode(work.value)
+        last = work.position + 1 >= run.max_tokens
+        run.outbox.put_nowait(
+            {
+                "event": "token",
+                "epoch": run.epoch,
+                "position": work.position,
+                "text": text,
+                "trace": list(work.trace),
+                "last": last,
+            }
+        )
+        if last:
+            self._remember_prefix(run)
+            self._end(run, "done")
+            return
+        address = run.chain[0]["fabric"]
+        message = {
+            "run": run.run,
+            "epoch": run.epoch,
+            "next": work.position + 1,
+            "text": text,
+        }
+        if len(run.chain) == 1:
+            self._receive(message)
+        else:
+            frames_by_address.setdefault(address, []).append(message)
+
+    def _remember_prefix(self, run: Run) -> None:
+        for digest in prefix_hashes(run.prompt):
+            if digest not in self._prefixes:
+                self._cache_event("add", digest)
+            self._prefixes[digest] = 1
+            self._prefixes.move_to_end(digest)
+        while len(self._prefixes) > self.spec.prefix_limit:
+            digest, _ = self._prefixes.popitem(last=False)
+            self._cache_event("evict", digest)
+
+    def _cache_event(self, op: str, prefix: str) -> None:
+        self._event_seq += 1
+        event = {"seq": self._event_seq, "op": op, "prefix": prefix}
+        self._events.append((time.monotonic(), event))
+
+    def _end(self, run: Run, reason: str) -> None:
+        self._runs_by_id.pop(run.run, None)
+        run.outbox.put_nowait({"event": "end", "reason": reason})
+        self._kv_by_run.pop(run.run, None) if reason == "done" else None
+        while len(self._kv_by_run) > ENDED_RUNS_KEPT:
+            self._kv_by_run.popitem(last=False)
+
+    # Fabric between stages
+
+    async def _send(self, address: str, items: list[dict]) -> None:
+        data = cbor2.dumps(items)
+        try:
+            writer = self._links_by_address.get(address)
+            if writer is None or writer.transport.is_closing():
+                target = Address.from_text(address)
+                async with asyncio.timeout(1):
+                    _, writer = await asyncio.open_connection(target.host, target.port)
+                self._links_by_address[address] = writer
+            writer.write(FRAME.pack(len(data)) + data)
+        except (OSError, TimeoutError):
+            self._links_by_address.pop(address, None)
+
+    async def _serve_fabric(self, reader, writer) -> None:
+        try:
+            while True:
+                (size,) = FRAME.unpack(await reader.readexactly(FRAME.size))
+                for item in cbor2.loads(await reader.readexactly(size)):
+                    self._receive(item)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def _receive(self, item: dict) -> None:
+        run = self._runs_by_id.get(item["run"])
+        if run is None or run.epoch != item["epoch"]:
+            return
+        if "next" in item:
+            run.tokens.append(item["text"])
+            run.position = item["next"]
+            held = run.prompt_positions + item["next"]
+            self._enqueue_token(run, (held,) * len(run.chain))
+            return
+        trace = tuple(item["trace"])
+        held = tuple(item["recompute_from"])
+        self._enqueue(Work(**{**item, "trace": trace, "recompute_from": held}))
+
+
+def _line(value: dict) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode() + b"\n"
+
+
+async def run_engines(specs: list[EngineSpec]) -> None:
+    """Run engines until the process is ended."""
+    engines = [Engine(spec) for spec in specs]
+    addresses = [await engine.start() for engine in engines]
+    print(json.dumps({"engines": addresses}), flush=True)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the engines of the specification file named on the command line."""
+    with open(sys.argv[1], encoding="utf-8") as file:
+        specs = msgspec.convert(json.load(file), list[EngineSpec])
+    asyncio.run(run_engines(specs))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/engine_state.py
@@ -0,0 +1,93 @@
+"""Runs, work items and the ledger of one engine stand-in."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """What one stand-in engine is.
+
+    :param batch_limit: work items in one step.
+    :param step_ms: fixed time of a step.
+    :param token_ms: additional time for each item of a step.
+    :param prefill_token_ms: additional time for each recomputed position.
+    :param report_lag_ms: age of the load report it publishes.
+    """
+
+    runner: str
+    model: str
+    version: str
+    first_layer: int
+    end_layer: int
+    layers: int
+    port: int = 0
+    fabric_port: int = 0
+    advertised_fabric: str = ""
+    vm: str = ""
+    domain: str = "a"
+    kind: str = "k1"
+    adapters: tuple[str, ...] = ()
+    role: str = "drafting"
+    checks_fence: bool = True
+    batch_limit: int = 16
+    step_ms: float = 2.0
+    token_ms: float = 0.2
+    prefill_token_ms: float = 0.05
+    report_lag_ms: int = 200
+    kv_token_limit: int = 200_000
+    prefix_limit: int = 256
+    keep_ledger: bool = True
+
+
+@dataclass
+class Run:
+    """One epoch of one draft at this stage."""
+
+    run: str
+    epoch: int
+    stage: int
+    chain: list[dict[str, Any]]
+    prompt: str
+    tokens: list[str]
+    position: int
+    max_tokens: int
+    seed: int
+    adapter: str
+    priority: int
+    kv_positions: int
+    started: bool = False
+    last_progress: float = 0.0
+    outbox: asyncio.Queue = field(default_factory=asyncio.Queue)
+
+    @property
+    def is_first(self) -> bool:
+        """Return whether this stage embeds the tokens."""
+        return self.stage == 0
+
+    @property
+    def is_last(self) -> bool:
+        """Return whether this stage emits the tokens."""
+        return self.stage == len(self.chain) - 1
+
+    @property
+    def prompt_positions(self) -> int:
+        """Return the number of positions that the prompt takes."""
+        return len(self.prompt.split())
+
+
+@dataclass(frozen=True)
+class Work:
+    """One position of one run that waits for a step.
+
+    :param recompute_from: per stage, the first position that its cache lacks.
+    """
+
+    run: str
+    epoch: int
+    position: int
+    value: int
+    trace: tuple
+    recompute_from: tuple[int, ...]
+    priority: int = 1
--- /dev/null
+++ b/standins/launch.py
@@ -0,0 +1,345 @@
+"""Launcher of stand-ins and daemons as separate processes on loopback.
+
+A development tool for the demo, the tests and the measurements. It ends only the
+processes that it started.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+from result import Err
+
+from heathershunt.bundle import (
+    Bundle,
+    SignedRoot,
+    bundle_from_mapping,
+    encode_root,
+    new_key_pair,
+    sign_root,
+    split_bundle,
+)
+from heathershunt.http import Address, HttpClient
+from heathershunt.store import KeyValueStore, roll_bundle
+from standins.engine_state import EngineSpec
+
+HOST = "127.0.0.1"
+ROOT = Path(__file__).resolve().parent.parent
+READY_SECONDS = 20
+POLL_SECONDS = 0.02
+STOP_SECONDS = 10
+
+
+class LaunchError(Exception):
+    """A process did not start or did not become ready."""
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def token_sha256(token: str) -> str:
+    """Return the hash of a bearer token as the bundle holds it."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+@dataclass
+class Process:
+    """One started process."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    log_path: Path
+    address: Address | None = None
+    info: dict = field(default_factory=dict)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self.send(signal.SIGKILL)
+
+    def pause(self) -> None:
+        """Stop the process without ending it."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Continue a paused process."""
+        self.send(signal.SIGCONT)
+
+    async def terminate(self) -> int:
+        """Ask for a graceful end and return the exit code."""
+        self.send(signal.SIGTERM)
+        return await self.process.wait()
+
+    def log_text(self) -> str:
+        """Return what the process logged."""
+        return self.log_path.read_text(errors="replace")
+
+
+@dataclass(frozen=True)
+class DaemonPorts:
+    """Addresses of one daemon's listeners."""
+
+    callers: Address
+    operators: Address
+    peers: Address
+
+
+def pipeline_specs(
+    model: str,
+    version: str,
+    layers: int,
+    stages: int,
+    replicas: int,
+    **options,
+) -> list[EngineSpec]:
+    """Return engines for ``replicas`` pipelines of ``stages`` equal stages."""
+    cut = layers // stages
+    return [
+        EngineSpec(
+            runner=f"{model}-s{stage}-r{replica}",
+            model=model,
+            version=version,
+            first_layer=stage * cut,
+            end_layer=layers if stage == stages - 1 else (stage + 1) * cut,
+            layers=layers,
+            domain="abc"[replica % 3],
+            **options,
+        )
+        for stage in range(stages)
+        for replica in range(replicas)
+    ]
+
+
+class Deployment:
+    """A platform, engines, services and daemons, each a process of its own."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="heathershunt-")
+        self.folder = Path(self._folder.name)
+        self.processes_by_name: dict[str, Process] = {}
+        self.ports_by_daemon: dict[str, DaemonPorts] = {}
+        self.http = HttpClient()
+        self.private_key, self.public_key = new_key_pair()
+        self.operator_key = "operator-key"
+        self.vms: list[dict] = []
+        self.previous_root = ""
+        self.last_signed: SignedRoot | None = None
+
+    async def spawn(self, name: str, *arguments: str, env: dict | None = None):
+        """Start a Python module as a process."""
+        log_path = self.folder / f"{name}.log"
+        with log_path.open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *arguments,
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": "src:.", **(env or {})},
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+            )
+        started = Process(name, process, log_path)
+        self.processes_by_name[name] = started
+        return started
+
+    async def spawn_ready(self, name: str, *arguments: str) -> Process:
+        """Start a stand-in and wait for its line with the addresses."""
+        started = await self.spawn(name, *arguments)
+        try:
+            async with asyncio.timeout(READY_SECONDS):
+                line = await started.process.stdout.readline()
+        except TimeoutError:
+            line = b""
+        if not line:
+            raise LaunchError(f"{name} did not start: {started.log_text()}")
+        started.info = json.loads(line)
+        if "address" in started.info:
+            started.address = Address.from_text(started.info["address"])
+        return started
+
+    async def start_platform(self) -> Process:
+        """Start the platform stand-in."""
+        return await self.spawn_ready("platform", "standins.platform")
+
+    @property
+    def platform(self) -> Address:
+        """Return the address of the platform."""
+        return self.processes_by_name["platform"].address
+
+    async def start_engines(self, specs: list[EngineSpec], name="engines") -> Process:
+        """Start one process with the given engines and list their VMs."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps([asdict(spec) for spec in specs]))
+        process = await self.spawn_ready(name, "standins.engine", str(path))
+        for spec, bound in zip(specs, process.info["engines"], strict=True):
+            self.vms.append(
+                {
+                    "vm": spec.vm or spec.runner,
+                    "domain": spec.domain,
+                    "state": "live",
+                    "role": "runner",
+                    "address": bound["address"],
+                    "process": name,
+                }
+            )
+        return process
+
+    async def start_service(self, name: str) -> Process:
+        """Start one plain service and list its VM."""
+        process = await self.spawn_ready(name, "standins.service")
+        self.vms.append(
+            {
+                "vm": name,
+                "domain": "a",
+                "state": "live",
+                "role": "service",
+                "address": str(process.address),
+                "service": name,
+            }
+        )
+        return process
+
+    async def publish_vms(self) -> None:
+        """Hand the VM list to the platform."""
+        keys = ("vm", "domain", "state", "role", "address", "service")
+        vms = [{k: vm[k] for k in keys if k in vm} for vm in self.vms]
+        await self.call(self.platform, "PUT", "/v1/vms", {"vms": vms})
+
+    async def call(self, address: Address, method: str, target: str, payload=None):
+        """Send JSON to a stand-in and return its reply."""
+        outcome = await self.http.request_json(address, method, target, payload)
+        return outcome.unwrap()[1]
+
+    def daemon_settings(self, name: str, index: int) -> str:
+        """Return the settings file of a daemon."""
+        ports = self.ports_by_daemon[name]
+        seeds = [
+            f'"{other.peers}"' for n, other in self.ports_by_daemon.items() if n != name
+        ]
+        operator = token_sha256(self.operator_key)
+        return f"""
+[vm]
+name = "{name}"
+domain = "{"abc"[index % 3]}"
+
+[listen]
+callers = "{ports.callers}"
+operators = "{ports.operators}"
+peers = "{ports.peers}"
+
+[platform]
+store = ["{self.platform}"]
+vm_list = "{self.platform}"
+
+[bundle]
+trusted_keys = ["{self.public_key}"]
+
+[peers]
+seeds = [{", ".join(seeds)}]
+
+[operators]
+key_sha256 = ["{operator}"]
+"""
+
+    async def start_daemons(self, count: int) -> None:
+        """Start daemons named ``vm1`` on and wait until they listen."""
+        for index in range(count):
+            self.ports_by_daemon[f"vm{index + 1}"] = DaemonPorts(
+                *(Address(HOST, free_port()) for _ in range(3))
+            )
+        for index, name in enumerate(self.ports_by_daemon):
+            path = self.folder / f"{name}.toml"
+            path.write_text(self.daemon_settings(name, index))
+            await self.start_daemon(name)
+
+    async def start_daemon(self, name: str) -> Process:
+        """Start, or start again, the daemon with the settings written for it."""
+        path = self.folder / f"{name}.toml"
+        process = await self.spawn(name, "heathershunt.daemon.main", str(path))
+        process.address = self.ports_by_daemon[name].callers
+        await self.wait_status(process, "/healthz")
+        return process
+
+    async def wait_status(self, process: Process, path: str, status: int = 200) -> None:
+        """Wait until a GET of ``path`` gives ``status``."""
+        deadline = asyncio.get_running_loop().time() + READY_SECONDS
+        while asyncio.get_running_loop().time() < deadline:
+            if process.process.returncode is not None:
+                break
+            outcome = await self.http.request(process.address, "GET", path)
+            if not isinstance(outcome, Err):
+                await outcome.ok_value.read()
+                if outcome.ok_value.status == status:
+                    return
+            await asyncio.sleep(POLL_SECONDS)
+        raise LaunchError(
+            f"{process.name}: no {status} of {path}: {process.log_text()}"
+        )
+
+    def sign(self, raw: dict) -> tuple[SignedRoot, dict[str, bytes], Bundle]:
+        """Build and sign a bundle that follows the last one rolled."""
+        bundle = bundle_from_mapping(raw)
+        root, parts = split_bundle(bundle, 1_000, self.previous_root)
+        signed = sign_root(SignedRoot(encode_root(root)), self.private_key)
+        return signed, parts, bundle
+
+    async def roll(self, raw: dict) -> SignedRoot:
+        """Roll a bundle through the platform's store."""
+        signed, parts, _ = self.sign(raw)
+        store = KeyValueStore(self.http, (self.platform,))
+        outcome = await roll_bundle(store, signed, parts)
+        if isinstance(outcome, Err):
+            raise LaunchError(f"roll refused: {outcome.err_value}")
+        self.previous_root = signed.sha256
+        self.last_signed = signed
+        return signed
+
+    async def wait_ready(self) -> None:
+        """Wait until every daemon has a bundle in force."""
+        for name in self.ports_by_daemon:
+            await self.wait_status(self.processes_by_name[name], "/readyz")
+
+    async def wait_runners(self, count: int) -> None:
+        """Wait until every daemon has a report of at least ``count`` runners."""
+        for name in self.ports_by_daemon:
+            process = self.processes_by_name[name]
+            for _ in range(int(READY_SECONDS / POLL_SECONDS)):
+                status, reply = (
+                    await self.http.request_json(process.address, "GET", "/readyz")
+                ).unwrap()
+                if status == 200 and reply["runners"] >= count:
+                    break
+                await asyncio.sleep(POLL_SECONDS)
+            else:
+                raise LaunchError(f"{name}: fewer than {count} runners reported")
+
+    async def stop(self) -> None:
+        """End every process that was started."""
+        self.http.close()
+        for process in self.processes_by_name.values():
+            process.resume()
+            process.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_SECONDS):
+                for process in self.processes_by_name.values():
+                    await process.process.wait()
+        except TimeoutError:
+            for process in self.processes_by_name.values():
+                process.kill()
+        self._folder.cleanup()
