Keep a leaving VM until its callers have their answers

Cause: test_shutdown failed in three ways. A drain closed new connections before their first request was read (reset instead of a verdict); the process ended although a cut-off caller had not come back; a caller on a keep-alive connection kept the process for the whole resume window. Change: a new connection gets one answer during a drain; a streamed answer counts as delivered when the caller sends its next request or closes; a shutdown waits return_window_ms (10 s) for the others. A draft that never started and has no chain is refused at once. Ruled out: counting an answer as delivered when it was written, since a silent connection takes the bytes into the kernel's buffer. Conclusion: a graceful shutdown cuts no draft, nor one to be resumed.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -92,12 +92,16 @@
             await asyncio.sleep(HOUSEKEEPING_MS / 1000)
             self.table.remove_old()
 
+    def _has_work(self) -> bool:
+        window = self.settings.drafts.return_window_ms
+        return bool(self.table.undelivered(window) or self.callers.busy)
+
     async def shut_down(self) -> None:
         """Finish what runs, refuse what is new, then stop."""
         self.is_leaving = True
         self.callers.drain()
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
-        while self.table.running and self.clock.now() < limit:
+        while self._has_work() and self.clock.now() < limit:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         await self.callers.close()
         for task in self._tasks:
--- a/src/heathershunt/daemon/callers.py
+++ b/src/heathershunt/daemon/callers.py
@@ -17,6 +17,7 @@
 
 RETRY_AFTER_MS = 1000
 BEARER = "bearer "
+RESUME_PREFIX = "/v1/completions/"
 
 
 class CallerRoutes:
@@ -33,6 +34,9 @@
         path = request.path
         if path == "/healthz":
             return json_response(200, {"status": "ok"})
+        if self._is_resume(request) and self._daemon.keeper.bundle is not None:
+            # A leaving VM still hands out the answers that it owes.
+            return await self._handle_authorized(request)
         refusal = self._refusal()
         if path == "/readyz":
             if refusal is not None:
@@ -42,6 +46,12 @@
             return json_response(200, {"version": version, "runners": runners})
         if refusal is not None:
             return problem_response(refusal)
+        return await self._handle_authorized(request)
+
+    def _is_resume(self, request: Request) -> bool:
+        return request.method == "GET" and request.path.startswith(RESUME_PREFIX)
+
+    async def _handle_authorized(self, request: Request) -> Response | StreamResponse:
         account = self._account(request)
         if account is None:
             detail = "the bearer token is missing or unknown"
@@ -69,8 +79,8 @@
         route = (request.method, request.path)
         if route == ("POST", "/v1/completions"):
             return await drafts.complete(request, account, self._daemon.keeper.bundle)
-        if request.method == "GET" and request.path.startswith("/v1/completions/"):
-            request_id = request.path.removeprefix("/v1/completions/")
+        if self._is_resume(request):
+            request_id = request.path.removeprefix(RESUME_PREFIX)
             return await drafts.resume(request, request_id, account)
         detail = f"there is no {request.method} {request.path}"
         return problem_response(not_run(404, "Not found", detail))
--- a/src/heathershunt/drafts/execution.py
+++ b/src/heathershunt/drafts/execution.py
@@ -19,7 +19,10 @@
 
 MAX_EPOCHS = 12
 SUSPECT_MS = 5_000
-REPLAN_DELAY_MS = 20
+REPLAN_DELAY_MS = 50
+# A replaced runner is listed within seconds; a draft without a chain for longer is
+# given up, because nothing says that one will come.
+NO_CHAIN_LIMIT_MS = 10_000
 RETRY_AFTER_MS = 1_000
 INITIAL_GAP_MS = 34
 
@@ -52,19 +55,21 @@
         """Run ``draft`` to its end."""
         keep: frozenset[str] = frozenset()
         detail = ""
+        no_chain_limit = self._clock.now() + NO_CHAIN_LIMIT_MS
         while draft.epoch < MAX_EPOCHS and not draft.ended.is_set():
-            if self._clock.now() >= draft.request.deadline:
+            has_tokens = len(draft.tokens) > len(draft.request.received)
+            if not has_tokens and self._clock.now() >= draft.request.deadline:
                 detail = f"the deadline has passed; {detail}"
                 break
             chosen = self._choose(draft, keep)
             if isinstance(chosen, Err):
                 detail = chosen.err_value
-                if draft.epoch == 0:
+                if not draft.may_have_started or self._clock.now() >= no_chain_limit:
                     break
-                draft.epoch += 1
-                await asyncio.sleep(REPLAN_DELAY_MS * 2**draft.epoch / 1000)
+                await asyncio.sleep(REPLAN_DELAY_MS / 1000)
                 continue
-            failure = await self._run_epoch(draft, chosen.ok_value)
+            no_chain_limit = self._clock.now() + NO_CHAIN_LIMIT_MS
+            failure = await self._run_until_ended(draft, chosen.ok_value)
             if failure is None:
                 return
             detail = failure.detail
@@ -72,6 +77,18 @@
             keep = frozenset(names - failure.suspects)
         self._give_up(draft, detail)
 
+    async def _run_until_ended(self, draft: Draft, chain: Chain) -> EpochFailure | None:
+        """Run one epoch, but stop it when the draft is ended from elsewhere."""
+        epoch = asyncio.create_task(self._run_epoch(draft, chain))
+        ended = asyncio.create_task(draft.ended.wait())
+        await asyncio.wait({epoch, ended}, return_when="FIRST_COMPLETED")
+        ended.cancel()
+        if draft.is_whole or not draft.ended.is_set():
+            return await epoch
+        epoch.cancel()
+        await asyncio.gather(epoch, return_exceptions=True)
+        return None
+
     def _choose(self, draft: Draft, keep: frozenset[str]):
         now = self._clock.now()
         request = draft.request
--- a/src/heathershunt/drafts/handler.py
+++ b/src/heathershunt/drafts/handler.py
@@ -77,7 +77,9 @@
             if draft.refusal is not None and len(draft.tokens) == first:
                 return whole_answer(draft)
             return stream_answer(draft, first - 1)
+        unsubscribe = draft.subscribe(lambda: None)
         await draft.ended.wait()
+        unsubscribe()
         return whole_answer(draft)
 
     async def resume(
--- a/src/heathershunt/drafts/journal.py
+++ b/src/heathershunt/drafts/journal.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from heathershunt.clock import Clock, Millis
-from heathershunt.verdict import Refusal
+from heathershunt.verdict import Refusal, may_have_run
 
 
 @dataclass(frozen=True)
@@ -33,6 +33,9 @@
 class Draft:
     """One draft: its request, its tokens so far, and its end.
 
+    ``is_delivered`` is set once a caller is known to have the whole answer or its
+    refusal.
+
     :param request_id: unique over VMs and restarts.
 
     .. versionadded:: 0.1
@@ -48,6 +51,8 @@
         self.may_have_started = False
         self.ended = asyncio.Event()
         self.ended_at: Millis | None = None
+        self.left_at: Millis | None = None
+        self.is_delivered = False
         self._subscribers: list[Callable[[], None]] = []
 
     def accept(self, position: int, text: str, last: bool) -> bool:
@@ -61,6 +66,10 @@
         self._notify()
         return True
 
+    def confirm_delivery(self) -> None:
+        """Note that a caller has the whole answer, if the draft has ended."""
+        self.is_delivered = self.ended.is_set()
+
     def refuse(self, refusal: Refusal) -> None:
         """End the draft without its whole answer."""
         if not self.ended.is_set():
@@ -73,6 +82,11 @@
         self._subscribers.append(callback)
         return lambda: self._subscribers.remove(callback)
 
+    @property
+    def has_reader(self) -> bool:
+        """Return whether a caller's connection takes the answer now."""
+        return bool(self._subscribers)
+
     def _notify(self) -> None:
         for callback in list(self._subscribers):
             callback()
@@ -113,17 +127,33 @@
         return request_id.rpartition(".")[0] == self._prefix
 
     def remove_old(self) -> None:
-        """Drop drafts that ended longer ago than the window."""
+        """Drop drafts that ended, and end drafts left, longer ago than the window."""
         now = self._clock.now()
         for request_id, draft in list(self.drafts_by_request.items()):
             if not draft.ended.is_set():
-                continue
-            if draft.ended_at is None:
+                self._end_if_left(draft, now)
+            elif draft.ended_at is None:
                 draft.ended_at = now
             elif now - draft.ended_at > self._window_ms:
                 del self.drafts_by_request[request_id]
 
-    @property
-    def running(self) -> int:
-        """Return the number of drafts that have not ended."""
-        return sum(not d.ended.is_set() for d in self.drafts_by_request.values())
+    def _end_if_left(self, draft: Draft, now: Millis) -> None:
+        if draft.has_reader:
+            draft.left_at = None
+        elif draft.left_at is None:
+            draft.left_at = now
+        elif now - draft.left_at > self._window_ms:
+            detail = "the caller did not come back for the answer"
+            draft.refuse(may_have_run(504, "Draft abandoned", detail))
+
+    def undelivered(self, return_window_ms: int) -> int:
+        """Return the number of drafts whose caller may still lack the whole answer.
+
+        :param return_window_ms: how long a caller may take to come back.
+        """
+        now = self._clock.now()
+        return sum(
+            not draft.is_delivered
+            and (draft.ended_at is None or now - draft.ended_at < return_window_ms)
+            for draft in self.drafts_by_request.values()
+        )
--- a/src/heathershunt/drafts/sse.py
+++ b/src/heathershunt/drafts/sse.py
@@ -26,12 +26,16 @@
         "x-request-id": draft.request_id,
     }
     return StreamResponse(
-        200, headers, lambda stream: _EventWriter(draft, stream, after + 1).run()
+        200,
+        headers,
+        lambda stream: _EventWriter(draft, stream, after + 1).run(),
+        draft.confirm_delivery,
     )
 
 
 def whole_answer(draft: Draft) -> Response:
     """Return the answer of an ended draft, or the problem that ended it."""
+    draft.confirm_delivery()
     if draft.refusal is not None:
         return problem_response(draft.refusal)
     payload = _chunk(draft, "".join(draft.tokens), "length")
--- a/src/heathershunt/http/messages.py
+++ b/src/heathershunt/http/messages.py
@@ -65,12 +65,16 @@
     If ``run`` raises, the connection is cut without the end of the body, so that a
     truncated answer never looks complete.
 
+    :param on_confirmed: called when the caller shows that it took the whole body: it
+        sends its next request or closes its side of the connection.
+
     .. versionadded:: 0.1
     """
 
     status: int
     headers: Mapping[str, str]
     run: Callable[[ResponseStream], Awaitable[None]]
+    on_confirmed: Callable[[], None] | None = None
 
 
 def json_response(
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -22,7 +22,7 @@
 
 READ_BYTES = 65536
 BACKLOG_HIGH_WATER_BYTES = 262_144
-PORT_CLOSE_GRACE_SECONDS = 5
+LINGER_MS = 2000
 
 Handler = Callable[[Request], Awaitable[Response | StreamResponse]]
 
@@ -101,6 +101,11 @@
         finally:
             self._connections.discard(connection)
 
+    @property
+    def busy(self) -> int:
+        """Return the number of requests being served."""
+        return sum(connection.is_busy for connection in self._connections)
+
     def drain(self) -> None:
         """Close idle connections and end busy ones after their response.
 
@@ -146,7 +151,9 @@
         self.writer = writer
         self._handler = handler
         self._limits = limits
-        self._busy = False
+        self.is_busy = False
+        self._served_any = False
+        self._on_confirmed: Callable[[], None] | None = None
         self._closed = asyncio.Event()
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -170,16 +177,50 @@
         request = await self._read_request(draining)
         if request is None:
             return False
-        self._busy = True
+        self.is_busy = True
         response = await self._run_handler(request)
         await self._respond(response, draining())
-        self._busy = False
+        self.is_busy = False
+        self._on_confirmed = getattr(response, "on_confirmed", None)
+        self._served_any = True
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        return done and not draining()
+        if done and not draining():
+            return True
+        await self._linger()
+        return False
+
+    async def _linger(self) -> None:
+        """Half-close and wait for the caller's end, which confirms the response."""
+        if not self._on_confirmed:
+            return
+        if not self.writer.can_write_eof():
+            self._confirm()
+            return
+        self.writer.write_eof()
+        if await self._read_end():
+            self._confirm()
+
+    async def _read_end(self) -> bool:
+        try:
+            async with asyncio.timeout(LINGER_MS / 1000):
+                while await self.reader.read(READ_BYTES):
+                    pass
+        except (TimeoutError, ConnectionError):
+            return False
+        return True
+
+    def _confirm(self) -> None:
+        if self._on_confirmed:
+            self._on_confirmed()
+        self._on_confirmed = None
 
     async def _read_request(self, draining: Callable[[], bool]) -> Request | None:
         if not self._h11.trailing_data[0]:
-            if draining() or not await self._wait_first_byte():
+            # A new connection gets an answer to its first request even in a drain,
+            # so that a late caller learns where to go.
+            if draining() and self._served_any:
+                return None
+            if not await self._wait_first_byte():
                 return None
         try:
             async with asyncio.timeout(self._limits.request_ms / 1000):
@@ -198,6 +239,7 @@
                 data = await self.reader.read(READ_BYTES)
         except TimeoutError:
             return False
+        self._confirm()
         if data:
             self._h11.receive_data(data)
         return bool(data)
@@ -282,6 +324,8 @@
             raise ConnectionError("the streamed response failed") from None
         finally:
             watcher.cancel()
+            # The reader allows one waiting read; the next request needs it free.
+            await asyncio.gather(watcher, return_exceptions=True)
 
     async def _watch_peer(self) -> None:
         """Notice the end of the connection while a response is streamed.
@@ -328,8 +372,18 @@
         self.writer.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being served."""
-        if not self._busy and self._h11.their_state is h11.IDLE:
+        """Close the connection unless a request is being served.
+
+        A half-close lets the waiting read see the caller's end, which confirms the
+        last response.
+        """
+        if self.is_busy or self._h11.their_state is not h11.IDLE:
+            return
+        if not self._served_any:
+            return
+        if self._on_confirmed and self.writer.can_write_eof():
+            self.writer.write_eof()
+        else:
             self.writer.close()
 
     def cut(self) -> None:
--- a/src/heathershunt/settings/settings.py
+++ b/src/heathershunt/settings/settings.py
@@ -95,11 +95,14 @@
     """Limits of drafts.
 
     :param resume_window_ms: how long an ended draft is kept for its caller.
+    :param return_window_ms: how long a graceful shutdown waits for the caller of an
+        ended draft whose delivery is not confirmed.
     :param progress_floor_ms: shortest progress deadline of a runner stream.
     :param drain_limit_ms: longest graceful shutdown.
     """
 
     resume_window_ms: int = 60_000
+    return_window_ms: int = 10_000
     progress_floor_ms: int = 250
     drain_limit_ms: int = 120_000
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -117,4 +117,7 @@
                     on_token(transcript)
         except ConnectionError as error:
             transcript.broken = str(error)
+        finally:
+            if not transcript.is_whole:
+                response.close()
         return transcript
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -4,7 +4,7 @@
 import sys
 
 from standins.caller import Caller
-from standins.launch import Deployment, pipeline_specs, token_sha256
+from standins.launch import Deployment, pipeline_specs
 from standins.oracle import expected_tokens
 
 LAYERS = 12
@@ -12,28 +12,6 @@
 DRAFTS_PER_ACCOUNT = 4
 
 
-def demo_bundle(version: int) -> dict:
-    """Return the bundle of the demo."""
-    return {
-        "version": version,
-        "priorities": [
-            {"name": "normal", "rank": 1},
-            {"name": "urgent", "rank": 0},
-        ],
-        "models": [{"name": "m", "layers": LAYERS, "version": "v1"}],
-        "services": [
-            {
-                "name": "orders",
-                "idempotent": [{"method": "GET", "path_prefix": "/"}],
-            }
-        ],
-        "accounts": [
-            {"name": "parish", "token_sha256": [token_sha256("parish-token")]},
-            {"name": "notary", "token_sha256": [token_sha256("notary-token")]},
-        ],
-    }
-
-
 async def _draft(deployment: Deployment, token: str, index: int) -> bool:
     names = list(deployment.ports_by_daemon)
     address = deployment.ports_by_daemon[names[index % len(names)]].callers
@@ -55,7 +33,7 @@
         await deployment.start_service("orders")
         await deployment.publish_vms()
         await deployment.start_daemons(4)
-        await deployment.roll(demo_bundle(1))
+        await deployment.roll(deployment.bundle(1, layers=LAYERS))
         await deployment.wait_ready()
         await deployment.wait_runners(6)
         print("four daemons are ready under bundle 1")
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -35,7 +35,6 @@
 ROOT = Path(__file__).resolve().parent.parent
 READY_SECONDS = 20
 POLL_SECONDS = 0.02
-STOP_SECONDS = 10
 
 
 class LaunchError(Exception):
@@ -250,6 +249,9 @@
 [bundle]
 trusted_keys = ["{self.public_key}"]
 
+[drafts]
+return_window_ms = 3000
+
 [peers]
 seeds = [{", ".join(seeds)}]
 
@@ -299,6 +301,27 @@
         signed = sign_root(SignedRoot(encode_root(root)), self.private_key)
         return signed, parts, bundle
 
+    def bundle(self, version: int, model_version: str = "v1", layers: int = 12) -> dict:
+        """Return a bundle with one model, one service and two client accounts."""
+        return {
+            "version": version,
+            "priorities": [
+                {"name": "normal", "rank": 1},
+                {"name": "urgent", "rank": 0},
+            ],
+            "models": [{"name": "m", "layers": layers, "version": model_version}],
+            "services": [
+                {
+                    "name": "orders",
+                    "idempotent": [{"method": "GET", "path_prefix": "/"}],
+                }
+            ],
+            "accounts": [
+                {"name": name, "token_sha256": [token_sha256(f"{name}-token")]}
+                for name in ("parish", "notary")
+            ],
+        }
+
     async def roll(self, raw: dict) -> SignedRoot:
         """Roll a bundle through the platform's store."""
         signed, parts, _ = self.sign(raw)
@@ -315,31 +338,31 @@
         for name in self.ports_by_daemon:
             await self.wait_status(self.processes_by_name[name], "/readyz")
 
+    async def wait_version(self, version: int) -> None:
+        """Wait until every daemon has at least this bundle version in force."""
+        await self._wait_member("version", version)
+
     async def wait_runners(self, count: int) -> None:
         """Wait until every daemon has a report of at least ``count`` runners."""
+        await self._wait_member("runners", count)
+
+    async def _wait_member(self, member: str, least: int) -> None:
         for name in self.ports_by_daemon:
-            process = self.processes_by_name[name]
+            address = self.ports_by_daemon[name].callers
             for _ in range(int(READY_SECONDS / POLL_SECONDS)):
-                status, reply = (
-                    await self.http.request_json(process.address, "GET", "/readyz")
-                ).unwrap()
-                if status == 200 and reply["runners"] >= count:
+                outcome = await self.http.request_json(address, "GET", "/readyz")
+                status, reply = outcome.unwrap()
+                if status == 200 and reply[member] >= least:
                     break
                 await asyncio.sleep(POLL_SECONDS)
             else:
-                raise LaunchError(f"{name}: fewer than {count} runners reported")
+                raise LaunchError(f"{name}: {member} stays below {least}")
 
     async def stop(self) -> None:
         """End every process that was started."""
         self.http.close()
         for process in self.processes_by_name.values():
-            process.resume()
-            process.send(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(STOP_SECONDS):
-                for process in self.processes_by_name.values():
-                    await process.process.wait()
-        except TimeoutError:
-            for process in self.processes_by_name.values():
-                process.kill()
+            process.kill()
+        for process in self.processes_by_name.values():
+            await process.process.wait()
         self._folder.cleanup()
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -1,6 +1,5 @@
 import pytest
 
-from standins.demo import demo_bundle
 from standins.launch import Deployment, pipeline_specs
 
 LAYERS = 12
@@ -22,7 +21,7 @@
     await deployment.start_service("orders")
     await deployment.publish_vms()
     await deployment.start_daemons(2)
-    await deployment.roll(demo_bundle(1))
+    await deployment.roll(deployment.bundle(1))
     await deployment.wait_ready()
     await deployment.wait_runners(6)
     return deployment
--- /dev/null
+++ b/tests/integration/faults.py
@@ -0,0 +1,72 @@
+"""Shared steps of the tests that break things while a draft runs."""
+
+import asyncio
+
+from heathershunt.http import Address
+from standins.oracle import expected_tokens
+
+LAYERS = 12
+
+
+def engine_address(deployment, runner):
+    """Return the HTTP address of a runner that has a process of its own."""
+    engine = deployment.processes_by_name[runner].info["engines"][0]
+    return Address.from_text(engine["address"])
+
+
+async def start_draft(caller, address, prompt, count, **options):
+    """Start a draft; return its task and an event that is set after ten tokens."""
+    begun = asyncio.Event()
+    seen = []
+
+    def on_token(transcript):
+        if len(transcript.tokens) >= 10:
+            seen[:] = [transcript]
+            begun.set()
+
+    task = asyncio.create_task(
+        caller.draft(address, prompt, count, on_token=on_token, **options)
+    )
+    await begun.wait()
+    return task, seen[0]
+
+
+async def busy_runner(deployment, request_id, stage):
+    """Return the runner that holds ``stage`` of a running draft."""
+    for name in deployment.processes_by_name:
+        if f"-s{stage}-" not in name:
+            continue
+        outcome = await deployment.http.request_json(
+            engine_address(deployment, name), "GET", f"/v1/runs/{request_id}"
+        )
+        if outcome.unwrap()[0] == 200:
+            return name
+    raise AssertionError(f"no runner of stage {stage} runs {request_id}")
+
+
+def assert_whole(got, prompt, count, version="v1"):
+    """Check an answer against the oracle, which folds every layer once, in order."""
+    assert got.is_whole, got
+    assert got.tokens == expected_tokens("m", version, LAYERS, prompt, count)
+
+
+async def assert_layers_once(deployment, request_id, count):
+    """Check in the engines' ledgers that each position has one complete pass.
+
+    A stage runs a position at most once an epoch, and every position has an epoch in
+    which the stages cover all layers without a gap or an overlap.
+    """
+    passes = {}
+    for name, process in deployment.processes_by_name.items():
+        if "engines" not in process.info or process.process.returncode is not None:
+            continue
+        ledger = await deployment.call(
+            engine_address(deployment, name), "GET", "/v1/ledger"
+        )
+        for entry in ledger["runs"]:
+            if entry["run"] == request_id:
+                key = (entry["position"], entry["epoch"])
+                passes.setdefault(key, []).append(tuple(entry["layers"]))
+    for key, ranges in passes.items():
+        assert len(ranges) == len(set(ranges)), f"a stage ran {key} twice"
+    return passes
--- a/tests/integration/test_drafts.py
+++ b/tests/integration/test_drafts.py
@@ -2,61 +2,140 @@
 
 import pytest
 
-from heathershunt.http import Address
 from standins.caller import Caller
-from standins.oracle import expected_tokens
+from standins.launch import pipeline_specs
+from tests.integration.faults import (
+    assert_layers_once,
+    assert_whole,
+    busy_runner,
+    engine_address,
+    start_draft,
+)
 
-LAYERS = 12
 PROMPT = "Describe the crest of the parish in three sentences"
+COUNT = 150
 
 
-def expected(count):
-    return expected_tokens("m", "v1", LAYERS, PROMPT, count)
+@pytest.fixture
+def caller():
+    return Caller("parish-token")
 
 
-async def test_draft_is_whole_and_every_layer_ran_once(fleet):
-    address = fleet.ports_by_daemon["vm1"].callers
-    got = await Caller("parish-token").draft(address, PROMPT, 20)
-    assert got.is_whole
-    assert got.tokens == expected(20)
+@pytest.fixture
+def entry(fleet):
+    return fleet.ports_by_daemon["vm1"].callers
 
 
-async def test_account_cannot_read_the_draft_of_another(fleet):
-    address = fleet.ports_by_daemon["vm1"].callers
-    got = await Caller("parish-token").draft(address, PROMPT, 4)
-    other = await Caller("notary-token").resume(address, got)
+async def test_draft_is_whole_and_every_layer_ran_once(fleet, entry, caller):
+    got = await caller.draft(entry, PROMPT, 20)
+    assert_whole(got, PROMPT, 20)
+    passes = await assert_layers_once(fleet, got.request_id, 20)
+    assert {key: sorted(ranges) for key, ranges in passes.items()} == {
+        (position, 1): [(0, 4), (4, 8), (8, 12)] for position in range(20)
+    }
+
+
+async def test_account_cannot_read_the_draft_of_another(entry, caller):
+    got = await caller.draft(entry, PROMPT, 4)
+    other = await Caller("notary-token").resume(entry, got)
     assert other.status == 404
 
 
 @pytest.mark.parametrize("stage", [0, 1, 2])
 @pytest.mark.parametrize("fault", ["kill", "pause"])
-async def test_answer_is_whole_after_the_loss_of_a_stage(fleet, stage, fault):
+async def test_answer_is_whole_after_the_loss_of_a_stage(
+    fleet, entry, caller, stage, fault
+):
     """A stage that dies or goes silent mid-answer must not cost or double a token."""
-    address = fleet.ports_by_daemon["vm1"].callers
-    hit = asyncio.Event()
+    task, seen = await start_draft(caller, entry, PROMPT, COUNT)
+    runner = await busy_runner(fleet, seen.request_id, stage)
+    getattr(fleet.processes_by_name[runner], fault)()
+    got = await task
+    assert_whole(got, PROMPT, COUNT)
+
+
+@pytest.mark.parametrize("stage", [0, 1, 2])
+async def test_stage_that_wakes_after_its_replacement_adds_nothing(
+    fleet, entry, caller, stage
+):
+    """A stage declared dead that wakes still emits output of the old epoch."""
+    task, seen = await start_draft(caller, entry, PROMPT, 300)
+    runner = await busy_runner(fleet, seen.request_id, stage)
+    fleet.processes_by_name[runner].pause()
+    level = len(seen.tokens)
+    while len(seen.tokens) < level + 20:
+        await asyncio.sleep(0.01)
+    fleet.processes_by_name[runner].resume()
+    got = await task
+    assert_whole(got, PROMPT, 300)
+    await assert_layers_once(fleet, got.request_id, 300)
+
+
+async def test_both_runners_of_two_stages_lost_one_after_the_other(
+    fleet, entry, caller
+):
+    """A second loss during the recovery of the first must be recovered as well."""
+    task, seen = await start_draft(caller, entry, PROMPT, 300)
+    for stage in (1, 2):
+        runner = await busy_runner(fleet, seen.request_id, stage)
+        fleet.processes_by_name[runner].kill()
+        await asyncio.sleep(0.05)
+    assert_whole(await task, PROMPT, 300)
+
+
+async def test_chain_is_rebuilt_from_runners_with_other_layer_cuts(
+    fleet, entry, caller
+):
+    """The replacement must start at the next token, whatever its layer ranges are."""
+    for spec in pipeline_specs("m", "v1", 12, 2, 1):
+        name = f"two-{spec.runner}"
+        await fleet.start_engines([type(spec)(**{**vars(spec), "runner": name})], name)
+    await fleet.publish_vms()
+    await fleet.wait_runners(8)
+    task, seen = await start_draft(caller, entry, PROMPT, 300)
+    for replica in (0, 1):
+        fleet.processes_by_name[f"m-s1-r{replica}"].kill()
+        fleet.processes_by_name[f"m-s2-r{replica}"].kill()
+    assert_whole(await task, PROMPT, 300)
+    assert seen.request_id
+
+
+async def test_roll_of_a_model_version_does_not_mix_versions_in_an_answer(
+    fleet, entry, caller
+):
+    """An answer begun under one version must not continue under another."""
+    for spec in pipeline_specs("m", "v2", 12, 3, 1):
+        name = f"new-{spec.runner}"
+        await fleet.start_engines([type(spec)(**{**vars(spec), "runner": name})], name)
+    await fleet.publish_vms()
+    await fleet.wait_runners(9)
+    task, seen = await start_draft(caller, entry, PROMPT, 300)
+    await fleet.roll(fleet.bundle(2, model_version="v2"))
+    runner = await busy_runner(fleet, seen.request_id, 1)
+    fleet.processes_by_name[runner].kill()
+    assert_whole(await task, PROMPT, 300)
+    await fleet.wait_version(2)
+    assert_whole(await caller.draft(entry, PROMPT, 5), PROMPT, 5, "v2")
 
-    def strike(transcript):
-        if len(transcript.tokens) >= 10 and not hit.is_set():
-            hit.set()
-            getattr(fleet.processes_by_name[busy_runner], fault)()
 
-    waiting = Caller("parish-token")
-    probe = await waiting.draft(address, PROMPT, 2)
-    assert probe.is_whole
-    busy_runner = await find_busy_runner(fleet, address, stage)
-    got = await waiting.draft(address, PROMPT, 60, on_token=strike)
-    assert got.is_whole
-    assert got.tokens == expected(60)
+async def test_caller_that_lost_its_connection_gets_the_whole_answer(entry, caller):
+    """A cut connection must not cost the caller a token or repeat one."""
+    task, seen = await start_draft(caller, entry, PROMPT, 300)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    got = await caller.resume(entry, seen)
+    assert_whole(got, PROMPT, 300)
 
 
-async def find_busy_runner(fleet, address, stage):
-    """Return the runner of a stage that the last draft ran on."""
+async def test_no_runner_for_a_stage_is_answered_at_once_as_not_run(
+    fleet, entry, caller
+):
+    """Given up before any stage was started: the verdict must be not_run."""
     for replica in (0, 1):
-        name = f"m-s{stage}-r{replica}"
-        engine = fleet.processes_by_name[name].info["engines"][0]
-        ledger = await fleet.call(
-            Address.from_text(engine["address"]), "GET", "/v1/ledger"
-        )
-        if ledger["runs"]:
-            return name
-    raise AssertionError("no runner of the stage ran anything")
+        fleet.processes_by_name[f"m-s1-r{replica}"].kill()
+    got = await caller.draft(entry, PROMPT, 5)
+    while got.problem is None:
+        got = await caller.draft(entry, PROMPT, 5)
+    assert got.problem["verdict"] == "not_run"
+    ledger = await fleet.call(engine_address(fleet, "m-s0-r0"), "GET", "/v1/ledger")
+    assert not any(entry["run"] == got.request_id for entry in ledger["runs"])
