Add the chain choice with its queue model

Cause: drafts need a chain of runners that covers every layer once. Change: dynamic programming over layer boundaries, own work since a late report, prefix hits that decay, a random pair of near-equal stages, the largest flow of a pipeline and a queue model to measure with. Ruled out: the hop from the last stage to the first in the state of the recursion; it squares the number of domains and changes no order of chains while delays keep the triangle inequality.

--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with fixed seeds; not part of the product."""
--- /dev/null
+++ b/src/heathershunt/routing/__init__.py
@@ -0,0 +1,20 @@
+"""Choice of the chain of runners that serves a draft."""
+
+from heathershunt.routing.capacity import PipelineCapacity, pipeline_capacity
+from heathershunt.routing.inflight import InFlight, OwnWork
+from heathershunt.routing.router import Router, RoutingConfig
+from heathershunt.routing.views import Chain, LoadReport, NoChain, RunnerView, Stage
+
+__all__ = [
+    "Chain",
+    "InFlight",
+    "LoadReport",
+    "NoChain",
+    "OwnWork",
+    "PipelineCapacity",
+    "Router",
+    "RoutingConfig",
+    "RunnerView",
+    "Stage",
+    "pipeline_capacity",
+]
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,156 @@
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from heathershunt.routing import LoadReport, Router, RoutingConfig, RunnerView
+
+CONFIG = RoutingConfig(other_domain_ms=0.6, near_equal=0.0)
+
+
+def view(name, first, end, **fields):
+    load = fields.pop("load", LoadReport(batch_limit=8, step_ms=20.0, token_ms=0.5))
+    place = {"vm": name, "domain": "a", "kind": "x", "model": "m", "version": "1"}
+    place |= {"first_layer": first, "end_layer": end, "load": load, **fields}
+    return RunnerView(name, f"{name}:1", f"{name}:2", **place)
+
+
+def choose(views, *, layers=4, config=CONFIG, now=0, adapter=None, **options):
+    router = Router.from_config(config, seed=1)
+    by_runner = {v.runner: v for v in views}
+    return router.choose_chain("m", "1", adapter, layers, by_runner, now, **options)
+
+
+def runners(result):
+    return result.ok_value.runners()
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 7), st.integers(1, 8)), max_size=30),
+    st.integers(0, 3),
+)
+@settings(max_examples=80, deadline=None)
+def test_a_chain_covers_every_layer_once_or_there_is_none(ranges, seed):
+    """Guards against gaps, overlaps and missed chains at odd boundaries."""
+    views = [
+        view(f"r{i}", first, first + size) for i, (first, size) in enumerate(ranges)
+    ]
+    reachable = {0}
+    for first, size in sorted(ranges):
+        if first in reachable:
+            reachable.add(first + size)
+    router = Router.from_config(RoutingConfig(), seed)
+    by_runner = {v.runner: v for v in views}
+    result = router.choose_chain("m", "1", None, 8, by_runner, 0)
+    assert result.is_ok() == (8 in reachable)
+    if result.is_ok():
+        at = 0
+        for stage in result.ok_value.stages:
+            assert stage.first_layer == at < stage.end_layer
+            at = stage.end_layer
+        assert at == 8
+
+
+@pytest.mark.parametrize(
+    "unusable",
+    [
+        {"version": "2"},
+        {"model": "other"},
+        {"leaving": True},
+        {"role": "spare"},
+        {"adapters": frozenset()},
+        {"end_layer": 2},
+        {"end_layer": 1},
+    ],
+    ids=str,
+)
+def test_unusable_runners_get_no_new_work(unusable):
+    """Guards against another version or adapter, leaving runners, empty ranges."""
+    usable = view("ok", 2, 4, adapters=frozenset({"lora"}))
+    first = view("first", 0, 2, adapters=frozenset({"lora"}))
+    bad = view("bad", 2, 4, **{"adapters": frozenset({"lora"}), **unusable})
+    assert runners(choose([first, usable, bad], adapter="lora")) == ("first", "ok")
+    error = choose([first, bad], adapter="lora").err_value
+    assert (error.layer, error.model) == (2, "m")
+
+
+def test_excluded_runner_is_not_used_even_when_kept():
+    """Guards against recovery over the runner that has just failed."""
+    views = [view("a", 0, 4), view("b", 0, 4)]
+    assert runners(choose(views, exclude={"a"}, keep={"a"})) == ("b",)
+
+
+def test_surviving_runners_are_kept_although_they_are_busier():
+    """Guards against recomputing a KV cache that still exists."""
+    busy = LoadReport(running=60, batch_limit=8, step_ms=20.0)
+    config = RoutingConfig(near_equal=10.0)
+    views = [view("a", 0, 2), view("b", 2, 4, load=busy), view("c", 2, 4)]
+    assert runners(choose(views, keep={"b"}, config=config)) == ("a", "b")
+
+
+def test_own_work_counts_only_if_the_report_does_not_hold_it():
+    """Guards against counting a run twice or not at all."""
+    router = Router.from_config(CONFIG, seed=1)
+    work = router.in_flight.work("a")
+    router.in_flight.start("early", ("a",), 5)
+    router.in_flight.start("late", ("a",), 15)
+    assert work.change_since(10) == 1
+    router.in_flight.end("early", 20)
+    assert work.change_since(10) == 0
+    router.in_flight.end("late", 25)
+    assert (work.change_since(10), work.change_since(25)) == (-1, 0)
+    router.in_flight.end("late", 30)
+    assert len(work) == 0
+
+
+def test_own_work_since_the_report_moves_the_next_choice():
+    """Guards against sending every run to one runner until the next report."""
+    router = Router.from_config(CONFIG, seed=1)
+    by_runner = {
+        n: view(n, 0, 4, own=router.in_flight.work(n)) for n in ("a", "b", "c")
+    }
+    for number in range(9):
+        chain = router.choose_chain("m", "1", None, 4, by_runner, 10).ok_value
+        router.in_flight.start(f"run{number}", chain.runners(), 10)
+    assert [len(router.in_flight.work(n)) for n in "abc"] == [3, 3, 3]
+
+
+def test_prefix_hit_counts_less_with_age():
+    """Guards against following a prefix that was evicted long ago."""
+    load = LoadReport(batch_limit=8, step_ms=20.0, token_ms=0.5, prefill_token_ms=1)
+    idle = view("idle", 0, 4, load=load)
+    cached = view(
+        "cached",
+        0,
+        4,
+        load=replace(load, running=3),
+        prefix_seen_by_hash={"p2": 0},
+    )
+    hashes = [f"p{i}" for i in range(1, 21)]
+    hashes[19] = "p2"
+    assert runners(choose([idle, cached], prefix_hashes=hashes)) == ("cached",)
+    old = choose([idle, cached], prefix_hashes=hashes, now=600_000)
+    assert runners(old) == ("idle",)
+
+
+def test_slow_links_and_domain_changes_are_avoided():
+    """Guards against crossing failure domains for nothing."""
+    views = [
+        view("a0", 0, 2),
+        view("b0", 0, 2, domain="b", link_ms=30.0),
+        view("a1", 2, 4),
+        view("b1", 2, 4, domain="b"),
+    ]
+    assert runners(choose(views)) == ("a0", "a1")
+
+
+def test_seeds_spread_equal_choices():
+    """Guards against several VMs choosing the same runner on one report."""
+    views = {f"r{i}": view(f"r{i}", 0, 4) for i in range(10)}
+    chosen = {
+        Router.from_config(RoutingConfig(), seed)
+        .choose_chain("m", "1", None, 4, views, 0)
+        .ok_value.runners()
+        for seed in range(20)
+    }
+    assert len(chosen) >= 5
