Assume that other VMs follow the own choices since a report

Change: own work since a report counts for all VMs (set_peer_factor); the runs that fill a pipeline include half a step of waiting for each visit.

--- a/src/heathershunt/routing/capacity.py
+++ b/src/heathershunt/routing/capacity.py
@@ -8,6 +8,8 @@
 
 Range = tuple[int, int]
 NEGLIGIBLE_FLOW = 1e-9
+# A token that arrives during a step waits half a step on average before its own.
+STEPS_PER_VISIT = 1.5
 
 
 @dataclass(frozen=True)
@@ -33,7 +35,7 @@
 
     The bound is the largest flow from layer 0 to ``layers``, where a runner
     carries ``batch_limit`` tokens per full step. Each stage then holds flow times
-    step time runs, plus those on the link to it.
+    the time of a visit, plus the runs on the link to it.
     """
     rate_by_range: dict[Range, float] = {}
     batch_by_range: dict[Range, int] = {}
@@ -48,7 +50,8 @@
     flow_by_range = _largest_flow(rate_by_range, layers)
     total = sum(flow for (first, _), flow in flow_by_range.items() if first == 0)
     runs = sum(
-        batch_by_range[key] * flow / rate_by_range[key] + flow * hop_ms / 1000
+        STEPS_PER_VISIT * batch_by_range[key] * flow / rate_by_range[key]
+        + flow * hop_ms / 1000
         for key, flow in flow_by_range.items()
     )
     return PipelineCapacity(total, runs, flow_by_range)
--- a/src/heathershunt/routing/router.py
+++ b/src/heathershunt/routing/router.py
@@ -28,7 +28,6 @@
     :param block_tokens: tokens that one prefix hash stands for.
     :param prefix_half_life_ms: age at which a reported prefix counts half.
     :param near_equal: share of a stage's cost within which stages are near-equal.
-    :param peer_factor: runs placed by all VMs for each own run since a report.
     :param keep_bonus_ms: advantage of a runner that holds the draft's KV cache.
     :param same_domain_ms: one-way link delay within a failure domain.
     :param other_domain_ms: one-way link delay between two failure domains.
@@ -42,7 +41,6 @@
     block_tokens: int = 16
     prefix_half_life_ms: int = 60_000
     near_equal: float = 0.1
-    peer_factor: float = 1.0
     keep_bonus_ms: float = 1e6
     same_domain_ms: float = 0.1
     other_domain_ms: float = 0.6
@@ -59,6 +57,7 @@
     def __init__(self, config: RoutingConfig, seed: int) -> None:
         self.config = config
         self.in_flight = InFlight()
+        self._peer_factor = 1.0
         self._random = random.Random(seed)
 
     @classmethod
@@ -66,6 +65,15 @@
         """Return a router; ``seed`` must differ between VMs."""
         return cls(config, seed)
 
+    def set_peer_factor(self, factor: float) -> None:
+        """Set how many runs all VMs place for each own run.
+
+        The load of other VMs since a report is unknown; it is assumed to follow the
+        own choices. ``factor`` is the rate of all VMs over the own rate, at most the
+        number of VMs.
+        """
+        self._peer_factor = max(1.0, factor)
+
     def choose_chain(
         self,
         model: str,
@@ -122,7 +130,7 @@
         prompt: int,
     ) -> float:
         load = view.load
-        change = view.own.change_since(view.reported_at) * self.config.peer_factor
+        change = view.own.change_since(view.reported_at) * self._peer_factor
         runs = max(0.0, load.running + load.queued + change) + 1
         if runs <= load.batch_limit:
             token_ms = load.step_ms + load.token_ms * runs
