Add the admission queue and the split of limits between VMs

Cause: a flood must not delay small accounts, and work that cannot be in time must not be started. Change: start-time fair queueing over accounts inside weighted priorities, account limits, a dynamic threshold for the queue, refusal by the expected wait, and limits split between VMs by the demand they tell each other. Ruled out: the rate of releases as drain rate, since below saturation it is the rate of arrivals.

--- /dev/null
+++ b/measure/admission_figures.py
@@ -0,0 +1,200 @@
+"""Figures of the admission queue."""
+
+import heapq
+import random
+from collections import deque
+from dataclasses import dataclass
+
+from heathershunt.admission import (
+    AccountLimits,
+    AdmissionConfig,
+    AdmissionQueue,
+    Ticket,
+)
+from heathershunt.clock import ManualClock, Millis
+from heathershunt.routing import RoutingConfig, pipeline_capacity
+from measure.figures import figure, microseconds_each
+from measure.pipeline_model import (
+    HOP_MS,
+    LAYERS,
+    PipelineModel,
+    chain_choice,
+    mixed_views,
+    routers_for,
+)
+
+VMS = 4
+MEAN_TOKENS = 32
+DEADLINE_MS = 12_000
+OPEN = AccountLimits(concurrent=10_000, requests_per_second=1e6, queued=10_000)
+
+
+def offer_and_next_time() -> None:
+    """Measure one offer, one next and one release while a queue is kept filled."""
+    for accounts in (100, 27_000):
+        config = AdmissionConfig(queued_total=60_000, default_limits=OPEN)
+        queue = AdmissionQueue.from_config(config)
+        queue.set_limit(64)
+        chooser = random.Random(5)
+        numbers = iter(range(10**9))
+
+        def offer(queue=queue, numbers=numbers, pick=chooser, accounts=accounts):
+            account = f"account{pick.randrange(accounts)}"
+            rank = pick.randrange(3)
+            ticket = Ticket(f"{next(numbers)}", account, rank, Millis(10**9))
+            queue.offer(ticket, Millis(0))
+
+        def serve(queue=queue):
+            ticket = queue.next(Millis(0))
+            queue.release(ticket, Millis(100))
+
+        for _ in range(accounts):
+            offer()
+        # As many are offered as are served, so the queue keeps its length.
+        offered = microseconds_each(offer, 500)
+        served = microseconds_each(serve, 500)
+        figure(f"offer, {accounts} accounts", offered, "us")
+        figure(f"next and release, {accounts} accounts", served, "us")
+
+
+@dataclass
+class Flood:
+    """One account at five times the capacity beside twenty small ones.
+
+    :param fair: use the admission queue; first come, first served otherwise.
+    """
+
+    fair: bool
+    places: int = 32
+    hold_ms: float = 500.0
+    end_ms: float = 120_000.0
+
+    def waits(self) -> list[float]:
+        """Return the waiting times of the small accounts' requests, sorted."""
+        self.clock, self.random = ManualClock(), random.Random(11)
+        self.queue = AdmissionQueue.from_config(AdmissionConfig(default_limits=OPEN))
+        self.queue.set_limit(self.places)
+        self.line: deque[Ticket] = deque()
+        self.busy, self.arrived, self.waited = 0, {}, []
+        capacity = self.places / self.hold_ms
+        events = [(0.0, 0, "flood", 5 * capacity)]
+        events += [(0.0, i, f"small{i}", 0.1 * capacity / 20) for i in range(1, 21)]
+        count = len(events)
+        while events and events[0][0] < self.end_ms:
+            at, number, account, rate = heapq.heappop(events)
+            self.clock.advance(int(at) - self.clock.now())
+            if isinstance(account, Ticket):
+                self.busy -= 1
+                self.queue.release(account, self.clock.now())
+            else:
+                count += 1
+                again = at + self.random.expovariate(rate)
+                heapq.heappush(events, (again, number, account, rate))
+                self._offer(Ticket(f"{count}", account, 0, Millis(int(at) + 5_000)))
+            while (ticket := self._next()) is not None:
+                count += 1
+                done = at + self.random.expovariate(1 / self.hold_ms)
+                heapq.heappush(events, (done, count, ticket, 0.0))
+            self.queue.expire(self.clock.now())
+        return sorted(self.waited)
+
+    def _offer(self, ticket: Ticket) -> None:
+        self.arrived[ticket.id] = self.clock.now()
+        if self.fair:
+            self.queue.offer(ticket, self.clock.now())
+        else:
+            self.line.append(ticket)
+
+    def _next(self) -> Ticket | None:
+        ticket = None
+        if self.fair:
+            ticket = self.queue.next(self.clock.now())
+        elif self.line and self.busy < self.places:
+            ticket = self.line.popleft()
+        if ticket is not None:
+            self.busy += 1
+            if ticket.account != "flood":
+                self.waited.append(self.clock.now() - self.arrived[ticket.id])
+        return ticket
+
+
+class Goodput:
+    """Drafts on mixed runners that finish before their deadline."""
+
+    def __init__(self, load: float, admission: bool) -> None:
+        views = mixed_views()
+        capacity = pipeline_capacity(views, LAYERS, HOP_MS)
+        routers = routers_for(VMS, RoutingConfig())
+        self.model = PipelineModel(views, VMS, 500, chain_choice(routers), routers)
+        self.bound = capacity.tokens_per_second / MEAN_TOKENS
+        self.rate = load * self.bound / 1000
+        self.admission = admission
+        config = AdmissionConfig(default_limits=OPEN, hold_ms=6000.0)
+        self.queues = [AdmissionQueue.from_config(config) for _ in range(VMS)]
+        for queue in self.queues:
+            queue.set_limit(int(1.1 * capacity.runs / VMS))
+        self.tickets: dict[str, tuple[Ticket, int]] = {}
+        self.good = self.offered = self.at_once = self.late = 0
+        self.measuring = False
+
+    def run(self) -> float:
+        """Return drafts in time per second over the bound."""
+        self.model.on_end = self._ended
+        self._arrive()
+        self.model.at(0, self._expire)
+        self.model.run_until(20_000)
+        self.measuring = True
+        self.model.run_until(60_000)
+        return self.good / 40 / self.bound
+
+    def _arrive(self) -> None:
+        model, now = self.model, self.model.clock.now()
+        self.offered += 1
+        vm = self.offered % VMS
+        ticket = Ticket(f"{self.offered}", "a", 0, Millis(now + DEADLINE_MS))
+        if not self.admission:
+            self._start(vm, ticket)
+        elif self.queues[vm].offer(ticket, now).is_err():
+            self.at_once += 1
+        self._fill(vm)
+        model.at(model.random.expovariate(self.rate), self._arrive)
+
+    def _start(self, vm: int, ticket: Ticket) -> None:
+        tokens = self.model.random.randint(MEAN_TOKENS // 2, MEAN_TOKENS * 3 // 2)
+        self.tickets[self.model.start(vm, tokens).id] = (ticket, vm)
+
+    def _fill(self, vm: int) -> None:
+        while (ticket := self.queues[vm].next(self.model.clock.now())) is not None:
+            self._start(vm, ticket)
+
+    def _ended(self, run) -> None:
+        ticket, vm = self.tickets.pop(run.id)
+        now = self.model.clock.now()
+        if self.measuring and now <= ticket.deadline:
+            self.good += 1
+        self.queues[vm].release(ticket, now)
+        self.model.at(0, lambda: self._fill(vm))
+
+    def _expire(self) -> None:
+        for queue in self.queues:
+            self.late += len(queue.expire(self.model.clock.now()))
+        self.model.at(50, self._expire)
+
+
+def main() -> None:
+    """Print the figures of the admission queue."""
+    offer_and_next_time()
+    fair, line = Flood(True).waits(), Flood(False).waits()
+    for name, place in (("mean", None), ("p99", 0.99)):
+        found = [
+            sum(waits) / len(waits) if place is None else waits[int(place * len(waits))]
+            for waits in (fair, line)
+        ]
+        baseline = f"no admission {found[1]:.0f}"
+        figure(f"wait of small accounts, {name}", found[0], "ms", baseline)
+    for load in (0.5, 0.9, 1.0, 1.5, 3.0):
+        with_it, without = Goodput(load, True), Goodput(load, False)
+        good, bare = with_it.run(), without.run()
+        late = with_it.late / max(1, with_it.late + with_it.at_once)
+        baseline = f"no admission {bare:.3f}; {late:.2f} of refusals after waiting"
+        figure(f"goodput at {load} x capacity", good, "of bound", baseline)
--- /dev/null
+++ b/src/heathershunt/admission/__init__.py
@@ -0,0 +1,16 @@
+"""Admission: which request runs next, and which is refused at once."""
+
+from heathershunt.admission.limits import AccountLimits, RateLimit
+from heathershunt.admission.queue import AdmissionConfig, AdmissionQueue, Ticket
+from heathershunt.admission.shares import Demand, ShareConfig, ShareSplitter
+
+__all__ = [
+    "AccountLimits",
+    "AdmissionConfig",
+    "AdmissionQueue",
+    "Demand",
+    "RateLimit",
+    "ShareConfig",
+    "ShareSplitter",
+    "Ticket",
+]
--- /dev/null
+++ b/src/heathershunt/admission/queue.py
@@ -0,0 +1,356 @@
+"""The admission queue: fair sharing between accounts, priorities and deadlines."""
+
+import heapq
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from heathershunt.admission.drain import DrainEstimate
+from heathershunt.admission.fair import FairQueue
+from heathershunt.admission.limits import AccountLimits, RateLimit
+from heathershunt.clock import Millis
+from heathershunt.verdict import Refusal, not_run
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that asks to run.
+
+    :param rank: priority; lower goes first.
+    :param deadline: monotonic time by which the answer must be complete.
+    :param cost: work, in any unit that is the same for all tickets.
+
+    .. versionadded:: 0.1
+    """
+
+    id: str
+    account: str
+    rank: int
+    deadline: Millis
+    cost: float = 1.0
+
+
+@dataclass(frozen=True)
+class AdmissionConfig:
+    """Constants of the admission queue.
+
+    :param queued_total: requests that wait at a time, over all accounts.
+    :param rank_ratio: weight of a priority over the next lower one with work waiting.
+    :param hold_ms: run time of a unit of cost to assume before any was measured.
+    :param burst_ms: time whose worth of an account's rate may come at once.
+    :param retry_least_ms: shortest ``retry_after``.
+    :param retry_most_ms: longest ``retry_after``.
+    :param default_limits: limits of accounts for which none are set.
+
+    .. versionadded:: 0.1
+    """
+
+    queued_total: int = 4096
+    rank_ratio: float = 8.0
+    hold_ms: float = 1000.0
+    burst_ms: int = 2000
+    retry_least_ms: int = 100
+    retry_most_ms: int = 60_000
+    default_limits: AccountLimits = AccountLimits()
+
+
+@dataclass(eq=False, slots=True)
+class _Account:
+    limits: AccountLimits
+    rate: RateLimit
+    waiting: int = 0
+    running: int = 0
+
+    def may_start(self) -> bool:
+        return self.running < self.limits.concurrent
+
+
+@dataclass(eq=False, slots=True)
+class _Rank:
+    """Waiting tickets of one priority."""
+
+    queue: FairQueue[Ticket] = field(default_factory=FairQueue)
+    finish: float = 0.0
+    count: int = 0
+    share: float = 0.0
+    cost_by_account: dict[str, float] = field(default_factory=dict)
+    share_by_account: dict[str, float] = field(default_factory=dict)
+
+
+class AdmissionQueue:
+    """Decides which request runs next, and refuses those that cannot run in time.
+
+    Priorities share the places by weight, so that a lower one always gets some.
+    Inside a priority the accounts share by weight. Only the account limits are hard;
+    a share that is not used goes to the others.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, config: AdmissionConfig) -> None:
+        self.config = config
+        self.limit = 0
+        self._drain = DrainEstimate(config.hold_ms)
+        self._accounts_by_name: dict[str, _Account] = {}
+        self._limits_by_account: dict[str, AccountLimits] = {}
+        self._ranks_by_number: dict[int, _Rank] = {}
+        self._virtual = 0.0
+        self._waiting_by_id: dict[str, Ticket] = {}
+        self._running_by_id: dict[str, tuple[Ticket, Millis]] = {}
+        self._waiting_cost = 0.0
+        self._latest_starts: list[tuple[Millis, str]] = []
+        self._late: list[Ticket] = []
+
+    @classmethod
+    def from_config(cls, config: AdmissionConfig) -> "AdmissionQueue":
+        """Return an empty queue that runs nothing until ``set_limit``."""
+        return cls(config)
+
+    @property
+    def waiting(self) -> int:
+        """Number of waiting tickets."""
+        return len(self._waiting_by_id)
+
+    @property
+    def running(self) -> int:
+        """Number of running tickets."""
+        return len(self._running_by_id)
+
+    def set_limit(self, limit: int) -> None:
+        """Set how many tickets run at a time, from the capacity of the runners."""
+        self.limit = max(0, limit)
+
+    def set_limits(self, limits_by_account: Mapping[str, AccountLimits]) -> None:
+        """Replace the limits of all accounts; waiting tickets stay."""
+        self._limits_by_account = dict(limits_by_account)
+        for name, account in self._accounts_by_name.items():
+            account.limits = self._limits(name)
+            self._wake(name, account)
+
+    def set_account_limits(self, name: str, limits: AccountLimits, now: Millis) -> None:
+        """Change the limits of one account, as when its demand moves between VMs."""
+        self._limits_by_account[name] = limits
+        account = self._account(name, now)
+        account.limits = limits
+        self._wake(name, account)
+
+    def offer(self, ticket: Ticket, now: Millis) -> Result[Ticket, Refusal]:
+        """Queue ``ticket``, or refuse it at once.
+
+        :raises ValueError: if a ticket with this id is waiting or running.
+        """
+        if ticket.id in self._waiting_by_id or ticket.id in self._running_by_id:
+            raise ValueError(f"ticket {ticket.id} was offered twice")
+        account = self._account(ticket.account, now)
+        refusal = (
+            self._refuse_for_account(account, now)
+            or self._refuse_for_queue(account)
+            or self._refuse_for_deadline(ticket, account, now)
+        )
+        if refusal is not None:
+            return Err(refusal)
+        account.rate.take()
+        account.waiting += 1
+        self._add(ticket, account)
+        service_ms = self._drain.hold_ms * ticket.cost
+        latest = Millis(int(ticket.deadline - service_ms))
+        heapq.heappush(self._latest_starts, (latest, ticket.id))
+        return Ok(ticket)
+
+    def next(self, now: Millis) -> Ticket | None:
+        """Return the ticket to run now, if one may run; ``release`` ends it."""
+        if self.running >= self.limit:
+            return None
+        best: tuple[float, int] | None = None
+        for number, rank in self._ranks_by_number.items():
+            if rank.count and self._head(rank, now) is not None:
+                choice = (max(self._virtual, rank.finish), number)
+                best = choice if best is None else min(best, choice)
+        if best is None:
+            return None
+        start, number = best
+        rank = self._ranks_by_number[number]
+        name, ticket = self._head(rank, now)
+        weight = self._rank_weight(number)
+        account = self._accounts_by_name[name]
+        account.running += 1
+        rank.queue.take(ticket.cost / account.limits.share)
+        self._virtual = start
+        rank.finish = start + ticket.cost / weight
+        self._remove(ticket)
+        if not self._running_by_id:
+            self._drain.busy(now)
+        self._running_by_id[ticket.id] = (ticket, now)
+        return ticket
+
+    def release(self, ticket: Ticket, now: Millis, *, measured: bool = True) -> None:
+        """End a running ticket; an unknown one is ignored.
+
+        :param measured: whether its run time is typical; false after a failure.
+        """
+        found = self._running_by_id.pop(ticket.id, None)
+        if found is None:
+            return
+        if measured:
+            self._drain.released(ticket.cost, now - found[1], now)
+        account = self._accounts_by_name[ticket.account]
+        account.running -= 1
+        self._wake(ticket.account, account)
+
+    def cancel(self, ticket_id: str) -> bool:
+        """Remove a waiting ticket; return whether it was waiting."""
+        ticket = self._waiting_by_id.get(ticket_id)
+        if ticket is None:
+            return False
+        self._ranks_by_number[ticket.rank].queue.remove(ticket.account, ticket)
+        self._remove(ticket)
+        return True
+
+    def expire(self, now: Millis) -> list[Ticket]:
+        """Remove and return the waiting tickets that can no longer be in time."""
+        while self._latest_starts and self._latest_starts[0][0] < now:
+            _, ticket_id = heapq.heappop(self._latest_starts)
+            ticket = self._waiting_by_id.get(ticket_id)
+            if ticket is not None:
+                self.cancel(ticket_id)
+                self._late.append(ticket)
+        late, self._late = self._late, []
+        for rank in self._ranks_by_number.values():
+            rank.queue.forget_idle()
+        return late
+
+    def late_refusal(self) -> Refusal:
+        """Return the answer to a ticket that ``expire`` returned."""
+        wait = self._waiting_cost * self._drain.hold_ms / max(1, self.limit)
+        detail = "the request waited until its deadline could no longer be met"
+        return not_run(503, "Deadline out of reach", detail, self._retry(wait))
+
+    def _refuse_for_account(self, account: _Account, now: Millis) -> Refusal | None:
+        limits = account.limits
+        wait = account.rate.wait_ms(limits.requests_per_second, now)
+        if wait:
+            detail = f"the account may send {limits.requests_per_second:g} requests/s"
+            return not_run(429, "Rate limit reached", detail, self._retry(wait))
+        if account.waiting >= limits.queued:
+            detail = f"{account.waiting} requests of the account are waiting"
+            wait = account.waiting * self._drain.hold_ms / max(1, limits.concurrent)
+            return not_run(429, "Account queue full", detail, self._retry(wait))
+        return None
+
+    def _refuse_for_queue(self, account: _Account) -> Refusal | None:
+        # An account may hold as much of the queue as is still free (dynamic threshold,
+        # Choudhury and Hahne, 1998), so a flood always leaves room for the others.
+        free = self.config.queued_total - self.waiting
+        if account.waiting < free or (free > 0 and not account.waiting):
+            return None
+        wait = self._waiting_cost * self._drain.hold_ms / max(1, self.limit)
+        detail = f"{self.waiting} requests are waiting"
+        return not_run(503, "Queue full", detail, self._retry(wait))
+
+    def _refuse_for_deadline(
+        self, ticket: Ticket, account: _Account, now: Millis
+    ) -> Refusal | None:
+        allowed = ticket.deadline - now
+        service = self._drain.hold_ms * ticket.cost
+        if self.limit == 0:
+            detail = "no runner has capacity at present"
+            return not_run(503, "No capacity", detail, self._retry(service))
+        if service > allowed:
+            # Waiting does not help this request, so no time to come back is named.
+            detail = f"the request runs about {service:.0f} ms, {allowed} ms are left"
+            return not_run(503, "Deadline out of reach", detail)
+        wait = self._expected_wait(ticket, account, now)
+        if wait + service <= allowed:
+            return None
+        detail = f"about {wait + service:.0f} ms are needed, {allowed} ms are left"
+        after = self._retry(wait + service - allowed)
+        return not_run(503, "Deadline out of reach", detail, after)
+
+    def _expected_wait(self, ticket: Ticket, account: _Account, now: Millis) -> float:
+        """Return the wait at the guaranteed share, or behind everything if shorter."""
+        free = self.running < self.limit and not self._waiting_cost
+        if free and account.may_start():
+            return 0.0
+        rank = self._ranks_by_number.setdefault(ticket.rank, _Rank())
+        drain = self._drain.rate(self.limit, self.running, now)
+        share = account.limits.share
+        others = rank.share - rank.share_by_account.get(ticket.account, 0.0)
+        fraction = share / (others + share) * self._rank_fraction(ticket.rank)
+        own = rank.cost_by_account.get(ticket.account, 0.0) + ticket.cost
+        wait = min(own / (drain * fraction), (self._waiting_cost + ticket.cost) / drain)
+        if not account.may_start() or account.waiting:
+            # The account's own concurrency limit may be the narrower way.
+            wait = max(wait, own * self._drain.hold_ms / account.limits.concurrent)
+        return wait
+
+    def _rank_fraction(self, number: int) -> float:
+        active = {n for n, rank in self._ranks_by_number.items() if rank.count}
+        total = sum(self._rank_weight(n) for n in active | {number})
+        return self._rank_weight(number) / total
+
+    def _rank_weight(self, number: int) -> float:
+        above = sum(
+            1 for n, rank in self._ranks_by_number.items() if rank.count and n < number
+        )
+        return self.config.rank_ratio**-above
+
+    def _add(self, ticket: Ticket, account: _Account) -> None:
+        self._waiting_by_id[ticket.id] = ticket
+        self._waiting_cost += ticket.cost
+        rank = self._ranks_by_number.setdefault(ticket.rank, _Rank())
+        name = ticket.account
+        rank.count += 1
+        if name not in rank.cost_by_account:
+            rank.share_by_account[name] = account.limits.share
+            rank.share += account.limits.share
+        rank.cost_by_account[name] = rank.cost_by_account.get(name, 0) + ticket.cost
+        rank.queue.push(name, ticket, account.may_start())
+
+    def _remove(self, ticket: Ticket) -> None:
+        """Take a ticket that has left its fair queue out of all counts."""
+        del self._waiting_by_id[ticket.id]
+        self._accounts_by_name[ticket.account].waiting -= 1
+        self._waiting_cost -= ticket.cost
+        rank = self._ranks_by_number[ticket.rank]
+        rank.count -= 1
+        left = rank.cost_by_account[ticket.account] - ticket.cost
+        rank.cost_by_account[ticket.account] = left
+        if not rank.queue.flows[ticket.account].items:
+            del rank.cost_by_account[ticket.account]
+            rank.share -= rank.share_by_account.pop(ticket.account)
+        if not self._waiting_by_id:
+            self._waiting_cost = 0.0
+
+    def _head(self, rank: _Rank, now: Millis) -> tuple[str, Ticket] | None:
+        """Return the next account and ticket of a priority; put late ones aside."""
+        while (head := rank.queue.first(self._is_ready)) is not None:
+            ticket = head[1]
+            if now + self._drain.hold_ms * ticket.cost <= ticket.deadline:
+                return head
+            self.cancel(ticket.id)
+            self._late.append(ticket)
+        return None
+
+    def _is_ready(self, name: str) -> bool:
+        return self._accounts_by_name[name].may_start()
+
+    def _wake(self, name: str, account: _Account) -> None:
+        if account.waiting and account.may_start():
+            for rank in self._ranks_by_number.values():
+                rank.queue.wake(name)
+
+    def _account(self, name: str, now: Millis) -> _Account:
+        account = self._accounts_by_name.get(name)
+        if account is None:
+            limits = self._limits(name)
+            rate = RateLimit(self.config.burst_ms, limits.requests_per_second, now)
+            account = self._accounts_by_name[name] = _Account(limits, rate)
+        return account
+
+    def _limits(self, name: str) -> AccountLimits:
+        return self._limits_by_account.get(name, self.config.default_limits)
+
+    def _retry(self, wait_ms: float) -> int:
+        config = self.config
+        return int(min(max(wait_ms, config.retry_least_ms), config.retry_most_ms))
--- /dev/null
+++ b/src/heathershunt/admission/shares.py
@@ -0,0 +1,173 @@
+"""One VM's share of a limit that holds over all VMs.
+
+The VMs tell each other the demand of each account, and every VM derives the same
+split from the same messages, so no request needs an agreement. A VM that is not
+heard keeps an equal part set aside for it, because it may still be using that part.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from heathershunt.clock import Millis
+
+
+@dataclass(frozen=True)
+class Demand:
+    """Demand of the accounts at one VM.
+
+    :param vm: VM whose callers asked.
+    :param at: when it was measured, on the receiver's monotonic clock.
+    :param rate_by_account: offered requests per second, refused ones included.
+
+    .. versionadded:: 0.1
+    """
+
+    vm: str
+    at: Millis
+    rate_by_account: dict[str, float]
+
+
+@dataclass(frozen=True)
+class ShareConfig:
+    """Constants of the split.
+
+    :param reserve: part of the limit that is split equally, whatever the demand.
+    :param fresh_ms: age up to which a message counts in full.
+    :param forgotten_ms: age from which it does not count.
+    :param half_life_ms: time in which the measured demand follows a change halfway.
+    :param accounts_most: accounts named in one message, the largest first.
+
+    .. versionadded:: 0.1
+    """
+
+    reserve: float = 0.2
+    fresh_ms: int = 3_000
+    forgotten_ms: int = 9_000
+    half_life_ms: int = 2_000
+    accounts_most: int = 64
+
+
+class ShareSplitter:
+    """Splits limits between VMs by the demand that they told each other.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, config: ShareConfig, vm: str) -> None:
+        self.config = config
+        self.vm = vm
+        self._demand_by_vm: dict[str, Demand] = {}
+        self._offered_by_account: dict[str, float] = {}
+        self._rate_by_account: dict[str, float] = {}
+        self._measured_at: Millis | None = None
+
+    @classmethod
+    def from_config(cls, config: ShareConfig, vm: str) -> "ShareSplitter":
+        """Return a splitter for the VM with this name."""
+        return cls(config, vm)
+
+    def record(self, account: str, cost: float = 1.0) -> None:
+        """Count a request that was offered here, refused or not."""
+        offered = self._offered_by_account
+        offered[account] = offered.get(account, 0.0) + cost
+
+    def measure(self, now: Millis) -> Demand:
+        """Return the own demand, to be sent to all peers; call once a second.
+
+        The own share also follows this message, never a newer value, so that all VMs
+        compute with the same numbers.
+        """
+        previous, self._measured_at = self._measured_at, now
+        if previous is not None and now > previous:
+            self._follow(now - previous)
+        largest = sorted(
+            self._rate_by_account.items(), key=lambda item: item[1], reverse=True
+        )
+        rates = dict(largest[: self.config.accounts_most])
+        demand = Demand(self.vm, now, rates)
+        self._demand_by_vm[self.vm] = demand
+        return demand
+
+    def observe(self, demand: Demand) -> None:
+        """Take in the message of a peer; an older one than the last is ignored."""
+        last = self._demand_by_vm.get(demand.vm)
+        if demand.vm != self.vm and (last is None or demand.at >= last.at):
+            self._demand_by_vm[demand.vm] = demand
+
+    def share(
+        self, account: str, limit: float, now: Millis, known_vms: Collection[str]
+    ) -> float:
+        """Return the part of ``limit`` that this VM may use.
+
+        :param known_vms: all VMs that are alive, from the membership.
+        """
+        shares = self._shares(account, limit, now, known_vms)
+        return shares[self.vm]
+
+    def whole_share(
+        self, account: str, limit: int, now: Millis, known_vms: Collection[str]
+    ) -> int:
+        """Return this VM's part of a limit that counts whole things.
+
+        The shares are rounded along one common order, so they add up to the limit.
+        Where there are more VMs than the limit, some get none.
+        """
+        before = 0.0
+        shares = self._shares(account, limit, now, known_vms)
+        for vm in sorted(shares):
+            # The small term undoes rounding of sums that should be whole.
+            after = before + shares[vm]
+            if vm == self.vm:
+                return int(after + 1e-6) - int(before + 1e-6)
+            before = after
+        return 0
+
+    def _shares(
+        self, account: str, limit: float, now: Millis, known_vms: Collection[str]
+    ) -> dict[str, float]:
+        """Return the share of every VM as this VM computes it."""
+        vms = sorted({*known_vms, self.vm})
+        equal = limit / len(vms)
+        weight_by_vm = {vm: self._weight(vm, now) for vm in vms}
+        weight_by_vm[self.vm] = 1.0
+        heard = sum(weight_by_vm.values())
+        pool = equal * heard
+        demand_by_vm = {
+            vm: weight * self._rate(vm, account) for vm, weight in weight_by_vm.items()
+        }
+        total = sum(demand_by_vm.values())
+        reserve = self.config.reserve if total else 1.0
+        shares = {}
+        for vm in vms:
+            weight = weight_by_vm[vm]
+            part = reserve * weight / heard
+            if total:
+                part += (1 - reserve) * demand_by_vm[vm] / total
+            shares[vm] = pool * part + equal * (1 - weight)
+        return shares
+
+    def _weight(self, vm: str, now: Millis) -> float:
+        """Return how far the last message of a VM still counts, from 1 to 0."""
+        demand = self._demand_by_vm.get(vm)
+        if demand is None:
+            return 0.0
+        config = self.config
+        left = config.forgotten_ms - (now - demand.at)
+        return min(1.0, max(0.0, left / (config.forgotten_ms - config.fresh_ms)))
+
+    def _rate(self, vm: str, account: str) -> float:
+        demand = self._demand_by_vm.get(vm)
+        return 0.0 if demand is None else demand.rate_by_account.get(account, 0.0)
+
+    def _follow(self, elapsed_ms: int) -> None:
+        """Move the measured rates towards what was offered since the last time."""
+        kept = 0.5 ** (elapsed_ms / self.config.half_life_ms)
+        rates = {}
+        for account in self._rate_by_account.keys() | self._offered_by_account.keys():
+            offered = self._offered_by_account.get(account, 0.0) * 1000 / elapsed_ms
+            rate = kept * self._rate_by_account.get(account, 0.0)
+            rate += (1 - kept) * offered
+            if rate > 1e-3:
+                rates[account] = rate
+        self._rate_by_account = rates
+        self._offered_by_account = {}
--- /dev/null
+++ b/tests/admission/test_queue.py
@@ -0,0 +1,197 @@
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from heathershunt.admission import (
+    AccountLimits,
+    AdmissionConfig,
+    AdmissionQueue,
+    Ticket,
+)
+from heathershunt.verdict import Verdict
+
+WIDE = AccountLimits(concurrent=1000, requests_per_second=1e6, queued=1000)
+
+
+def make_queue(limit=1, **fields):
+    fields = {"default_limits": WIDE, "hold_ms": 100.0, **fields}
+    queue = AdmissionQueue.from_config(AdmissionConfig(**fields))
+    queue.set_limit(limit)
+    return queue
+
+
+def ticket(name, account="a", rank=0, deadline=10**9, cost=1.0):
+    return Ticket(str(name), account, rank, deadline, cost)
+
+
+def offer_many(queue, count, account="a", **fields):
+    for number in range(count):
+        offered = ticket(f"{account}{number}", account, **fields)
+        assert queue.offer(offered, 0).is_ok()
+
+
+def serve(queue, count, now=0):
+    """Run tickets one after another; return them."""
+    served = []
+    for _ in range(count):
+        running = queue.next(now)
+        served.append(running)
+        queue.release(running, now, measured=False)
+    return served
+
+
+def test_accounts_share_by_weight_and_not_by_what_they_offer():
+    """Guards against a flood that takes the places of small accounts."""
+    queue = make_queue()
+    queue.set_limits({"heavy": AccountLimits(3.0, 1000, 1e6, 1000)})
+    offer_many(queue, 400, "flood")
+    offer_many(queue, 100, "heavy")
+    offer_many(queue, 20, "small")
+    counts = Counter(t.account for t in serve(queue, 100))
+    assert counts == {"heavy": 60, "flood": 20, "small": 20}
+
+
+def test_cost_counts_and_an_idle_account_earns_no_credit():
+    """Guards against fairness by number of requests, and against saved-up turns."""
+    queue = make_queue()
+    offer_many(queue, 60, "dear", cost=3.0)
+    serve(queue, 30)
+    offer_many(queue, 60, "cheap")
+    counts = Counter(t.account for t in serve(queue, 40))
+    assert counts["cheap"] == pytest.approx(30, abs=1)
+
+
+def test_priorities_go_first_but_never_starve_the_lower():
+    """Guards against permanent starvation of a low priority."""
+    queue = make_queue(rank_ratio=8.0)
+    offer_many(queue, 200, "low", rank=20)
+    offer_many(queue, 200, "high", rank=1)
+    counts = Counter(t.account for t in serve(queue, 90))
+    assert counts["high"] == pytest.approx(80, abs=1)
+
+
+def test_the_concurrency_of_an_account_is_limited_and_its_places_are_lent():
+    """Guards against exceeding a hard limit and against idle places."""
+    queue = make_queue(limit=4)
+    queue.set_limits({"a": AccountLimits(1.0, 2, 1e6, 100)})
+    offer_many(queue, 4, "a")
+    offer_many(queue, 4, "b")
+    running = [queue.next(0) for _ in range(4)]
+    assert Counter(t.account for t in running) == {"a": 2, "b": 2}
+    assert queue.next(0) is None
+    for done in running:
+        queue.release(done, 0)
+        queue.release(done, 0)
+    assert Counter(queue.next(0).account for _ in range(4)) == {"a": 2, "b": 2}
+
+
+@pytest.mark.parametrize(
+    ("limits", "config", "status"),
+    [
+        (AccountLimits(requests_per_second=1.0), {}, 429),
+        (AccountLimits(queued=2, requests_per_second=1e6), {}, 429),
+        (WIDE, {"queued_total": 4}, 503),
+    ],
+    ids=["rate", "queue of the account", "share of the whole queue"],
+)
+def test_a_full_queue_refuses_before_anything_ran(limits, config, status):
+    """Guards against unbounded queues and refusals without a verdict."""
+    queue = make_queue(default_limits=limits, **config)
+    offer_many(queue, 2)
+    refusal = queue.offer(ticket("one more"), 0).err_value
+    assert (refusal.status, refusal.verdict) == (status, Verdict.NOT_RUN)
+    assert refusal.retry_after >= 100
+    assert queue.offer(ticket("other", "other"), 0).is_ok()
+
+
+def test_retry_after_of_a_rate_limit_is_honest():
+    """Guards against a time at which the request is refused again."""
+    queue = make_queue(default_limits=AccountLimits(requests_per_second=0.5))
+    offer_many(queue, 1)
+    refusal = queue.offer(ticket("b"), 500).err_value
+    assert queue.offer(ticket("b"), 500 + refusal.retry_after - 1).is_err()
+    assert queue.offer(ticket("b"), 500 + refusal.retry_after).is_ok()
+
+
+def test_a_deadline_out_of_reach_is_refused_at_once():
+    """Guards against queueing what cannot finish, and a dishonest retry time."""
+    queue = make_queue(limit=1)
+    offer_many(queue, 10)
+    refusal = queue.offer(ticket("b", deadline=600), 0).err_value
+    assert (refusal.verdict, refusal.retry_after) == (Verdict.NOT_RUN, 600)
+    for now in range(0, 600, 100):
+        queue.release(queue.next(now), now + 100)
+    assert queue.offer(ticket("b", deadline=1200), 600).is_ok()
+    never = queue.offer(ticket("c", deadline=650), 600).err_value
+    assert never.retry_after is None
+    assert make_queue(limit=0).offer(ticket("d"), 0).err_value.status == 503
+
+
+def test_a_stall_lengthens_the_expected_wait():
+    """Guards against admitting on an old drain rate while nothing drains."""
+    queue = make_queue(limit=1)
+    queue.offer(ticket("a"), 0)
+    queue.next(0)
+    assert queue.offer(ticket("b", deadline=1300), 1000).is_ok()
+    queue.cancel("b")
+    assert queue.offer(ticket("c", deadline=10_300), 10_000).is_err()
+
+
+def test_late_tickets_are_returned_once_and_never_run():
+    """Guards against running for nobody and against unanswered requests."""
+    queue = make_queue(limit=1)
+    queue.offer(ticket("a", deadline=1000), 0)
+    queue.offer(ticket("b", deadline=2000), 0)
+    queue.offer(ticket("c", deadline=9000), 0)
+    assert queue.next(950).id == "b"
+    assert [t.id for t in queue.expire(950)] == ["a"]
+    assert queue.expire(8901)[0].id == "c"
+    assert (queue.expire(9999), queue.waiting) == ([], 0)
+    assert queue.late_refusal().verdict is Verdict.NOT_RUN
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "offer", "next", "release", "cancel", "expire"]),
+        st.sampled_from("abc"),
+        st.integers(0, 2),
+        st.integers(0, 400),
+    ),
+    max_size=120,
+)
+
+
+@given(STEPS)
+@settings(max_examples=80, deadline=None)
+def test_every_admitted_ticket_leaves_exactly_once(steps):
+    """Guards against lost and doubled tickets and against wrong counts."""
+    limits = AccountLimits(concurrent=2, requests_per_second=50, queued=10)
+    queue = make_queue(limit=3, default_limits=limits, queued_total=20)
+    admitted, left, running, now = set(), [], [], 0
+    for number, (step, account, rank, value) in enumerate(steps):
+        now += value // 8
+        if step == "offer":
+            offered = ticket(number, account, rank, now + value)
+            if queue.offer(offered, now).is_ok():
+                admitted.add(offered.id)
+        elif step == "next" and (found := queue.next(now)):
+            running.append(found)
+            left.append(found.id)
+            assert Counter(t.account for t in running)[found.account] <= 2
+        elif step == "release" and running:
+            queue.release(running.pop(0), now)
+        elif step == "cancel" and admitted:
+            chosen = sorted(admitted)[value % len(admitted)]
+            left += [chosen] if queue.cancel(chosen) else []
+        elif step == "expire":
+            left += [t.id for t in queue.expire(now)]
+        assert (queue.running, len(running) <= 3) == (len(running), True)
+    for done in running:
+        queue.release(done, now)
+    while found := queue.next(now):
+        left.append(found.id)
+        queue.release(found, now)
+    left += [t.id for t in queue.expire(now)]
+    assert sorted(left) == sorted(admitted)
+    assert (queue.waiting, queue.running) == (0, 0)
