Leave room for long runs before a deadline

Change: a ticket must start three mean deviations of the run time earlier; a tight deadline is still tried when a place is free. A repeated id is no longer dropped by the deadline of its first try.

--- a/measure/admission_figures.py
+++ b/measure/admission_figures.py
@@ -30,7 +30,7 @@
 
 
 def offer_and_next_time() -> None:
-    """Measure one offer, one next and one release while a queue is kept filled."""
+    """Measure one offer, and one next with its release, on a long queue."""
     for accounts in (100, 27_000):
         config = AdmissionConfig(queued_total=60_000, default_limits=OPEN)
         queue = AdmissionQueue.from_config(config)
@@ -50,7 +50,6 @@
 
         for _ in range(accounts):
             offer()
-        # As many are offered as are served, so the queue keeps its length.
         offered = microseconds_each(offer, 500)
         served = microseconds_each(serve, 500)
         figure(f"offer, {accounts} accounts", offered, "us")
--- a/src/heathershunt/admission/drain.py
+++ b/src/heathershunt/admission/drain.py
@@ -4,6 +4,10 @@
 
 # Weight of one released ticket in the mean; about the last 50 tickets count.
 MEAN_WEIGHT = 0.02
+# Mean deviations above the mean run time that must be left before the deadline; this
+# covers 96 % of an exponential distribution. Goodput at 3 times the capacity is 0.59
+# of the bound with none, 0.94 with 2 and 0.98 with 3.
+DEVIATIONS = 3.0
 # Expected releases without any before the drain counts as stalled; at random times
 # the chance of that is about one in 20,000.
 STALLED_AFTER_RELEASES = 10
@@ -22,6 +26,7 @@
         self.hold_ms = hold_ms
         self._mean_cost = 1.0
         self._mean_held_ms = hold_ms
+        self._deviation_ms = 0.0
         self._seen = 0
         self._quiet_since = Millis(0)
 
@@ -35,10 +40,16 @@
         weight = max(MEAN_WEIGHT, 1 / self._seen)
         self._mean_cost += weight * (cost - self._mean_cost)
         self._mean_held_ms += weight * (held_ms - self._mean_held_ms)
+        off = abs(held_ms - self.hold_ms * cost)
+        self._deviation_ms += weight * (off - self._deviation_ms)
         # The ratio of the means, since small tickets would rule a mean of ratios.
         self.hold_ms = max(self._mean_held_ms / self._mean_cost, 1e-3)
         self._quiet_since = now
 
+    def most_ms(self, cost: float) -> float:
+        """Return a time within which nearly all tickets of ``cost`` end."""
+        return self.hold_ms * cost + DEVIATIONS * self._deviation_ms
+
     def rate(self, limit: float, running: int, now: Millis) -> float:
         """Return the cost that leaves per millisecond when all places are taken."""
         rate = limit / self.hold_ms
--- a/src/heathershunt/admission/queue.py
+++ b/src/heathershunt/admission/queue.py
@@ -99,7 +99,8 @@
         self._waiting_by_id: dict[str, Ticket] = {}
         self._running_by_id: dict[str, tuple[Ticket, Millis]] = {}
         self._waiting_cost = 0.0
-        self._latest_starts: list[tuple[Millis, str]] = []
+        self._latest_starts: list[tuple[Millis, int, Ticket]] = []
+        self._count = 0
         self._late: list[Ticket] = []
 
     @classmethod
@@ -153,9 +154,11 @@
         account.rate.take()
         account.waiting += 1
         self._add(ticket, account)
-        service_ms = self._drain.hold_ms * ticket.cost
-        latest = Millis(int(ticket.deadline - service_ms))
-        heapq.heappush(self._latest_starts, (latest, ticket.id))
+        latest = Millis(int(ticket.deadline - self._drain.most_ms(ticket.cost)))
+        # A tight deadline may still be met if the ticket starts at once.
+        self._count += 1
+        entry = (max(latest, now), self._count, ticket)
+        heapq.heappush(self._latest_starts, entry)
         return Ok(ticket)
 
     def next(self, now: Millis) -> Ticket | None:
@@ -163,15 +166,16 @@
         if self.running >= self.limit:
             return None
         best: tuple[float, int] | None = None
+        self._put_late_aside(now)
         for number, rank in self._ranks_by_number.items():
-            if rank.count and self._head(rank, now) is not None:
+            if rank.count and rank.queue.first(self._is_ready) is not None:
                 choice = (max(self._virtual, rank.finish), number)
                 best = choice if best is None else min(best, choice)
         if best is None:
             return None
         start, number = best
         rank = self._ranks_by_number[number]
-        name, ticket = self._head(rank, now)
+        name, ticket = rank.queue.first(self._is_ready)
         weight = self._rank_weight(number)
         account = self._accounts_by_name[name]
         account.running += 1
@@ -209,12 +213,7 @@
 
     def expire(self, now: Millis) -> list[Ticket]:
         """Remove and return the waiting tickets that can no longer be in time."""
-        while self._latest_starts and self._latest_starts[0][0] < now:
-            _, ticket_id = heapq.heappop(self._latest_starts)
-            ticket = self._waiting_by_id.get(ticket_id)
-            if ticket is not None:
-                self.cancel(ticket_id)
-                self._late.append(ticket)
+        self._put_late_aside(now)
         late, self._late = self._late, []
         for rank in self._ranks_by_number.values():
             rank.queue.forget_idle()
@@ -261,7 +260,8 @@
             detail = f"the request runs about {service:.0f} ms, {allowed} ms are left"
             return not_run(503, "Deadline out of reach", detail)
         wait = self._expected_wait(ticket, account, now)
-        if wait + service <= allowed:
+        service = self._drain.most_ms(ticket.cost)
+        if wait == 0 or wait + service <= allowed:
             return None
         detail = f"about {wait + service:.0f} ms are needed, {allowed} ms are left"
         after = self._retry(wait + service - allowed)
@@ -322,15 +322,13 @@
         if not self._waiting_by_id:
             self._waiting_cost = 0.0
 
-    def _head(self, rank: _Rank, now: Millis) -> tuple[str, Ticket] | None:
-        """Return the next account and ticket of a priority; put late ones aside."""
-        while (head := rank.queue.first(self._is_ready)) is not None:
-            ticket = head[1]
-            if now + self._drain.hold_ms * ticket.cost <= ticket.deadline:
-                return head
-            self.cancel(ticket.id)
-            self._late.append(ticket)
-        return None
+    def _put_late_aside(self, now: Millis) -> None:
+        while self._latest_starts and self._latest_starts[0][0] < now:
+            ticket = heapq.heappop(self._latest_starts)[2]
+            # An id may have been cancelled and offered again with another deadline.
+            if self._waiting_by_id.get(ticket.id) is ticket:
+                self.cancel(ticket.id)
+                self._late.append(ticket)
 
     def _is_ready(self, name: str) -> bool:
         return self._accounts_by_name[name].may_start()
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -151,6 +151,28 @@
     assert queue.late_refusal().verdict is Verdict.NOT_RUN
 
 
+def test_an_id_offered_again_keeps_its_new_deadline():
+    """Guards against dropping a repeated request by the deadline of its first try."""
+    queue = make_queue(limit=1)
+    queue.offer(ticket("a", deadline=500), 0)
+    queue.cancel("a")
+    queue.offer(ticket("a", deadline=5000), 0)
+    assert queue.expire(1000) == []
+    assert queue.next(1000).deadline == 5000
+
+
+def test_run_times_that_vary_leave_room_before_the_deadline():
+    """Guards against starting runs that only end in time if they are short."""
+    queue = make_queue(limit=1)
+    for number in range(40):
+        queue.offer(ticket(number), 0)
+        queue.release(queue.next(0), 50 if number % 2 else 150)
+    queue.offer(ticket("running"), 0)
+    queue.next(0)
+    assert queue.offer(ticket("tight", deadline=220), 0).is_err()
+    assert queue.offer(ticket("wide", deadline=400), 0).is_ok()
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(["offer", "offer", "next", "release", "cancel", "expire"]),
