--- /dev/null
+++ b/measure/retry_figures.py
@@ -0,0 +1,89 @@
+"""Figures of retries while half of the runners fail."""
+
+import random
+from dataclasses import dataclass
+
+from heathershunt.clock import ManualClock, Millis
+from heathershunt.retries import (
+    BudgetConfig,
+    EjectionConfig,
+    EjectionPolicy,
+    RetryBudgets,
+    RunnerRange,
+    may_retry,
+)
+from heathershunt.verdict import Verdict
+from measure.figures import figure
+
+RUNNERS = 10
+REQUESTS_PER_SECOND = 100
+SECONDS = 60
+MOST_TRIES = 4
+
+
+@dataclass
+class Outage:
+    """Requests to runners of which half refuse everything.
+
+    :param budget: retries are bounded by budgets, else by ``MOST_TRIES`` alone.
+    :param ejection: failing runners are ejected.
+    :param exclude: a retry goes to another runner.
+    """
+
+    budget: bool
+    ejection: bool
+    exclude: bool = True
+
+    def run(self) -> tuple[float, float]:
+        """Return tries per request and the part of requests that succeeded."""
+        self.clock, self.random = ManualClock(), random.Random(13)
+        self.budgets = RetryBudgets.from_config(BudgetConfig())
+        self.policy = EjectionPolicy.from_config(EjectionConfig())
+        names = [f"r{number}" for number in range(RUNNERS)]
+        self.policy.set_ranges({n: RunnerRange("m", 0, 1, 1.0, "g") for n in names})
+        self.names, self.tries, good = names, 0, 0
+        requests = REQUESTS_PER_SECOND * SECONDS
+        for number in range(requests):
+            self.clock.advance(1000 // REQUESTS_PER_SECOND)
+            good += self._request(f"account{number % 10}")
+        return self.tries / requests, good / requests
+
+    def _request(self, account: str) -> bool:
+        now = self.clock.now()
+        tried: set[str] = set()
+        for attempt in range(MOST_TRIES):
+            runner = self._pick(tried if self.exclude else set(), now)
+            tried.add(runner)
+            self.tries += 1
+            if attempt == 0:
+                self.budgets.earn(account, (runner,), now)
+            self.policy.started(runner, now)
+            if self.names.index(runner) % 2:
+                self.policy.succeeded(runner, 10, now)
+                return True
+            self.policy.failed(runner, now)
+            if self.budget and not self._may_retry(account, runner, now):
+                return False
+        return False
+
+    def _pick(self, tried: set[str], now: Millis) -> str:
+        out = self.policy.excluded(now) if self.ejection else frozenset()
+        usable = [n for n in self.names if n not in out and n not in tried]
+        return self.random.choice(usable or self.names)
+
+    def _may_retry(self, account: str, runner: str, now: Millis) -> bool:
+        deadline = Millis(now + 1000)
+        verdict = Verdict.NOT_RUN
+        return may_retry(verdict, True, self.budgets, account, runner, now, deadline)
+
+
+def main() -> None:
+    """Print the figures of retries."""
+    fixed, answered = Outage(False, False, exclude=False).run()
+    cases = (("budget", True, False), ("budget and ejection", True, True))
+    for name, budget, ejection in cases:
+        tries, good = Outage(budget, ejection).run()
+        baseline = f"3 retries {fixed:.2f}"
+        figure(f"amplification, half fail, {name}", tries, "tries/request", baseline)
+        baseline = f"3 retries {answered:.3f}"
+        figure(f"answered, half fail, {name}", good, "of requests", baseline)
--- /dev/null
+++ b/src/heathershunt/retries/rule.py
@@ -0,0 +1,33 @@
+"""Which failed requests may be tried again."""
+
+from heathershunt.clock import Millis
+from heathershunt.retries.budget import RetryBudgets
+from heathershunt.verdict import Verdict
+
+
+def verdict_allows(verdict: Verdict, idempotent: bool) -> bool:
+    """Return whether a further try cannot run a request twice wrongly."""
+    if verdict is Verdict.NOT_RUN:
+        return True
+    return verdict is Verdict.MAY_HAVE_RUN and idempotent
+
+
+def may_retry(
+    verdict: Verdict,
+    idempotent: bool,
+    budgets: RetryBudgets,
+    account: str,
+    failed_runner: str | None,
+    now: Millis,
+    deadline: Millis,
+    delay_ms: int = 0,
+) -> bool:
+    """Return whether to try again, and take the retry from the budgets if so.
+
+    :param failed_runner: the runner to blame, if it is known.
+    :param deadline: monotonic time by which the answer must be complete.
+    :param delay_ms: back-off before the next try.
+    """
+    if not verdict_allows(verdict, idempotent) or now + delay_ms >= deadline:
+        return False
+    return budgets.allow(account, failed_runner, now)
