Split the runs of the runners between VMs by demand

Cause: with an equal split of the runs, a VM that received 70 % of the drafts refused while places of the others stayed empty. Change: the measurement splits the runs with ShareSplitter; the reserve is 0.1. A runner whose KV cache lacks room for the draft comes last. The tests of the split name their own reserve of 0.2, so their expected values stay.

--- a/measure/admission_figures.py
+++ b/measure/admission_figures.py
@@ -9,6 +9,8 @@
     AccountLimits,
     AdmissionConfig,
     AdmissionQueue,
+    ShareConfig,
+    ShareSplitter,
     Ticket,
 )
 from heathershunt.clock import ManualClock, Millis
@@ -26,6 +28,8 @@
 VMS = 4
 MEAN_TOKENS = 32
 DEADLINE_MS = 12_000
+# Name under which the VMs tell each other their whole demand.
+ALL_ACCOUNTS = "*"
 OPEN = AccountLimits(concurrent=10_000, requests_per_second=1e6, queued=10_000)
 
 
@@ -118,20 +122,35 @@
 
 
 class Goodput:
-    """Drafts on mixed runners that finish before their deadline."""
+    """Drafts on mixed runners that finish before their deadline.
 
-    def __init__(self, load: float, admission: bool) -> None:
+    :param load: offered drafts over the bound.
+    :param vm_weights: how the drafts are spread over the VMs.
+    :param shares: how the VMs split the runs; equally if there is none.
+    """
+
+    def __init__(
+        self,
+        load: float,
+        admission: bool,
+        vm_weights: tuple[float, ...] = (1, 1, 1, 1),
+        shares: ShareConfig | None = None,
+    ) -> None:
         views = mixed_views()
         capacity = pipeline_capacity(views, LAYERS, HOP_MS)
         routers = routers_for(VMS, RoutingConfig())
         self.model = PipelineModel(views, VMS, 500, chain_choice(routers), routers)
         self.bound = capacity.tokens_per_second / MEAN_TOKENS
+        self.runs = int(1.1 * capacity.runs)
+        self.weights, self.splitters = vm_weights, []
+        if shares is not None:
+            self.splitters = [ShareSplitter(shares, f"vm{vm}") for vm in range(VMS)]
         self.rate = load * self.bound / 1000
         self.admission = admission
         config = AdmissionConfig(default_limits=OPEN, hold_ms=6000.0)
         self.queues = [AdmissionQueue.from_config(config) for _ in range(VMS)]
         for queue in self.queues:
-            queue.set_limit(int(1.1 * capacity.runs / VMS))
+            queue.set_limit(self.runs // VMS)
         self.tickets: dict[str, tuple[Ticket, int]] = {}
         self.good = self.offered = self.at_once = self.late = 0
         self.measuring = False
@@ -141,6 +160,8 @@
         self.model.on_end = self._ended
         self._arrive()
         self.model.at(0, self._expire)
+        if self.splitters:
+            self._split()
         self.model.run_until(20_000)
         self.measuring = True
         self.model.run_until(60_000)
@@ -149,7 +170,9 @@
     def _arrive(self) -> None:
         model, now = self.model, self.model.clock.now()
         self.offered += 1
-        vm = self.offered % VMS
+        vm = model.random.choices(range(VMS), self.weights)[0]
+        if self.splitters:
+            self.splitters[vm].record(ALL_ACCOUNTS)
         ticket = Ticket(f"{self.offered}", "a", 0, Millis(now + DEADLINE_MS))
         if not self.admission:
             self._start(vm, ticket)
@@ -174,15 +197,26 @@
         self.queues[vm].release(ticket, now)
         self.model.at(0, lambda: self._fill(vm))
 
+    def _split(self) -> None:
+        now = self.model.clock.now()
+        names = [splitter.vm for splitter in self.splitters]
+        for splitter in self.splitters:
+            demand = splitter.measure(now)
+            for other in self.splitters:
+                other.observe(demand)
+        for splitter, queue in zip(self.splitters, self.queues, strict=True):
+            limit = splitter.whole_share(ALL_ACCOUNTS, self.runs, now, names)
+            queue.set_limit(limit)
+        self.model.at(1000, self._split)
+
     def _expire(self) -> None:
         for queue in self.queues:
             self.late += len(queue.expire(self.model.clock.now()))
         self.model.at(50, self._expire)
 
 
-def main() -> None:
-    """Print the figures of the admission queue."""
-    offer_and_next_time()
+def small_accounts() -> None:
+    """Measure the wait of small accounts beside a flood."""
     fair, line = Flood(True).waits(), Flood(False).waits()
     for name, place in (("mean", None), ("p99", 0.99)):
         found = [
@@ -191,9 +225,26 @@
         ]
         baseline = f"no admission {found[1]:.0f}"
         figure(f"wait of small accounts, {name}", found[0], "ms", baseline)
+
+
+def goodput() -> None:
+    """Measure drafts in time below, at and above the capacity."""
     for load in (0.5, 0.9, 1.0, 1.5, 3.0):
         with_it, without = Goodput(load, True), Goodput(load, False)
         good, bare = with_it.run(), without.run()
         late = with_it.late / max(1, with_it.late + with_it.at_once)
         baseline = f"no admission {bare:.3f}; {late:.2f} of refusals after waiting"
         figure(f"goodput at {load} x capacity", good, "of bound", baseline)
+    skewed = (7, 1, 1, 1)
+    for load in (1.0, 3.0):
+        split = Goodput(load, True, skewed, ShareConfig()).run()
+        equal = Goodput(load, True, skewed).run()
+        name = f"goodput at {load} x capacity, 70 % at one VM"
+        figure(name, split, "of bound", f"equal split {equal:.3f}")
+
+
+def main() -> None:
+    """Print the figures of the admission queue."""
+    offer_and_next_time()
+    small_accounts()
+    goodput()
--- a/src/heathershunt/admission/shares.py
+++ b/src/heathershunt/admission/shares.py
@@ -40,7 +40,7 @@
     .. versionadded:: 0.1
     """
 
-    reserve: float = 0.2
+    reserve: float = 0.1
     fresh_ms: int = 3_000
     forgotten_ms: int = 9_000
     half_life_ms: int = 2_000
--- a/src/heathershunt/routing/router.py
+++ b/src/heathershunt/routing/router.py
@@ -31,6 +31,7 @@
     :param prefix_half_life_ms: age at which a reported prefix counts half.
     :param near_equal: share of a stage's cost within which stages are near-equal.
     :param keep_bonus_ms: advantage of a runner that holds the draft's KV cache.
+    :param kv_full_ms: cost of a runner whose KV cache lacks room for the draft.
     :param same_domain_ms: one-way link delay within a failure domain.
     :param other_domain_ms: one-way link delay between two failure domains.
     :param unused_roles: roles whose runners take no drafts.
@@ -43,6 +44,7 @@
     prefix_half_life_ms: int = 60_000
     near_equal: float = 0.1
     keep_bonus_ms: float = 1e6
+    kv_full_ms: float = 5_000.0
     same_domain_ms: float = 0.1
     other_domain_ms: float = 0.6
     unused_roles: frozenset[str] = frozenset({"spare"})
@@ -145,6 +147,9 @@
         else:
             token_ms = load.step_ms + load.token_ms * (runs if runs > 1 else 1)
         cost = self.config.answer_tokens * (token_ms + 2 * view.link_ms)
+        if load.kv_free_tokens < prompt + self.config.answer_tokens:
+            # The draft would wait for room or push out another draft's cache.
+            cost += self.config.kv_full_ms
         if prompt:
             hit = self._expected_hit(view, now, prefix_hashes)
             cost += (prompt - hit) * load.prefill_token_ms
--- a/tests/admission/test_shares.py
+++ b/tests/admission/test_shares.py
@@ -2,12 +2,13 @@
 
 from heathershunt.admission import Demand, ShareConfig, ShareSplitter
 
+CONFIG = ShareConfig(reserve=0.2)
 VMS = ["v0", "v1", "v2", "v3"]
 
 
 def splitters(rates, count=4):
     """Return splitters that measured ``rates`` for 20 s and told each other."""
-    found = [ShareSplitter.from_config(ShareConfig(), vm) for vm in VMS[:count]]
+    found = [ShareSplitter.from_config(CONFIG, vm) for vm in VMS[:count]]
     for second in range(20):
         for splitter, rate in zip(found, rates, strict=True):
             splitter.record("a", rate)
@@ -62,7 +63,7 @@
 
 def test_an_older_message_does_not_replace_a_newer_one():
     """Guards against messages that overtake each other."""
-    splitter = ShareSplitter.from_config(ShareConfig(), "v0")
+    splitter = ShareSplitter.from_config(CONFIG, "v0")
     splitter.measure(0)
     splitter.observe(Demand("v1", 10, {"a": 50.0}))
     splitter.observe(Demand("v1", 5, {}))
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -133,6 +133,17 @@
     assert runners(old) == ("idle",)
 
 
+def test_a_runner_with_a_full_kv_cache_comes_last():
+    """Guards against drafts that push out each other's KV cache."""
+    full = LoadReport(batch_limit=8, step_ms=20.0, kv_free_tokens=100)
+    views = [
+        view("full", 0, 4, load=full),
+        view("busy", 0, 4, load=LoadReport(30, 0, 8)),
+    ]
+    assert runners(choose(views, prompt_tokens=500)) == ("busy",)
+    assert runners(choose(views[:1])) == ("full",)
+
+
 def test_slow_links_and_domain_changes_are_avoided():
     """Guards against crossing failure domains for nothing."""
     views = [
