Bound the time of ejection and share questions at design scale

Cause: with 1,800 runners one question to the ejection policy took 357 us and one recorded success 423 us; a share among 390 VMs took 345 us for an account. Change: the policy keeps the ejected runners and the groups apart; the split keeps the VMs' weights for the next account. An account whose part at a VM is 0 is refused at once instead of dividing by it, and accounts that the bundle no longer holds are dropped when idle. Ruled out: keeping the weights by the identity number of the set of VMs; it may be reused for another set, so the set is frozen and kept.

--- a/measure/admission_figures.py
+++ b/measure/admission_figures.py
@@ -9,6 +9,7 @@
     AccountLimits,
     AdmissionConfig,
     AdmissionQueue,
+    Demand,
     ShareConfig,
     ShareSplitter,
     Ticket,
@@ -199,7 +200,7 @@
 
     def _split(self) -> None:
         now = self.model.clock.now()
-        names = [splitter.vm for splitter in self.splitters]
+        names = frozenset(splitter.vm for splitter in self.splitters)
         for splitter in self.splitters:
             demand = splitter.measure(now)
             for other in self.splitters:
@@ -215,6 +216,25 @@
         self.model.at(50, self._expire)
 
 
+def share_time() -> None:
+    """Measure one share and one whole share at 390 VMs of which 8 are heard."""
+    vms = frozenset(f"vm{number}" for number in range(390))
+    splitter = ShareSplitter.from_config(ShareConfig(), "vm0")
+    splitter.measure(Millis(0))
+    rates = {f"account{number}": 1.0 for number in range(64)}
+    for number in range(1, 9):
+        splitter.observe(Demand(f"vm{number}", Millis(0), rates))
+
+    def share() -> None:
+        splitter.share("account1", 100.0, Millis(1), vms)
+
+    def whole_share() -> None:
+        splitter.whole_share("account1", 64, Millis(1), vms)
+
+    figure("share of a rate, 390 VMs", microseconds_each(share, 100), "us")
+    figure("whole share, 390 VMs", microseconds_each(whole_share, 100), "us")
+
+
 def small_accounts() -> None:
     """Measure the wait of small accounts beside a flood."""
     fair, line = Flood(True).waits(), Flood(False).waits()
@@ -246,5 +266,6 @@
 def main() -> None:
     """Print the figures of the admission queue."""
     offer_and_next_time()
+    share_time()
     small_accounts()
     goodput()
--- a/measure/retry_figures.py
+++ b/measure/retry_figures.py
@@ -13,7 +13,7 @@
     may_retry,
 )
 from heathershunt.verdict import Verdict
-from measure.figures import figure
+from measure.figures import figure, microseconds_each
 
 RUNNERS = 10
 REQUESTS_PER_SECOND = 100
@@ -77,8 +77,32 @@
         return may_retry(verdict, True, self.budgets, account, runner, now, deadline)
 
 
+def ejection_time() -> None:
+    """Measure the questions to the ejection policy with 1,800 runners."""
+    policy = EjectionPolicy.from_config(EjectionConfig())
+    held = {
+        f"r{number}": RunnerRange(f"m{number // 40}", 0, 1, 1.0, f"g{number // 10}")
+        for number in range(1800)
+    }
+    policy.set_ranges(held)
+    for runner in held:
+        for _ in range(12):
+            policy.succeeded(runner, 30, Millis(0))
+    for number in range(0, 400, 40):
+        for _ in range(3):
+            policy.failed(f"r{number}", Millis(0))
+
+    def succeeded() -> None:
+        policy.succeeded("r777", 30, Millis(1))
+
+    excluded = microseconds_each(lambda: policy.excluded(Millis(1)), 100)
+    figure("excluded runners, 10 of 1,800 out", excluded, "us")
+    figure("one success, 1,800 runners", microseconds_each(succeeded, 100), "us")
+
+
 def main() -> None:
-    """Print the figures of retries."""
+    """Print the figures of retries and ejection."""
+    ejection_time()
     fixed, answered = Outage(False, False, exclude=False).run()
     cases = (("budget", True, False), ("budget and ejection", True, True))
     for name, budget, ejection in cases:
--- a/src/heathershunt/admission/limits.py
+++ b/src/heathershunt/admission/limits.py
@@ -12,7 +12,7 @@
 class AccountLimits:
     """What one account may use of this VM.
 
-    :param share: weight in the fair sharing.
+    :param share: weight in the fair sharing, above 0.
     :param concurrent: requests that run at a time.
     :param requests_per_second: mean rate of offered requests that are accepted.
     :param queued: requests that wait at a time.
--- a/src/heathershunt/admission/queue.py
+++ b/src/heathershunt/admission/queue.py
@@ -125,7 +125,10 @@
     def set_limits(self, limits_by_account: Mapping[str, AccountLimits]) -> None:
         """Replace the limits of all accounts; waiting tickets stay."""
         self._limits_by_account = dict(limits_by_account)
-        for name, account in self._accounts_by_name.items():
+        for name, account in list(self._accounts_by_name.items()):
+            idle = not account.waiting and not account.running
+            if idle and name not in limits_by_account:
+                del self._accounts_by_name[name]
             account.limits = self._limits(name)
             self._wake(name, account)
 
@@ -227,13 +230,17 @@
 
     def _refuse_for_account(self, account: _Account, now: Millis) -> Refusal | None:
         limits = account.limits
+        if limits.concurrent <= 0:
+            detail = "this VM has no part of the account's concurrent requests"
+            wait = self._drain.hold_ms
+            return not_run(429, "No share at this VM", detail, self._retry(wait))
         wait = account.rate.wait_ms(limits.requests_per_second, now)
         if wait:
             detail = f"the account may send {limits.requests_per_second:g} requests/s"
             return not_run(429, "Rate limit reached", detail, self._retry(wait))
         if account.waiting >= limits.queued:
             detail = f"{account.waiting} requests of the account are waiting"
-            wait = account.waiting * self._drain.hold_ms / max(1, limits.concurrent)
+            wait = account.waiting * self._drain.hold_ms / limits.concurrent
             return not_run(429, "Account queue full", detail, self._retry(wait))
         return None
 
--- a/src/heathershunt/admission/shares.py
+++ b/src/heathershunt/admission/shares.py
@@ -5,7 +5,6 @@
 heard keeps an equal part set aside for it, because it may still be using that part.
 """
 
-from collections.abc import Collection
 from dataclasses import dataclass
 
 from heathershunt.clock import Millis
@@ -60,6 +59,13 @@
         self._offered_by_account: dict[str, float] = {}
         self._rate_by_account: dict[str, float] = {}
         self._measured_at: Millis | None = None
+        self._messages = 0
+        self._kept: tuple[int, dict[str, float]] = (1, {})
+        self._kept_for: tuple[Millis | None, int, frozenset[str]] = (
+            None,
+            0,
+            frozenset(),
+        )
 
     @classmethod
     def from_config(cls, config: ShareConfig, vm: str) -> "ShareSplitter":
@@ -86,6 +92,7 @@
         rates = dict(largest[: self.config.accounts_most])
         demand = Demand(self.vm, now, rates)
         self._demand_by_vm[self.vm] = demand
+        self._messages += 1
         return demand
 
     def observe(self, demand: Demand) -> None:
@@ -93,9 +100,10 @@
         last = self._demand_by_vm.get(demand.vm)
         if demand.vm != self.vm and (last is None or demand.at >= last.at):
             self._demand_by_vm[demand.vm] = demand
+            self._messages += 1
 
     def share(
-        self, account: str, limit: float, now: Millis, known_vms: Collection[str]
+        self, account: str, limit: float, now: Millis, known_vms: frozenset[str]
     ) -> float:
         """Return the part of ``limit`` that this VM may use.
 
@@ -105,31 +113,30 @@
         return shares[self.vm]
 
     def whole_share(
-        self, account: str, limit: int, now: Millis, known_vms: Collection[str]
+        self, account: str, limit: int, now: Millis, known_vms: frozenset[str]
     ) -> int:
         """Return this VM's part of a limit that counts whole things.
 
         The shares are rounded along one common order, so they add up to the limit.
         Where there are more VMs than the limit, some get none.
         """
-        before = 0.0
         shares = self._shares(account, limit, now, known_vms)
-        for vm in sorted(shares):
+        equal = limit / len({*known_vms, self.vm})
+        before = 0.0
+        for vm in sorted({*known_vms, self.vm}):
             # The small term undoes rounding of sums that should be whole.
-            after = before + shares[vm]
+            after = before + shares.get(vm, equal)
             if vm == self.vm:
                 return int(after + 1e-6) - int(before + 1e-6)
             before = after
         return 0
 
     def _shares(
-        self, account: str, limit: float, now: Millis, known_vms: Collection[str]
+        self, account: str, limit: float, now: Millis, known_vms: frozenset[str]
     ) -> dict[str, float]:
-        """Return the share of every VM as this VM computes it."""
-        vms = sorted({*known_vms, self.vm})
-        equal = limit / len(vms)
-        weight_by_vm = {vm: self._weight(vm, now) for vm in vms}
-        weight_by_vm[self.vm] = 1.0
+        """Return the share of every heard VM as this VM computes it."""
+        count, weight_by_vm = self._weights(now, known_vms)
+        equal = limit / count
         heard = sum(weight_by_vm.values())
         pool = equal * heard
         demand_by_vm = {
@@ -138,14 +145,32 @@
         total = sum(demand_by_vm.values())
         reserve = self.config.reserve if total else 1.0
         shares = {}
-        for vm in vms:
-            weight = weight_by_vm[vm]
+        for vm, weight in weight_by_vm.items():
             part = reserve * weight / heard
             if total:
                 part += (1 - reserve) * demand_by_vm[vm] / total
             shares[vm] = pool * part + equal * (1 - weight)
         return shares
 
+    def _weights(
+        self, now: Millis, known_vms: frozenset[str]
+    ) -> tuple[int, dict[str, float]]:
+        """Return the number of VMs and the weights of those heard, by name.
+
+        The result is kept for the next account, since all limits are split at once.
+        """
+        at, messages, kept_vms = self._kept_for
+        if (at, messages) != (now, self._messages) or kept_vms is not known_vms:
+            vms = {*known_vms, self.vm}
+            weights = {
+                vm: self._weight(vm, now) for vm in vms & self._demand_by_vm.keys()
+            }
+            weights[self.vm] = 1.0
+            heard = {vm: weights[vm] for vm in sorted(weights) if weights[vm]}
+            self._kept = (len(vms), heard)
+            self._kept_for = (now, self._messages, known_vms)
+        return self._kept
+
     def _weight(self, vm: str, now: Millis) -> float:
         """Return how far the last message of a VM still counts, from 1 to 0."""
         demand = self._demand_by_vm.get(vm)
--- a/src/heathershunt/retries/ejection.py
+++ b/src/heathershunt/retries/ejection.py
@@ -95,6 +95,10 @@
         self.config = config
         self._records_by_runner: dict[str, _Record] = {}
         self._ranges_by_runner: dict[str, RunnerRange] = {}
+        self._runners_by_group: dict[str, list[str]] = {}
+        self._runners_by_model: dict[str, list[str]] = {}
+        # Ejected or on probation; few, while there may be thousands of records.
+        self._out: set[str] = set()
 
     @classmethod
     def from_config(cls, config: EjectionConfig) -> "EjectionPolicy":
@@ -112,11 +116,16 @@
         self._records_by_runner = {
             runner: records.get(runner) or _Record() for runner in ranges_by_runner
         }
+        self._runners_by_group, self._runners_by_model = {}, {}
+        for runner, held in ranges_by_runner.items():
+            self._runners_by_group.setdefault(held.group, []).append(runner)
+            self._runners_by_model.setdefault(held.model, []).append(runner)
         records = self._records_by_runner
-        for runner in sorted(records, key=lambda name: records[name].until):
-            record = records[runner]
-            if record.phase is not _Phase.USED and not self._leaves_enough(runner):
-                record.phase = _Phase.USED
+        self._out &= records.keys()
+        for runner in sorted(self._out, key=lambda name: records[name].until):
+            if not self._leaves_enough(runner):
+                records[runner].phase = _Phase.USED
+                self._out.discard(runner)
 
     def started(self, runner: str, now: Millis) -> None:
         """Count a request that starts at a runner, for the limit on trials."""
@@ -164,9 +173,8 @@
     def excluded(self, now: Millis) -> frozenset[str]:
         """Return the runners that must get no new work now."""
         found = set()
-        for runner, record in self._records_by_runner.items():
-            if record.phase is _Phase.USED:
-                continue
+        for runner in self._out:
+            record = self._records_by_runner[runner]
             self._advance(record, now)
             if now - record.trial_at > self.config.trial_limit_ms:
                 record.trials = 0
@@ -194,6 +202,7 @@
         else:
             record.phase = _Phase.USED
             record.until = now
+            self._out.discard(runner)
 
     def _is_slow(
         self, runner: str, record: _Record, samples_needed: int | None = None
@@ -205,11 +214,10 @@
         group = self._ranges_by_runner[runner].group
         peers = [
             other.latency_ms
-            for name, other in self._records_by_runner.items()
+            for name in self._runners_by_group[group]
             if name != runner
-            and other.phase is _Phase.USED
+            and (other := self._records_by_runner[name]).phase is _Phase.USED
             and other.samples >= needed
-            and self._ranges_by_runner[name].group == group
         ]
         if len(peers) < config.peers_needed:
             return False
@@ -221,6 +229,7 @@
         if record.phase is _Phase.USED and not self._leaves_enough(runner):
             return
         record.phase = _Phase.EJECTED
+        self._out.add(runner)
         duration = self.config.base_ms << min(record.ejections, 20)
         record.until = Millis(now + min(duration, self.config.most_ms))
         record.ejections += 1
@@ -235,9 +244,8 @@
         out = self._ranges_by_runner[runner]
         peers = [
             (name, other)
-            for name, other in self._ranges_by_runner.items()
-            if other.model == out.model
-            and other.first_layer < out.end_layer
+            for name in self._runners_by_model[out.model]
+            if (other := self._ranges_by_runner[name]).first_layer < out.end_layer
             and other.end_layer > out.first_layer
         ]
         # Capacity changes only where a range starts.
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -114,6 +114,16 @@
     assert queue.offer(ticket("b"), 500 + refusal.retry_after).is_ok()
 
 
+def test_an_account_without_a_share_at_this_vm_is_refused():
+    """Guards against tickets that wait for a place that never comes."""
+    queue = make_queue()
+    queue.set_account_limits("a", AccountLimits(concurrent=0), 0)
+    refusal = queue.offer(ticket("a"), 0).err_value
+    assert (refusal.status, refusal.verdict) == (429, Verdict.NOT_RUN)
+    queue.set_account_limits("a", WIDE, 0)
+    assert queue.offer(ticket("a"), 0).is_ok()
+
+
 def test_a_deadline_out_of_reach_is_refused_at_once():
     """Guards against queueing what cannot finish, and a dishonest retry time."""
     queue = make_queue(limit=1)
--- a/tests/admission/test_shares.py
+++ b/tests/admission/test_shares.py
@@ -4,6 +4,7 @@
 
 CONFIG = ShareConfig(reserve=0.2)
 VMS = ["v0", "v1", "v2", "v3"]
+KNOWN = frozenset(VMS)
 
 
 def splitters(rates, count=4):
@@ -19,7 +20,7 @@
 
 
 def shares(found, now, limit=100.0):
-    return [splitter.share("a", limit, now, VMS) for splitter in found]
+    return [splitter.share("a", limit, now, KNOWN) for splitter in found]
 
 
 @pytest.mark.parametrize("rates", [(10, 10, 10, 10), (90, 5, 5, 0), (0, 0, 0, 0)])
@@ -48,15 +49,15 @@
     """Guards against a lone VM using the whole limit or none of it."""
     lone = splitters((50, 0, 0, 0))[0]
     lone.measure(60_000)
-    assert lone.share("a", 100.0, 60_000, VMS) == pytest.approx(25)
-    assert lone.share("a", 100.0, 60_000, ["v0"]) == pytest.approx(100)
+    assert lone.share("a", 100.0, 60_000, KNOWN) == pytest.approx(25)
+    assert lone.share("a", 100.0, 60_000, frozenset({"v0"})) == pytest.approx(100)
 
 
 def test_whole_shares_add_up():
     """Guards against rounding that gives every VM one more."""
     for limit in (1, 3, 7, 64):
         found = splitters((70, 20, 5, 5))
-        parts = [s.whole_share("a", limit, 19_500, VMS) for s in found]
+        parts = [s.whole_share("a", limit, 19_500, KNOWN) for s in found]
         assert sum(parts) == limit
         assert min(parts) >= 0
 
@@ -67,4 +68,4 @@
     splitter.measure(0)
     splitter.observe(Demand("v1", 10, {"a": 50.0}))
     splitter.observe(Demand("v1", 5, {}))
-    assert splitter.share("a", 100.0, 10, ["v0", "v1"]) == pytest.approx(10)
+    assert splitter.share("a", 100.0, 10, frozenset({"v0", "v1"})) == pytest.approx(10)
