Route drafts by the chain choice and admit them in fair order

Change: Router, AdmissionGate (per-model queue, capacity and account limits split by demand between the VMs), EjectionPolicy and cache events are wired in. Ruled out: one queue for all models, because one full model would hold up the others. Account limits on concurrency count per model; the rate counts over all models.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -5,10 +5,12 @@
 
 import logbook
 
-from heathershunt.bundle import BundleKeeper
+from heathershunt.admission import ShareConfig, ShareSplitter
+from heathershunt.bundle import Bundle, BundleKeeper
 from heathershunt.clock import Clock, SystemClock
 from heathershunt.daemon.callers import CallerRoutes
 from heathershunt.drafts import (
+    AdmissionGate,
     DraftExecutor,
     DraftHandler,
     DraftTable,
@@ -16,9 +18,11 @@
     ProgressMonitor,
 )
 from heathershunt.http import Address, HttpClient, HttpServer
+from heathershunt.retries import EjectionConfig, EjectionPolicy
+from heathershunt.routing import Router, RoutingConfig
 from heathershunt.runners import RunnerBoard, RunnerPoller
 from heathershunt.settings import Settings
-from heathershunt.store import BundleWatch, KeyValueStore, VmList
+from heathershunt.store import BundleWatch, KeyValueStore, ListedVm, VmList, VmRole
 
 log = logbook.Logger("heathershunt.daemon")
 
@@ -37,15 +41,21 @@
         self.clock = clock or SystemClock()
         self.incarnation = self.clock.wall()
         self.http = HttpClient()
-        self.keeper = BundleKeeper(settings.bundle.trusted_keys)
+        self.keeper = BundleKeeper(settings.bundle.trusted_keys, self._on_bundle)
         addresses = tuple(map(Address.from_text, settings.platform.store))
         self.store = KeyValueStore(self.http, addresses)
+        self.router = Router.from_config(RoutingConfig(), self.incarnation)
+        self.board = RunnerBoard(self.router.in_flight)
+        self.ejection = EjectionPolicy.from_config(EjectionConfig())
+        self.splitter = ShareSplitter.from_config(ShareConfig(), settings.vm.name)
+        self.gate = AdmissionGate(
+            self.board, self.splitter, self.clock, self._known_vms
+        )
         self.watch = BundleWatch(self.store, self.keeper, lambda: None)
-        self.board = RunnerBoard()
         self.vm_list = VmList(
             self.http,
             Address.from_text(settings.platform.vm_list),
-            lambda entries: None,
+            self._on_vm_list,
         )
         self.poller = RunnerPoller(
             self.http, self.clock, self.board, lambda: self.vm_list.entries
@@ -59,12 +69,14 @@
         )
         executor = DraftExecutor(
             EngineClient(self.http),
+            self.router,
             self.board,
+            self.ejection,
             self.monitor,
             self.clock,
             settings.drafts.progress_floor_ms,
         )
-        self.drafts = DraftHandler(self.table, executor, self.clock)
+        self.drafts = DraftHandler(self.table, executor, self.gate, self.clock)
         self.callers = HttpServer(CallerRoutes(self).handle)
         self.is_leaving = False
         self._tasks: list[asyncio.Task] = []
@@ -79,11 +91,23 @@
             self.vm_list.run(),
             self.poller.run(),
             self.monitor.run(),
+            self.gate.run(),
             self._keep_house(),
         ):
             self._spawn(work)
         log.info("{} listens for callers on {}", self.settings.vm.name, address)
 
+    def _on_bundle(self, bundle: Bundle) -> None:
+        self.gate.set_bundle(bundle)
+
+    def _on_vm_list(self, entries: tuple[ListedVm, ...]) -> None:
+        leaving = frozenset(entry.vm for entry in entries if entry.is_leaving)
+        self.board.set_leaving(leaving)
+
+    def _known_vms(self) -> frozenset[str]:
+        listed = {e.vm for e in self.vm_list.entries if e.role is VmRole.ENTRY}
+        return frozenset(listed | {self.settings.vm.name})
+
     def _spawn(self, work: Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -91,6 +115,8 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_MS / 1000)
             self.table.remove_old()
+            self.ejection.set_ranges(self.board.ranges_by_runner())
+            self.splitter.measure(self.clock.now())
 
     def _has_work(self) -> bool:
         window = self.settings.drafts.return_window_ms
--- a/src/heathershunt/drafts/__init__.py
+++ b/src/heathershunt/drafts/__init__.py
@@ -2,11 +2,13 @@
 
 from heathershunt.drafts.engine import EngineClient
 from heathershunt.drafts.execution import DraftExecutor
+from heathershunt.drafts.gate import AdmissionGate
 from heathershunt.drafts.handler import DraftHandler
 from heathershunt.drafts.journal import Draft, DraftRequest, DraftTable
 from heathershunt.drafts.progress import ProgressMonitor
 
 __all__ = [
+    "AdmissionGate",
     "Draft",
     "DraftExecutor",
     "DraftHandler",
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -2,14 +2,15 @@
 
 import json
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any
 from urllib.parse import quote
 
 import msgspec
 from result import Err, Ok, Result
 
-from heathershunt.drafts.chain import Chain, Stage
-from heathershunt.http import ClientResponse, HttpClient, TransportError
+from heathershunt.http import Address, ClientResponse, HttpClient, TransportError
+from heathershunt.routing import Chain, Stage
 from heathershunt.verdict import Progress
 
 OPEN_TIMEOUT_MS = 1000
@@ -56,6 +57,7 @@
     deadline_ms: int
 
 
+_address = lru_cache(maxsize=4096)(Address.from_text)
 _decode_line = msgspec.json.Decoder(StageLine).decode
 
 
@@ -104,7 +106,7 @@
         """Open the run at one stage; return its stream and first lines."""
         stage = order.chain.stages[index]
         outcome = await self._http.request(
-            stage.address,
+            _address(stage.address),
             "POST",
             "/v1/runs",
             headers={"content-type": "application/json"},
@@ -132,7 +134,7 @@
         """Start an opened run at its first stage."""
         stage = order.chain.stages[0]
         outcome = await self._http.request_json(
-            stage.address,
+            _address(stage.address),
             "POST",
             f"/v1/runs/{quote(order.run)}/start",
             {"epoch": order.epoch, "kv_positions": kv_positions},
@@ -151,7 +153,7 @@
         ``None`` if the stage does not answer or does not know the run.
         """
         outcome = await self._http.request_json(
-            stage.address,
+            _address(stage.address),
             "GET",
             f"/v1/runs/{quote(run)}",
             timeout_ms=timeout_ms,
@@ -164,7 +166,7 @@
     async def cancel(self, stage: Stage, run: str, epoch: int) -> None:
         """Cancel all epochs of a run up to ``epoch`` at a stage."""
         await self._http.request_json(
-            stage.address,
+            _address(stage.address),
             "DELETE",
             f"/v1/runs/{quote(run)}?epoch={epoch}",
             timeout_ms=CANCEL_TIMEOUT_MS,
@@ -179,7 +181,7 @@
         "chain": [
             {
                 "runner": stage.runner,
-                "address": str(stage.address),
+                "address": stage.address,
                 "fabric": stage.fabric,
                 "first_layer": stage.first_layer,
                 "end_layer": stage.end_layer,
@@ -188,7 +190,7 @@
         ],
         "model": order.chain.model,
         "version": order.chain.version,
-        "adapter": order.chain.adapter,
+        "adapter": order.chain.adapter or "",
         "prompt": order.prompt,
         "tokens": order.tokens,
         "position": order.position,
--- a/src/heathershunt/drafts/execution.py
+++ b/src/heathershunt/drafts/execution.py
@@ -4,15 +4,16 @@
 from collections import defaultdict
 
 import logbook
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from heathershunt.clock import Clock, Millis
-from heathershunt.drafts.chain import Chain, choose_chain
 from heathershunt.drafts.engine import EngineClient, RunOrder
 from heathershunt.drafts.epoch import Epoch, EpochFailure
 from heathershunt.drafts.journal import Draft
 from heathershunt.drafts.progress import GapEstimator, ProgressMonitor
-from heathershunt.runners import RunnerBoard
+from heathershunt.retries import EjectionPolicy
+from heathershunt.routing import Chain, NoChain, Router
+from heathershunt.runners import RunnerBoard, prefix_hashes
 from heathershunt.verdict import may_have_run, not_run
 
 log = logbook.Logger("heathershunt.drafts")
@@ -36,13 +37,17 @@
     def __init__(
         self,
         engine: EngineClient,
+        router: Router,
         board: RunnerBoard,
+        ejection: EjectionPolicy,
         monitor: ProgressMonitor,
         clock: Clock,
         floor_ms: int,
     ) -> None:
         self._engine = engine
+        self._router = router
         self._board = board
+        self._ejection = ejection
         self._monitor = monitor
         self._clock = clock
         self._suspect_until_by_runner: dict[str, Millis] = {}
@@ -63,7 +68,7 @@
                 break
             chosen = self._choose(draft, keep)
             if isinstance(chosen, Err):
-                detail = chosen.err_value
+                detail = chosen.err_value.detail
                 if not draft.may_have_started or self._clock.now() >= no_chain_limit:
                     break
                 await asyncio.sleep(REPLAN_DELAY_MS / 1000)
@@ -89,21 +94,35 @@
         await asyncio.gather(epoch, return_exceptions=True)
         return None
 
-    def _choose(self, draft: Draft, keep: frozenset[str]):
+    def _choose(self, draft: Draft, keep: frozenset[str]) -> Result[Chain, NoChain]:
+        """Choose a chain; leave out suspects only where others can do the work."""
         now = self._clock.now()
-        request = draft.request
-        suspects = [
+        suspects = frozenset(
             runner
             for runner, until in self._suspect_until_by_runner.items()
             if until > now
-        ]
-        return choose_chain(
-            self._board,
+        )
+        ejected = self._ejection.excluded(now)
+        chosen = None
+        for exclude in (suspects | ejected, suspects):
+            chosen = self._choose_without(draft, exclude, keep)
+            if isinstance(chosen, Ok):
+                break
+        return chosen
+
+    def _choose_without(
+        self, draft: Draft, exclude: frozenset[str], keep: frozenset[str]
+    ) -> Result[Chain, NoChain]:
+        request = draft.request
+        return self._router.choose_chain(
             request.model,
             request.version,
-            request.adapter,
+            request.adapter or None,
             request.layers,
-            suspects,
+            self._board.views_by_runner,
+            self._clock.now(),
+            exclude,
+            prefix_hashes(request.prompt),
             keep,
         )
 
@@ -130,14 +149,17 @@
             self._estimators_by_model[request.model],
             self._clock,
         )
-        for stage in chain.stages:
-            self._board.add_inflight(stage.runner, 1)
+        runners = chain.runners()
+        now = self._clock.now()
+        self._router.in_flight.start(draft.request_id, runners, now)
+        for runner in runners:
+            self._ejection.started(runner, now)
         outcome = None
         try:
             outcome = await epoch.run()
         finally:
-            for stage in chain.stages:
-                self._board.add_inflight(stage.runner, -1)
+            self._router.in_flight.end(draft.request_id, self._clock.now())
+            self._judge(runners, outcome)
             if not isinstance(outcome, Ok):
                 self._cancel(order)
         if isinstance(outcome, Ok):
@@ -145,6 +167,23 @@
         self._suspect(draft, outcome.err_value)
         return outcome.err_value
 
+    def _judge(
+        self, runners: tuple[str, ...], outcome: Result[None, EpochFailure] | None
+    ) -> None:
+        """Tell the ejection policy what the epoch says about each runner.
+
+        The gap between tokens belongs to the whole chain, so no runner is judged by
+        its latency here.
+        """
+        now = self._clock.now()
+        for runner in runners:
+            if isinstance(outcome, Ok):
+                self._ejection.succeeded(runner, 0.0, now)
+            elif outcome is not None and runner in outcome.err_value.suspects:
+                self._ejection.failed(runner, now)
+            else:
+                self._ejection.abandoned(runner)
+
     def _suspect(self, draft: Draft, failure: EpochFailure) -> None:
         until = self._clock.now() + SUSPECT_MS
         for runner in failure.suspects:
--- /dev/null
+++ b/src/heathershunt/drafts/gate.py
@@ -0,0 +1,174 @@
+"""The gate before the pipelines: admission per model, shared between the VMs."""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from heathershunt.admission import (
+    AccountLimits,
+    AdmissionConfig,
+    AdmissionQueue,
+    RateLimit,
+    ShareSplitter,
+    Ticket,
+)
+from heathershunt.bundle import Bundle, ClientAccount
+from heathershunt.clock import Clock
+from heathershunt.routing import pipeline_capacity
+from heathershunt.runners import RunnerBoard
+from heathershunt.verdict import Refusal, not_run
+
+TICK_MS = 50
+REFRESH_TICKS = 10
+BURST_MS = 2000
+INITIAL_TOKEN_MS = 34
+RETRY_AFTER_MS = 1000
+# Runs beyond the capacity keep the slowest stage busy between two steps.
+CAPACITY_MARGIN = 1.1
+CAPACITY_KEY = "capacity/"
+
+
+class AdmissionGate:
+    """Lets drafts through in fair order, as many as the runners can carry.
+
+    The cost of a draft is the number of its tokens. Each VM takes the part of the
+    capacity and of the account limits that its demand has among all VMs.
+
+    :param known_vms: names of the VMs that are alive.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        board: RunnerBoard,
+        splitter: ShareSplitter,
+        clock: Clock,
+        known_vms: Callable[[], frozenset[str]],
+    ) -> None:
+        self._board = board
+        self._splitter = splitter
+        self._clock = clock
+        self._known_vms = known_vms
+        self._bundle: Bundle | None = None
+        self._queues_by_model: dict[str, AdmissionQueue] = {}
+        self._waiters_by_id: dict[str, asyncio.Future] = {}
+        self._rates_by_account: dict[str, RateLimit] = {}
+        self._vms = frozenset()
+
+    def set_bundle(self, bundle: Bundle) -> None:
+        """Take models and account limits from a bundle that came into force."""
+        self._bundle = bundle
+        for model in bundle.models_by_name:
+            if model not in self._queues_by_model:
+                config = AdmissionConfig(hold_ms=INITIAL_TOKEN_MS)
+                self._queues_by_model[model] = AdmissionQueue.from_config(config)
+        self._refresh()
+
+    async def admit(
+        self, ticket: Ticket, model: str, account: ClientAccount
+    ) -> Result[Ticket, Refusal]:
+        """Wait until ``ticket`` may run, or return why it will not."""
+        now = self._clock.now()
+        self._splitter.record(account.name)
+        self._splitter.record(CAPACITY_KEY + model)
+        refusal = self._refuse_for_rate(account)
+        if refusal is not None:
+            return Err(refusal)
+        queue = self._queues_by_model[model]
+        if queue.limit == 0:
+            self._refresh_model(model, queue)
+        queue.set_account_limits(account.name, self._limits(account), now)
+        offered = queue.offer(ticket, now)
+        if isinstance(offered, Err):
+            return offered
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters_by_id[ticket.id] = waiter
+        self._pump(queue)
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            if not queue.cancel(ticket.id):
+                queue.release(ticket, self._clock.now(), measured=False)
+            raise
+        finally:
+            self._waiters_by_id.pop(ticket.id, None)
+
+    def release(self, ticket: Ticket, model: str, *, is_whole: bool) -> None:
+        """Give the place of a draft that ended to the next one."""
+        queue = self._queues_by_model[model]
+        queue.release(ticket, self._clock.now(), measured=is_whole)
+        self._pump(queue)
+
+    async def run(self) -> None:
+        """Refuse late tickets and follow the capacity until cancelled."""
+        ticks = 0
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            ticks += 1
+            if ticks % REFRESH_TICKS == 0:
+                self._refresh()
+            for queue in self._queues_by_model.values():
+                self._expire(queue)
+                self._pump(queue)
+
+    def _refuse_for_rate(self, account: ClientAccount) -> Refusal | None:
+        now = self._clock.now()
+        rate = self._splitter.share(
+            account.name, account.requests_per_second, now, self._vms
+        )
+        limit = self._rates_by_account.get(account.name)
+        if limit is None:
+            limit = self._rates_by_account[account.name] = RateLimit(
+                BURST_MS, rate, now
+            )
+        wait = limit.wait_ms(rate, now)
+        if wait:
+            detail = f"{account.requests_per_second:g} requests a second are accepted"
+            return not_run(429, "Rate limit reached", detail, wait)
+        limit.take()
+        return None
+
+    def _limits(self, account: ClientAccount) -> AccountLimits:
+        concurrent = self._splitter.whole_share(
+            account.name, account.concurrent, self._clock.now(), self._vms
+        )
+        # The rate is limited over all models, before the queue of one model.
+        return AccountLimits(account.share, max(1, concurrent), math.inf)
+
+    def _refresh(self) -> None:
+        self._vms = self._known_vms()
+        for model, queue in self._queues_by_model.items():
+            self._refresh_model(model, queue)
+
+    def _refresh_model(self, name: str, queue: AdmissionQueue) -> None:
+        model = self._bundle.models_by_name.get(name)
+        if model is None:
+            queue.set_limit(0)
+            return
+        views = [
+            view
+            for view in self._board.views_by_runner.values()
+            if view.model == name and view.version == model.version
+        ]
+        runs = math.ceil(pipeline_capacity(views, model.layers).runs * CAPACITY_MARGIN)
+        now = self._clock.now()
+        key = CAPACITY_KEY + name
+        own = self._splitter.whole_share(key, runs, now, self._vms)
+        queue.set_limit(max(own, min(runs, 1)))
+
+    def _pump(self, queue: AdmissionQueue) -> None:
+        while (ticket := queue.next(self._clock.now())) is not None:
+            waiter = self._waiters_by_id.get(ticket.id)
+            if waiter is None or waiter.done():
+                queue.release(ticket, self._clock.now(), measured=False)
+            else:
+                waiter.set_result(Ok(ticket))
+
+    def _expire(self, queue: AdmissionQueue) -> None:
+        for ticket in queue.expire(self._clock.now()):
+            waiter = self._waiters_by_id.get(ticket.id)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(Err(queue.late_refusal()))
--- a/src/heathershunt/drafts/handler.py
+++ b/src/heathershunt/drafts/handler.py
@@ -6,9 +6,11 @@
 import msgspec
 from result import Err, Ok, Result
 
+from heathershunt.admission import Ticket
 from heathershunt.bundle import Bundle, ClientAccount
 from heathershunt.clock import Clock, Millis
 from heathershunt.drafts.execution import DraftExecutor
+from heathershunt.drafts.gate import AdmissionGate
 from heathershunt.drafts.journal import Draft, DraftRequest, DraftTable
 from heathershunt.drafts.sse import stream_answer, whole_answer
 from heathershunt.http import Request, Response, StreamResponse, problem_response
@@ -53,9 +55,14 @@
     """
 
     def __init__(
-        self, table: DraftTable, executor: DraftExecutor, clock: Clock
+        self,
+        table: DraftTable,
+        executor: DraftExecutor,
+        gate: AdmissionGate,
+        clock: Clock,
     ) -> None:
         self._table = table
+        self._gate = gate
         self._executor = executor
         self._clock = clock
         self._tasks: set[asyncio.Task] = set()
@@ -70,7 +77,7 @@
         wanted = self._check(request, body.ok_value, account, bundle)
         if isinstance(wanted, Err):
             return problem_response(wanted.err_value)
-        draft = self.start(wanted.ok_value)
+        draft = self.start(wanted.ok_value, account)
         if body.ok_value.stream:
             first = len(draft.request.received)
             await self._wait_first_token(draft, first)
@@ -96,14 +103,29 @@
             return problem_response(not_run(400, "Bad request", detail))
         return stream_answer(draft, max(-1, int(after)))
 
-    def start(self, wanted: DraftRequest) -> Draft:
+    def start(self, wanted: DraftRequest, account: ClientAccount) -> Draft:
         """Start a draft; it goes on when its caller's connection is gone."""
         draft = self._table.add(wanted)
-        task = asyncio.create_task(self._executor.run(draft))
+        task = asyncio.create_task(self._run(draft, account))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return draft
 
+    async def _run(self, draft: Draft, account: ClientAccount) -> None:
+        request = draft.request
+        cost = request.max_tokens - len(request.received)
+        ticket = Ticket(
+            draft.request_id, account.name, request.priority, request.deadline, cost
+        )
+        admitted = await self._gate.admit(ticket, request.model, account)
+        if isinstance(admitted, Err):
+            draft.refuse(admitted.err_value)
+            return
+        try:
+            await self._executor.run(draft)
+        finally:
+            self._gate.release(ticket, request.model, is_whole=draft.is_whole)
+
     async def _wait_first_token(self, draft: Draft, count: int) -> None:
         changed = asyncio.Event()
         unsubscribe = draft.subscribe(changed.set)
--- a/src/heathershunt/runners/__init__.py
+++ b/src/heathershunt/runners/__init__.py
@@ -1,17 +1,14 @@
 """What this VM knows of the runners."""
 
-from heathershunt.runners.reports import (
-    LoadReport,
-    RunnerBoard,
-    RunnerPoller,
-    RunnerReport,
-    RunnerState,
-)
+from heathershunt.runners.board import RunnerBoard
+from heathershunt.runners.poller import RunnerPoller
+from heathershunt.runners.prefixes import prefix_hashes
+from heathershunt.runners.reports import RunnerReport, RunnerState
 
 __all__ = [
-    "LoadReport",
     "RunnerBoard",
     "RunnerPoller",
     "RunnerReport",
     "RunnerState",
+    "prefix_hashes",
 ]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -24,9 +24,9 @@
     StreamResponse,
     json_response,
 )
+from heathershunt.runners import prefix_hashes
 from standins import oracle
 from standins.engine_state import EngineSpec, Run, Work
-from standins.prefix import prefix_hashes
 
 FRAME = struct.Struct(">I")
 HOST = "127.0.0.1"
