Add a fault-injecting TCP proxy

Cause: only kill and pause of a process could be injected; cut, silent, slow and one-way links between processes could not. Change: standins/proxy.py forwards any number of pairs and injects refusal, reset, delay each way, loss one way, silence of open connections, delayed answers of a random subset of connections (fixed seed) and a rate limit, with counters; standins/proxy_control.py places it before engines, between engines, before the platform and before daemons. Ruled out: reset at accept for "refuse", since a closed listener is what a process that is gone looks like; one process a pair, since one seed and one counter table are easier to read.

--- a/standins/launch.py
+++ b/standins/launch.py
@@ -30,6 +30,7 @@
 from heathershunt.http import Address, HttpClient
 from heathershunt.store import KeyValueStore, roll_bundle
 from standins.engine_state import EngineSpec
+from standins.proxy_control import ProxyControl
 
 HOST = "127.0.0.1"
 ROOT = Path(__file__).resolve().parent.parent
@@ -134,6 +135,7 @@
         self.folder = Path(self._folder.name)
         self.processes_by_name: dict[str, Process] = {}
         self.ports_by_daemon: dict[str, DaemonPorts] = {}
+        self.platforms_by_daemon: dict[str, Address] = {}
         self.http = HttpClient()
         self.private_key, self.public_key = new_key_pair()
         self.operator_key = "operator-key"
@@ -182,6 +184,16 @@
         """Return the address of the platform."""
         return self.processes_by_name["platform"].address
 
+    async def start_proxy(self, seed: int = 0, name: str = "proxy") -> ProxyControl:
+        """Start a fault proxy; its ``before_...`` methods put it in place."""
+        process = await self.spawn_ready(name, "standins.proxy", str(seed))
+        return ProxyControl(self, process.address)
+
+    @staticmethod
+    def free_port() -> int:
+        """Return a port that is free now."""
+        return free_port()
+
     async def start_engines(self, specs: list[EngineSpec], name="engines") -> Process:
         """Start one process with the given engines and list their VMs."""
         path = self.folder / f"{name}.json"
@@ -233,6 +245,7 @@
             f'"{other.peers}"' for n, other in self.ports_by_daemon.items() if n != name
         ]
         operator = token_sha256(self.operator_key)
+        platform = self.platforms_by_daemon.get(name, self.platform)
         return f"""
 [vm]
 name = "{name}"
@@ -244,8 +257,8 @@
 peers = "{ports.peers}"
 
 [platform]
-store = ["{self.platform}"]
-vm_list = "{self.platform}"
+store = ["{platform}"]
+vm_list = "{platform}"
 
 [bundle]
 trusted_keys = ["{self.public_key}"]
