Let go of the reader before the next request after a streamed response

Cause: after a streamed response the task that watches the peer was cancelled but not awaited, so the next read of the connection raised "read() called while another coroutine is already waiting", and the server cut the connection. Change: the watcher is awaited after its cancellation. Ruled out: keeping one watcher for the life of the connection, since parsing would have to share its buffer. Conclusion: connections are reused after streams, at the engines and callers.

--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -281,7 +281,9 @@
             log.exception("streamed response failed")
             raise ConnectionError("the streamed response failed") from None
         finally:
+            # The next request is read only after the watcher has let go of the reader.
             watcher.cancel()
+            await asyncio.wait({watcher})
 
     async def _watch_peer(self) -> None:
         """Notice the end of the connection while a response is streamed.
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -60,6 +60,18 @@
     client.close()
 
 
+async def test_connection_is_reused_after_a_streamed_response(address):
+    """The server must not have two readers of one connection, or it cuts it."""
+    client = HttpClient()
+    for _ in range(3):
+        response = (await client.request(address, "GET", "/stream")).ok_value
+        assert await response.read() == b"0;1;2;"
+        await asyncio.sleep(0.01)
+        assert len(client._idle_by_address[address]) == 1
+        assert client._idle_by_address[address][0].is_usable()
+    client.close()
+
+
 async def test_failed_stream_never_looks_complete(address):
     response = (await HttpClient().request(address, "GET", "/cut")).ok_value
     with pytest.raises(ConnectionError):
