--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -323,9 +323,9 @@
             log.exception("streamed response failed")
             raise ConnectionError("the streamed response failed") from None
         finally:
+            # The next request is read only after the watcher has let go of the reader.
             watcher.cancel()
-            # The reader allows one waiting read; the next request needs it free.
-            await asyncio.gather(watcher, return_exceptions=True)
+            await asyncio.wait({watcher})
 
     async def _watch_peer(self) -> None:
         """Notice the end of the connection while a response is streamed.
