Harden BundleKeeper against altered parts and a lowered policy

Cause: a review of the keeper before peers feed it. A roll signed by one key could lower signatures_needed for itself; an altered copy of a held part hid the good one and blocked the bundle; a part entry of kind "version" or "policy" raised AttributeError; some malformed CBOR escaped as TypeError or RecursionError; the size of a part was not compared; the version was compared, and a conflict logged, before the signatures were checked; an exception in the observer hid that the bundle was in force. Change: the policy in force bounds signatures as well as approvals; held parts win over offered ones; kinds, sizes and duplicates of part entries are checked; signatures are checked first; a bundle is at most 32 MB; an observer's exception is logged. Ruled out: requiring `previous` to match the root in force, because a VM that missed a version must be able to take the next one.

--- a/src/heathershunt/bundle/keeper.py
+++ b/src/heathershunt/bundle/keeper.py
@@ -6,7 +6,13 @@
 from result import Err, Ok, Result
 
 from heathershunt.bundle.model import Bundle, BundleError
-from heathershunt.bundle.parts import SignedRoot, assemble
+from heathershunt.bundle.parts import (
+    MAX_BUNDLE_BYTES,
+    MAX_ROOT_BYTES,
+    Root,
+    SignedRoot,
+    assemble,
+)
 from heathershunt.bundle.signing import verify_root
 
 log = logbook.Logger("heathershunt.bundle")
@@ -48,8 +54,7 @@
         ``Err`` if the root is not verified or not newer than the one in force.
         """
         try:
-            self._check(signed)
-            entries = signed.root().parts
+            entries = self._check(signed).parts
         except BundleError as error:
             return Err(error)
         held = self.parts_by_sha256
@@ -60,9 +65,9 @@
     ) -> Result[Bundle, BundleError]:
         """Put a newer bundle into force, or return why it is refused."""
         try:
-            self._check(signed)
-            root = signed.root()
-            parts = {**self.parts_by_sha256, **parts_by_sha256}
+            root = self._check(signed)
+            # Parts that are held were verified; an offered one must not hide them.
+            parts = {**parts_by_sha256, **self.parts_by_sha256}
             bundle = assemble(root, parts)
         except BundleError as error:
             return Err(error)
@@ -71,16 +76,25 @@
         self.parts_by_sha256 = {e.sha256: parts[e.sha256] for e in root.parts}
         log.info("bundle {} in force ({})", bundle.version, signed.sha256[:12])
         if self._on_change:
-            self._on_change(bundle)
+            try:
+                self._on_change(bundle)
+            except Exception:
+                # The bundle is in force; a failed observer must not hide that.
+                log.exception("an observer of bundle {} failed", bundle.version)
         return Ok(bundle)
 
-    def _check(self, signed: SignedRoot) -> None:
-        version = signed.root().version
-        if version <= self.version:
-            if version == self.version and signed.sha256 != self.sha256:
-                log.error("version {} exists with two different roots", version)
+    def _check(self, signed: SignedRoot) -> Root:
+        """Verify signatures first, so that only signed roots are compared."""
+        if len(signed.body) > MAX_ROOT_BYTES:
+            raise BundleError("root", f"larger than {MAX_ROOT_BYTES} bytes")
+        verify_root(signed, self._trusted, self.bundle.policy if self.bundle else None)
+        root = signed.root()
+        if root.version <= self.version:
+            if root.version == self.version and signed.sha256 != self.sha256:
+                log.error("version {} exists with two different roots", root.version)
             raise BundleError(
-                "root.version", f"{version} is not higher than {self.version}"
+                "root.version", f"{root.version} is not higher than {self.version}"
             )
-        needed = self.bundle.policy.approvals_needed if self.bundle else None
-        verify_root(signed, self._trusted, needed)
+        if sum(entry.size for entry in root.parts) > MAX_BUNDLE_BYTES:
+            raise BundleError("root.parts", f"more than {MAX_BUNDLE_BYTES} bytes")
+        return root
--- a/src/heathershunt/bundle/parts.py
+++ b/src/heathershunt/bundle/parts.py
@@ -18,6 +18,9 @@
 ACCOUNTS_PER_PART = 256
 MAX_PART_BYTES = 262_144
 MAX_ROOT_BYTES = 65_536
+# Old and new parts are held at the same time while a bundle is taken.
+MAX_BUNDLE_BYTES = 33_554_432
+PART_KINDS = ("accounts", "services", "models", "priorities")
 HASH_BITS = 256
 
 
@@ -61,11 +64,19 @@
     def root(self) -> Root:
         """Decode the root; raise :class:`BundleError` if it is malformed."""
         try:
-            return msgspec.convert(cbor2.loads(self.body), Root)
-        except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+            return msgspec.convert(_loads("root", self.body), Root)
+        except msgspec.ValidationError as error:
             raise BundleError("root", str(error)) from None
 
 
+def _loads(place: str, data: bytes) -> Any:
+    try:
+        return cbor2.loads(data)
+    except Exception as error:
+        # The decoder raises many types on hostile input, down to RecursionError.
+        raise BundleError(place, f"{type(error).__name__}: {error}") from None
+
+
 def canonical(value: Any) -> bytes:
     """Encode ``value`` as canonical CBOR."""
     return cbor2.dumps(value, canonical=True)
@@ -131,8 +142,8 @@
     if len(data) > 2 * MAX_ROOT_BYTES:
         raise BundleError("root", f"larger than {2 * MAX_ROOT_BYTES} bytes")
     try:
-        return msgspec.convert(cbor2.loads(data), SignedRoot)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+        return msgspec.convert(_loads("root", data), SignedRoot, builtin_types=(bytes,))
+    except msgspec.ValidationError as error:
         raise BundleError("root", str(error)) from None
 
 
@@ -142,17 +153,22 @@
     :raises BundleError: if a part is missing, altered or malformed.
     """
     raw: dict[str, Any] = {"version": root.version, "policy": asdict(root.policy)}
+    seen: set[tuple[str, int]] = set()
     for entry in root.parts:
         place = f"{entry.kind}[bucket {entry.bucket}]"
+        if entry.kind not in PART_KINDS:
+            raise BundleError(place, "the kind is not known")
+        if (entry.kind, entry.bucket) in seen:
+            raise BundleError(place, "listed twice")
+        seen.add((entry.kind, entry.bucket))
         data = parts_by_sha256.get(entry.sha256)
         if data is None:
             raise BundleError(place, "the part is missing")
+        if len(data) != entry.size or len(data) > MAX_PART_BYTES:
+            raise BundleError(place, f"{len(data)} bytes instead of {entry.size}")
         if hashlib.sha256(data).hexdigest() != entry.sha256:
             raise BundleError(place, "the part does not match its hash")
-        try:
-            items = cbor2.loads(data)
-        except (cbor2.CBORDecodeError, ValueError) as error:
-            raise BundleError(place, str(error)) from None
+        items = _loads(place, data)
         if not isinstance(items, list):
             raise BundleError(place, "a list is expected")
         raw.setdefault(entry.kind, []).extend(items)
--- a/src/heathershunt/bundle/signing.py
+++ b/src/heathershunt/bundle/signing.py
@@ -9,7 +9,7 @@
     Ed25519PublicKey,
 )
 
-from heathershunt.bundle.model import BundleError
+from heathershunt.bundle.model import BundleError, Policy
 from heathershunt.bundle.parts import SignedRoot
 
 # The purpose is part of the signed bytes, so that an approval never passes as a
@@ -58,27 +58,31 @@
 
 
 def verify_root(
-    signed: SignedRoot, trusted: Collection[str], approvals_needed: int | None = None
+    signed: SignedRoot, trusted: Collection[str], in_force: Policy | None = None
 ) -> None:
     """Check signatures and approvals against the policy of the root.
 
     An approval counts only from a key that has not signed. The policy in force may
-    ask for more approvals than the new root does, so that a roll cannot lower the
-    bar for itself.
+    ask for more signatures and approvals than the new root does, so that a roll
+    cannot lower the bar for itself.
 
-    :param approvals_needed: approvals that the policy in force asks for.
+    :param in_force: policy of the bundle in force, if there is one.
     :raises BundleError: if trusted signatures or approvals are too few.
     """
     policy = signed.root().policy
     signers = _valid_keys(
         SIGNATURE_PURPOSE, signed.body, signed.signatures_by_key, trusted
     )
-    if len(signers) < max(1, policy.signatures_needed):
-        raise BundleError("root.signatures", "too few signatures by trusted keys")
+    in_force = in_force or policy
+    needed = max(1, policy.signatures_needed, in_force.signatures_needed)
+    if len(signers) < needed:
+        raise BundleError(
+            "root.signatures", f"{needed} signatures by trusted keys are needed"
+        )
     approvers = _valid_keys(
         APPROVAL_PURPOSE, signed.body, signed.approvals_by_key, trusted
     )
-    needed = max(policy.approvals_needed, approvals_needed or 0)
+    needed = max(policy.approvals_needed, in_force.approvals_needed)
     if len(approvers - signers) < needed:
         raise BundleError(
             "root.approvals", f"{needed} approvals by other trusted keys are needed"
