Add peer links: messages, mesh, topology, forwarded requests

Cause: daemons need one connection between them for heartbeats, records, bundles and forwarded requests. Change: typed CBOR messages; PeerLink with a send queue of 1 MB; PeerMesh with heartbeats, silence detection, jittered back-off and mutual TLS; rendezvous topology with four chosen links per VM; Forwarder, whose failures say whether the request was handed to a socket. A request that was given up while it waited in the queue is dropped there, so "not sent" stays true. Ruled out: letting either side close duplicate links on its own, which can close both; both sides keep the link that the smaller name dialled. Flow control per reply, because relayed drafts are small; a reply whose reader is 1 MB behind is cancelled instead. Figures: 390 VMs have at most 16 links each and stay connected after 25 different losses of 16 VMs and after the loss of any of 9 failure domains.

--- /dev/null
+++ b/src/heathershunt/peers/forward.py
@@ -0,0 +1,386 @@
+"""Requests that one VM runs for another, over their peer link."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from functools import partial
+
+import logbook
+from result import Err, Ok, Result
+
+from heathershunt.clock import Millis
+from heathershunt.peers.link import LinkClosedError, PeerLink
+from heathershunt.peers.mesh import PeerMesh
+from heathershunt.peers.messages import (
+    CHUNK_BYTES,
+    Forward,
+    ForwardChunk,
+    ForwardEnd,
+)
+from heathershunt.verdict import Progress, Refusal, Verdict, not_run, verdict_for
+
+log = logbook.Logger("heathershunt.peers")
+
+MAX_BODY_BYTES = 1_048_576
+# A reply whose reader falls behind by more than this is cancelled: holding back the
+# link would delay heartbeats and every other reply on it.
+MAX_UNREAD_BYTES = 1_048_576
+MAX_CALLS_PER_LINK = 4096
+CALL_TIMEOUT_MS = 10_000
+
+
+@dataclass(eq=False)
+class ForwardError(Exception):
+    """A forwarded request without a complete reply.
+
+    :param progress: ``NOT_SENT`` only if the request was not handed to a socket.
+    :param detail: what failed.
+    :param refusal: the answer of the target VM, if it refused.
+
+    .. versionadded:: 0.1
+    """
+
+    progress: Progress
+    detail: str
+    refusal: Refusal | None = None
+
+    @property
+    def verdict(self) -> Verdict:
+        """Return what may be said of the request."""
+        if self.refusal:
+            return self.refusal.verdict
+        return verdict_for(self.progress)
+
+
+@dataclass(frozen=True)
+class ForwardRequest:
+    """A request as the handler of the target VM sees it.
+
+    :param vm: the VM that forwarded it.
+    """
+
+    vm: str
+    kind: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class ForwardReply:
+    """Status and headers of a reply, and a body that is read once.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, forwarder: "Forwarder", link: PeerLink, id: int) -> None:
+        self.status = 0
+        self.headers: Mapping[str, str] = {}
+        self.id = id
+        self._forwarder = forwarder
+        self._link = link
+        self._chunks: list[bytes] = []
+        self._unread = 0
+        self._changed = asyncio.Event()
+        self._end: ForwardEnd | ForwardError | None = None
+
+    def add(self, chunk: ForwardChunk) -> None:
+        """Take a piece that has arrived."""
+        if self._end is not None:
+            return
+        if chunk.status:
+            self.status = chunk.status
+            self.headers = chunk.headers
+        if chunk.data:
+            self._chunks.append(chunk.data)
+            self._unread += len(chunk.data)
+        self._changed.set()
+        if self._unread > MAX_UNREAD_BYTES:
+            self._chunks.clear()
+            self.cancel("the reply was not read fast enough")
+
+    def end(self, end: ForwardEnd | ForwardError) -> None:
+        """Take the end of the reply; a later one is ignored."""
+        self._end = self._end or end
+        self._changed.set()
+
+    async def wait_head(self) -> ForwardError | None:
+        """Wait for the first piece or the end; return the error, if it is one."""
+        while not self.status and self._end is None:
+            await self._wait()
+        if self.status:
+            return None
+        return self._error() or ForwardError(Progress.SENT, "a reply without a status")
+
+    def _error(self) -> ForwardError | None:
+        if isinstance(self._end, ForwardEnd):
+            return _error_of(self._end)
+        return self._end
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield body bytes as they arrive.
+
+        :raises ForwardError: if the reply ends before it is complete.
+        """
+        while True:
+            while self._chunks:
+                data = b"".join(self._chunks)
+                self._chunks.clear()
+                self._unread = 0
+                yield data
+            if self._end is not None:
+                break
+            await self._wait()
+        if error := self._error():
+            raise error
+
+    async def read(self) -> bytes:
+        """Return the whole body; see :meth:`chunks`."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    def cancel(self, reason: str = "cancelled") -> None:
+        """Give up the reply and tell the target VM."""
+        if self._end is None:
+            self.end(ForwardError(Progress.SENT, reason))
+            self._forwarder.forget(self._link, self.id)
+            self._link.offer(ForwardEnd(self.id, "may_have_run", reply=False))
+
+    async def _wait(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
+
+
+class ReplyStream:
+    """Sink of the reply to one forwarded request.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, link: PeerLink, id: int) -> None:
+        self._link = link
+        self._id = id
+
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send status and headers; once, before the first :meth:`write`."""
+        head = ForwardChunk(self._id, b"", status=status, headers=dict(headers))
+        await self._link.send(head)
+
+    async def write(self, data: bytes) -> None:
+        """Send body bytes; waits while the link's queue is full."""
+        for start in range(0, len(data), CHUNK_BYTES):
+            piece = data[start : start + CHUNK_BYTES]
+            await self._link.send(ForwardChunk(self._id, piece))
+
+
+Handler = Callable[[ForwardRequest, ReplyStream], Awaitable[Refusal | None]]
+
+
+@dataclass
+class _Inbound:
+    """A request from a peer: its body so far, then its running handler."""
+
+    request: Forward
+    body: bytearray = field(default_factory=bytearray)
+    task: asyncio.Task | None = None
+
+
+@dataclass
+class _Handover:
+    """Whether a request was handed to a socket, and whether it still may be.
+
+    A request that was given up while it waited in the queue must not leave later,
+    because its caller has been told that it was not run.
+    """
+
+    allowed: bool = True
+    progress: Progress = Progress.NOT_SENT
+
+    def begin(self) -> bool:
+        if self.allowed:
+            self.progress = Progress.SENT
+        return self.allowed
+
+
+class Forwarder:
+    """Starts requests at other VMs and runs those that others start here.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self, mesh: PeerMesh, address_of: Callable[[str], str | None] | None = None
+    ) -> None:
+        self._mesh = mesh
+        self._address_of = address_of or (lambda vm: None)
+        self._handlers_by_kind: dict[str, Handler] = {}
+        self._ids = itertools.count(1)
+        self._replies_by_link: dict[PeerLink, dict[int, ForwardReply]] = {}
+        self._inbound_by_link: dict[PeerLink, dict[int, _Inbound]] = {}
+        mesh.on(Forward, self._on_forward)
+        mesh.on(ForwardChunk, self._on_chunk)
+        mesh.on(ForwardEnd, self._on_end)
+        mesh.on_down(self._on_down)
+
+    def handle(self, kind: str, handler: Handler) -> None:
+        """Run ``handler`` for requests of ``kind``.
+
+        It returns ``None`` after a complete reply and a refusal otherwise. If it
+        raises, the verdict is ``may_have_run``.
+        """
+        self._handlers_by_kind[kind] = handler
+
+    async def call(
+        self,
+        vm: str,
+        kind: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        incarnation: int | None = None,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> Result[ForwardReply, ForwardError]:
+        """Run a request at ``vm`` and return the head of its reply.
+
+        :param incarnation: the only incarnation of ``vm`` that may run it.
+        :param timeout_ms: time until the first piece of the reply.
+        """
+        if len(body) > MAX_BODY_BYTES:
+            return Err(ForwardError(Progress.NOT_SENT, "the body is too large"))
+        handover = _Handover()
+        reply = None
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                link = await self._mesh.link_to(vm, self._address_of(vm))
+                if link is None:
+                    return Err(ForwardError(Progress.NOT_SENT, f"no link to {vm}"))
+                if incarnation not in (None, link.incarnation):
+                    return Err(ForwardError(Progress.NOT_SENT, f"{vm} has restarted"))
+                reply = self._open(link)
+                await self._send(link, reply.id, kind, headers or {}, body, handover)
+                error = await reply.wait_head()
+        except (LinkClosedError, TimeoutError) as failure:
+            error = ForwardError(Progress.SENT, str(failure) or f"{vm}: no reply")
+        except BaseException:
+            handover.allowed = False
+            if reply:
+                reply.cancel()
+            raise
+        if error is None:
+            return Ok(reply)
+        handover.allowed = False
+        if reply:
+            reply.cancel()
+        if error.refusal is None:
+            error = ForwardError(handover.progress, error.detail)
+        return Err(error)
+
+    def _open(self, link: PeerLink) -> ForwardReply:
+        reply = ForwardReply(self, link, next(self._ids))
+        self._replies_by_link.setdefault(link, {})[reply.id] = reply
+        link.active_calls += 1
+        return reply
+
+    async def _send(self, link, id, kind, headers, body, handover) -> None:
+        first = Forward(id, kind, dict(headers), body[:CHUNK_BYTES], len(body))
+        await link.send(first, handover.begin)
+        for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
+            piece = body[start : start + CHUNK_BYTES]
+            await link.send(ForwardChunk(id, piece, reply=False))
+
+    def forget(self, link: PeerLink, id: int) -> ForwardReply | None:
+        """Drop the state of a request that this VM started."""
+        reply = self._replies_by_link.get(link, {}).pop(id, None)
+        if reply is not None:
+            link.active_calls -= 1
+        return reply
+
+    def _on_forward(self, link: PeerLink, message: Forward) -> None:
+        calls = self._inbound_by_link.setdefault(link, {})
+        if message.kind not in self._handlers_by_kind or message.id in calls:
+            refusal = not_run(501, "Not supported", f"no handler of {message.kind!r}")
+            link.offer(_end_of(message.id, refusal))
+        elif len(calls) >= MAX_CALLS_PER_LINK or message.size > MAX_BODY_BYTES:
+            refusal = not_run(503, "Overloaded", "too many or too large requests")
+            link.offer(_end_of(message.id, refusal))
+        else:
+            calls[message.id] = _Inbound(message)
+            link.active_calls += 1
+            self._extend(link, message.id, message.body)
+
+    def _extend(self, link: PeerLink, id: int, data: bytes) -> None:
+        call = self._inbound_by_link.get(link, {}).get(id)
+        if call is None or call.task is not None:
+            return
+        call.body += data
+        if len(call.body) >= call.request.size:
+            call.task = asyncio.create_task(self._run(link, call))
+            call.task.add_done_callback(partial(self._finished, link, id))
+
+    async def _run(self, link: PeerLink, call: _Inbound) -> None:
+        sent = call.request
+        body = bytes(call.body)
+        request = ForwardRequest(link.vm, sent.kind, sent.headers, body)
+        handler = self._handlers_by_kind[sent.kind]
+        try:
+            refusal = await handler(request, ReplyStream(link, sent.id))
+            await link.send(_end_of(sent.id, refusal))
+        except LinkClosedError:
+            pass
+        except Exception:
+            log.exception("the handler of {} from {} failed", sent.kind, link.vm)
+            end = ForwardEnd(sent.id, "may_have_run", status=500, title="Failed")
+            link.offer(end)
+
+    def _finished(self, link: PeerLink, id: int, _task: asyncio.Task) -> None:
+        if self._inbound_by_link.get(link, {}).pop(id, None):
+            link.active_calls -= 1
+
+    def _on_chunk(self, link: PeerLink, message: ForwardChunk) -> None:
+        if not message.reply:
+            self._extend(link, message.id, message.data)
+        elif reply := self._replies_by_link.get(link, {}).get(message.id):
+            reply.add(message)
+
+    def _on_end(self, link: PeerLink, message: ForwardEnd) -> None:
+        if message.reply:
+            if reply := self.forget(link, message.id):
+                reply.end(message)
+            return
+        call = self._inbound_by_link.get(link, {}).get(message.id)
+        if call is not None and call.task is not None:
+            call.task.cancel()
+        elif call is not None:
+            self._finished(link, message.id, None)
+
+    def _on_down(self, link: PeerLink) -> None:
+        for reply in self._replies_by_link.pop(link, {}).values():
+            reply.end(ForwardError(Progress.SENT, f"the link to {link.vm} broke"))
+        for call in self._inbound_by_link.pop(link, {}).values():
+            if call.task is not None:
+                call.task.cancel()
+
+
+def _end_of(id: int, refusal: Refusal | None) -> ForwardEnd:
+    if refusal is None:
+        return ForwardEnd(id)
+    return ForwardEnd(
+        id,
+        refusal.verdict.value,
+        True,
+        refusal.status,
+        refusal.title,
+        refusal.detail,
+        refusal.retry_after,
+        refusal.address,
+    )
+
+
+def _error_of(end: ForwardEnd) -> ForwardError | None:
+    if not end.status and end.verdict == Verdict.RAN.value:
+        return None
+    known = {verdict.value: verdict for verdict in Verdict}
+    verdict = known.get(end.verdict, Verdict.MAY_HAVE_RUN)
+    after = None if end.retry_after is None else Millis(end.retry_after)
+    refusal = Refusal(
+        end.status or 502, end.title, end.detail, verdict, after, end.address
+    )
+    return ForwardError(Progress.SENT, end.detail or end.title, refusal)
--- /dev/null
+++ b/src/heathershunt/peers/mesh.py
@@ -0,0 +1,365 @@
+"""All links of one VM: dials, accepts, heartbeats, replaces silent links."""
+
+import asyncio
+import logging
+import random
+import ssl
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
+
+import logbook
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from heathershunt.clock import Clock, Millis
+from heathershunt.peers.backoff import DialBackoff
+from heathershunt.peers.link import PeerLink
+from heathershunt.peers.messages import (
+    MAX_MESSAGE_BYTES,
+    PROTOCOL,
+    Heartbeat,
+    Hello,
+    Message,
+    MessageError,
+    decode_message,
+    encode_message,
+)
+
+log = logbook.Logger("heathershunt.peers")
+
+# websockets logs failed handshakes with a traceback; the mesh logs one line.
+_quiet = logging.getLogger("heathershunt.peers.websockets")
+_quiet.addHandler(logging.NullHandler())
+_quiet.propagate = False
+
+WRITE_LIMIT_BYTES = 65_536
+RECEIVE_QUEUE_FRAMES = 16
+
+
+@dataclass(frozen=True)
+class MeshLimits:
+    """Times and bounds of a mesh.
+
+    :param heartbeat_ms: time between two heartbeats.
+    :param silence_ms: a link without a message for this long is closed.
+    :param tick_ms: how often links are checked.
+    :param handshake_ms: longest time from connecting to the other side's hello.
+    :param unwanted_ms: a link that neither side wants is closed after this long.
+    :param links: open links at a time.
+    """
+
+    heartbeat_ms: int = 1000
+    silence_ms: int = 3000
+    tick_ms: int = 500
+    handshake_ms: int = 2000
+    unwanted_ms: int = 10_000
+    links: int = 512
+
+
+@dataclass(frozen=True)
+class MeshTls:
+    """Contexts for mutual TLS: one to accept and one to dial with."""
+
+    server: ssl.SSLContext
+    client: ssl.SSLContext
+
+
+class PeerMesh:
+    """Links ``by_vm`` and the handlers of their messages.
+
+    :param hello: returns the hello of this VM; asked for every new link.
+    :param heartbeat: returns the heartbeat of this VM; asked every second.
+    :param rng: source of jitter.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        hello: Callable[[], Hello],
+        heartbeat: Callable[[], Heartbeat],
+        clock: Clock,
+        rng: random.Random,
+        limits: MeshLimits | None = None,
+        tls: MeshTls | None = None,
+    ) -> None:
+        self.links_by_vm: dict[str, PeerLink] = {}
+        self._hello = hello
+        self._heartbeat = heartbeat
+        self._clock = clock
+        self._limits = limits or MeshLimits()
+        self._tls = tls
+        self._handlers_by_class: dict[type, list[Callable]] = {}
+        self._on_up: list[Callable[[PeerLink], None]] = []
+        self._on_down: list[Callable[[PeerLink], None]] = []
+        self._target_by_vm: dict[str, str] = {}
+        self._seeds: tuple[str, ...] = ()
+        self._vm_by_address: dict[str, str] = {}
+        self._backoff = DialBackoff(rng)
+        self._dials_by_address: dict[str, asyncio.Task] = {}
+        self._link_tasks: set[asyncio.Task] = set()
+        self._accepting = 0
+        self._beat_due = Millis(0)
+        self._server = None
+        self._ticker: asyncio.Task | None = None
+        self._closing = False
+
+    @property
+    def port(self) -> int:
+        """Return the bound TCP port."""
+        return self._server.sockets[0].getsockname()[1]
+
+    def on(self, cls: type, handler: Callable[[PeerLink, Message], None]) -> None:
+        """Call ``handler(link, message)`` for every message of class ``cls``."""
+        self._handlers_by_class.setdefault(cls, []).append(handler)
+
+    def on_up(self, handler: Callable[[PeerLink], None]) -> None:
+        """Call ``handler(link)`` for every new link."""
+        self._on_up.append(handler)
+
+    def on_down(self, handler: Callable[[PeerLink], None]) -> None:
+        """Call ``handler(link)`` for every link that ended."""
+        self._on_down.append(handler)
+
+    async def start(self, host: str, port: int) -> None:
+        """Bind, accept links and start to dial."""
+        self._server = await serve(
+            self._accept,
+            host,
+            port,
+            ssl=self._tls.server if self._tls else None,
+            open_timeout=self._limits.handshake_ms / 1000,
+            server_header=None,
+            **_socket_options(),
+        )
+        self._ticker = asyncio.create_task(self._tick_forever())
+
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Set the addresses that are dialled while no link is open."""
+        self._seeds = tuple(addresses)
+        self._dial_missing()
+
+    def set_targets(self, address_by_vm: Mapping[str, str]) -> None:
+        """Set the VMs that this VM keeps links to."""
+        self._target_by_vm = dict(address_by_vm)
+        self._dial_missing()
+
+    def probe(self, address: str) -> None:
+        """Dial an address once, unless a link to its VM is open."""
+        vm = self._vm_by_address.get(address)
+        if vm is None or vm not in self.links_by_vm:
+            self._start_dial(address)
+
+    async def link_to(self, vm: str, address: str | None) -> PeerLink | None:
+        """Return the link to ``vm``, dialling ``address`` if there is none."""
+        link = self.links_by_vm.get(vm)
+        if link is None and address:
+            task = self._start_dial(address)
+            if task is not None:
+                await asyncio.wait([task])
+            link = self.links_by_vm.get(vm)
+        if link is not None:
+            link.used_at = self._clock.now()
+        return link
+
+    def broadcast(self, message: Message, skip: PeerLink | None = None) -> None:
+        """Offer a message to every link; links with a full queue miss it."""
+        data = encode_message(message)
+        for link in list(self.links_by_vm.values()):
+            if link is not skip:
+                link.offer_encoded(data)
+
+    def beat(self) -> None:
+        """Send a heartbeat on every link now."""
+        self._beat_due = Millis(self._clock.now() + self._limits.heartbeat_ms)
+        beat = self._heartbeat()
+        kept = encode_message(replace(beat, keep=True))
+        unkept = encode_message(replace(beat, keep=False))
+        for link in list(self.links_by_vm.values()):
+            if link.queued_bytes <= WRITE_LIMIT_BYTES:
+                link.offer_encoded(kept if self._wants(link) else unkept)
+
+    async def close(self, flush_ms: int = 500) -> None:
+        """Send what is queued, close all links and stop to listen."""
+        self._closing = True
+        if self._ticker:
+            self._ticker.cancel()
+        for task in list(self._dials_by_address.values()):
+            task.cancel()
+        links = list(self.links_by_vm.values())
+        await asyncio.gather(*(link.finish(flush_ms) for link in links))
+        if self._server:
+            self._server.close(close_connections=True)
+            await self._server.wait_closed()
+
+    def _wants(self, link: PeerLink) -> bool:
+        if link.vm in self._target_by_vm or link.active_calls:
+            return True
+        used = link.used_at
+        limit = self._limits.unwanted_ms
+        return used is not None and self._clock.now() - used < limit
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._limits.tick_ms / 1000)
+            try:
+                self._tick(self._clock.now())
+            except Exception:
+                log.exception("checking the links failed")
+
+    def _tick(self, now: Millis) -> None:
+        for link in list(self.links_by_vm.values()):
+            if link.silent_ms(now) > self._limits.silence_ms:
+                log.warning("closing the link to {}: silent", link.vm)
+                link.cut()
+            elif self._is_unwanted(link, now):
+                link.cut()
+        if now + self._limits.tick_ms // 2 >= self._beat_due:
+            self.beat()
+        self._dial_missing()
+
+    def _is_unwanted(self, link: PeerLink, now: Millis) -> bool:
+        old = now - link.opened_at > self._limits.unwanted_ms
+        return old and not link.peer_keeps and not self._wants(link)
+
+    def _dial_missing(self) -> None:
+        if self._closing or self._server is None:
+            return
+        now = self._clock.now()
+        for vm, address in self._target_by_vm.items():
+            if vm not in self.links_by_vm and self._backoff.is_due(address, now):
+                self._start_dial(address)
+        if not self.links_by_vm:
+            own = self._hello().vm
+            for address in self._seeds:
+                known = self._vm_by_address.get(address)
+                if known != own and self._backoff.is_due(address, now):
+                    self._start_dial(address)
+
+    def _start_dial(self, address: str) -> asyncio.Task | None:
+        if self._closing or not address:
+            return None
+        task = self._dials_by_address.get(address)
+        if task is None:
+            task = asyncio.create_task(self._dial(address))
+            self._dials_by_address[address] = task
+            task.add_done_callback(lambda _: self._dials_by_address.pop(address, None))
+        return task
+
+    async def _dial(self, address: str) -> None:
+        """Open a link; the link itself runs in a task of its own."""
+        scheme = "wss" if self._tls else "ws"
+        socket = None
+        try:
+            async with asyncio.timeout(self._limits.handshake_ms / 1000):
+                socket = await connect(
+                    f"{scheme}://{address}/",
+                    ssl=self._tls.client if self._tls else None,
+                    open_timeout=None,
+                    proxy=None,
+                    user_agent_header=None,
+                    **_socket_options(),
+                )
+                hello = await self._exchange_hellos(socket)
+        except (OSError, TimeoutError, WebSocketException, MessageError) as error:
+            if socket is not None:
+                socket.transport.abort()
+            self._backoff.failed(address, self._clock.now())
+            log.debug("dialling {}: {}", address, error or type(error).__name__)
+            return
+        self._backoff.connected(address, self._clock.now())
+        self._vm_by_address[address] = hello.vm
+        link = PeerLink(socket, hello, True, self._clock)
+        if self._adopt(link):
+            task = asyncio.create_task(self._run_link(link))
+            self._link_tasks.add(task)
+            task.add_done_callback(self._link_tasks.discard)
+
+    async def _accept(self, socket) -> None:
+        if len(self.links_by_vm) + self._accepting >= self._limits.links:
+            log.warning("refusing a link: {} links are open", self._limits.links)
+            socket.transport.abort()
+            return
+        self._accepting += 1
+        try:
+            async with asyncio.timeout(self._limits.handshake_ms / 1000):
+                hello = await self._exchange_hellos(socket)
+        except (OSError, TimeoutError, ConnectionClosed, MessageError) as error:
+            log.warning("closing an accepted link before its hello: {}", error)
+            socket.transport.abort()
+            return
+        finally:
+            self._accepting -= 1
+        link = PeerLink(socket, hello, False, self._clock)
+        if self._adopt(link):
+            await self._run_link(link)
+
+    async def _exchange_hellos(self, socket) -> Hello:
+        await socket.send(encode_message(self._hello()))
+        data = await socket.recv()
+        hello = decode_message(data) if isinstance(data, bytes) else None
+        if not isinstance(hello, Hello):
+            raise MessageError("the first message is not a hello")
+        if hello.protocol != PROTOCOL:
+            raise MessageError(f"protocol {hello.protocol} instead of {PROTOCOL}")
+        return hello
+
+    def _adopt(self, link: PeerLink) -> bool:
+        old = self.links_by_vm.get(link.vm)
+        own = self._hello().vm
+        if self._closing or link.vm == own or (old and not _replaces(link, old, own)):
+            link.cut()
+            return False
+        self.links_by_vm[link.vm] = link
+        if old:
+            old.cut()
+        return True
+
+    async def _run_link(self, link: PeerLink) -> None:
+        log.info("link to {} up", link.vm)
+        _call_each(self._on_up, link)
+        reason = await link.run(self._dispatch)
+        log.info("link to {} down: {}", link.vm, reason)
+        if self.links_by_vm.get(link.vm) is link:
+            del self.links_by_vm[link.vm]
+        _call_each(self._on_down, link)
+
+    def _dispatch(self, link: PeerLink, message: Message) -> None:
+        if isinstance(message, Heartbeat):
+            link.peer_keeps = message.keep
+        _call_each(self._handlers_by_class.get(type(message), ()), link, message)
+
+
+def _call_each(handlers: Iterable[Callable], link: PeerLink, *message) -> None:
+    for handler in handlers:
+        try:
+            handler(link, *message)
+        except Exception:
+            log.exception("a handler of the link to {} failed", link.vm)
+
+
+def _socket_options() -> dict:
+    return {
+        "compression": None,
+        "max_size": MAX_MESSAGE_BYTES,
+        "max_queue": RECEIVE_QUEUE_FRAMES,
+        "write_limit": WRITE_LIMIT_BYTES,
+        "ping_interval": None,
+        "close_timeout": 1,
+        "logger": _quiet,
+    }
+
+
+def _replaces(new: PeerLink, old: PeerLink, own: str) -> bool:
+    """Return whether ``new`` replaces ``old``, a link to the same VM.
+
+    A newer link in the same direction replaces one that the other side has given
+    up. Of two links in opposite directions, both sides keep the one that the VM
+    with the smaller name dialled.
+    """
+    if new.incarnation != old.incarnation:
+        return new.incarnation > old.incarnation
+    if new.dialled == old.dialled or old.closed:
+        return True
+    return new.dialled == (own < new.vm)
--- /dev/null
+++ b/src/heathershunt/peers/topology.py
@@ -0,0 +1,44 @@
+"""Which VMs keep a link to each other."""
+
+import hashlib
+from collections.abc import Mapping
+from functools import lru_cache
+
+FULL_MESH_VMS = 8
+LINKS_CHOSEN = 4
+OTHER_DOMAIN_LINKS = 2
+
+
+@lru_cache(maxsize=8192)
+def link_weight(first: str, second: str) -> bytes:
+    """Return the rendezvous weight of a pair of VMs; the same in both directions."""
+    low, high = sorted((first, second))
+    return hashlib.blake2b(f"{low}\0{high}".encode(), digest_size=8).digest()
+
+
+def choose_neighbours(
+    vm: str,
+    domain_by_vm: Mapping[str, str],
+    links_chosen: int = LINKS_CHOSEN,
+    full_mesh_vms: int = FULL_MESH_VMS,
+) -> frozenset[str]:
+    """Return the VMs that ``vm`` links to by its own choice.
+
+    Others choose ``vm`` as well, so it has about twice ``links_chosen`` links. The
+    number does not depend on the size of the fleet.
+
+    :param domain_by_vm: failure domain of every VM that is not dead, with ``vm``.
+    :param links_chosen: links per VM in a fleet larger than ``full_mesh_vms``.
+
+    .. versionadded:: 0.1
+    """
+    others = [other for other in domain_by_vm if other != vm]
+    if len(others) < full_mesh_vms:
+        return frozenset(others)
+    others.sort(key=lambda other: link_weight(vm, other), reverse=True)
+    chosen = others[:links_chosen]
+    own = domain_by_vm.get(vm)
+    elsewhere = [other for other in others if domain_by_vm[other] != own]
+    needed = set(elsewhere[:OTHER_DOMAIN_LINKS])
+    spare = [other for other in chosen if other not in needed]
+    return frozenset(needed) | frozenset(spare[: links_chosen - len(needed)])
--- /dev/null
+++ b/tests/peers/test_messages.py
@@ -0,0 +1,59 @@
+import cbor2
+import pytest
+from hypothesis import given, strategies as st
+
+from heathershunt.peers import (
+    Forward,
+    Heartbeat,
+    MessageError,
+    PartReply,
+    Records,
+    Suspicion,
+    VmRecord,
+    decode_message,
+    encode_message,
+)
+from heathershunt.peers.messages import MAX_MESSAGE_BYTES
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Heartbeat("vm-1", 7, 8, 9, "ab" * 32, 2**62, keep=False),
+        Records((VmRecord("vm-1", 3, "10.0.0.1:80"),), (Suspicion("vm-2", 1, 0, 4),)),
+        PartReply("ab" * 32, 65_536, 70_000, b"\0\xff"),
+        Forward(1, "draft", {"x-request-id": "a.1.2"}, b"body", 4),
+    ],
+)
+def test_message_survives_the_wire(message):
+    assert decode_message(encode_message(message)) == message
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xff",
+        cbor2.dumps([1]),
+        cbor2.dumps({"t": "none"}),
+        cbor2.dumps({"t": ["beat"]}),
+        cbor2.dumps({"t": "beat", "vm": "", "incarnation": 1}),
+        cbor2.dumps({"t": "beat", "vm": "a", "incarnation": -1}),
+        cbor2.dumps({"t": "beat", "vm": "a", "incarnation": 2**80}),
+        cbor2.dumps({"t": "records", "records": [{"vm": "a"}]}),
+        cbor2.dumps({"t": "part", "sha256": "a", "data": "text"}),
+        b"\x81" * 100_000,
+        bytes(MAX_MESSAGE_BYTES + 1),
+    ],
+)
+def test_malformed_message_is_an_error(data):
+    with pytest.raises(MessageError):
+        decode_message(data)
+
+
+@given(st.binary(max_size=200))
+def test_random_bytes_never_raise_anything_else(data):
+    try:
+        decode_message(data)
+    except MessageError:
+        pass
--- /dev/null
+++ b/tests/peers/test_topology.py
@@ -0,0 +1,72 @@
+import pytest
+
+from heathershunt.peers import choose_neighbours
+
+
+def fleet(size, domains=9):
+    return {f"vm-{index}": f"d{index % domains}" for index in range(size)}
+
+
+def graph(domain_by_vm):
+    links_by_vm = {vm: set() for vm in domain_by_vm}
+    for vm in domain_by_vm:
+        for other in choose_neighbours(vm, domain_by_vm):
+            links_by_vm[vm].add(other)
+            links_by_vm[other].add(vm)
+    return links_by_vm
+
+
+def is_connected(links_by_vm, vms):
+    vms = set(vms)
+    reached, open_ends = set(), [min(vms)]
+    while open_ends:
+        vm = open_ends.pop()
+        if vm not in reached:
+            reached.add(vm)
+            open_ends.extend(links_by_vm[vm] & vms)
+    return reached == vms
+
+
+def test_small_fleet_is_a_full_mesh():
+    domain_by_vm = fleet(8)
+    assert choose_neighbours("vm-0", domain_by_vm) == set(domain_by_vm) - {"vm-0"}
+
+
+def test_links_per_vm_do_not_grow_with_the_fleet():
+    links_by_vm = graph(fleet(390))
+    assert max(map(len, links_by_vm.values())) <= 16
+    assert sum(map(len, links_by_vm.values())) <= 8 * 390
+
+
+@pytest.mark.parametrize("size", [9, 12, 40, 390])
+def test_two_links_leave_the_failure_domain(size):
+    domain_by_vm = fleet(size, domains=3)
+    for vm in domain_by_vm:
+        chosen = choose_neighbours(vm, domain_by_vm)
+        assert len(chosen) == 4
+        elsewhere = [o for o in chosen if domain_by_vm[o] != domain_by_vm[vm]]
+        assert len(elsewhere) >= 2
+
+
+def test_graph_stays_connected_after_failures():
+    """Guards against a split that lasts until the survivors choose anew."""
+    domain_by_vm = fleet(390)
+    links_by_vm = graph(domain_by_vm)
+    assert is_connected(links_by_vm, domain_by_vm)
+    for shift in range(0, 390, 16):
+        failed = {f"vm-{(shift + 23 * step) % 390}" for step in range(16)}
+        assert is_connected(links_by_vm, domain_by_vm.keys() - failed)
+    for domain in sorted(set(domain_by_vm.values())):
+        left = [vm for vm, other in domain_by_vm.items() if other != domain]
+        assert is_connected(links_by_vm, left)
+
+
+def test_a_new_vm_changes_few_links():
+    before = fleet(200)
+    after = {**before, "new": "d0"}
+    changed = [
+        vm
+        for vm in before
+        if choose_neighbours(vm, before) != choose_neighbours(vm, after)
+    ]
+    assert len(changed) <= 12
