Add membership: records, failure detection, address answers

Cause: every VM has to know which VMs take new work, through restarts, lagging lists and partitions. Change: Membership (pure), RecordExchange (deltas on every link, all records only for a VM without any or on a lasting difference of digests) and AddressBook. A record carries a phase that only rises; odd means leaving, so a late record cannot make a leaving VM live. A neighbour that has not seen a VM for 3 s spreads a suspicion, which the VM refutes through any other neighbour. Ruled out: ordering by (incarnation, seq) alone, because a VM that refutes its death with a higher seq would undo a concurrent "leaving" of a lower seq. Watching only chosen neighbours, because a VM that nobody chose would be watched by nobody; VMs that chose this one are watched too.

--- /dev/null
+++ b/src/heathershunt/membership/__init__.py
@@ -0,0 +1,19 @@
+"""Records of VMs, failure detection, address answers."""
+
+from heathershunt.membership.answers import AddressAnswer, AddressBook, AnswerLimits
+from heathershunt.membership.exchange import RecordExchange
+from heathershunt.membership.membership import Membership, MembershipLimits
+from heathershunt.peers.record import Suspicion, VmRecord, VmState, merge_records
+
+__all__ = [
+    "AddressAnswer",
+    "AddressBook",
+    "AnswerLimits",
+    "Membership",
+    "MembershipLimits",
+    "RecordExchange",
+    "Suspicion",
+    "VmRecord",
+    "VmState",
+    "merge_records",
+]
