Add BundleSpreader and ConfirmationTracker

Cause: a bundle has to reach every VM while the store is unavailable. Ruled out: one request at a time, which costs a round trip for each of 128 parts.

--- a/src/heathershunt/bundle/__init__.py
+++ b/src/heathershunt/bundle/__init__.py
@@ -1,5 +1,6 @@
 """The versioned, signed bundle: model, parts, signatures, and the one in force."""
 
+from heathershunt.bundle.confirmation import ConfirmationTracker
 from heathershunt.bundle.keeper import BundleKeeper
 from heathershunt.bundle.model import (
     Bundle,
@@ -22,13 +23,16 @@
     split_bundle,
 )
 from heathershunt.bundle.signing import new_key_pair, sign_root, verify_root
+from heathershunt.bundle.spread import BundleSpreader
 
 __all__ = [
     "Bundle",
     "BundleError",
     "BundleKeeper",
+    "BundleSpreader",
     "Call",
     "ClientAccount",
+    "ConfirmationTracker",
     "Model",
     "PartEntry",
     "Policy",
--- /dev/null
+++ b/src/heathershunt/bundle/spread.py
@@ -0,0 +1,272 @@
+"""Fetches bundles from peers and announces the one in force."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import logbook
+from result import Err
+
+from heathershunt.bundle.confirmation import ConfirmationTracker
+from heathershunt.bundle.keeper import BundleKeeper
+from heathershunt.bundle.model import BundleError
+from heathershunt.bundle.parts import (
+    MAX_PART_BYTES,
+    SignedRoot,
+    decode_root,
+    encode_signed_root,
+)
+from heathershunt.clock import Clock
+from heathershunt.peers import (
+    Heartbeat,
+    LinkClosedError,
+    PartReply,
+    PartRequest,
+    PeerLink,
+    PeerMesh,
+    RootReply,
+    RootRequest,
+)
+from heathershunt.peers.messages import CHUNK_BYTES
+
+log = logbook.Logger("heathershunt.bundle")
+
+REPLY_TIMEOUT_MS = 3000
+# Requests for parts in flight. One at a time would pay a round trip for each of the
+# 128 parts of a large bundle, which takes 13 s over a link of 100 ms.
+PARTS_IN_FLIGHT = 8
+# A peer that failed is asked again only after others, or after this time.
+FAILED_PEER_MS = 5000
+
+
+class FetchError(Exception):
+    """A peer that did not deliver what it announced.
+
+    .. versionadded:: 0.1
+    """
+
+
+_FETCH_FAILURES = (FetchError, BundleError, LinkClosedError, TimeoutError)
+
+
+@dataclass
+class _Fetch:
+    """The fetch that is under way from one peer."""
+
+    link: PeerLink
+    root: asyncio.Future | None = None
+    # Waiting requests for parts, by hash and offset.
+    parts: dict[tuple[str, int], asyncio.Future] = field(default_factory=dict)
+
+    def fail(self, detail: str) -> None:
+        for future in (self.root, *self.parts.values()):
+            if future is not None and not future.done():
+                future.set_exception(FetchError(detail))
+
+
+class BundleSpreader:
+    """Keeps the bundle in force at the highest version that any peer announces.
+
+    One fetch runs at a time, from one peer; parts that arrived are kept when the
+    next peer is tried. All verification is left to :class:`BundleKeeper`.
+
+    :param tracker: told of every heartbeat of a peer.
+    :param on_conflict: called with a VM that has another bundle of the same version.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        keeper: BundleKeeper,
+        mesh: PeerMesh,
+        clock: Clock,
+        tracker: ConfirmationTracker | None = None,
+        on_conflict: Callable[[str], None] | None = None,
+    ) -> None:
+        self._keeper = keeper
+        self._mesh = mesh
+        self._clock = clock
+        self._tracker = tracker
+        self._on_conflict = on_conflict
+        self._announced_by_link: dict[PeerLink, tuple[int, str]] = {}
+        self._failed_at_by_vm: dict[str, int] = {}
+        self._conflicts: set[tuple[str, str]] = set()
+        self._staged_by_sha256: dict[str, bytes] = {}
+        self._fetch: _Fetch | None = None
+        self._task: asyncio.Task | None = None
+        self._announced_version = keeper.version
+        mesh.on(Heartbeat, self._on_heartbeat)
+        mesh.on(RootRequest, self._on_root_request)
+        mesh.on(RootReply, self._on_root_reply)
+        mesh.on(PartRequest, self._on_part_request)
+        mesh.on(PartReply, self._on_part_reply)
+        mesh.on_down(self._on_down)
+
+    def announce(self) -> None:
+        """Tell all peers at once if the version in force has risen.
+
+        Call it after the keeper took a bundle from another source than peers.
+        """
+        if self._keeper.version > self._announced_version:
+            self._announced_version = self._keeper.version
+            self._mesh.beat()
+
+    def close(self) -> None:
+        """End the fetch that is under way."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _on_heartbeat(self, link: PeerLink, beat: Heartbeat) -> None:
+        if self._tracker is not None:
+            self._tracker.peer_heard(self._clock.now())
+        self._announced_by_link[link] = (beat.bundle_version, beat.bundle_sha256)
+        if beat.bundle_version > self._keeper.version:
+            self._start()
+        elif beat.bundle_version == self._keeper.version:
+            self._compare(link, beat)
+
+    def _compare(self, link: PeerLink, beat: Heartbeat) -> None:
+        conflict = (link.vm, beat.bundle_sha256)
+        if beat.bundle_sha256 == self._keeper.sha256 or conflict in self._conflicts:
+            return
+        self._conflicts.add(conflict)
+        log.error(
+            "{} has another bundle of version {}: {}",
+            link.vm,
+            beat.bundle_version,
+            beat.bundle_sha256[:12],
+        )
+        if self._on_conflict:
+            self._on_conflict(link.vm)
+
+    def _on_down(self, link: PeerLink) -> None:
+        self._announced_by_link.pop(link, None)
+        if self._fetch is not None and self._fetch.link is link:
+            self._fetch.fail("the link broke")
+
+    def _start(self) -> None:
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._fetch_highest())
+
+    def _next_source(self) -> tuple[PeerLink, str] | None:
+        """Return the link with the highest announced version above the own one."""
+        now = self._clock.now()
+        best = None
+        best_key = (self._keeper.version, 0)
+        for link, (version, sha256) in self._announced_by_link.items():
+            failed_at = self._failed_at_by_vm.get(link.vm)
+            if failed_at is not None and now - failed_at < FAILED_PEER_MS:
+                continue
+            key = (version, -link.queued_bytes)
+            if version > self._keeper.version and (best is None or key > best_key):
+                best, best_key = (link, sha256), key
+        return best
+
+    async def _fetch_highest(self) -> None:
+        while (source := self._next_source()) is not None:
+            link, sha256 = source
+            self._fetch = _Fetch(link)
+            try:
+                await self._fetch_from(link, sha256)
+            except _FETCH_FAILURES as error:
+                detail = str(error) or "no reply"
+                log.warning("no bundle from {}: {}", link.vm, detail)
+                self._failed_at_by_vm[link.vm] = self._clock.now()
+            finally:
+                self._fetch = None
+        if len(self._failed_at_by_vm) > len(self._announced_by_link):
+            self._failed_at_by_vm.clear()
+
+    async def _fetch_from(self, link: PeerLink, sha256: str) -> None:
+        signed = await self._fetch_root(link, sha256)
+        missing = self._keeper.missing_parts(signed)
+        if isinstance(missing, Err):
+            raise missing.err_value
+        size_by_sha256 = {entry.sha256: entry.size for entry in signed.root().parts}
+        self._staged_by_sha256 = {
+            key: data
+            for key, data in self._staged_by_sha256.items()
+            if key in size_by_sha256
+        }
+        wanted = [key for key in missing.ok_value if key not in self._staged_by_sha256]
+        await self._fetch_parts(link, wanted, size_by_sha256)
+        outcome = self._keeper.offer(signed, self._staged_by_sha256)
+        if isinstance(outcome, Err):
+            # A staged part may be the fault; the next attempt starts afresh.
+            self._staged_by_sha256 = {}
+            raise outcome.err_value
+        self._staged_by_sha256 = {}
+        log.info("bundle {} taken from {}", self._keeper.version, link.vm)
+        self.announce()
+
+    async def _fetch_root(self, link: PeerLink, sha256: str) -> SignedRoot:
+        future = asyncio.get_running_loop().create_future()
+        self._fetch.root = future
+        if not link.offer(RootRequest(sha256)):
+            raise FetchError("the send queue is full")
+        async with asyncio.timeout(REPLY_TIMEOUT_MS / 1000):
+            reply: RootReply = await future
+        if not reply.data:
+            raise FetchError("it does not hold the root any more")
+        signed = decode_root(reply.data)
+        if signed.sha256 != sha256:
+            raise FetchError("it sent another root than it announced")
+        return signed
+
+    async def _fetch_parts(
+        self, link: PeerLink, wanted: list[str], size_by_sha256: dict[str, int]
+    ) -> None:
+        remaining = iter(dict.fromkeys(wanted))
+
+        async def work() -> None:
+            for sha256 in remaining:
+                data = await self._fetch_part(link, sha256, size_by_sha256[sha256])
+                self._staged_by_sha256[sha256] = data
+
+        try:
+            async with asyncio.TaskGroup() as group:
+                for _ in range(PARTS_IN_FLIGHT):
+                    group.create_task(work())
+        except ExceptionGroup as errors:
+            raise errors.exceptions[0] from None
+
+    async def _fetch_part(self, link: PeerLink, sha256: str, size: int) -> bytes:
+        if not 0 < size <= MAX_PART_BYTES:
+            raise FetchError(f"a part of {size} bytes")
+        pieces = bytearray()
+        while len(pieces) < size:
+            key = (sha256, len(pieces))
+            future = asyncio.get_running_loop().create_future()
+            self._fetch.parts[key] = future
+            await link.send(PartRequest(*key))
+            async with asyncio.timeout(REPLY_TIMEOUT_MS / 1000):
+                reply: PartReply = await future
+            if reply.size != size or not reply.data:
+                raise FetchError("it does not hold a part")
+            pieces += reply.data
+        return bytes(pieces)
+
+    def _on_root_request(self, link: PeerLink, message: RootRequest) -> None:
+        signed = self._keeper.signed
+        held = signed is not None and signed.sha256 == message.sha256
+        data = encode_signed_root(signed) if held else b""
+        link.offer(RootReply(message.sha256, data))
+
+    def _on_root_reply(self, link: PeerLink, message: RootReply) -> None:
+        fetch = self._fetch
+        if fetch and fetch.link is link and fetch.root and not fetch.root.done():
+            fetch.root.set_result(message)
+
+    def _on_part_request(self, link: PeerLink, message: PartRequest) -> None:
+        data = self._keeper.parts_by_sha256.get(message.sha256, b"")
+        piece = data[message.offset : message.offset + CHUNK_BYTES]
+        link.offer(PartReply(message.sha256, message.offset, len(data), piece))
+
+    def _on_part_reply(self, link: PeerLink, message: PartReply) -> None:
+        fetch = self._fetch
+        if fetch is None or fetch.link is not link:
+            return
+        future = fetch.parts.pop((message.sha256, message.offset), None)
+        if future is not None and not future.done():
+            future.set_result(message)
--- /dev/null
+++ b/tests/membership/test_exchange.py
@@ -0,0 +1,88 @@
+import asyncio
+
+import pytest
+
+from tests.nodes import until
+
+
+def agree(nodes):
+    vms = {node.members.vm for node in nodes}
+    return all(
+        node.members.present().keys() == vms
+        and node.members.digest == nodes[0].members.digest
+        for node in nodes
+    )
+
+
+@pytest.fixture
+async def fleet(start_node):
+    nodes = [await start_node("vm-0", domain="d0")]
+    for index in range(1, 12):
+        seed = nodes[index // 2].address
+        nodes.append(await start_node(f"vm-{index}", seed, domain=f"d{index % 3}"))
+    await until(lambda: agree(nodes))
+    return nodes
+
+
+async def test_newcomers_learn_all_records(fleet):
+    await until(lambda: all(len(node.mesh.links_by_vm) >= 4 for node in fleet))
+
+
+async def test_leaving_reaches_every_vm(fleet):
+    fleet[3].members.leave(fleet[3].clock.now())
+    fleet[3].exchange.changed()
+    await until(lambda: all(n.state_of("vm-3") == "leaving" for n in fleet))
+
+
+async def test_dead_vm_is_noticed_and_its_restart_replaces_it(fleet, start_node):
+    victim = fleet.pop()
+    vm = victim.members.vm
+    await victim.mesh.close(0)
+    victim.exchange._ticker.cancel()
+    await until(lambda: all(n.state_of(vm) == "dead" for n in fleet))
+    fleet.append(await start_node(vm, fleet[0].address, incarnation=2))
+    await until(lambda: agree(fleet))
+
+
+async def test_full_exchange_repairs_a_lost_delta(fleet):
+    """Guards against records that stay different after a message was lost."""
+    one = fleet[5]
+    lost = one.members.records_by_vm["vm-8"]
+    one.members._put(lost.leaving(), one.clock.now())
+    for state in one.exchange._state_by_link.values():
+        state.sent_version = one.members.version
+    await until(lambda: all(n.state_of("vm-8") == "leaving" for n in fleet))
+
+
+async def test_partition_heals_without_anyone_reverting(fleet):
+    """Guards against sides that stay apart, or a leaving VM that becomes live."""
+    sides = (fleet[:6], fleet[6:])
+    names = [{node.members.vm for node in side} for side in sides]
+    probes = [node.exchange._probe for node in fleet]
+    for node in fleet:
+        far = names[1] if node in sides[0] else names[0]
+        adopt = node.mesh._adopt
+        node.allowed = False
+
+        def gated(link, node=node, far=far, adopt=adopt):
+            if link.vm in far and not node.allowed:
+                link.cut()
+                return False
+            return adopt(link)
+
+        node.mesh._adopt = gated
+        for vm, link in list(node.mesh.links_by_vm.items()):
+            if vm in far:
+                link.cut()
+    await until(lambda: agree(sides[0]) and agree(sides[1]))
+    sides[1][0].members.leave(sides[1][0].clock.now())
+    for node in fleet:
+        node.allowed = True
+    for _ in range(100):
+        if agree(fleet):
+            break
+        for probe in probes:
+            probe()
+        await asyncio.sleep(0.1)
+    await until(lambda: agree(fleet))
+    assert all(n.state_of("vm-6") == "leaving" for n in fleet)
