Measure the mesh, record exchange and bundles through peers

Cause: the control budget per node is 1.9 % of a core, 256 MB and 28 KB/s, and a bundle has 17 s; none of it was measured. Ruled out: counting bytes outside the process, because the loopback interface carries the senders' traffic as well.

--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ``python -m measure.<module>`` prints one figure a line."""
--- a/src/heathershunt/peers/link.py
+++ b/src/heathershunt/peers/link.py
@@ -49,6 +49,10 @@
         self.active_calls = 0
         self.peer_keeps = True
         self.closed = False
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.sent_messages = 0
+        self.received_messages = 0
         self._socket = socket
         self._clock = clock
         self._queue: deque[tuple[bytes, Callable[[], bool] | None]] = deque()
@@ -113,6 +117,8 @@
             while True:
                 data = await self._socket.recv()
                 self.heard_at = self._clock.now()
+                self.received_messages += 1
+                self.received_bytes += len(data)
                 if isinstance(data, str):
                     raise MessageError("a text message")
                 dispatch(self, decode_message(data))
@@ -131,6 +137,8 @@
                 while self._queue:
                     data, may_hand = self._queue.popleft()
                     if may_hand is None or may_hand():
+                        self.sent_messages += 1
+                        self.sent_bytes += len(data)
                         await self._socket.send(data)
                     self._queued_bytes -= len(data)
                     self._progress_at = self._clock.now()
