Take unchanged accounts over from the bundle in force

Change: assemble_next decodes and checks only the parts that changed and joins them with the accounts in force; the map of tokens is built at once instead of at the first request. Ruled out: caching checked parts inside the model, because it splits the checks of the model in two for the same gain. A thread, because decoding holds the interpreter lock.

--- /dev/null
+++ b/src/heathershunt/bundle/delta.py
@@ -0,0 +1,86 @@
+"""The next bundle from the one in force and the parts that changed.
+
+Decoding and checking 27,000 accounts blocks the event loop for a third of a second,
+and there are 1,300 changes a day, nearly all of them to one account.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import replace
+
+import cbor2
+
+from heathershunt.bundle.model import (
+    MAX_ACCOUNTS,
+    Bundle,
+    BundleError,
+    ClientAccount,
+)
+from heathershunt.bundle.parts import PartEntry, Root, assemble
+
+
+def assemble_next(
+    root: Root,
+    parts_by_sha256: Mapping[str, bytes],
+    root_in_force: Root | None,
+    in_force: Bundle | None,
+) -> Bundle:
+    """Build the bundle of ``root``, taking unchanged accounts from ``in_force``.
+
+    The result is the same as that of :func:`assemble`.
+
+    :param parts_by_sha256: the parts of ``root`` and of ``root_in_force``.
+    :raises BundleError: if a part is missing, altered or malformed.
+
+    .. versionadded:: 0.1
+    """
+    if root_in_force is None or in_force is None:
+        return assemble(root, parts_by_sha256)
+    new, old = _accounts(root.parts), _accounts(root_in_force.parts)
+    kept = new & old
+    places = {(entry.kind, entry.bucket) for entry in root.parts}
+    if not kept or len(places) != len(root.parts):
+        return assemble(root, parts_by_sha256)
+    rest = replace(root, parts=tuple(e for e in root.parts if e not in kept))
+    changed = assemble(rest, parts_by_sha256)
+    if changed.priorities_by_name.keys() != in_force.priorities_by_name.keys():
+        return assemble(root, parts_by_sha256)
+    accounts = dict(in_force.accounts_by_name)
+    by_token = dict(in_force._account_by_token_sha256)
+    for name in _names(old - new, parts_by_sha256):
+        for digest in accounts.pop(name).token_sha256:
+            by_token.pop(digest, None)
+    for account in changed.accounts_by_name.values():
+        _add(account, accounts, by_token)
+    if len(accounts) > MAX_ACCOUNTS:
+        raise BundleError("accounts", f"at most {MAX_ACCOUNTS} accounts are accepted")
+    bundle = replace(changed, accounts_by_name=accounts)
+    # Building this map at the first request would delay that request.
+    vars(bundle)["_account_by_token_sha256"] = by_token
+    return bundle
+
+
+def _accounts(entries: Iterable[PartEntry]) -> set[PartEntry]:
+    return {entry for entry in entries if entry.kind == "accounts"}
+
+
+def _names(
+    entries: Iterable[PartEntry], parts_by_sha256: Mapping[str, bytes]
+) -> Iterator[str]:
+    for entry in entries:
+        for item in cbor2.loads(parts_by_sha256[entry.sha256]):
+            yield item["name"]
+
+
+def _add(
+    account: ClientAccount,
+    accounts: dict[str, ClientAccount],
+    by_token: dict[str, ClientAccount],
+) -> None:
+    place = f"accounts.{account.name}"
+    if accounts.setdefault(account.name, account) is not account:
+        raise BundleError(place, f"the name {account.name!r} is used twice")
+    for digest in account.token_sha256:
+        if by_token.setdefault(digest, account) is not account:
+            raise BundleError(
+                f"{place}.token_sha256", "a hash is used by one account only"
+            )
--- a/src/heathershunt/bundle/keeper.py
+++ b/src/heathershunt/bundle/keeper.py
@@ -5,13 +5,13 @@
 import logbook
 from result import Err, Ok, Result
 
+from heathershunt.bundle.delta import assemble_next
 from heathershunt.bundle.model import Bundle, BundleError
 from heathershunt.bundle.parts import (
     MAX_BUNDLE_BYTES,
     MAX_ROOT_BYTES,
     Root,
     SignedRoot,
-    assemble,
 )
 from heathershunt.bundle.signing import verify_root
 
@@ -68,7 +68,8 @@
             root = self._check(signed)
             # Parts that are held were verified; an offered one must not hide them.
             parts = {**parts_by_sha256, **self.parts_by_sha256}
-            bundle = assemble(root, parts)
+            in_force = self.signed.root() if self.signed else None
+            bundle = assemble_next(root, parts, in_force, self.bundle)
         except BundleError as error:
             return Err(error)
         self.signed = signed
