Add the timeline: typed events, hybrid logical clock, merge, explain

Cause: what happened to a request is spread over several processes, whose wall clocks differ.

Change: a bounded ring buffer per process, stamped with a hybrid logical clock (48 bits of milliseconds, 16 bits of counter); events of several processes merge in causal order.

Ruled out: building the frozen event on recording.

--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of single parts of the product."""
--- /dev/null
+++ b/measure/timeline.py
@@ -0,0 +1,69 @@
+"""Cost of an event of the timeline, against storing built events.
+
+Run with ``python -m measure.timeline``. It prints nanoseconds per event (the median
+and the range of the rounds) and bytes per event kept.
+"""
+
+import statistics
+import time
+import tracemalloc
+from collections import deque
+
+from heathershunt.clock import SystemClock
+from heathershunt.timeline import Event, EventKind, HybridClock, TimeLine
+
+EVENTS = 100_000
+ROUNDS = 7
+KEPT = 20_000
+
+
+def _tuples() -> object:
+    line = TimeLine(HybridClock(SystemClock()), "vm1", 1)
+    for number in range(EVENTS):
+        line.record(EventKind.RETRY, "vm1.1.1", runner="m-s0-r0", attempt=number)
+    return line
+
+
+def _events() -> object:
+    clock = HybridClock(SystemClock())
+    entries: deque[Event] = deque(maxlen=KEPT)
+    for number in range(EVENTS):
+        fields = {"runner": "m-s0-r0", "attempt": number}
+        entries.append(
+            Event(clock.tick(), "vm1", 1, EventKind.RETRY, "vm1.1.1", fields)
+        )
+    return entries
+
+
+def _ticks() -> object:
+    clock = HybridClock(SystemClock())
+    for _ in range(EVENTS):
+        clock.tick()
+    return clock
+
+
+def main() -> None:
+    """Print the costs."""
+    for name, work in (
+        ("tuples, events made on reading", _tuples),
+        ("events made on recording", _events),
+        ("clock tick alone", _ticks),
+    ):
+        times = []
+        for _ in range(ROUNDS):
+            start = time.perf_counter_ns()
+            work()
+            times.append((time.perf_counter_ns() - start) / EVENTS)
+        tracemalloc.start()
+        kept = work()
+        size = tracemalloc.get_traced_memory()[0] / KEPT
+        tracemalloc.stop()
+        del kept
+        print(
+            f"{name}: {statistics.median(times):.0f} ns per event "
+            f"({min(times):.0f} to {max(times):.0f}), {size:.0f} bytes kept per event"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/heathershunt/timeline/__init__.py
@@ -0,0 +1,25 @@
+"""Typed events of a process, hybrid logical time, merge over processes."""
+
+from heathershunt.timeline.events import (
+    Event,
+    EventKind,
+    event_from_mapping,
+    event_to_mapping,
+)
+from heathershunt.timeline.explain import explain
+from heathershunt.timeline.hlc import HybridClock, pack_hlc, unpack_hlc
+from heathershunt.timeline.timeline import TimeLine, merge_events, select_events
+
+__all__ = [
+    "Event",
+    "EventKind",
+    "HybridClock",
+    "TimeLine",
+    "event_from_mapping",
+    "event_to_mapping",
+    "explain",
+    "merge_events",
+    "pack_hlc",
+    "select_events",
+    "unpack_hlc",
+]
