--- a/src/heathershunt/bundle/__init__.py
+++ b/src/heathershunt/bundle/__init__.py
@@ -1,16 +1,17 @@
 """The versioned, signed bundle: model, parts, signatures, and the one in force."""
 
+from heathershunt.bundle.check import bundle_from_mapping
+from heathershunt.bundle.error import BundleError
+from heathershunt.bundle.file import MAX_FILE_BYTES, decode_file, encode_file
 from heathershunt.bundle.keeper import BundleKeeper
 from heathershunt.bundle.model import (
     Bundle,
-    BundleError,
     Call,
     ClientAccount,
     Model,
     Policy,
     Priority,
     Service,
-    bundle_from_mapping,
 )
 from heathershunt.bundle.parts import (
     PartEntry,
@@ -24,6 +25,7 @@
 from heathershunt.bundle.signing import new_key_pair, sign_root, verify_root
 
 __all__ = [
+    "MAX_FILE_BYTES",
     "Bundle",
     "BundleError",
     "BundleKeeper",
@@ -38,7 +40,9 @@
     "SignedRoot",
     "assemble",
     "bundle_from_mapping",
+    "decode_file",
     "decode_root",
+    "encode_file",
     "encode_root",
     "new_key_pair",
     "sign_root",
--- /dev/null
+++ b/src/heathershunt/bundle/file.py
@@ -0,0 +1,67 @@
+"""A bundle as one file: the signed root and its parts.
+
+The file is a CBOR map ``{format, root, parts}``. ``root`` holds the signed root as the
+store holds it, ``parts`` the bytes of the parts, each once, in the order of the root.
+"""
+
+from collections.abc import Mapping
+
+from heathershunt.bundle.decoding import convert, decode_cbor
+from heathershunt.bundle.error import BundleError
+from heathershunt.bundle.model import Bundle
+from heathershunt.bundle.parts import (
+    SignedRoot,
+    assemble,
+    canonical,
+    decode_root,
+    encode_signed_root,
+    sha256_hex,
+)
+
+FILE_FORMAT = "heathershunt-bundle-1"
+# 27,000 client accounts take about 6 MB; the operators' listener holds one file in
+# memory per connection.
+MAX_FILE_BYTES = 16 * 1024 * 1024
+
+
+def encode_file(signed: SignedRoot, parts_by_sha256: Mapping[str, bytes]) -> bytes:
+    """Return the file of a bundle.
+
+    :raises BundleError: if a part is missing or the file is too large.
+    """
+    # Empty parts of different kinds are the same bytes, and are held once.
+    held: dict[str, bytes] = {}
+    for entry in signed.root().parts:
+        data = parts_by_sha256.get(entry.sha256)
+        if data is None:
+            raise BundleError(entry.place, "the part is missing")
+        held[entry.sha256] = data
+    content = {"format": FILE_FORMAT, "root": encode_signed_root(signed)}
+    encoded = canonical({**content, "parts": list(held.values())})
+    if len(encoded) > MAX_FILE_BYTES:
+        raise BundleError(
+            "file", f"{len(encoded)} bytes; at most {MAX_FILE_BYTES} are accepted"
+        )
+    return encoded
+
+
+def decode_file(data: bytes) -> tuple[SignedRoot, dict[str, bytes], Bundle]:
+    """Return the signed root, the parts by hash and the checked bundle of a file.
+
+    Signatures are not checked here.
+
+    :raises BundleError: naming the place of the fault.
+    """
+    raw = decode_cbor(data, "file", MAX_FILE_BYTES)
+    if not isinstance(raw, dict) or raw.get("format") != FILE_FORMAT:
+        raise BundleError("file.format", f"{FILE_FORMAT!r} is expected")
+    if set(raw) != {"format", "root", "parts"}:
+        raise BundleError("file", "exactly the keys format, root, parts are accepted")
+    signed = decode_root(convert(raw["root"], bytes, "file.root"))
+    parts = convert(raw["parts"], list[bytes], "file.parts")
+    parts_by_sha256 = {sha256_hex(part): part for part in parts}
+    bundle = assemble(signed.root(), parts_by_sha256)
+    named = {entry.sha256 for entry in signed.root().parts}
+    if len(parts) != len(parts_by_sha256) or set(parts_by_sha256) != named:
+        raise BundleError("file.parts", "exactly the parts of the root are accepted")
+    return signed, parts_by_sha256, bundle
--- a/src/heathershunt/bundle/keeper.py
+++ b/src/heathershunt/bundle/keeper.py
@@ -5,7 +5,8 @@
 import logbook
 from result import Err, Ok, Result
 
-from heathershunt.bundle.model import Bundle, BundleError
+from heathershunt.bundle.error import BundleError
+from heathershunt.bundle.model import Bundle
 from heathershunt.bundle.parts import SignedRoot, assemble
 from heathershunt.bundle.signing import verify_root
 
@@ -17,6 +18,8 @@
 
     :param trusted_keys: public keys that may sign.
     :param on_change: called with every bundle that comes into force.
+    :param on_conflict: called with a verified root that has the version in force but
+        another hash.
 
     .. versionadded:: 0.1
     """
@@ -25,12 +28,15 @@
         self,
         trusted_keys: Collection[str],
         on_change: Callable[[Bundle], None] | None = None,
+        on_conflict: Callable[[SignedRoot], None] | None = None,
     ) -> None:
         self._trusted = frozenset(trusted_keys)
         self._on_change = on_change
+        self._on_conflict = on_conflict
         self.signed: SignedRoot | None = None
         self.bundle: Bundle | None = None
         self.parts_by_sha256: dict[str, bytes] = {}
+        self.previous_version = 0
 
     @property
     def version(self) -> int:
@@ -55,6 +61,14 @@
         held = self.parts_by_sha256
         return Ok(tuple(e.sha256 for e in entries if e.sha256 not in held))
 
+    def verify(self, signed: SignedRoot) -> None:
+        """Check signatures and approvals against the policy in force.
+
+        :raises BundleError: if trusted signatures or approvals are too few.
+        """
+        in_force = self.bundle.policy if self.bundle else None
+        verify_root(signed, self._trusted, in_force)
+
     def offer(
         self, signed: SignedRoot, parts_by_sha256: Mapping[str, bytes]
     ) -> Result[Bundle, BundleError]:
@@ -66,6 +80,7 @@
             bundle = assemble(root, parts)
         except BundleError as error:
             return Err(error)
+        self.previous_version = self.version
         self.signed = signed
         self.bundle = bundle
         self.parts_by_sha256 = {e.sha256: parts[e.sha256] for e in root.parts}
@@ -78,9 +93,21 @@
         version = signed.root().version
         if version <= self.version:
             if version == self.version and signed.sha256 != self.sha256:
-                log.error("version {} exists with two different roots", version)
+                self._report_conflict(signed)
             raise BundleError(
                 "root.version", f"{version} is not higher than {self.version}"
             )
-        needed = self.bundle.policy.approvals_needed if self.bundle else None
-        verify_root(signed, self._trusted, needed)
+        self.verify(signed)
+
+    def _report_conflict(self, signed: SignedRoot) -> None:
+        """Report a second root of the version in force, if trusted keys signed it.
+
+        Anyone could send an unsigned one to fill the logs.
+        """
+        try:
+            self.verify(signed)
+        except BundleError:
+            return
+        log.error("version {} exists with two different roots", self.version)
+        if self._on_conflict:
+            self._on_conflict(signed)
--- a/src/heathershunt/bundle/parts.py
+++ b/src/heathershunt/bundle/parts.py
@@ -11,13 +11,16 @@
 from typing import Any
 
 import cbor2
-import msgspec
 
-from heathershunt.bundle.model import Bundle, BundleError, Policy, bundle_from_mapping
+from heathershunt.bundle.check import SHA256_PATTERN, bundle_from_mapping
+from heathershunt.bundle.decoding import convert, decode_cbor
+from heathershunt.bundle.error import BundleError
+from heathershunt.bundle.model import PART_KINDS, Bundle, Policy
 
 ACCOUNTS_PER_PART = 256
 MAX_PART_BYTES = 262_144
 MAX_ROOT_BYTES = 65_536
+MAX_SIGNED_ROOT_BYTES = 2 * MAX_ROOT_BYTES
 HASH_BITS = 256
 
 
@@ -30,6 +33,11 @@
     sha256: str
     size: int
 
+    @property
+    def place(self) -> str:
+        """Return how errors name the part."""
+        return f"{self.kind}[bucket {self.bucket}]"
+
 
 @dataclass(frozen=True)
 class Root:
@@ -56,14 +64,35 @@
     @property
     def sha256(self) -> str:
         """Return the hash of the root's bytes."""
-        return hashlib.sha256(self.body).hexdigest()
+        return sha256_hex(self.body)
 
     def root(self) -> Root:
         """Decode the root; raise :class:`BundleError` if it is malformed."""
-        try:
-            return msgspec.convert(cbor2.loads(self.body), Root)
-        except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
-            raise BundleError("root", str(error)) from None
+        root = convert(decode_cbor(self.body, "root", MAX_ROOT_BYTES), Root, "root")
+        _check_root(root)
+        return root
+
+
+def sha256_hex(data: bytes) -> str:
+    """Return the SHA-256 hash in hexadecimal."""
+    return hashlib.sha256(data).hexdigest()
+
+
+def _check_root(root: Root) -> None:
+    if root.previous and not SHA256_PATTERN.fullmatch(root.previous):
+        raise BundleError("root.previous", "a SHA-256 hash or nothing is accepted")
+    seen: set[tuple[str, int]] = set()
+    for index, entry in enumerate(root.parts):
+        place = f"root.parts[{index}]"
+        if entry.kind not in PART_KINDS:
+            raise BundleError(f"{place}.kind", f"{entry.kind!r} is no kind of part")
+        if (entry.kind, entry.bucket) in seen:
+            raise BundleError(place, f"{entry.place} is there twice")
+        if not SHA256_PATTERN.fullmatch(entry.sha256):
+            raise BundleError(f"{place}.sha256", "a SHA-256 hash is expected")
+        if not 0 < entry.size <= MAX_PART_BYTES:
+            raise BundleError(f"{place}.size", f"1 to {MAX_PART_BYTES} is accepted")
+        seen.add((entry.kind, entry.bucket))
 
 
 def canonical(value: Any) -> bytes:
@@ -77,7 +106,7 @@
         raise BundleError(
             f"{kind}[bucket {bucket}]", f"larger than {MAX_PART_BYTES} bytes"
         )
-    digest = hashlib.sha256(data).hexdigest()
+    digest = sha256_hex(data)
     return PartEntry(kind, bucket, digest, len(data)), data
 
 
@@ -128,12 +157,8 @@
 
 def decode_root(data: bytes) -> SignedRoot:
     """Decode a signed root; raise :class:`BundleError` if it is malformed."""
-    if len(data) > 2 * MAX_ROOT_BYTES:
-        raise BundleError("root", f"larger than {2 * MAX_ROOT_BYTES} bytes")
-    try:
-        return msgspec.convert(cbor2.loads(data), SignedRoot)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
-        raise BundleError("root", str(error)) from None
+    raw = decode_cbor(data, "signed root", MAX_SIGNED_ROOT_BYTES)
+    return convert(raw, SignedRoot, "signed root")
 
 
 def assemble(root: Root, parts_by_sha256: Mapping[str, bytes]) -> Bundle:
@@ -143,17 +168,17 @@
     """
     raw: dict[str, Any] = {"version": root.version, "policy": asdict(root.policy)}
     for entry in root.parts:
-        place = f"{entry.kind}[bucket {entry.bucket}]"
-        data = parts_by_sha256.get(entry.sha256)
-        if data is None:
-            raise BundleError(place, "the part is missing")
-        if hashlib.sha256(data).hexdigest() != entry.sha256:
-            raise BundleError(place, "the part does not match its hash")
-        try:
-            items = cbor2.loads(data)
-        except (cbor2.CBORDecodeError, ValueError) as error:
-            raise BundleError(place, str(error)) from None
-        if not isinstance(items, list):
-            raise BundleError(place, "a list is expected")
-        raw.setdefault(entry.kind, []).extend(items)
+        raw.setdefault(entry.kind, []).extend(_part_items(entry, parts_by_sha256))
     return bundle_from_mapping(raw)
+
+
+def _part_items(entry: PartEntry, parts_by_sha256: Mapping[str, bytes]) -> list[Any]:
+    data = parts_by_sha256.get(entry.sha256)
+    if data is None:
+        raise BundleError(entry.place, "the part is missing")
+    if sha256_hex(data) != entry.sha256 or len(data) != entry.size:
+        raise BundleError(entry.place, "the part does not match its hash and size")
+    items = decode_cbor(data, entry.place, MAX_PART_BYTES)
+    if not isinstance(items, list):
+        raise BundleError(entry.place, "a list is expected")
+    return items
--- a/src/heathershunt/bundle/signing.py
+++ b/src/heathershunt/bundle/signing.py
@@ -9,7 +9,8 @@
     Ed25519PublicKey,
 )
 
-from heathershunt.bundle.model import BundleError
+from heathershunt.bundle.error import BundleError
+from heathershunt.bundle.model import Policy
 from heathershunt.bundle.parts import SignedRoot
 
 # The purpose is part of the signed bytes, so that an approval never passes as a
@@ -40,46 +41,55 @@
     return replace(signed, signatures_by_key={**signed.signatures_by_key, public: mark})
 
 
-def _valid_keys(
-    purpose: bytes, body: bytes, marks: Mapping[str, bytes], trusted: Collection[str]
-) -> set[str]:
+def valid_keys(
+    purpose: bytes,
+    body: bytes,
+    marks: Mapping[str, bytes],
+    trusted: Collection[bytes] | None = None,
+) -> set[bytes]:
+    """Return the keys whose mark is valid, each once in whatever case.
+
+    :param trusted: only these keys count; ``None`` for every key.
+    """
     valid = set()
-    for key, mark in marks.items():
-        if key not in trusted:
-            continue
+    for text, mark in marks.items():
         try:
-            Ed25519PublicKey.from_public_bytes(bytes.fromhex(key)).verify(
-                mark, purpose + body
-            )
+            key = bytes.fromhex(text)
+            if trusted is None or key in trusted:
+                Ed25519PublicKey.from_public_bytes(key).verify(mark, purpose + body)
+                valid.add(key)
         except (InvalidSignature, ValueError):
             continue
-        valid.add(key)
     return valid
 
 
 def verify_root(
-    signed: SignedRoot, trusted: Collection[str], approvals_needed: int | None = None
+    signed: SignedRoot, trusted: Collection[str], in_force: Policy | None = None
 ) -> None:
     """Check signatures and approvals against the policy of the root.
 
     An approval counts only from a key that has not signed. The policy in force may
-    ask for more approvals than the new root does, so that a roll cannot lower the
-    bar for itself.
+    ask for more signatures or approvals than the new root does, so that a roll cannot
+    lower the bar for itself.
 
-    :param approvals_needed: approvals that the policy in force asks for.
+    :param trusted: public keys that may sign and approve, in hexadecimal.
+    :param in_force: policy of the bundle in force, if there is one.
     :raises BundleError: if trusted signatures or approvals are too few.
     """
-    policy = signed.root().policy
-    signers = _valid_keys(
-        SIGNATURE_PURPOSE, signed.body, signed.signatures_by_key, trusted
-    )
-    if len(signers) < max(1, policy.signatures_needed):
-        raise BundleError("root.signatures", "too few signatures by trusted keys")
-    approvers = _valid_keys(
-        APPROVAL_PURPOSE, signed.body, signed.approvals_by_key, trusted
-    )
-    needed = max(policy.approvals_needed, approvals_needed or 0)
+    policies = [signed.root().policy] + ([in_force] if in_force else [])
+    keys = {bytes.fromhex(key) for key in trusted}
+    signers = valid_keys(SIGNATURE_PURPOSE, signed.body, signed.signatures_by_key, keys)
+    needed = max(1, *(policy.signatures_needed for policy in policies))
+    if len(signers) < needed:
+        raise BundleError(
+            "root.signatures",
+            f"{len(signers)} signatures by trusted keys; {needed} are needed",
+        )
+    approvers = valid_keys(APPROVAL_PURPOSE, signed.body, signed.approvals_by_key, keys)
+    needed = max(policy.approvals_needed for policy in policies)
     if len(approvers - signers) < needed:
         raise BundleError(
-            "root.approvals", f"{needed} approvals by other trusted keys are needed"
+            "root.approvals",
+            f"{len(approvers - signers)} approvals by trusted keys that have not "
+            f"signed; {needed} are needed",
         )
--- a/src/heathershunt/store/watch.py
+++ b/src/heathershunt/store/watch.py
@@ -22,6 +22,7 @@
     """Offers every root that appears in the store to the keeper.
 
     :param on_contact: called after every answer of the store.
+    :param on_refused: called with the reason when a root or bundle is refused.
 
     .. versionadded:: 0.1
     """
@@ -31,10 +32,12 @@
         store: KeyValueStore,
         keeper: BundleKeeper,
         on_contact: Callable[[], None],
+        on_refused: Callable[[BundleError], None] | None = None,
     ) -> None:
         self._store = store
         self._keeper = keeper
         self._on_contact = on_contact
+        self._on_refused = on_refused
         self._revision = 0
         self._delay_ms = FIRST_DELAY_MS
 
@@ -67,7 +70,7 @@
         try:
             signed = decode_root(value)
         except BundleError as error:
-            log.error("root in the store refused: {}", error)
+            self._refuse(error)
             return True
         missing = self._keeper.missing_parts(signed)
         if isinstance(missing, Err):
@@ -87,5 +90,10 @@
                 parts[digest] = stored.ok_value.value
         offered = self._keeper.offer(signed, parts)
         if isinstance(offered, Err):
-            log.error("bundle in the store refused: {}", offered.err_value)
+            self._refuse(offered.err_value)
         return True
+
+    def _refuse(self, error: BundleError) -> None:
+        log.error("bundle in the store refused: {}", error)
+        if self._on_refused:
+            self._on_refused(error)
