Add the operators' listener

Cause: operators need the state, the timeline, rolls and draining without access to the store.

Change: /v1/operator/{status,timeline,bundles,drain,admit} behind an operator key whose hash is compared in constant time. A bundle is verified as the VMs do before it goes to the store, since a refused root there would block the next roll. The slice gets callables; daemon/operations.py composes them, and app.py only creates, starts and closes it. The timeline records bundles, refusals, the start, draining and admission.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -8,6 +8,7 @@
 from heathershunt.bundle import BundleKeeper
 from heathershunt.clock import Clock, SystemClock
 from heathershunt.daemon.callers import CallerRoutes
+from heathershunt.daemon.operations import Operations
 from heathershunt.drafts import (
     DraftExecutor,
     DraftHandler,
@@ -37,10 +38,17 @@
         self.clock = clock or SystemClock()
         self.incarnation = self.clock.wall()
         self.http = HttpClient()
-        self.keeper = BundleKeeper(settings.bundle.trusted_keys)
+        self.operations = Operations(self)
+        self.keeper = BundleKeeper(
+            settings.bundle.trusted_keys,
+            self.operations.on_bundle,
+            self.operations.on_conflict,
+        )
         addresses = tuple(map(Address.from_text, settings.platform.store))
         self.store = KeyValueStore(self.http, addresses)
-        self.watch = BundleWatch(self.store, self.keeper, lambda: None)
+        self.watch = BundleWatch(
+            self.store, self.keeper, lambda: None, self.operations.on_refused
+        )
         self.board = RunnerBoard()
         self.vm_list = VmList(
             self.http,
@@ -67,12 +75,14 @@
         self.drafts = DraftHandler(self.table, executor, self.clock)
         self.callers = HttpServer(CallerRoutes(self).handle)
         self.is_leaving = False
+        self.is_shutting_down = False
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
         address = Address.from_text(self.settings.listen.callers)
         await self.callers.start(address.host, address.port)
+        await self.operations.start()
         await self.vm_list.poll()
         for work in (
             self.watch.run(),
@@ -94,12 +104,14 @@
 
     async def shut_down(self) -> None:
         """Finish what runs, refuse what is new, then stop."""
-        self.is_leaving = True
+        self.is_leaving = self.is_shutting_down = True
+        self.operations.on_draining()
         self.callers.drain()
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
         while self.table.running and self.clock.now() < limit:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         await self.callers.close()
+        await self.operations.close()
         for task in self._tasks:
             task.cancel()
         self.http.close()
--- /dev/null
+++ b/src/heathershunt/operators/routes.py
@@ -0,0 +1,159 @@
+"""Routes of the operators' listener."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from result import Err, Result
+
+from heathershunt.bundle import MAX_FILE_BYTES, SignedRoot
+from heathershunt.http import (
+    HttpLimits,
+    Request,
+    Response,
+    json_response,
+    problem_response,
+)
+from heathershunt.operators.access import OperatorAccess
+from heathershunt.timeline import (
+    EventKind,
+    TimeLine,
+    event_to_mapping,
+    select_events,
+    unpack_hlc,
+)
+from heathershunt.verdict import Refusal, not_run
+
+# A connection may hold a whole bundle file in memory.
+OPERATOR_LIMITS = HttpLimits(body_bytes=MAX_FILE_BYTES, connections=8)
+DEFAULT_EVENTS = 10_000
+CBOR = "application/cbor"
+
+
+@dataclass(frozen=True)
+class OperatorHooks:
+    """What the listener needs from the rest of the daemon.
+
+    :param status: JSON values of the state of this VM and what it sees.
+    :param timeline: this VM's events.
+    :param bundle_file: the bundle in force as a file, ``None`` if there is none.
+    :param roll: accepts a bundle file.
+    :param drain: makes the named VM leaving.
+    :param admit: takes that back.
+
+    .. versionadded:: 0.1
+    """
+
+    status: Callable[[], dict[str, Any]]
+    timeline: TimeLine
+    bundle_file: Callable[[], bytes | None]
+    roll: Callable[[bytes], Awaitable[Result[SignedRoot, Refusal]]]
+    drain: Callable[[str], Awaitable[Result[None, Refusal]]]
+    admit: Callable[[str], Awaitable[Result[None, Refusal]]]
+
+
+@dataclass(frozen=True)
+class VmBody:
+    """Body of a request to drain or admit a VM."""
+
+    vm: str
+
+
+class OperatorRoutes:
+    """Checks the operator key and finds the handler of a request.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, access: OperatorAccess, hooks: OperatorHooks) -> None:
+        self._access = access
+        self._hooks = hooks
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        if not self._access.accepts(request.headers):
+            detail = "the operator key is missing or unknown"
+            refusal = not_run(401, "Unauthorized", detail)
+            return problem_response(refusal)
+        handlers = {
+            ("GET", "/v1/operator/status"): self._status,
+            ("GET", "/v1/operator/timeline"): self._timeline,
+            ("GET", "/v1/operator/bundles"): self._bundle_file,
+            ("POST", "/v1/operator/bundles"): self._roll,
+            ("POST", "/v1/operator/drain"): self._drain,
+            ("POST", "/v1/operator/admit"): self._admit,
+        }
+        handler = handlers.get((request.method, request.path))
+        if handler is None:
+            return _problem(404, f"there is no {request.method} {request.path}")
+        return await handler(request)
+
+    async def _status(self, request: Request) -> Response:
+        return json_response(200, self._hooks.status())
+
+    async def _timeline(self, request: Request) -> Response:
+        query = request.query
+        kind = None
+        if "kind" in query:
+            try:
+                kind = EventKind(query["kind"])
+            except ValueError:
+                accepted = ", ".join(kind.value for kind in EventKind)
+                return _problem(400, f"kind {query['kind']!r}: {accepted} are accepted")
+        limit = query.get("limit", str(DEFAULT_EVENTS))
+        if not (limit.isascii() and limit.isdigit()):
+            return _problem(400, f"limit {limit!r}: a number is accepted")
+        line = self._hooks.timeline
+        events = select_events(
+            line.events(), query.get("request"), query.get("vm"), kind
+        )
+        kept = events[max(0, len(events) - int(limit)) :]
+        payload = {
+            "vm": line.vm,
+            "now_ms": unpack_hlc(line.clock.tick())[0],
+            "dropped": line.dropped,
+            "left_out": len(events) - len(kept),
+            "events": [event_to_mapping(event) for event in kept],
+        }
+        return json_response(200, payload)
+
+    async def _bundle_file(self, request: Request) -> Response:
+        data = self._hooks.bundle_file()
+        if data is None:
+            return _problem(404, "no bundle is in force here")
+        return Response(200, {"content-type": CBOR}, data)
+
+    async def _roll(self, request: Request) -> Response:
+        outcome = await self._hooks.roll(request.body)
+        if isinstance(outcome, Err):
+            return problem_response(outcome.err_value)
+        signed = outcome.ok_value
+        version = signed.root().version
+        return json_response(200, {"version": version, "sha256": signed.sha256})
+
+    async def _drain(self, request: Request) -> Response:
+        return await self._change_vm(request, self._hooks.drain, "leaving")
+
+    async def _admit(self, request: Request) -> Response:
+        return await self._change_vm(request, self._hooks.admit, "live")
+
+    async def _change_vm(
+        self,
+        request: Request,
+        change: Callable[[str], Awaitable[Result[None, Refusal]]],
+        state: str,
+    ) -> Response:
+        try:
+            vm = msgspec.json.decode(request.body, type=VmBody).vm
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return _problem(400, str(error))
+        outcome = await change(vm)
+        if isinstance(outcome, Err):
+            return problem_response(outcome.err_value)
+        return json_response(200, {"vm": vm, "state": state})
+
+
+def _problem(status: int, detail: str) -> Response:
+    titles = {400: "Request refused", 404: "Not found"}
+    return problem_response(not_run(status, titles[status], detail))
