Add the operators' command line and its flows

Cause: operators had no way to make, sign, roll or compare bundles, to drain a VM or to read the state.

A roll whose reply was lost is repeated through the next daemon, which finds the root accepted.

--- /dev/null
+++ b/src/heathershunt/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line ``heathershunt``."""
--- /dev/null
+++ b/tests/operators/conftest.py
@@ -0,0 +1,137 @@
+import asyncio
+import json
+import sys
+
+import pytest
+
+from heathershunt.cli.main import run
+from heathershunt.http import Address
+from standins.demo import demo_bundle
+from standins.launch import Deployment
+
+
+class Operator:
+    """Runs the command line against a deployment of two daemons."""
+
+    def __init__(self, folder, loop, capsys):
+        self.folder, self.loop, self._capsys = folder, loop, capsys
+        self.deployment = Deployment()
+        self.code, self.out, self.err = None, "", ""
+
+    def start(self):
+        self.loop.run_until_complete(self._start())
+        key = self.deployment.private_key
+        (self.folder / "signer").write_text(key)
+        self.configure(self.deployment.operator_key)
+
+    async def _start(self):
+        await self.deployment.start_platform()
+        await self.deployment.start_daemons(2)
+
+    def configure(self, key, first=()):
+        ports = self.deployment.ports_by_daemon.values()
+        daemons = [*first, *(str(port.operators) for port in ports)]
+        (self.folder / "operator.key").write_text(key)
+        (self.folder / "cli.toml").write_text(
+            f"daemons = {json.dumps(daemons)}\ntimeout_ms = 5000\n"
+            f'key_file = "{self.folder / "operator.key"}"\n'
+        )
+
+    def arguments(self, line):
+        """Return the words of a command line, with ``@name`` for a file."""
+        words = [
+            str(self.folder / word[1:]) if word.startswith("@") else word
+            for word in line.split()
+        ]
+        return ["--json", "--config", str(self.folder / "cli.toml"), *words]
+
+    def run(self, line):
+        self.code = run(self.arguments(line))
+        self.out, self.err = self._capsys.readouterr()
+        return json.loads(self.out) if self.out else None
+
+    def run_at_once(self, lines):
+        """Run command lines as processes at the same time; return their results."""
+
+        async def one(line):
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "heathershunt.cli.main"),
+                *self.arguments(line),
+                env={"PYTHONPATH": "src"},
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            out, err = await process.communicate()
+            return process.returncode, err.decode()
+
+        async def together():
+            return await asyncio.gather(*map(one, lines))
+
+        return self.loop.run_until_complete(together())
+
+    def create(self, name, previous="", **changes):
+        raw = {**demo_bundle(1), **changes}
+        del raw["version"]
+        (self.folder / f"{name}.toml").write_text(to_toml(raw))
+        option = f"--previous {previous}" if previous else ""
+        self.run(f"bundle create @{name}.toml @{name} {option}")
+        assert self.code == 0, self.err
+
+    def sign(self, name):
+        self.run(f"bundle sign @{name} @signer")
+        assert self.code == 0, self.err
+
+    def versions(self):
+        """Return the version in force by VM."""
+        return {vm["vm"]: vm["bundle"] for vm in self.run("status")["vms"]}
+
+    def wait_version(self, version):
+        for _ in range(200):
+            if set(self.versions().values()) == {version}:
+                return
+            self.loop.run_until_complete(asyncio.sleep(0.05))
+        raise AssertionError(f"bundle {version} is not in force: {self.versions()}")
+
+    def call(self, vm, path):
+        address = self.deployment.ports_by_daemon[vm].callers
+        return self.call_at(address, "GET", path)
+
+    def call_at(self, address, method, path, payload=None):
+        http = self.deployment.http
+        outcome = self.loop.run_until_complete(
+            http.request_json(address, method, path, payload)
+        )
+        return outcome.unwrap()
+
+    def set_fault(self, **faults):
+        platform = self.deployment.platform
+        assert isinstance(platform, Address)
+        self.call_at(platform, "POST", "/v1/faults", faults)
+
+    def stop(self):
+        self.loop.run_until_complete(self.deployment.stop())
+
+
+def to_toml(raw):
+    lines = []
+    for kind, items in raw.items():
+        for item in items:
+            lines.append(f"[[{kind}]]")
+            for name, value in item.items():
+                text = json.dumps(value)
+                if isinstance(value, list) and value and isinstance(value[0], dict):
+                    text = "[{method='GET', path_prefix='/'}]"
+                lines.append(f"{name} = {text}")
+    return "\n".join(lines)
+
+
+@pytest.fixture
+def operator(tmp_path, capsys):
+    loop = asyncio.new_event_loop()
+    operator = Operator(tmp_path, loop, capsys)
+    try:
+        operator.start()
+        yield operator
+    finally:
+        operator.stop()
+        loop.close()
--- /dev/null
+++ b/tests/operators/test_flows.py
@@ -0,0 +1,170 @@
+import signal
+
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from heathershunt.http import HttpServer, StreamResponse
+from standins.launch import token_sha256
+
+scenarios("bundles.feature", "vms.feature")
+
+ACCOUNTS = {
+    name: [{"name": name, "token_sha256": [token_sha256(name)]}]
+    for name in ("left", "right")
+}
+
+
+@given(parsers.parse('"{name}" was rolled'))
+@when(parsers.parse('the operator creates, signs and rolls "{name}"'))
+def roll(operator, name):
+    operator.create(name)
+    operator.sign(name)
+    operator.run(f"bundle roll @{name}")
+    assert operator.code == 0, operator.err
+    operator.wait_version(1 if name == "one" else 2)
+
+
+@given(parsers.parse('"{name}" was created but not signed'))
+def create(operator, name):
+    operator.create(name)
+
+
+@given(parsers.parse('"{name}" was signed'))
+def create_and_sign(operator, name):
+    operator.create(name)
+    operator.sign(name)
+
+
+@given(parsers.parse('"{name}" was created with another model version'))
+def create_changed(operator, name):
+    operator.create(name, models=[{"name": "m", "layers": 12, "version": "v2"}])
+
+
+@given(parsers.parse('"{left}" and "{right}" were signed as successors of "{old}"'))
+def create_rivals(operator, left, right, old):
+    for name in (left, right):
+        operator.create(name, f"@{old}", accounts=ACCOUNTS[name])
+        operator.sign(name)
+
+
+@given("the store loses the reply of the next write")
+def lose_reply(operator):
+    operator.set_fault(lose_replies=1)
+
+
+@given("the store is out")
+def store_out(operator):
+    operator.set_fault(outage=True)
+
+
+@given("the first daemon passes on requests and loses the replies")
+def lose_daemon_replies(operator):
+    """A proxy in front of vm1 that hands on each request and cuts the reply."""
+    deployment = operator.deployment
+    target = deployment.ports_by_daemon["vm1"].operators
+
+    operator.passed_on = 0
+
+    async def lose(stream):
+        raise ConnectionResetError("injected fault")
+
+    async def pass_on(request):
+        outcome = await deployment.http.request(
+            target,
+            request.method,
+            request.path,
+            headers={"authorization": request.headers["authorization"]},
+            body=request.body,
+        )
+        await outcome.unwrap().read()
+        operator.passed_on += 1
+        return StreamResponse(200, {}, lose)
+
+    async def start():
+        server = HttpServer(pass_on)
+        await server.start("127.0.0.1", 0)
+        return server
+
+    server = operator.loop.run_until_complete(start())
+    address = f"127.0.0.1:{server.port}"
+    operator.configure(deployment.operator_key, first=[address])
+
+
+@given("the operator has another key")
+def change_key(operator):
+    operator.configure("another-key")
+
+
+@given(parsers.parse('the daemon of "{vm}" was killed'))
+def kill_daemon(operator, vm):
+    process = operator.deployment.processes_by_name[vm]
+    process.send(signal.SIGKILL)
+    operator.loop.run_until_complete(process.process.wait())
+
+
+@when(parsers.parse('the operator runs "{line}"'))
+def run_line(operator, line):
+    operator.result = operator.run(line)
+
+
+@when(
+    parsers.parse('the operator rolls "{name}" in a process of its own'),
+    target_fixture="outcomes",
+)
+def roll_in_process(operator, name):
+    return operator.run_at_once([f"bundle roll @{name}"])
+
+
+@then("the roll succeeds after a lost reply")
+def succeeded(operator, outcomes):
+    assert outcomes == [(0, "")]
+    assert operator.passed_on == 1
+    operator.configure(operator.deployment.operator_key)
+
+
+@when("both are rolled at the same moment", target_fixture="outcomes")
+def roll_both(operator):
+    return operator.run_at_once(["bundle roll @left", "bundle roll @right"])
+
+
+@then("exactly one roll succeeds and the other is clearly refused")
+def one_winner(outcomes):
+    (won, _), (lost, message) = sorted(outcomes)
+    assert (won, lost) == (0, 1)
+    assert "root.version" in message or "root.previous" in message
+
+
+@then(parsers.parse("bundle {version:d} is in force on every VM"))
+def in_force(operator, version):
+    operator.wait_version(version)
+
+
+@then(parsers.parse('the merged timeline has "{kind}" events of "{vms}"'))
+def timeline_events(operator, kind, vms):
+    events = operator.run(f"timeline --kind {kind}")
+    assert {event["vm"] for event in events} == set(vms.split(","))
+    assert [e["hlc"] for e in events] == sorted(e["hlc"] for e in events)
+
+
+@then(parsers.parse('the command ends with {code:d} and says "{text}"'))
+def ended(operator, code, text):
+    assert (operator.code, text in operator.err) == (code, True), operator.err
+    assert "Traceback" not in operator.err
+
+
+@then(parsers.parse('the difference names the model "{model}" and the field "{field}"'))
+def difference(operator, model, field):
+    (change,) = operator.result
+    assert (change["kind"], change["name"]) == ("models", model)
+    assert change["fields"] == {field: ["v1", "v2"]}
+
+
+@then(parsers.parse('"{vm}" answers callers with {status:d}'))
+def answers(operator, vm, status):
+    assert operator.code == 0, operator.err
+    assert operator.call(vm, "/readyz")[0] == status
+
+
+@then(parsers.parse('the status of "{vm}" is "{state}"'))
+def state_of(operator, vm, state):
+    states = {entry["vm"]: entry["state"] for entry in operator.run("status")["vms"]}
+    assert states[vm] == state
--- /dev/null
+++ b/tests/operators/vms.feature
@@ -0,0 +1,26 @@
+Feature: Draining and reading
+
+  Background:
+    Given "one" was rolled
+
+  Scenario: A drained VM takes no new work until it is admitted
+    When the operator runs "vm drain vm2"
+    Then "vm2" answers callers with 503
+    And the status of "vm2" is "leaving"
+    And "vm1" answers callers with 200
+    When the operator runs "vm admit vm2"
+    Then "vm2" answers callers with 200
+
+  Scenario: A VM that no daemon knows
+    When the operator runs "vm drain vm9"
+    Then the command ends with 1 and says "vm9"
+
+  Scenario: A wrong operator key
+    Given the operator has another key
+    When the operator runs "vm drain vm2"
+    Then the command ends with 7 and says "operator key"
+
+  Scenario: A daemon that does not answer is named
+    Given the daemon of "vm2" was killed
+    When the operator runs "status"
+    Then the command ends with 6 and says "Connect call failed"
