Add metrics and the lag of the event loop

Cause: operators need request, token and latency figures of each VM.

Change: an aioprometheus registry served at /metrics on the callers' listener, with or without a bundle.

Ruled out: labelled counters of the library on the hot path.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -89,6 +89,7 @@
             self.vm_list.run(),
             self.poller.run(),
             self.monitor.run(),
+            self.operations.lag.run(),
             self._keep_house(),
         ):
             self._spawn(work)
--- a/src/heathershunt/daemon/callers.py
+++ b/src/heathershunt/daemon/callers.py
@@ -33,6 +33,8 @@
         path = request.path
         if path == "/healthz":
             return json_response(200, {"status": "ok"})
+        if path == "/metrics":
+            return self._daemon.operations.metrics_response()
         refusal = self._refusal()
         if path == "/readyz":
             if refusal is not None:
@@ -41,11 +43,11 @@
             version = self._daemon.keeper.version
             return json_response(200, {"version": version, "runners": runners})
         if refusal is not None:
-            return problem_response(refusal)
+            return self._refuse(refusal)
         account = self._account(request)
         if account is None:
             detail = "the bearer token is missing or unknown"
-            return problem_response(not_run(401, "Unauthorized", detail))
+            return self._refuse(not_run(401, "Unauthorized", detail))
         return await self._handle_account(request, account)
 
     def _refusal(self) -> Refusal | None:
@@ -56,6 +58,11 @@
             return not_run(503, "Not ready", detail, RETRY_AFTER_MS)
         return None
 
+    def _refuse(self, refusal: Refusal) -> Response:
+        """Refuse a request before its client account is known."""
+        self._daemon.operations.metrics.count_request(refusal.verdict, "")
+        return problem_response(refusal)
+
     def _account(self, request: Request) -> ClientAccount | None:
         value = request.headers.get("authorization", "")
         if not value.lower().startswith(BEARER):
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -5,7 +5,8 @@
 from result import Err, Ok, Result
 
 from heathershunt.bundle import Bundle, BundleError, SignedRoot, encode_file
-from heathershunt.http import Address, HttpServer
+from heathershunt.http import Address, HttpServer, Response
+from heathershunt.metrics import LoopLag, Metrics
 from heathershunt.operators import (
     OPERATOR_LIMITS,
     OperatorAccess,
@@ -33,6 +34,8 @@
         self.hybrid = HybridClock(daemon.clock)
         vm = daemon.settings.vm.name
         self.timeline = TimeLine(self.hybrid, vm, daemon.incarnation)
+        self.metrics = Metrics()
+        self.lag = LoopLag(self.metrics.observe_lag)
         hooks = OperatorHooks(
             status=self.status,
             timeline=self.timeline,
@@ -50,6 +53,21 @@
         address = Address.from_text(self._daemon.settings.listen.operators)
         await self.server.start(address.host, address.port)
         self.timeline.record(EventKind.MEMBERSHIP, state="started")
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        daemon, gauge = self._daemon, self.metrics.add_gauge
+        gauge(
+            "bundle_version", "bundle version in force", lambda: daemon.keeper.version
+        )
+        gauge("runners", "runners reported", lambda: len(daemon.board.states_by_runner))
+        gauge("drafts_running", "drafts in flight", lambda: daemon.table.running)
+        gauge("timeline_dropped", "events dropped", lambda: self.timeline.dropped)
+
+    def metrics_response(self) -> Response:
+        """Return the metrics in the text format."""
+        body, headers = self.metrics.render()
+        return Response(200, headers, body)
 
     async def close(self) -> None:
         """Close the operators' listener."""
--- a/tests/operators/test_flows.py
+++ b/tests/operators/test_flows.py
@@ -168,3 +168,15 @@
 def state_of(operator, vm, state):
     states = {entry["vm"]: entry["state"] for entry in operator.run("status")["vms"]}
     assert states[vm] == state
+
+
+@then(parsers.parse('the metrics of "{vm}" hold "{line}"'))
+def metrics_of(operator, vm, line):
+    address = operator.deployment.ports_by_daemon[vm].callers
+
+    async def read():
+        http = operator.deployment.http
+        outcome = await http.request(address, "GET", "/metrics")
+        return (await outcome.unwrap().read()).decode()
+
+    assert line in operator.loop.run_until_complete(read()).splitlines()
--- a/tests/operators/vms.feature
+++ b/tests/operators/vms.feature
@@ -24,3 +24,7 @@
     Given the daemon of "vm2" was killed
     When the operator runs "status"
     Then the command ends with 6 and says "Connect call failed"
+
+  Scenario: Metrics are served without a bundle account
+    When the operator runs "status"
+    Then the metrics of "vm1" hold "heathershunt_bundle_version 1"
