Refuse every wrong setting in one line, add log settings and a reference

Cause: unknown keys were ignored, so that a mistyped key silently kept its default; numbers out of range, host names, bad hexadecimal keys and unreadable certificates were found at run time or never; key names were not part of all messages.

Change: the types of the settings say what is accepted, and loading refuses the rest with one line naming file, key, value and what is accepted. Logs go to standard error as text or as one JSON object a line, with those of the libraries.

--- a/src/heathershunt/daemon/main.py
+++ b/src/heathershunt/daemon/main.py
@@ -4,9 +4,10 @@
 import signal
 import sys
 
-import logbook
+from logbook.compat import redirect_logging
 
 from heathershunt.daemon.app import Daemon
+from heathershunt.logs import log_handler
 from heathershunt.settings import Settings, SettingsError, load_settings
 
 USAGE = "usage: heathershuntd [--check] SETTINGS.toml"
@@ -49,7 +50,10 @@
     if check:
         print(f"{paths[0]}: ok")
         return
-    logbook.StreamHandler(sys.stderr, level=logbook.INFO).push_application()
+    log = settings.log
+    log_handler(log.level, log.format, settings.vm.name, sys.stderr).push_application()
+    # Libraries log through the standard library.
+    redirect_logging()
     asyncio.run(serve(settings))
 
 
--- a/src/heathershunt/settings/__init__.py
+++ b/src/heathershunt/settings/__init__.py
@@ -1,23 +1,24 @@
 """Settings of the daemon: TOML into frozen dataclasses."""
 
+from heathershunt.settings.load import SettingsError, load_settings
 from heathershunt.settings.settings import (
     BundleSettings,
     DraftSettings,
     ListenSettings,
+    LogSettings,
     OperatorSettings,
     PeerSettings,
     PlatformSettings,
     Settings,
-    SettingsError,
     TlsSettings,
     VmSettings,
-    load_settings,
 )
 
 __all__ = [
     "BundleSettings",
     "DraftSettings",
     "ListenSettings",
+    "LogSettings",
     "OperatorSettings",
     "PeerSettings",
     "PlatformSettings",
--- a/src/heathershunt/settings/settings.py
+++ b/src/heathershunt/settings/settings.py
@@ -1,18 +1,19 @@
-"""The settings file of ``heathershuntd``."""
+"""The settings of ``heathershuntd``.
 
-from dataclasses import dataclass, field
-from pathlib import Path
-
-import msgspec
+The types say what is accepted, and the docstrings are the text of the reference
+(``docs/settings.md``).
+"""
 
-from heathershunt.http import Address
+from dataclasses import dataclass, field
 
-
-class SettingsError(Exception):
-    """A settings file that cannot be used; the message is one line.
-
-    .. versionadded:: 0.1
-    """
+from heathershunt.settings.types import (
+    AddressText,
+    DurationMs,
+    FilePath,
+    HexKey,
+    Name,
+    one_of,
+)
 
 
 @dataclass(frozen=True)
@@ -24,9 +25,9 @@
     :param region: region of the failure domain.
     """
 
-    name: str
-    domain: str
-    region: str = "default"
+    name: Name
+    domain: Name
+    region: Name = "default"
 
 
 @dataclass(frozen=True)
@@ -38,9 +39,9 @@
     :param peers: WebSocket listener for other daemons.
     """
 
-    callers: str
-    operators: str
-    peers: str
+    callers: AddressText
+    operators: AddressText
+    peers: AddressText
 
 
 @dataclass(frozen=True)
@@ -52,9 +53,9 @@
     :param weights: address of the weight store, if placement control is wanted.
     """
 
-    store: tuple[str, ...]
-    vm_list: str
-    weights: str | None = None
+    store: tuple[AddressText, ...]
+    vm_list: AddressText
+    weights: AddressText | None = None
 
 
 @dataclass(frozen=True)
@@ -66,8 +67,8 @@
         before the VM refuses new requests.
     """
 
-    trusted_keys: tuple[str, ...]
-    confirm_limit_ms: int = 17_000
+    trusted_keys: tuple[HexKey, ...]
+    confirm_limit_ms: DurationMs = 17_000
 
 
 @dataclass(frozen=True)
@@ -77,7 +78,7 @@
     :param seeds: peer addresses as ``ip:port``.
     """
 
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[AddressText, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -87,7 +88,7 @@
     :param key_sha256: SHA-256 hashes of the operator keys, in hexadecimal.
     """
 
-    key_sha256: tuple[str, ...] = ()
+    key_sha256: tuple[HexKey, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -99,23 +100,35 @@
     :param drain_limit_ms: longest graceful shutdown.
     """
 
-    resume_window_ms: int = 60_000
-    progress_floor_ms: int = 250
-    drain_limit_ms: int = 120_000
+    resume_window_ms: DurationMs = 60_000
+    progress_floor_ms: DurationMs = 250
+    drain_limit_ms: DurationMs = 120_000
+
+
+@dataclass(frozen=True)
+class LogSettings:
+    """Log on standard error.
+
+    :param level: least level that is written.
+    :param format: one JSON object or one line of text per record.
+    """
+
+    level: one_of("debug", "info", "warning", "error") = "info"
+    format: one_of("json", "text") = "text"
 
 
 @dataclass(frozen=True)
 class TlsSettings:
-    """Certificate files.
+    """Certificate files. Without this section the listeners use plain TCP.
 
     :param certificate: PEM file with this VM's certificate chain.
     :param key: PEM file with its private key.
     :param peer_authority: PEM file with the authority that signs peers' certificates.
     """
 
-    certificate: str
-    key: str
-    peer_authority: str
+    certificate: FilePath
+    key: FilePath
+    peer_authority: FilePath
 
 
 @dataclass(frozen=True)
@@ -132,38 +145,5 @@
     peers: PeerSettings = field(default_factory=PeerSettings)
     operators: OperatorSettings = field(default_factory=OperatorSettings)
     drafts: DraftSettings = field(default_factory=DraftSettings)
+    log: LogSettings = field(default_factory=LogSettings)
     tls: TlsSettings | None = None
-
-
-def load_settings(path: str | Path) -> Settings:
-    """Read and check a settings file.
-
-    :raises SettingsError: naming the file, the key, the value and what is accepted.
-    """
-    try:
-        raw = Path(path).read_bytes()
-        settings = msgspec.toml.decode(raw, type=Settings)
-    except OSError as error:
-        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise SettingsError(f"{path}: {error}") from None
-    for key, text in _addresses(settings):
-        try:
-            Address.from_text(text)
-        except ValueError:
-            raise SettingsError(
-                f"{path}: {key} is {text!r}; an address of the form ip:port is accepted"
-            ) from None
-    return settings
-
-
-def _addresses(settings: Settings):
-    listen = settings.listen
-    yield "listen.callers", listen.callers
-    yield "listen.operators", listen.operators
-    yield "listen.peers", listen.peers
-    yield "platform.vm_list", settings.platform.vm_list
-    for text in settings.platform.store:
-        yield "platform.store", text
-    for text in settings.peers.seeds:
-        yield "peers.seeds", text
--- /dev/null
+++ b/tests/logs/test_logs.py
@@ -0,0 +1,38 @@
+import io
+import json
+
+import logbook
+import pytest
+
+from heathershunt.logs import log_handler
+
+log = logbook.Logger("heathershunt.test")
+
+
+def written(form, level="info"):
+    stream = io.StringIO()
+    with log_handler(level, form, "vm1", stream).applicationbound():
+        log.debug("hidden")
+        log.info("took {} of {}", 1, "a\nb")
+        try:
+            raise ValueError("no\nway")
+        except ValueError:
+            log.exception("failed")
+    return stream.getvalue()
+
+
+def test_json_is_one_object_a_line_even_with_line_breaks_and_tracebacks():
+    """A line break in a message must not look like a second record."""
+    took, failed = map(json.loads, written("json").splitlines())
+    assert took["message"] == "took 1 of a\nb"
+    assert (took["level"], took["logger"], took["vm"]) == (
+        "info",
+        "heathershunt.test",
+        "vm1",
+    )
+    assert "ValueError" in failed["exception"]
+
+
+@pytest.mark.parametrize("level, shown", [("debug", True), ("error", False)])
+def test_level_is_kept(level, shown):
+    assert ("took" in written("text", level)) is shown
