Serve TLS and reread certificates without cutting a request

Cause: listeners were plain TCP whatever the settings said, and certificates expire sooner than VMs are replaced.

Change: one slice holds the contexts of the listeners and, with client certificates required, of the peer links. The files are reread on SIGHUP and when a bundle comes into force, into the same contexts, so that open connections go on. The bytes are read once and loaded from memory files after a trial on an unused context: loading a chain whose key does not match leaves a context without a usable key.

Ruled out: new contexts for each reload, which would need a new listening socket; loading the paths directly, which can meet a chain and a key of different issues.

Missing: an authority that is removed from the file stays trusted until the process is replaced, since a context only adds authorities.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -81,7 +81,7 @@
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
         address = Address.from_text(self.settings.listen.callers)
-        await self.callers.start(address.host, address.port)
+        await self.callers.start(address.host, address.port, self.operations.server_tls)
         await self.operations.start()
         await self.vm_list.poll()
         for work in (
--- a/src/heathershunt/daemon/main.py
+++ b/src/heathershunt/daemon/main.py
@@ -18,6 +18,9 @@
 async def serve(settings: Settings) -> None:
     """Run one daemon until it is asked to stop."""
     daemon = Daemon(settings)
+    # Unhandled, the signal would end a process that is still starting.
+    reload = daemon.operations.reload_certificates
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
     await daemon.start()
     stop = asyncio.Event()
     abort = asyncio.Event()
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -1,7 +1,9 @@
 """The operators' side of one daemon: listener, timeline, state of the VM."""
 
+import ssl
 from typing import TYPE_CHECKING, Any
 
+import logbook
 from result import Err, Ok, Result
 
 from heathershunt.bundle import Bundle, BundleError, SignedRoot, encode_file
@@ -15,12 +17,16 @@
     roll_file,
 )
 from heathershunt.timeline import EventKind, HybridClock, TimeLine
+from heathershunt.tls import TlsContexts, TlsError
 from heathershunt.verdict import Refusal, not_run
 
 if TYPE_CHECKING:
     from heathershunt.daemon.app import Daemon
 
 
+log = logbook.Logger("heathershunt.daemon")
+
+
 class Operations:
     """What operators see and do on this VM.
 
@@ -35,6 +41,7 @@
         vm = daemon.settings.vm.name
         self.timeline = TimeLine(self.hybrid, vm, daemon.incarnation)
         self.metrics = Metrics()
+        self.tls = TlsContexts.from_settings(daemon.settings.tls)
         self.lag = LoopLag(self.metrics.observe_lag)
         hooks = OperatorHooks(
             status=self.status,
@@ -51,7 +58,7 @@
     async def start(self) -> None:
         """Bind the operators' listener."""
         address = Address.from_text(self._daemon.settings.listen.operators)
-        await self.server.start(address.host, address.port)
+        await self.server.start(address.host, address.port, self.server_tls)
         self.timeline.record(EventKind.MEMBERSHIP, state="started")
         self._add_gauges()
 
@@ -69,6 +76,24 @@
         body, headers = self.metrics.render()
         return Response(200, headers, body)
 
+    @property
+    def server_tls(self) -> ssl.SSLContext | None:
+        """Return the context of the callers' and operators' listeners."""
+        return self.tls.server if self.tls else None
+
+    def reload_certificates(self) -> None:
+        """Reread the certificates; those in use stay if the files are not usable."""
+        if self.tls is None:
+            return
+        try:
+            if self.tls.reload():
+                log.info("certificates reread")
+        except TlsError as error:
+            log.error("certificates not reread: {}", error)
+            self.timeline.record(
+                EventKind.FAULT, what="certificates not reread", why=str(error)
+            )
+
     async def close(self) -> None:
         """Close the operators' listener."""
         await self.server.close()
@@ -83,6 +108,7 @@
             sha256=keeper.sha256,
             state="in force",
         )
+        self.reload_certificates()
         if first:
             self.timeline.record(EventKind.MEMBERSHIP, state="ready")
 
--- /dev/null
+++ b/src/heathershunt/tls/contexts.py
@@ -0,0 +1,119 @@
+"""TLS contexts that take new certificates while they are in use."""
+
+import os
+import ssl
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import logbook
+
+from heathershunt.settings import TlsSettings
+
+log = logbook.Logger("heathershunt.tls")
+
+
+class TlsError(Exception):
+    """Certificate files that cannot be used; the message is one line.
+
+    .. versionadded:: 0.1
+    """
+
+
+class TlsContexts:
+    """The contexts of one daemon.
+
+    A connection keeps the certificate it was opened with, so that rereading the files
+    cuts no request.
+
+    :ivar server: for the callers' and operators' listeners.
+    :ivar peer_server: for the peers' listener; it asks for a certificate of the peers'
+        authority.
+    :ivar peer_client: for links to peers; it shows the own certificate, and expects
+        one of the peers' authority for the address of the peer.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, settings: TlsSettings) -> None:
+        self._settings = settings
+        self.server = _context(ssl.PROTOCOL_TLS_SERVER)
+        self.peer_server = _context(ssl.PROTOCOL_TLS_SERVER)
+        self.peer_server.verify_mode = ssl.CERT_REQUIRED
+        self.peer_client = _context(ssl.PROTOCOL_TLS_CLIENT)
+        self._loaded: tuple[bytes, ...] = ()
+        self.reload()
+
+    @classmethod
+    def from_settings(cls, settings: TlsSettings | None) -> "TlsContexts | None":
+        """Return the contexts, ``None`` if the settings have no TLS section.
+
+        :raises TlsError: if a file cannot be used.
+        """
+        return None if settings is None else cls(settings)
+
+    def reload(self) -> bool:
+        """Reread the files; return whether they changed.
+
+        Authorities are only added: one that is removed from the file stays trusted
+        until the process is replaced.
+
+        :raises TlsError: if a file cannot be used; the certificates loaded before
+            stay in use.
+        """
+        chain, key, authority = self._read()
+        if (chain, key, authority) == self._loaded:
+            return False
+        # A chain and key that do not match leave a context without a usable key, so
+        # they are tried on one that is not in use.
+        self._load(_context(ssl.PROTOCOL_TLS_SERVER), chain, key, authority)
+        for context in (self.server, self.peer_server, self.peer_client):
+            self._load(context, chain, key, authority)
+        self._loaded = (chain, key, authority)
+        return True
+
+    def _read(self) -> tuple[bytes, bytes, bytes]:
+        settings = self._settings
+        paths = (settings.certificate, settings.key, settings.peer_authority)
+        try:
+            chain, key, authority = (Path(path).read_bytes() for path in paths)
+        except OSError as error:
+            raise TlsError(f"{error.filename}: {error.strerror}") from None
+        return chain, key, authority
+
+    def _load(
+        self, context: ssl.SSLContext, chain: bytes, key: bytes, authority: bytes
+    ) -> None:
+        try:
+            with _path_of(chain) as chain_path, _path_of(key) as key_path:
+                context.load_cert_chain(chain_path, key_path, password=_no_password)
+            context.load_verify_locations(cadata=authority.decode("ascii"))
+        except (ssl.SSLError, ValueError, OSError) as error:
+            names = f"{self._settings.certificate}, {self._settings.key}"
+            raise TlsError(f"{names}: not usable: {error}") from None
+
+
+def _context(protocol: int) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    return context
+
+
+def _no_password() -> str:
+    """Refuse an encrypted key instead of asking on the terminal."""
+    raise ValueError("the key is encrypted")
+
+
+@contextmanager
+def _path_of(data: bytes) -> Iterator[str]:
+    """Give bytes a path without a disk.
+
+    The library loads chains from paths only, and reading the files a second time could
+    meet a chain and a key of different issues.
+    """
+    handle = os.memfd_create("certificate")
+    try:
+        os.write(handle, data)
+        yield f"/proc/self/fd/{handle}"
+    finally:
+        os.close(handle)
