--- a/src/heathershunt/bundle/__init__.py
+++ b/src/heathershunt/bundle/__init__.py
@@ -1,17 +1,18 @@
 """The versioned, signed bundle: model, parts, signatures, and the one in force."""
 
+from heathershunt.bundle.check import bundle_from_mapping
 from heathershunt.bundle.confirmation import ConfirmationTracker
+from heathershunt.bundle.error import BundleError
+from heathershunt.bundle.file import MAX_FILE_BYTES, decode_file, encode_file
 from heathershunt.bundle.keeper import BundleKeeper
 from heathershunt.bundle.model import (
     Bundle,
-    BundleError,
     Call,
     ClientAccount,
     Model,
     Policy,
     Priority,
     Service,
-    bundle_from_mapping,
 )
 from heathershunt.bundle.parts import (
     PartEntry,
@@ -26,6 +27,7 @@
 from heathershunt.bundle.spread import BundleSpreader
 
 __all__ = [
+    "MAX_FILE_BYTES",
     "Bundle",
     "BundleError",
     "BundleKeeper",
@@ -42,7 +44,9 @@
     "SignedRoot",
     "assemble",
     "bundle_from_mapping",
+    "decode_file",
     "decode_root",
+    "encode_file",
     "encode_root",
     "new_key_pair",
     "sign_root",
--- a/src/heathershunt/bundle/delta.py
+++ b/src/heathershunt/bundle/delta.py
@@ -9,12 +9,8 @@
 
 import cbor2
 
-from heathershunt.bundle.model import (
-    MAX_ACCOUNTS,
-    Bundle,
-    BundleError,
-    ClientAccount,
-)
+from heathershunt.bundle.error import BundleError
+from heathershunt.bundle.model import MAX_ACCOUNTS, Bundle, ClientAccount
 from heathershunt.bundle.parts import PartEntry, Root, assemble
 
 
--- a/src/heathershunt/bundle/keeper.py
+++ b/src/heathershunt/bundle/keeper.py
@@ -6,7 +6,8 @@
 from result import Err, Ok, Result
 
 from heathershunt.bundle.delta import assemble_next
-from heathershunt.bundle.model import Bundle, BundleError
+from heathershunt.bundle.error import BundleError
+from heathershunt.bundle.model import Bundle
 from heathershunt.bundle.parts import (
     MAX_BUNDLE_BYTES,
     MAX_ROOT_BYTES,
@@ -23,6 +24,8 @@
 
     :param trusted_keys: public keys that may sign.
     :param on_change: called with every bundle that comes into force.
+    :param on_conflict: called with a verified root that has the version in force but
+        another hash.
 
     .. versionadded:: 0.1
     """
@@ -31,12 +34,15 @@
         self,
         trusted_keys: Collection[str],
         on_change: Callable[[Bundle], None] | None = None,
+        on_conflict: Callable[[SignedRoot], None] | None = None,
     ) -> None:
         self._trusted = frozenset(trusted_keys)
         self._on_change = on_change
+        self._on_conflict = on_conflict
         self.signed: SignedRoot | None = None
         self.bundle: Bundle | None = None
         self.parts_by_sha256: dict[str, bytes] = {}
+        self.previous_version = 0
 
     @property
     def version(self) -> int:
@@ -60,6 +66,14 @@
         held = self.parts_by_sha256
         return Ok(tuple(e.sha256 for e in entries if e.sha256 not in held))
 
+    def verify(self, signed: SignedRoot) -> None:
+        """Check signatures and approvals against the policy in force.
+
+        :raises BundleError: if trusted signatures or approvals are too few.
+        """
+        in_force = self.bundle.policy if self.bundle else None
+        verify_root(signed, self._trusted, in_force)
+
     def offer(
         self, signed: SignedRoot, parts_by_sha256: Mapping[str, bytes]
     ) -> Result[Bundle, BundleError]:
@@ -72,6 +86,7 @@
             bundle = assemble_next(root, parts, in_force, self.bundle)
         except BundleError as error:
             return Err(error)
+        self.previous_version = self.version
         self.signed = signed
         self.bundle = bundle
         self.parts_by_sha256 = {e.sha256: parts[e.sha256] for e in root.parts}
@@ -88,11 +103,13 @@
         """Verify signatures first, so that only signed roots are compared."""
         if len(signed.body) > MAX_ROOT_BYTES:
             raise BundleError("root", f"larger than {MAX_ROOT_BYTES} bytes")
-        verify_root(signed, self._trusted, self.bundle.policy if self.bundle else None)
+        self.verify(signed)
         root = signed.root()
         if root.version <= self.version:
             if root.version == self.version and signed.sha256 != self.sha256:
                 log.error("version {} exists with two different roots", root.version)
+                if self._on_conflict:
+                    self._on_conflict(signed)
             raise BundleError(
                 "root.version", f"{root.version} is not higher than {self.version}"
             )
--- a/src/heathershunt/bundle/spread.py
+++ b/src/heathershunt/bundle/spread.py
@@ -8,8 +8,8 @@
 from result import Err
 
 from heathershunt.bundle.confirmation import ConfirmationTracker
+from heathershunt.bundle.error import BundleError
 from heathershunt.bundle.keeper import BundleKeeper
-from heathershunt.bundle.model import BundleError
 from heathershunt.bundle.parts import (
     MAX_PART_BYTES,
     SignedRoot,
--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -9,6 +9,7 @@
 from heathershunt.bundle import Bundle, BundleKeeper
 from heathershunt.clock import Clock, SystemClock
 from heathershunt.daemon.callers import CallerRoutes
+from heathershunt.daemon.operations import Operations
 from heathershunt.drafts import (
     AdmissionGate,
     DraftExecutor,
@@ -41,7 +42,10 @@
         self.clock = clock or SystemClock()
         self.incarnation = self.clock.wall()
         self.http = HttpClient()
-        self.keeper = BundleKeeper(settings.bundle.trusted_keys, self._on_bundle)
+        self.operations = Operations(self)
+        self.keeper = BundleKeeper(
+            settings.bundle.trusted_keys, self._on_bundle, self.operations.on_conflict
+        )
         addresses = tuple(map(Address.from_text, settings.platform.store))
         self.store = KeyValueStore(self.http, addresses)
         self.router = Router.from_config(RoutingConfig(), self.incarnation)
@@ -51,7 +55,9 @@
         self.gate = AdmissionGate(
             self.board, self.splitter, self.clock, self._known_vms
         )
-        self.watch = BundleWatch(self.store, self.keeper, lambda: None)
+        self.watch = BundleWatch(
+            self.store, self.keeper, lambda: None, self.operations.on_refused
+        )
         self.vm_list = VmList(
             self.http,
             Address.from_text(settings.platform.vm_list),
@@ -79,12 +85,14 @@
         self.drafts = DraftHandler(self.table, executor, self.gate, self.clock)
         self.callers = HttpServer(CallerRoutes(self).handle)
         self.is_leaving = False
+        self.is_shutting_down = False
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
         address = Address.from_text(self.settings.listen.callers)
-        await self.callers.start(address.host, address.port)
+        await self.callers.start(address.host, address.port, self.operations.server_tls)
+        await self.operations.start()
         await self.vm_list.poll()
         for work in (
             self.watch.run(),
@@ -92,6 +100,7 @@
             self.poller.run(),
             self.monitor.run(),
             self.gate.run(),
+            self.operations.lag.run(),
             self._keep_house(),
         ):
             self._spawn(work)
@@ -99,6 +108,7 @@
 
     def _on_bundle(self, bundle: Bundle) -> None:
         self.gate.set_bundle(bundle)
+        self.operations.on_bundle(bundle)
 
     def _on_vm_list(self, entries: tuple[ListedVm, ...]) -> None:
         leaving = frozenset(entry.vm for entry in entries if entry.is_leaving)
@@ -124,12 +134,14 @@
 
     async def shut_down(self) -> None:
         """Finish what runs, refuse what is new, then stop."""
-        self.is_leaving = True
+        self.is_leaving = self.is_shutting_down = True
+        self.operations.on_draining()
         self.callers.drain()
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
         while self._has_work() and self.clock.now() < limit:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         await self.callers.close()
+        await self.operations.close()
         for task in self._tasks:
             task.cancel()
         self.http.close()
--- a/src/heathershunt/daemon/callers.py
+++ b/src/heathershunt/daemon/callers.py
@@ -34,6 +34,8 @@
         path = request.path
         if path == "/healthz":
             return json_response(200, {"status": "ok"})
+        if path == "/metrics":
+            return self._daemon.operations.metrics_response()
         if self._is_resume(request) and self._daemon.keeper.bundle is not None:
             # A leaving VM still hands out the answers that it owes.
             return await self._handle_authorized(request)
@@ -45,7 +47,7 @@
             version = self._daemon.keeper.version
             return json_response(200, {"version": version, "runners": runners})
         if refusal is not None:
-            return problem_response(refusal)
+            return self._refuse(refusal)
         return await self._handle_authorized(request)
 
     def _is_resume(self, request: Request) -> bool:
@@ -55,7 +57,7 @@
         account = self._account(request)
         if account is None:
             detail = "the bearer token is missing or unknown"
-            return problem_response(not_run(401, "Unauthorized", detail))
+            return self._refuse(not_run(401, "Unauthorized", detail))
         return await self._handle_account(request, account)
 
     def _refusal(self) -> Refusal | None:
@@ -66,6 +68,11 @@
             return not_run(503, "Not ready", detail, RETRY_AFTER_MS)
         return None
 
+    def _refuse(self, refusal: Refusal) -> Response:
+        """Refuse a request before its client account is known."""
+        self._daemon.operations.metrics.count_request(refusal.verdict, "")
+        return problem_response(refusal)
+
     def _account(self, request: Request) -> ClientAccount | None:
         value = request.headers.get("authorization", "")
         if not value.lower().startswith(BEARER):
--- a/src/heathershunt/daemon/main.py
+++ b/src/heathershunt/daemon/main.py
@@ -4,9 +4,10 @@
 import signal
 import sys
 
-import logbook
+from logbook.compat import redirect_logging
 
 from heathershunt.daemon.app import Daemon
+from heathershunt.logs import log_handler
 from heathershunt.settings import Settings, SettingsError, load_settings
 
 USAGE = "usage: heathershuntd [--check] SETTINGS.toml"
@@ -17,6 +18,9 @@
 async def serve(settings: Settings) -> None:
     """Run one daemon until it is asked to stop."""
     daemon = Daemon(settings)
+    # Unhandled, the signal would end a process that is still starting.
+    reload = daemon.operations.reload_certificates
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
     await daemon.start()
     stop = asyncio.Event()
     abort = asyncio.Event()
@@ -49,7 +53,10 @@
     if check:
         print(f"{paths[0]}: ok")
         return
-    logbook.StreamHandler(sys.stderr, level=logbook.INFO).push_application()
+    log = settings.log
+    log_handler(log.level, log.format, settings.vm.name, sys.stderr).push_application()
+    # Libraries log through the standard library.
+    redirect_logging()
     asyncio.run(serve(settings))
 
 
--- a/src/heathershunt/drafts/journal.py
+++ b/src/heathershunt/drafts/journal.py
@@ -146,6 +146,11 @@
             detail = "the caller did not come back for the answer"
             draft.refuse(may_have_run(504, "Draft abandoned", detail))
 
+    @property
+    def running(self) -> int:
+        """Return the number of drafts that have not ended."""
+        return sum(not d.ended.is_set() for d in self.drafts_by_request.values())
+
     def undelivered(self, return_window_ms: int) -> int:
         """Return the number of drafts whose caller may still lack the whole answer.
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -4,7 +4,7 @@
 import sys
 
 from standins.caller import Caller
-from standins.launch import Deployment, pipeline_specs
+from standins.launch import Deployment, demo_bundle, pipeline_specs
 from standins.oracle import expected_tokens
 
 LAYERS = 12
@@ -33,7 +33,7 @@
         await deployment.start_service("orders")
         await deployment.publish_vms()
         await deployment.start_daemons(4)
-        await deployment.roll(deployment.bundle(1, layers=LAYERS))
+        await deployment.roll(demo_bundle(1, layers=LAYERS))
         await deployment.wait_ready()
         await deployment.wait_runners(6)
         print("four daemons are ready under bundle 1")
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -54,6 +54,28 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
+def demo_bundle(version: int, model_version: str = "v1", layers: int = 12) -> dict:
+    """Return a bundle with one model, one service and two client accounts."""
+    return {
+        "version": version,
+        "priorities": [
+            {"name": "normal", "rank": 1},
+            {"name": "urgent", "rank": 0},
+        ],
+        "models": [{"name": "m", "layers": layers, "version": model_version}],
+        "services": [
+            {
+                "name": "orders",
+                "idempotent": [{"method": "GET", "path_prefix": "/"}],
+            }
+        ],
+        "accounts": [
+            {"name": name, "token_sha256": [token_sha256(f"{name}-token")]}
+            for name in ("parish", "notary")
+        ],
+    }
+
+
 @dataclass
 class Process:
     """One started process."""
@@ -314,27 +336,6 @@
         signed = sign_root(SignedRoot(encode_root(root)), self.private_key)
         return signed, parts, bundle
 
-    def bundle(self, version: int, model_version: str = "v1", layers: int = 12) -> dict:
-        """Return a bundle with one model, one service and two client accounts."""
-        return {
-            "version": version,
-            "priorities": [
-                {"name": "normal", "rank": 1},
-                {"name": "urgent", "rank": 0},
-            ],
-            "models": [{"name": "m", "layers": layers, "version": model_version}],
-            "services": [
-                {
-                    "name": "orders",
-                    "idempotent": [{"method": "GET", "path_prefix": "/"}],
-                }
-            ],
-            "accounts": [
-                {"name": name, "token_sha256": [token_sha256(f"{name}-token")]}
-                for name in ("parish", "notary")
-            ],
-        }
-
     async def roll(self, raw: dict) -> SignedRoot:
         """Roll a bundle through the platform's store."""
         signed, parts, _ = self.sign(raw)
--- a/tests/integration/test_drafts.py
+++ b/tests/integration/test_drafts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from standins.caller import Caller
-from standins.launch import pipeline_specs
+from standins.launch import demo_bundle, pipeline_specs
 from tests.integration.faults import (
     assert_layers_once,
     assert_whole,
@@ -110,7 +110,7 @@
     await fleet.publish_vms()
     await fleet.wait_runners(9)
     task, seen = await start_draft(caller, entry, PROMPT, 300)
-    await fleet.roll(fleet.bundle(2, model_version="v2"))
+    await fleet.roll(demo_bundle(2, model_version="v2"))
     runner = await busy_runner(fleet, seen.request_id, 1)
     fleet.processes_by_name[runner].kill()
     assert_whole(await task, PROMPT, 300)
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -4,8 +4,7 @@
 
 from heathershunt.http import Address, HttpClient, HttpServer, json_response
 from standins.caller import Caller
-from standins.demo import demo_bundle
-from standins.launch import pipeline_specs
+from standins.launch import demo_bundle, pipeline_specs
 from standins.oracle import expected_tokens
 
 SEED = 7
