Relay plain services with at-most-once calls

Cause: the router had no path for plain services, whose orders must not run twice.

Change: the slice `services` serves /v1/services/{service}/{path}. Calls that the bundle lists as idempotent are retried at another address; others are sent once. Idempotency keys are either issued by a VM, whose table then decides, or chosen by the caller and claimed in the store by group-committed swaps. The request keeps its undecoded target, header values are sent as Latin-1, and a shutdown waits for busy connections. GET /v1/address gives the issued key only.

Ruled out: reusing idle connections for calls that must not be repeated (a dead one makes the outcome unknown); keeping another VM's answer to a forwarded key (a passing failure would then be repeated for the whole window); taking a claim of this VM without an entry in its table as free.

Keys of another VM get `may_have_run` until the peers slice supplies a Forwarder.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -17,6 +17,7 @@
 )
 from heathershunt.http import Address, HttpClient, HttpServer
 from heathershunt.runners import RunnerBoard, RunnerPoller
+from heathershunt.services import ServiceHandler
 from heathershunt.settings import Settings
 from heathershunt.store import BundleWatch, KeyValueStore, VmList
 
@@ -65,6 +66,14 @@
             settings.drafts.progress_floor_ms,
         )
         self.drafts = DraftHandler(self.table, executor, self.clock)
+        self.services = ServiceHandler.create(
+            settings.vm.name,
+            self.incarnation,
+            self.http,
+            self.store,
+            self.clock,
+            self.vm_list.service_addresses,
+        )
         self.callers = HttpServer(CallerRoutes(self).handle)
         self.is_leaving = False
         self._tasks: list[asyncio.Task] = []
@@ -91,13 +100,18 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_MS / 1000)
             self.table.remove_old()
+            self.services.remove_old()
+
+    def _is_busy(self) -> bool:
+        running = self.table.running or self.services.running
+        return bool(running or self.callers.busy)
 
     async def shut_down(self) -> None:
         """Finish what runs, refuse what is new, then stop."""
         self.is_leaving = True
         self.callers.drain()
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
-        while self.table.running and self.clock.now() < limit:
+        while self._is_busy() and self.clock.now() < limit:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         await self.callers.close()
         for task in self._tasks:
--- a/src/heathershunt/daemon/callers.py
+++ b/src/heathershunt/daemon/callers.py
@@ -10,6 +10,7 @@
     json_response,
     problem_response,
 )
+from heathershunt.services import SERVICES_PREFIX
 from heathershunt.verdict import Refusal, not_run
 
 if TYPE_CHECKING:
@@ -72,5 +73,11 @@
         if request.method == "GET" and request.path.startswith("/v1/completions/"):
             request_id = request.path.removeprefix("/v1/completions/")
             return await drafts.resume(request, request_id, account)
+        if request.path.startswith(SERVICES_PREFIX):
+            bundle = self._daemon.keeper.bundle
+            return await self._daemon.services.handle(request, account, bundle)
+        if route == ("GET", "/v1/address"):
+            key = self._daemon.services.issue_key(account)
+            return json_response(200, {"idempotency_key": key})
         detail = f"there is no {request.method} {request.path}"
         return problem_response(not_run(404, "Not found", detail))
--- a/src/heathershunt/http/messages.py
+++ b/src/heathershunt/http/messages.py
@@ -15,6 +15,7 @@
     """One request, with header names in lower case.
 
     :param peer: IP address of the sender.
+    :param target: path and query as they were sent, without decoding.
 
     .. versionadded:: 0.1
     """
@@ -25,6 +26,7 @@
     headers: Mapping[str, str]
     body: bytes
     peer: str = ""
+    target: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -101,6 +101,11 @@
         finally:
             self._connections.discard(connection)
 
+    @property
+    def busy(self) -> int:
+        """Return the connections on which a request is being answered."""
+        return sum(connection.is_busy for connection in self._connections)
+
     def drain(self) -> None:
         """Close idle connections and end busy ones after their response.
 
@@ -146,7 +151,7 @@
         self.writer = writer
         self._handler = handler
         self._limits = limits
-        self._busy = False
+        self.is_busy = False
         self._closed = asyncio.Event()
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -170,10 +175,10 @@
         request = await self._read_request(draining)
         if request is None:
             return False
-        self._busy = True
+        self.is_busy = True
         response = await self._run_handler(request)
         await self._respond(response, draining())
-        self._busy = False
+        self.is_busy = False
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         return done and not draining()
 
@@ -244,6 +249,7 @@
             headers,
             body,
             peer[0] if peer else "",
+            f"{target.path}?{target.query}" if target.query else target.path,
         )
 
     async def _run_handler(self, request: Request) -> Response | StreamResponse:
@@ -302,7 +308,7 @@
         self.send(
             h11.Response(
                 status_code=status,
-                headers=headers,
+                headers=[(name, text.encode("latin-1")) for name, text in headers],
                 reason=HTTPStatus(status).phrase.encode(),
             )
         )
@@ -329,7 +335,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being served."""
-        if not self._busy and self._h11.their_state is h11.IDLE:
+        if not self.is_busy and self._h11.their_state is h11.IDLE:
             self.writer.close()
 
     def cut(self) -> None:
--- /dev/null
+++ b/src/heathershunt/services/claims.py
@@ -0,0 +1,115 @@
+"""Claims of callers' own keys: one shard value of the store, decisions only."""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import cbor2
+
+from heathershunt.services.table import DEDUPLICATION_WINDOW_MS
+
+# Every VM must find a key in the same shard, so the count is part of the store key
+# and the same in all processes; two counts at a time would allow two claims.
+CLAIM_SHARDS = 64
+# A claim outlives the kept answer by the longest call and the clock difference
+# between two VMs.
+LONGEST_CALL_MS = 60_000
+CLOCK_DIFFERENCE_MS = 5_000
+CLAIM_RETENTION_MS = DEDUPLICATION_WINDOW_MS + LONGEST_CALL_MS + CLOCK_DIFFERENCE_MS
+# The store takes values up to a megabyte; base64 is the store's transport only.
+MAX_SHARD_BYTES = 900_000
+HASH_BYTES = 16
+
+
+@dataclass(frozen=True)
+class Claim:
+    """The right of one incarnation of a VM to start the call of one key.
+
+    :param key: hash of account and key.
+    :param request: hash of the request.
+    :param at_ms: wall time of the claim.
+
+    .. versionadded:: 0.1
+    """
+
+    key: bytes
+    request: bytes
+    vm: str
+    incarnation: int
+    nonce: bytes
+    at_ms: int
+
+
+def key_hash(account: str, key: str) -> bytes:
+    """Return the hash under which a key is claimed."""
+    text = f"{account}\0{key}".encode("utf-8", "surrogateescape")
+    return hashlib.sha256(text).digest()[:HASH_BYTES]
+
+
+def shard_of(key: bytes, shards: int = CLAIM_SHARDS) -> int:
+    """Return the number of the shard that holds a key hash."""
+    return int.from_bytes(key[:4], "big") % shards
+
+
+def shard_key(shard: int, shards: int = CLAIM_SHARDS) -> str:
+    """Return the store key of a shard."""
+    return f"claims/{shard}of{shards}"
+
+
+def encode_shard(claims_by_key: Mapping[bytes, Claim]) -> bytes:
+    """Return the store value of a shard."""
+    return cbor2.dumps(
+        [
+            [c.key, c.request, c.vm, c.incarnation, c.nonce, c.at_ms]
+            for c in claims_by_key.values()
+        ]
+    )
+
+
+def decode_shard(value: bytes | None) -> dict[bytes, Claim]:
+    """Return the claims of a store value.
+
+    :raises ValueError: if the value is malformed.
+    """
+    if value is None:
+        return {}
+    try:
+        claims = [Claim(*fields) for fields in cbor2.loads(value)]
+    except (cbor2.CBORDecodeError, TypeError) as error:
+        raise ValueError(f"malformed shard of claims: {error}") from None
+    return {claim.key: claim for claim in claims}
+
+
+def claim_bytes(claim: Claim) -> int:
+    """Return an upper bound of the encoded size of a claim."""
+    return 2 * (HASH_BYTES + 1) + len(claim.nonce) + len(claim.vm.encode()) + 30
+
+
+def merge_claims(
+    held: Mapping[bytes, Claim],
+    wanted: Iterable[Claim],
+    wall: int,
+    max_bytes: int = MAX_SHARD_BYTES,
+) -> tuple[dict[bytes, Claim], set[bytes]]:
+    """Add claims to those held, without the ones past their time.
+
+    :return: the new claims by key, and the nonces that found no room. The holder of
+        a wanted key is the claim under that key in the result.
+    """
+    merged = {
+        key: claim
+        for key, claim in held.items()
+        if claim.at_ms + CLAIM_RETENTION_MS > wall
+    }
+    size = sum(map(claim_bytes, merged.values()))
+    refused: set[bytes] = set()
+    for claim in wanted:
+        if claim.key in merged:
+            continue
+        size += claim_bytes(claim)
+        if size > max_bytes:
+            refused.add(claim.nonce)
+            size -= claim_bytes(claim)
+            continue
+        merged[claim.key] = claim
+    return merged, refused
--- /dev/null
+++ b/src/heathershunt/services/dispatch.py
@@ -0,0 +1,199 @@
+"""Dispatch of one call to an address of its service."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import h11
+from result import Err, Ok, Result
+
+from heathershunt.bundle import Service
+from heathershunt.clock import Clock, Millis
+from heathershunt.http import Address, ClientResponse, HttpClient, Response
+from heathershunt.services.addresses import AddressChooser, RetryBudget
+from heathershunt.services.calls import (
+    CallOutcome,
+    ServiceCall,
+    refused,
+    response_headers,
+)
+from heathershunt.verdict import Progress
+
+MAX_TRIES = 3
+RETRY_DELAY_MS = 20
+RETRY_AFTER_MS = 1_000
+TELLING_WAIT_MS = 500
+MAX_ANSWER_BYTES = 8_388_608
+BUSY_STATUSES = frozenset({502, 503, 504})
+KNOWN_STATUSES = frozenset(status.value for status in HTTPStatus)
+
+
+@dataclass(frozen=True)
+class _Failure:
+    progress: Progress
+    detail: str
+    is_too_large: bool = False
+
+
+class Dispatcher:
+    """Sends calls to plain services.
+
+    :param addresses: gives the addresses of a service that are not leaving.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        clock: Clock,
+        addresses: Callable[[str], Sequence[Address]],
+        source: random.Random | None = None,
+    ) -> None:
+        self._http = http
+        self._clock = clock
+        self._addresses = addresses
+        self._random = source or random.Random()
+        self._chooser = AddressChooser(self._random)
+        self._budget = RetryBudget()
+
+    async def run(
+        self, call: ServiceCall, service: Service, deadline: Millis
+    ) -> CallOutcome:
+        """Run one call and return its final outcome.
+
+        An idempotent call may be tried again after any failure; any other call only
+        while no byte of it was handed to a socket.
+        """
+        idempotent = service.is_idempotent(call.method, call.path)
+        self._budget.earn()
+        tried: list[Address] = []
+        outcome: CallOutcome | None = None
+        sent = False
+        while (address := self._choose(call.service, tried)) is not None:
+            tried.append(address)
+            result = await self._try(call, address, deadline, idempotent, len(tried))
+            if isinstance(result, Ok):
+                outcome = CallOutcome(result.ok_value, Progress.ANSWERED)
+                if not idempotent or result.ok_value.status not in BUSY_STATUSES:
+                    return outcome
+                sent = True
+            else:
+                failure = result.err_value
+                sent = sent or failure.progress is not Progress.NOT_SENT
+                outcome = self._give_up(failure, sent, deadline)
+                if sent and not idempotent:
+                    return outcome
+            if not await self._may_retry(len(tried), deadline):
+                return outcome
+        return outcome or refused(
+            Progress.NOT_SENT,
+            503,
+            "No address",
+            f"no address of the service {call.service!r} is known",
+            RETRY_AFTER_MS,
+        )
+
+    def _choose(self, service: str, tried: list[Address]) -> Address | None:
+        addresses = self._addresses(service)
+        return self._chooser.choose(addresses, tried, self._clock.now())
+
+    async def _may_retry(self, tries: int, deadline: Millis) -> bool:
+        delay = RETRY_DELAY_MS * 2**tries * self._random.uniform(0.5, 1.0)
+        in_time = self._clock.now() + delay < deadline
+        if tries >= MAX_TRIES or not in_time or not self._budget.take():
+            return False
+        await asyncio.sleep(delay / 1000)
+        return True
+
+    def _give_up(self, failure: _Failure, sent: bool, deadline: Millis) -> CallOutcome:
+        progress = failure.progress
+        if sent and progress is Progress.NOT_SENT:
+            progress = Progress.SENT
+        if failure.is_too_large:
+            return refused(progress, 502, "Answer too large", failure.detail)
+        late = self._clock.now() >= deadline
+        status = 504 if late else 503 if not sent else 502
+        after = None if sent else RETRY_AFTER_MS
+        return refused(progress, status, "Service failed", failure.detail, after)
+
+    async def _try(
+        self,
+        call: ServiceCall,
+        address: Address,
+        deadline: Millis,
+        idempotent: bool,
+        attempt: int,
+    ) -> Result[Response, _Failure]:
+        left = deadline - self._clock.now()
+        if left <= 0:
+            return Err(_Failure(Progress.NOT_SENT, "the deadline has passed"))
+        if idempotent:
+            # A silent address must leave time for another one.
+            left = left // (MAX_TRIES + 1 - attempt)
+        self._chooser.start(address)
+        healthy = None
+        try:
+            result = await self._exchange(call, address, max(1, left), not idempotent)
+            healthy = _is_healthy(result, left)
+            return result
+        finally:
+            self._chooser.finish(address, healthy, self._clock.now())
+
+    async def _exchange(
+        self, call: ServiceCall, address: Address, timeout_ms: int, fresh: bool
+    ) -> Result[Response, _Failure]:
+        end = self._clock.now() + timeout_ms
+        # An idle connection may be dead without a sign; a call that must not be
+        # repeated would then end with an unknown outcome, so it gets a new one.
+        outcome = await self._http.request(
+            address,
+            call.method,
+            call.target,
+            headers={n: v.encode("latin-1") for n, v in call.headers.items()},
+            body=call.body,
+            timeout_ms=timeout_ms,
+            fresh=fresh,
+        )
+        if isinstance(outcome, Err):
+            error = outcome.err_value
+            return Err(_Failure(error.progress, error.detail))
+        response = outcome.ok_value
+        try:
+            async with asyncio.timeout(max(1, end - self._clock.now()) / 1000):
+                return await _read_answer(response)
+        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+            response.close()
+            reason = str(error) or type(error).__name__
+            return Err(_Failure(Progress.SENT, f"{address}: answer lost: {reason}"))
+        except BaseException:
+            response.close()
+            raise
+
+
+def _is_healthy(result: Result[Response, _Failure], waited_ms: int) -> bool | None:
+    if isinstance(result, Ok):
+        return result.ok_value.status not in BUSY_STATUSES
+    if result.err_value.is_too_large:
+        return True
+    # A caller's short deadline must not eject an address for every other caller.
+    return False if waited_ms >= TELLING_WAIT_MS else None
+
+
+async def _read_answer(response: ClientResponse) -> Result[Response, _Failure]:
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in response.chunks():
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            response.close()
+            detail = f"the service's answer is larger than {MAX_ANSWER_BYTES} bytes"
+            return Err(_Failure(Progress.ANSWERED, detail, True))
+        parts.append(chunk)
+    headers = response_headers(response.headers)
+    status = response.status
+    if status not in KNOWN_STATUSES:
+        headers["x-service-status"], status = str(status), 502
+    return Ok(Response(status, headers, b"".join(parts)))
--- /dev/null
+++ b/src/heathershunt/services/handler.py
@@ -0,0 +1,165 @@
+"""Callers' requests to plain services: ``/v1/services/{service}/{path}``."""
+
+from collections.abc import Callable, Coroutine, Sequence
+
+from heathershunt.bundle import Bundle, ClientAccount
+from heathershunt.clock import Clock, Millis
+from heathershunt.http import Address, HttpClient, Request, Response
+from heathershunt.services.batches import ClaimBatcher, SwapStore
+from heathershunt.services.calls import (
+    CallOutcome,
+    Forwarder,
+    ServiceCall,
+    refused,
+    request_headers,
+)
+from heathershunt.services.claims import LONGEST_CALL_MS
+from heathershunt.services.dispatch import Dispatcher
+from heathershunt.services.issuer import KeyIssuer
+from heathershunt.services.keyed import KeyedCalls
+from heathershunt.services.table import KeyTable
+from heathershunt.verdict import Progress
+
+SERVICES_PREFIX = "/v1/services/"
+KEY_HEADER = "idempotency-key"
+DEADLINE_HEADER = "x-deadline-ms"
+MAX_KEY_CHARACTERS = 255
+DOT_SEGMENTS = frozenset({".", ".."})
+
+
+class ServiceHandler:
+    """Checks calls of plain services, runs them at most once and answers them.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        table: KeyTable,
+        issuer: KeyIssuer,
+        batcher: ClaimBatcher,
+        clock: Clock,
+        forwarder: Forwarder | None = None,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._table = table
+        self._issuer = issuer
+        self._clock = clock
+        self._keyed = KeyedCalls(dispatcher, table, issuer, batcher, clock, forwarder)
+        self._waiting = 0
+
+    @classmethod
+    def create(
+        cls,
+        vm: str,
+        incarnation: int,
+        http: HttpClient,
+        store: SwapStore,
+        clock: Clock,
+        addresses: Callable[[str], Sequence[Address]],
+    ) -> "ServiceHandler":
+        """Return a handler with the default limits.
+
+        :param addresses: gives the addresses of a service that are not leaving.
+        """
+        return cls(
+            Dispatcher(http, clock, addresses),
+            KeyTable(),
+            KeyIssuer(vm, incarnation, clock),
+            ClaimBatcher(store, clock),
+            clock,
+        )
+
+    @property
+    def running(self) -> int:
+        """Return the calls that a graceful shutdown waits for."""
+        return self._waiting + self._keyed.running
+
+    def set_forwarder(self, forwarder: Forwarder) -> None:
+        """Use ``forwarder`` for keys that another VM owns."""
+        self._keyed.forwarder = forwarder
+
+    def issue_key(self, account: ClientAccount) -> str:
+        """Return a new idempotency key for the address answer."""
+        return self._issuer.issue(account.name)
+
+    def remove_old(self) -> None:
+        """Forget keyed calls past their time."""
+        self._table.remove_old(self._clock.now())
+
+    async def handle(
+        self, request: Request, account: ClientAccount, bundle: Bundle
+    ) -> Response:
+        """Answer one request of a caller."""
+        call = _parse_call(request, account)
+        if isinstance(call, CallOutcome):
+            return call.response
+        service = bundle.services_by_name.get(call.service)
+        if service is None:
+            return _bad(404, f"the service {call.service!r} is not in the bundle")
+        text = request.headers.get(DEADLINE_HEADER, str(service.timeout_ms))
+        if not text.isascii() or not text.isdigit() or not 0 < len(text) <= 9:
+            return _bad(400, f"{DEADLINE_HEADER} is not a number of milliseconds")
+        wait = min(int(text), service.timeout_ms, LONGEST_CALL_MS)
+        deadline = Millis(self._clock.now() + wait)
+        key = request.headers.get(KEY_HEADER)
+        if key is None:
+            return await self._count(self._dispatcher.run(call, service, deadline))
+        if not 0 < len(key) <= MAX_KEY_CHARACTERS:
+            limit = MAX_KEY_CHARACTERS
+            return _bad(400, f"an idempotency key of 1 to {limit} characters is needed")
+        return await self._count(self._keyed.answer(call, service, key, deadline))
+
+    async def handle_forwarded(
+        self, call: ServiceCall, key: str, timeout_ms: int, bundle: Bundle
+    ) -> Response:
+        """Answer a keyed call that another VM forwarded to this one.
+
+        It is never forwarded again.
+        """
+        service = bundle.services_by_name.get(call.service)
+        if service is None:
+            return _bad(404, f"the service {call.service!r} is not in the bundle")
+        wait = min(timeout_ms, service.timeout_ms, LONGEST_CALL_MS)
+        deadline = Millis(self._clock.now() + wait)
+        return await self._count(
+            self._keyed.answer(call, service, key, deadline, forwarded=True)
+        )
+
+    async def _count(self, work: Coroutine[None, None, CallOutcome]) -> Response:
+        self._waiting += 1
+        try:
+            return (await work).response
+        finally:
+            self._waiting -= 1
+
+
+def _parse_call(request: Request, account: ClientAccount) -> ServiceCall | CallOutcome:
+    raw_path, _, query = request.target.partition("?")
+    service, _, _ = request.path.removeprefix(SERVICES_PREFIX).partition("/")
+    path = request.path.removeprefix(SERVICES_PREFIX + service) or "/"
+    raw = raw_path.removeprefix(SERVICES_PREFIX).partition("/")[2]
+    # The service may resolve dot segments, and the bundle's rule for the path as it
+    # was sent would then be applied to another path.
+    if DOT_SEGMENTS & set(path.split("/")):
+        return _refuse(400, "a path without the segments '.' and '..' is accepted")
+    if not raw_path.startswith(SERVICES_PREFIX + service):
+        return _refuse(400, "the name of the service must not be percent-encoded")
+    return ServiceCall(
+        account.name,
+        service,
+        request.method,
+        path,
+        f"/{raw}?{query}" if query else f"/{raw}",
+        request_headers(request.headers, account.name),
+        request.body,
+    )
+
+
+def _refuse(status: int, detail: str) -> CallOutcome:
+    return refused(Progress.NOT_SENT, status, "Request refused", detail)
+
+
+def _bad(status: int, detail: str) -> Response:
+    return _refuse(status, detail).response
--- /dev/null
+++ b/src/heathershunt/services/keyed.py
@@ -0,0 +1,264 @@
+"""Calls with an idempotency key: who may start them, and what a repeat is told."""
+
+import asyncio
+import secrets
+from collections import OrderedDict
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+
+from result import Err
+
+from heathershunt.bundle import Service
+from heathershunt.clock import Clock, Millis
+from heathershunt.services.batches import ClaimBatcher
+from heathershunt.services.calls import CallOutcome, Forwarder, ServiceCall, refused
+from heathershunt.services.claims import Claim, key_hash
+from heathershunt.services.dispatch import RETRY_AFTER_MS, Dispatcher
+from heathershunt.services.issuer import (
+    IssuedKey,
+    KeyIssuer,
+    KeyState,
+    parse_issued_key,
+)
+from heathershunt.services.table import (
+    DEDUPLICATION_WINDOW_MS,
+    Begin,
+    Entry,
+    KeyTable,
+    TableKey,
+)
+from heathershunt.verdict import Progress
+
+NONCE_BYTES = 8
+MAX_UNUSED_CLAIMS = 10_000
+# The run ends at its deadline by itself and knows more than a waiter that timed out.
+WAIT_GRACE_MS = 50
+UNPROCESSABLE = 422
+KEY_NOT_CLAIMED = "Key not claimed"
+
+Start = Callable[[], Coroutine[None, None, CallOutcome]]
+
+
+class KeyedCalls:
+    """Runs each keyed call at most once.
+
+    A claim in the store gives one incarnation of a VM the right to start a call; the
+    table of that incarnation says whether it has used the right. A claim that this
+    process wrote, or may have written, without starting the call is remembered by
+    its nonce, so that a repeat may still use it. Any other claim of this VM that has
+    no entry in the table may have been used.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        table: KeyTable,
+        issuer: KeyIssuer,
+        batcher: ClaimBatcher,
+        clock: Clock,
+        forwarder: Forwarder | None,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._table = table
+        self._issuer = issuer
+        self._batcher = batcher
+        self._clock = clock
+        self.forwarder = forwarder
+        self._unused_nonces: OrderedDict[bytes, None] = OrderedDict()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def running(self) -> int:
+        """Return the keyed calls in flight, also those whose caller has gone."""
+        return len(self._tasks)
+
+    async def answer(
+        self,
+        call: ServiceCall,
+        service: Service,
+        key: str,
+        deadline: Millis,
+        *,
+        forwarded: bool = False,
+    ) -> CallOutcome:
+        """Return the outcome of the one run of ``key``.
+
+        :param forwarded: another VM sent the call, so it is not forwarded again.
+        """
+        issued = parse_issued_key(key)
+        if issued is not None:
+            return await self._answer_issued(
+                call, service, key, issued, deadline, forwarded
+            )
+        table_key = (call.account, key)
+
+        def start() -> Coroutine[None, None, CallOutcome]:
+            return self._claim_and_run(call, service, key, deadline, forwarded)
+
+        return await self._join(table_key, call, deadline, deadline, start)
+
+    async def _answer_issued(
+        self,
+        call: ServiceCall,
+        service: Service,
+        key: str,
+        issued: IssuedKey,
+        deadline: Millis,
+        forwarded: bool,
+    ) -> CallOutcome:
+        if not self._issuer.is_own(issued):
+            same_vm = issued.vm == self._issuer.vm
+            if forwarded or same_vm:
+                return _owner_gone(issued.vm)
+            return await self._forward(
+                issued.vm, issued.incarnation, call, key, deadline
+            )
+        now = self._clock.now()
+        state = self._issuer.check(issued, call.account, now)
+        if state is KeyState.FORGED:
+            detail = "the idempotency key was not issued to this account"
+            return refused(Progress.NOT_SENT, UNPROCESSABLE, "Key refused", detail)
+        table_key = (call.account, key)
+        expiry = issued.issued_at + self._issuer.life_ms
+        # Entries are kept for the window after the key expires, so that a missing
+        # entry proves within that time that the key was never used.
+        keep_until = Millis(expiry + self._table.window_ms)
+        if state is KeyState.EXPIRED and self._table.find(table_key) is None:
+            return _expired(unused=now < keep_until)
+
+        def start() -> Coroutine[None, None, CallOutcome]:
+            return self._dispatcher.run(call, service, deadline)
+
+        return await self._join(table_key, call, deadline, keep_until, start)
+
+    async def _join(
+        self,
+        table_key: TableKey,
+        call: ServiceCall,
+        deadline: Millis,
+        keep_until: Millis,
+        start: Start,
+    ) -> CallOutcome:
+        begin, entry = self._table.begin(table_key, call.request_hash(), keep_until)
+        if begin is Begin.FULL:
+            detail = "too many idempotency keys are in use on this VM"
+            return refused(Progress.NOT_SENT, 503, "Busy", detail, RETRY_AFTER_MS)
+        if begin is Begin.CONFLICT:
+            return _conflict()
+        if begin is Begin.START:
+            task = asyncio.create_task(self._run(table_key, start))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return await self._wait(entry, deadline)
+
+    async def _run(self, table_key: TableKey, start: Start) -> None:
+        detail = "the call was interrupted"
+        outcome = refused(Progress.SENT, 502, "Service failed", detail)
+        try:
+            outcome = await start()
+        finally:
+            self._table.finish(table_key, outcome, self._clock.now())
+
+    async def _wait(self, entry: Entry, deadline: Millis) -> CallOutcome:
+        left = deadline + WAIT_GRACE_MS - self._clock.now()
+        try:
+            if entry.outcome is None:
+                async with asyncio.timeout(max(0, left) / 1000):
+                    await entry.done.wait()
+        except TimeoutError:
+            detail = "the call with this idempotency key still runs"
+            return refused(Progress.SENT, 504, "Still running", detail, RETRY_AFTER_MS)
+        return entry.outcome
+
+    async def _claim_and_run(
+        self,
+        call: ServiceCall,
+        service: Service,
+        key: str,
+        deadline: Millis,
+        forwarded: bool,
+    ) -> CallOutcome:
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        claim = Claim(
+            key_hash(call.account, key),
+            call.request_hash(),
+            self._issuer.vm,
+            self._issuer.incarnation,
+            nonce,
+            self._clock.wall(),
+        )
+        settled = await self._batcher.claim(claim, deadline)
+        if isinstance(settled, Err):
+            self._remember_unused(nonce)
+            # This speaks of this request alone: whether an earlier one with the same
+            # key ran at another VM cannot be known without the store.
+            detail = f"{settled.err_value.value}; repeat the call with the same key"
+            return refused(
+                Progress.NOT_SENT, 503, KEY_NOT_CLAIMED, detail, RETRY_AFTER_MS
+            )
+        holder = settled.ok_value
+        if holder.request != claim.request:
+            return _conflict()
+        own = (holder.vm, holder.incarnation) == (claim.vm, claim.incarnation)
+        if not own and not forwarded and holder.vm != claim.vm:
+            return await self._forward(
+                holder.vm, holder.incarnation, call, key, deadline
+            )
+        if not own or (holder.nonce != nonce and not self._take_unused(holder)):
+            return _owner_gone(holder.vm)
+        outcome = await self._dispatcher.run(call, service, deadline)
+        if outcome.progress is Progress.NOT_SENT:
+            self._remember_unused(holder.nonce)
+        return outcome
+
+    def _remember_unused(self, nonce: bytes) -> None:
+        self._unused_nonces[nonce] = None
+        while len(self._unused_nonces) > MAX_UNUSED_CLAIMS:
+            self._unused_nonces.popitem(last=False)
+
+    def _take_unused(self, claim: Claim) -> bool:
+        """Return whether a claim of this VM may still start its call.
+
+        An old claim is left alone: a VM whose clock is ahead may already have removed
+        it from the store and claimed the key itself.
+        """
+        if claim.nonce not in self._unused_nonces:
+            return False
+        del self._unused_nonces[claim.nonce]
+        return self._clock.wall() - claim.at_ms < DEDUPLICATION_WINDOW_MS
+
+    async def _forward(
+        self, vm: str, incarnation: int, call: ServiceCall, key: str, deadline: Millis
+    ) -> CallOutcome:
+        """Ask the owner of the key; without its answer an earlier run is possible."""
+        if self.forwarder is None:
+            return _owner_gone(vm)
+        left = max(1, deadline - self._clock.now())
+        outcome = await self.forwarder.call(vm, incarnation, call, key, left)
+        if isinstance(outcome, Err):
+            return _owner_gone(vm)
+        return CallOutcome(outcome.ok_value, Progress.ANSWERED, is_kept=False)
+
+
+def _owner_gone(vm: str) -> CallOutcome:
+    detail = (
+        f"the idempotency key belongs to {vm}, which does not answer for it; "
+        "an earlier call with it may have run"
+    )
+    outcome = refused(Progress.SENT, 502, "Key owner gone", detail)
+    return replace(outcome, is_kept=False)
+
+
+def _conflict() -> CallOutcome:
+    detail = "the idempotency key belongs to another request; this one was not started"
+    return refused(Progress.NOT_SENT, UNPROCESSABLE, "Key used", detail)
+
+
+def _expired(*, unused: bool) -> CallOutcome:
+    if unused:
+        detail = "the idempotency key has expired; no call was started with it"
+        return refused(Progress.NOT_SENT, UNPROCESSABLE, "Key expired", detail)
+    detail = "the idempotency key has expired; an earlier call with it may have run"
+    return refused(Progress.SENT, UNPROCESSABLE, "Key expired", detail)
--- a/src/heathershunt/store/__init__.py
+++ b/src/heathershunt/store/__init__.py
@@ -1,6 +1,12 @@
 """Adapters of the platform: key-value service, watch, VM list."""
 
-from heathershunt.store.client import KeyValueStore, Stored, StoreError, Swapped
+from heathershunt.store.client import (
+    KeyValueStore,
+    Stored,
+    StoreError,
+    StoreFailure,
+    Swapped,
+)
 from heathershunt.store.roll import BUNDLE_ROOT_KEY, part_key, roll_bundle
 from heathershunt.store.vm_list import ListedVm, VmList, VmRole
 from heathershunt.store.watch import BundleWatch
@@ -11,6 +17,7 @@
     "KeyValueStore",
     "ListedVm",
     "StoreError",
+    "StoreFailure",
     "Stored",
     "Swapped",
     "VmList",
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -200,8 +200,8 @@
             )
         return process
 
-    async def start_service(self, name: str) -> Process:
-        """Start one plain service and list its VM."""
+    async def start_service(self, name: str, service: str = "") -> Process:
+        """Start one address of a plain service and list its VM."""
         process = await self.spawn_ready(name, "standins.service")
         self.vms.append(
             {
@@ -210,7 +210,7 @@
                 "state": "live",
                 "role": "service",
                 "address": str(process.address),
-                "service": name,
+                "service": service or name,
             }
         )
         return process
--- a/standins/service.py
+++ b/standins/service.py
@@ -36,6 +36,7 @@
         self.ledger.append(
             {"number": number, "method": request.method, "path": request.path}
             | {"body": body, "account": request.headers.get("x-client-account")}
+            | {"target": request.target, "headers": sorted(request.headers)}
         )
         await asyncio.sleep(int(request.headers.get("x-delay-ms", "0")) / 1000)
         if request.headers.get("x-cut"):
--- /dev/null
+++ b/tests/services/doubles.py
@@ -0,0 +1,130 @@
+"""A store with faults, a dispatcher that records, and a VM made of both."""
+
+import asyncio
+import random
+
+from result import Err, Ok
+
+from heathershunt.bundle import Service
+from heathershunt.clock import Millis
+from heathershunt.http import Response
+from heathershunt.services import (
+    CallOutcome,
+    ClaimBatcher,
+    KeyIssuer,
+    KeyTable,
+    ServiceCall,
+)
+from heathershunt.services.calls import refused
+from heathershunt.services.keyed import KeyedCalls
+from heathershunt.store import Stored, StoreError, StoreFailure, Swapped
+from heathershunt.verdict import Progress
+
+SERVICE = Service("orders")
+UNKNOWN = Err(StoreError(StoreFailure.OUTCOME_UNKNOWN, "reply lost"))
+OUT = Err(StoreError(StoreFailure.UNAVAILABLE, "out"))
+
+
+def service_call(body=b"die", account="parish"):
+    return ServiceCall(account, "orders", "POST", "/orders", "/orders", {}, body)
+
+
+class FaultyStore:
+    """``faults`` holds one of ``lost``, ``dropped``, ``late``, ``out`` for each swap.
+
+    A ``late`` write gets no reply and is tried when the next swap has been done.
+    """
+
+    def __init__(self):
+        self.stored_by_key = {}
+        self.faults = []
+        self.is_out = False
+        self.swaps = 0
+        self._late = None
+
+    async def get(self, key):
+        return OUT if self.is_out else Ok(self._held(key))
+
+    async def swap(self, key, value, expected, lease=None):
+        self.swaps += 1
+        await asyncio.sleep(0)
+        fault = self.faults.pop(0) if self.faults else ""
+        if self.is_out or fault == "out":
+            return OUT
+        late, self._late = self._late, None
+        if fault == "late":
+            self._late = (key, value, expected)
+        outcome = None
+        if fault in ("", "lost"):
+            outcome = self._write(key, value, expected)
+        if late:
+            self._write(*late)
+        return UNKNOWN if fault else Ok(outcome)
+
+    def _held(self, key):
+        return self.stored_by_key.get(key, Stored(key, None, 0))
+
+    def _write(self, key, value, expected):
+        held = self._held(key)
+        if held.revision != expected:
+            return Swapped(False, held)
+        self.stored_by_key[key] = Stored(key, value, expected + 1)
+        return Swapped(True, self.stored_by_key[key])
+
+
+class RecordingDispatcher:
+    """Records runs; ``plan`` holds the progress of the next ones."""
+
+    def __init__(self, runs):
+        self.runs = runs
+        self.plan = []
+        self.gate = None
+
+    async def run(self, call, service, deadline):
+        if self.gate:
+            await self.gate.wait()
+        progress = self.plan.pop(0) if self.plan else Progress.ANSWERED
+        if progress is not Progress.NOT_SENT:
+            self.runs.append(call.body)
+        if progress is Progress.ANSWERED:
+            return CallOutcome(Response(200, {}, b"%d" % len(self.runs)), progress)
+        return refused(progress, 502, "Service failed", "planned")
+
+
+class Vm:
+    """The keyed calls of one incarnation of a VM."""
+
+    def __init__(self, name, clock, store=None, runs=None, incarnation=1, **limits):
+        self.clock = clock
+        self.store = store or FaultyStore()
+        self.runs = [] if runs is None else runs
+        self.dispatcher = RecordingDispatcher(self.runs)
+        self.table = KeyTable(**limits)
+        self.issuer = KeyIssuer(name, incarnation, clock, secret=name.encode())
+        self.batcher = ClaimBatcher(
+            self.store, clock, window_ms=0, source=random.Random(7)
+        )
+        self.keyed = KeyedCalls(
+            self.dispatcher, self.table, self.issuer, self.batcher, clock, None
+        )
+
+    async def call(self, key, body=b"die", account="parish", forwarded=False, ms=9000):
+        deadline = Millis(self.clock.now() + ms)
+        call = service_call(body, account)
+        return await self.keyed.answer(
+            call, SERVICE, key, deadline, forwarded=forwarded
+        )
+
+
+class DirectForwarder:
+    """Hands calls to VMs of this process; a missing VM is dead."""
+
+    def __init__(self, vms_by_name):
+        self.vms_by_name = vms_by_name
+
+    async def call(self, vm, incarnation, call, key, timeout_ms):
+        target = self.vms_by_name.get(vm)
+        if target is None:
+            return Err(Progress.NOT_SENT)
+        outcome = await target.call(key, call.body, call.account, forwarded=True)
+        return Ok(outcome.response)
--- /dev/null
+++ b/tests/services/test_dispatch.py
@@ -0,0 +1,101 @@
+import asyncio
+import json
+import random
+
+import pytest
+
+from heathershunt.bundle import Call, Service
+from heathershunt.clock import Millis, SystemClock
+from heathershunt.http import Address, HttpClient, HttpServer, json_response
+from heathershunt.services.addresses import AddressChooser, RetryBudget
+from heathershunt.services.dispatch import Dispatcher
+from heathershunt.verdict import Progress
+from tests.services.doubles import service_call
+
+HOST = "127.0.0.1"
+READS = Service("orders", (Call("POST", "/orders"),))
+
+
+class Target:
+    """A server that answers with one status or never."""
+
+    def __init__(self, status):
+        self.status = status
+        self.calls = 0
+
+    async def start(self):
+        self.http = HttpServer(self.handle)
+        await self.http.start(HOST, 0)
+        self.address = Address(HOST, self.http.port)
+        return self
+
+    async def handle(self, request):
+        self.calls += 1
+        if self.status == 0:
+            await asyncio.Event().wait()
+        return json_response(self.status, {})
+
+
+async def run(targets, service, wait_ms=2000):
+    addresses = [target.address for target in targets]
+    client = HttpClient()
+    clock = SystemClock()
+    source = random.Random(3)
+    dispatcher = Dispatcher(client, clock, lambda name: addresses, source)
+    deadline = Millis(clock.now() + wait_ms)
+    outcome = await dispatcher.run(service_call(), service, deadline)
+    for target in targets:
+        await target.http.close()
+    return outcome
+
+
+@pytest.mark.parametrize(("status", "wait_ms"), [(503, 2000), (0, 300)])
+async def test_idempotent_call_is_tried_at_another_address(status, wait_ms):
+    """A busy or silent address must not fail a call that may be repeated."""
+    targets = [await Target(status).start(), await Target(200).start()]
+    outcome = await run(targets, READS, wait_ms)
+    assert outcome.response.status == 200
+    assert sum(target.calls for target in targets) <= 2
+
+
+@pytest.mark.parametrize(("status", "expected"), [(503, 503), (0, 504)])
+async def test_other_call_runs_at_one_address_only(status, expected):
+    targets = [await Target(status).start(), await Target(status).start()]
+    outcome = await run(targets, Service("orders"), 100)
+    assert outcome.response.status == expected
+    assert sum(target.calls for target in targets) == 1
+
+
+async def test_no_address_is_not_run_with_a_time_to_come_back():
+    outcome = await run([], READS)
+    assert outcome.progress is Progress.NOT_SENT
+    assert "retry-after" in outcome.response.headers
+    assert json.loads(outcome.response.body)["verdict"] == "not_run"
+
+
+def test_failing_address_is_left_out_for_a_while():
+    good, bad = Address(HOST, 1), Address(HOST, 2)
+    chooser = AddressChooser(random.Random(1))
+    chooser.start(bad)
+    chooser.finish(bad, False, Millis(0))
+    picks = {chooser.choose([good, bad], [], Millis(999)) for _ in range(50)}
+    assert picks == {good}
+    assert chooser.choose([bad], [], Millis(0)) == bad
+    picks = {chooser.choose([good, bad], [], Millis(1000)) for _ in range(50)}
+    assert picks == {good, bad}
+
+
+def test_less_busy_of_two_addresses_is_chosen():
+    idle, busy = Address(HOST, 1), Address(HOST, 2)
+    chooser = AddressChooser(random.Random(1))
+    chooser.start(busy)
+    assert {chooser.choose([idle, busy], [], Millis(0)) for _ in range(20)} == {idle}
+
+
+def test_retry_budget_is_a_share_of_the_calls():
+    budget = RetryBudget()
+    while budget.take():
+        pass
+    for _ in range(10):
+        budget.earn()
+    assert [budget.take() for _ in range(3)] == [True, True, False]
