Merge plain services; join the daemons into a fleet

Cause: daemons did not know each other; a key, a draft or a bundle of one VM was unknown to the next. Change: daemon/fleet.py composes mesh, membership, bundle spread, demand and address answers; daemon/forwarding.py relays resumed drafts and keyed calls to their owner; a leaving VM names another one, still answers keys that it knows and resumed drafts; a VM without contact to store and peers is not ready. Ruled out: refusing every request on a leaving VM, because not_run to a repeat of a keyed call that did run would mislead the caller. Conclusion: any VM can serve any caller.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -9,6 +9,8 @@
 from heathershunt.bundle import Bundle, BundleKeeper
 from heathershunt.clock import Clock, SystemClock
 from heathershunt.daemon.callers import CallerRoutes
+from heathershunt.daemon.fleet import Fleet
+from heathershunt.daemon.forwarding import PeerRequests
 from heathershunt.daemon.operations import Operations
 from heathershunt.drafts import (
     AdmissionGate,
@@ -22,8 +24,9 @@
 from heathershunt.retries import EjectionConfig, EjectionPolicy
 from heathershunt.routing import Router, RoutingConfig
 from heathershunt.runners import RunnerBoard, RunnerPoller
+from heathershunt.services import ServiceHandler
 from heathershunt.settings import Settings
-from heathershunt.store import BundleWatch, KeyValueStore, ListedVm, VmList, VmRole
+from heathershunt.store import BundleWatch, KeyValueStore, ListedVm, VmList
 
 log = logbook.Logger("heathershunt.daemon")
 
@@ -56,7 +59,7 @@
             self.board, self.splitter, self.clock, self._known_vms
         )
         self.watch = BundleWatch(
-            self.store, self.keeper, lambda: None, self.operations.on_refused
+            self.store, self.keeper, self._on_store_contact, self.operations.on_refused
         )
         self.vm_list = VmList(
             self.http,
@@ -83,16 +86,32 @@
             settings.drafts.progress_floor_ms,
         )
         self.drafts = DraftHandler(self.table, executor, self.gate, self.clock)
+        self.services = ServiceHandler.create(
+            settings.vm.name,
+            self.incarnation,
+            self.http,
+            self.store,
+            self.clock,
+            self.vm_list.service_addresses,
+        )
+        self.fleet = Fleet(self)
+        self.peer_requests = PeerRequests(self)
+        self.services.set_forwarder(self.peer_requests)
         self.callers = HttpServer(CallerRoutes(self).handle)
-        self.is_leaving = False
         self.is_shutting_down = False
         self._tasks: list[asyncio.Task] = []
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether this VM takes no new work."""
+        return self.is_shutting_down or self.fleet.membership.is_leaving
+
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
         address = Address.from_text(self.settings.listen.callers)
         await self.callers.start(address.host, address.port, self.operations.server_tls)
         await self.operations.start()
+        await self.fleet.start()
         await self.vm_list.poll()
         for work in (
             self.watch.run(),
@@ -109,14 +128,19 @@
     def _on_bundle(self, bundle: Bundle) -> None:
         self.gate.set_bundle(bundle)
         self.operations.on_bundle(bundle)
+        self.fleet.spreader.announce()
 
     def _on_vm_list(self, entries: tuple[ListedVm, ...]) -> None:
         leaving = frozenset(entry.vm for entry in entries if entry.is_leaving)
         self.board.set_leaving(leaving)
+        self.fleet.apply_vm_list(entries)
+
+    def _on_store_contact(self) -> None:
+        self.fleet.tracker.store_answered(self.clock.now())
+        self.fleet.spreader.announce()
 
     def _known_vms(self) -> frozenset[str]:
-        listed = {e.vm for e in self.vm_list.entries if e.role is VmRole.ENTRY}
-        return frozenset(listed | {self.settings.vm.name})
+        return self.fleet.live_vms()
 
     def _spawn(self, work: Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
@@ -126,15 +150,18 @@
             await asyncio.sleep(HOUSEKEEPING_MS / 1000)
             self.table.remove_old()
             self.ejection.set_ranges(self.board.ranges_by_runner())
-            self.splitter.measure(self.clock.now())
+            self.services.remove_old()
+            self.fleet.tick()
 
     def _has_work(self) -> bool:
         window = self.settings.drafts.return_window_ms
-        return bool(self.table.undelivered(window) or self.callers.busy)
+        running = self.services.running or self.callers.busy
+        return bool(self.table.undelivered(window) or running)
 
     async def shut_down(self) -> None:
         """Finish what runs, refuse what is new, then stop."""
-        self.is_leaving = self.is_shutting_down = True
+        self.is_shutting_down = True
+        self.fleet.set_leaving(self.settings.vm.name, True)
         self.operations.on_draining()
         self.callers.drain()
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
@@ -142,6 +169,7 @@
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         await self.callers.close()
         await self.operations.close()
+        await self.fleet.close()
         for task in self._tasks:
             task.cancel()
         self.http.close()
--- a/src/heathershunt/drafts/handler.py
+++ b/src/heathershunt/drafts/handler.py
@@ -89,19 +89,15 @@
         unsubscribe()
         return whole_answer(draft)
 
-    async def resume(
-        self, request: Request, request_id: str, account: ClientAccount
+    def resume_own(
+        self, request_id: str, after: int, account: str
     ) -> Response | StreamResponse:
-        """Answer ``GET /v1/completions/<request id>`` from ``Last-Event-ID`` on."""
-        draft = self._table.get(request_id, account.name)
+        """Return the events after ``after`` of a draft that this VM owns."""
+        draft = self._table.get(request_id, account)
         if draft is None:
             detail = f"no draft {request_id!r} of this account is kept here"
             return problem_response(not_run(404, "Unknown draft", detail))
-        after = request.headers.get("last-event-id", "-1")
-        if not after.lstrip("-").isdigit():
-            detail = "Last-Event-ID is not the number of an event"
-            return problem_response(not_run(400, "Bad request", detail))
-        return stream_answer(draft, max(-1, int(after)))
+        return stream_answer(draft, max(-1, after))
 
     def start(self, wanted: DraftRequest, account: ClientAccount) -> Draft:
         """Start a draft; it goes on when its caller's connection is gone."""
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -286,6 +286,7 @@
             headers,
             body,
             peer[0] if peer else "",
+            f"{target.path}?{target.query}" if target.query else target.path,
         )
 
     async def _run_handler(self, request: Request) -> Response | StreamResponse:
@@ -346,7 +347,7 @@
         self.send(
             h11.Response(
                 status_code=status,
-                headers=headers,
+                headers=[(name, text.encode("latin-1")) for name, text in headers],
                 reason=HTTPStatus(status).phrase.encode(),
             )
         )
