--- a/src/heathershunt/daemon/fleet.py
+++ b/src/heathershunt/daemon/fleet.py
@@ -87,11 +87,12 @@
         await self.mesh.close()
 
     def tick(self) -> None:
-        """Send the own demand and record changes of the membership."""
+        """Send the own demand, follow the number of VMs, record changes of it."""
         demand = self._daemon.splitter.measure(self._daemon.clock.now())
         own = self.membership.own
         rates = tuple(demand.rate_by_account.items())
         self.mesh.broadcast(Demand(own.vm, own.incarnation, rates))
+        self._daemon.router.set_peer_factor(len(self.live_vms()))
         self._record_changes()
 
     def live_vms(self) -> frozenset[str]:
--- a/tests/integration/faults.py
+++ b/tests/integration/faults.py
@@ -27,7 +27,9 @@
     task = asyncio.create_task(
         caller.draft(address, prompt, count, on_token=on_token, **options)
     )
-    await begun.wait()
+    waiting = asyncio.create_task(begun.wait())
+    await asyncio.wait({waiting, task}, return_when="FIRST_COMPLETED")
+    assert begun.is_set(), f"the draft ended early: {await task}"
     return task, seen[0]
 
 
