Count demand that is relayed, and index it by account

Change: observe tells which messages are news and worth relaying; a VM that is gone can be forgotten; demand is indexed by account. A message that names a demand of 0 no longer leaves part of the limit unused. Ruled out: counting unheard VMs as idle; both sides of a partition would then use the whole limit. Conclusion: the split serves a large fleet once the peers relay demand; the rounds of relaying are not part of this slice.

--- a/measure/admission_figures.py
+++ b/measure/admission_figures.py
@@ -217,12 +217,12 @@
 
 
 def share_time() -> None:
-    """Measure one share and one whole share at 390 VMs of which 8 are heard."""
+    """Measure one share and one whole share among 390 VMs that are all heard."""
     vms = frozenset(f"vm{number}" for number in range(390))
     splitter = ShareSplitter.from_config(ShareConfig(), "vm0")
     splitter.measure(Millis(0))
     rates = {f"account{number}": 1.0 for number in range(64)}
-    for number in range(1, 9):
+    for number in range(1, 390):
         splitter.observe(Demand(f"vm{number}", Millis(0), rates))
 
     def share() -> None:
@@ -235,6 +235,22 @@
     figure("whole share, 390 VMs", microseconds_each(whole_share, 100), "us")
 
 
+def usable_limit() -> None:
+    """Measure what an account gets at one VM that receives all its requests."""
+    vms = frozenset(f"vm{number}" for number in range(390))
+    for heard in (8, 389):
+        splitter = ShareSplitter.from_config(ShareConfig(), "vm0")
+        for second in range(30):
+            now = Millis(second * 1000)
+            splitter.record("account", 100)
+            splitter.measure(now)
+            for number in range(1, heard + 1):
+                splitter.observe(Demand(f"vm{number}", now, {}))
+        used = splitter.share("account", 100.0, Millis(29_001), vms)
+        name = f"limit usable at one of 390 VMs, {heard} heard"
+        figure(name, used / 100, "of limit", f"equal split {1 / 390:.4f}")
+
+
 def small_accounts() -> None:
     """Measure the wait of small accounts beside a flood."""
     fair, line = Flood(True).waits(), Flood(False).waits()
@@ -267,5 +283,6 @@
     """Print the figures of the admission queue."""
     offer_and_next_time()
     share_time()
+    usable_limit()
     small_accounts()
     goodput()
--- a/src/heathershunt/admission/shares.py
+++ b/src/heathershunt/admission/shares.py
@@ -46,6 +46,26 @@
     accounts_most: int = 64
 
 
+@dataclass(frozen=True, slots=True)
+class _Split:
+    """How one limit is split.
+
+    :param equal: equal part of one VM.
+    :param reserve: part of ``equal`` that a heard VM has whatever its demand.
+    :param per_demand: limit per unit of demand.
+    """
+
+    equal: float
+    reserve: float
+    per_demand: float
+    demand_by_vm: dict[str, float]
+
+    def share(self, vm: str, weight: float) -> float:
+        """Return the part of a VM whose last message counts by ``weight``."""
+        by_demand = self.per_demand * self.demand_by_vm.get(vm, 0.0)
+        return self.equal * (1 - weight * (1 - self.reserve)) + by_demand
+
+
 class ShareSplitter:
     """Splits limits between VMs by the demand that they told each other.
 
@@ -56,10 +76,12 @@
         self.config = config
         self.vm = vm
         self._demand_by_vm: dict[str, Demand] = {}
+        self._rate_by_vm_by_account: dict[str, dict[str, float]] = {}
         self._offered_by_account: dict[str, float] = {}
         self._rate_by_account: dict[str, float] = {}
         self._measured_at: Millis | None = None
         self._messages = 0
+        self._heard = 1.0
         self._kept: tuple[int, dict[str, float]] = (1, {})
         self._kept_for: tuple[Millis | None, int, frozenset[str]] = (
             None,
@@ -91,16 +113,25 @@
         )
         rates = dict(largest[: self.config.accounts_most])
         demand = Demand(self.vm, now, rates)
-        self._demand_by_vm[self.vm] = demand
-        self._messages += 1
+        self._replace(self.vm, demand)
         return demand
 
-    def observe(self, demand: Demand) -> None:
-        """Take in the message of a peer; an older one than the last is ignored."""
+    def observe(self, demand: Demand) -> bool:
+        """Take in the message of a VM, heard directly or relayed by a peer.
+
+        Returns whether it was newer than the last of that VM. Only such a message needs
+        to be relayed, which ends its way through a mesh of peers.
+        """
         last = self._demand_by_vm.get(demand.vm)
-        if demand.vm != self.vm and (last is None or demand.at >= last.at):
-            self._demand_by_vm[demand.vm] = demand
-            self._messages += 1
+        if demand.vm == self.vm or (last is not None and demand.at <= last.at):
+            return False
+        self._replace(demand.vm, demand)
+        return True
+
+    def forget(self, vm: str) -> None:
+        """Drop the message of a VM that is gone."""
+        if vm != self.vm:
+            self._replace(vm, None)
 
     def share(
         self, account: str, limit: float, now: Millis, known_vms: frozenset[str]
@@ -109,8 +140,8 @@
 
         :param known_vms: all VMs that are alive, from the membership.
         """
-        shares = self._shares(account, limit, now, known_vms)
-        return shares[self.vm]
+        split = self._split(account, limit, now, known_vms)
+        return split.share(self.vm, 1.0)
 
     def whole_share(
         self, account: str, limit: int, now: Millis, known_vms: frozenset[str]
@@ -121,37 +152,33 @@
         while all VMs know the same demand; else they may exceed it by less than one for
         each VM. Where there are more VMs than the limit, some get none.
         """
-        shares = self._shares(account, limit, now, known_vms)
-        equal = limit / len({*known_vms, self.vm})
+        split = self._split(account, limit, now, known_vms)
+        _, weight_by_vm = self._weights(now, known_vms)
         before = 0.0
         for vm in sorted({*known_vms, self.vm}):
             # The small term undoes rounding of sums that should be whole.
-            after = before + shares.get(vm, equal)
+            after = before + split.share(vm, weight_by_vm.get(vm, 0.0))
             if vm == self.vm:
                 return int(after + 1e-6) - int(before + 1e-6)
             before = after
         return 0
 
-    def _shares(
+    def _split(
         self, account: str, limit: float, now: Millis, known_vms: frozenset[str]
-    ) -> dict[str, float]:
-        """Return the share of every heard VM as this VM computes it."""
+    ) -> "_Split":
         count, weight_by_vm = self._weights(now, known_vms)
-        equal = limit / count
-        heard = sum(weight_by_vm.values())
-        pool = equal * heard
         demand_by_vm = {
-            vm: weight * self._rate(vm, account) for vm, weight in weight_by_vm.items()
+            vm: rate * weight_by_vm[vm]
+            for vm, rate in self._rate_by_vm_by_account.get(account, {}).items()
+            if vm in weight_by_vm
         }
         total = sum(demand_by_vm.values())
         reserve = self.config.reserve if total else 1.0
-        shares = {}
-        for vm, weight in weight_by_vm.items():
-            part = reserve * weight / heard
-            if total:
-                part += (1 - reserve) * demand_by_vm[vm] / total
-            shares[vm] = pool * part + equal * (1 - weight)
-        return shares
+        equal = limit / count
+        # Limit per unit of demand, out of the part that belongs to the heard VMs.
+        pool = equal * self._heard * (1 - reserve)
+        per_demand = pool / total if total else 0.0
+        return _Split(equal, reserve, per_demand, demand_by_vm)
 
     def _weights(
         self, now: Millis, known_vms: frozenset[str]
@@ -169,6 +196,7 @@
             weights[self.vm] = 1.0
             heard = {vm: weights[vm] for vm in sorted(weights) if weights[vm]}
             self._kept = (len(vms), heard)
+            self._heard = sum(heard.values())
             self._kept_for = (now, self._messages, known_vms)
         return self._kept
 
@@ -181,9 +209,19 @@
         left = config.forgotten_ms - (now - demand.at)
         return min(1.0, max(0.0, left / (config.forgotten_ms - config.fresh_ms)))
 
-    def _rate(self, vm: str, account: str) -> float:
-        demand = self._demand_by_vm.get(vm)
-        return 0.0 if demand is None else demand.rate_by_account.get(account, 0.0)
+    def _replace(self, vm: str, demand: Demand | None) -> None:
+        """Take a VM's last message out of the index and put the new one in."""
+        self._messages += 1
+        last = self._demand_by_vm.pop(vm, None)
+        for account in last.rate_by_account if last is not None else ():
+            rate_by_vm = self._rate_by_vm_by_account[account]
+            del rate_by_vm[vm]
+            if not rate_by_vm:
+                del self._rate_by_vm_by_account[account]
+        if demand is not None:
+            self._demand_by_vm[vm] = demand
+            for account, rate in demand.rate_by_account.items():
+                self._rate_by_vm_by_account.setdefault(account, {})[vm] = rate
 
     def _follow(self, elapsed_ms: int) -> None:
         """Move the measured rates towards what was offered since the last time."""
--- a/tests/admission/test_shares.py
+++ b/tests/admission/test_shares.py
@@ -62,10 +62,15 @@
         assert min(parts) >= 0
 
 
-def test_an_older_message_does_not_replace_a_newer_one():
-    """Guards against messages that overtake each other."""
+def test_only_newer_messages_count_and_are_worth_relaying():
+    """Guards against messages that overtake each other or circle in the mesh."""
     splitter = ShareSplitter.from_config(CONFIG, "v0")
     splitter.measure(0)
-    splitter.observe(Demand("v1", 10, {"a": 50.0}))
-    splitter.observe(Demand("v1", 5, {}))
-    assert splitter.share("a", 100.0, 10, frozenset({"v0", "v1"})) == pytest.approx(10)
+    news = Demand("v1", 10, {"a": 50.0})
+    others = [news, Demand("v1", 5, {}), Demand("v0", 99, {"a": 9.0})]
+    assert splitter.observe(news)
+    assert not any(splitter.observe(message) for message in others)
+    known = frozenset({"v0", "v1"})
+    assert splitter.share("a", 100.0, 10, known) == pytest.approx(10)
+    splitter.forget("v1")
+    assert splitter.share("a", 100.0, 10, known) == pytest.approx(50)
