Accept load reports without batch limit or step time

Cause: a reported batch limit of 0 or a step time of 0 divided by zero in the chain choice and in the capacity. Change: a runner without a batch takes no work; the shortest step is 1 us. The choice is split into shorter functions. Ruled out: refusing such reports here; the report's reader may do that too. Conclusion: one wrong report no longer stops the choices for its model.

--- a/src/heathershunt/routing/capacity.py
+++ b/src/heathershunt/routing/capacity.py
@@ -41,7 +41,8 @@
     batch_by_range: dict[Range, int] = {}
     for view in views:
         load = view.load
-        if view.leaving or view.end_layer <= view.first_layer:
+        empty = view.end_layer <= view.first_layer or load.batch_limit < 1
+        if view.leaving or empty:
             continue
         key = (view.first_layer, view.end_layer)
         rate = load.batch_limit * 1000 / load.full_step_ms()
--- a/src/heathershunt/routing/router.py
+++ b/src/heathershunt/routing/router.py
@@ -116,22 +116,15 @@
         :param keep: surviving runners that hold the draft's KV cache.
         :param prompt_tokens: prompt length, if longer than the hashed prefix.
         """
-        rate = self._rates_by_model.get(model)
-        if rate is None:
-            rate = self._rates_by_model[model] = ArrivalRate(now)
-        rate.add(now)
         candidates: dict[int, list[Candidate]] = {}
         prompt = max(prompt_tokens, len(prefix_hashes) * self.config.block_tokens)
-        unused_roles = self.config.unused_roles
         for view in views_by_runner.values():
             if (
                 view.model != model
                 or view.version != version
-                or view.leaving
                 or (adapter is not None and adapter not in view.adapters)
                 or view.runner in exclude
-                or view.role in unused_roles
-                or view.end_layer <= view.first_layer
+                or not self._takes_work(view)
             ):
                 continue
             cost = self._stage_cost(view, now, prefix_hashes, prompt)
@@ -141,7 +134,7 @@
         to_go = self._costs_to_go(candidates, layers)
         if None not in to_go.get(0, {}):
             return Err(_no_chain(model, version, layers, candidates))
-        unseen_per_ms = (self._peer_factor - 1) * rate.per_ms
+        unseen_per_ms = self._unseen_per_ms(model, now)
         picked = self._walk(candidates, to_go, layers, now, unseen_per_ms)
         stages = tuple(
             Stage(v.runner, v.address, v.fabric, v.first_layer, v.end_layer)
@@ -149,6 +142,22 @@
         )
         return Ok(Chain(0, model, version, adapter, stages, to_go[0][None]))
 
+    def _takes_work(self, view: RunnerView) -> bool:
+        return (
+            not view.leaving
+            and view.role not in self.config.unused_roles
+            and view.first_layer < view.end_layer
+            and view.load.batch_limit > 0
+        )
+
+    def _unseen_per_ms(self, model: str, now: Millis) -> float:
+        """Count one choice and return the rate of those of other VMs."""
+        rate = self._rates_by_model.get(model)
+        if rate is None:
+            rate = self._rates_by_model[model] = ArrivalRate(now)
+        rate.add(now)
+        return (self._peer_factor - 1) * rate.per_ms
+
     def _stage_cost(
         self,
         view: RunnerView,
--- a/src/heathershunt/routing/views.py
+++ b/src/heathershunt/routing/views.py
@@ -6,6 +6,8 @@
 from heathershunt.clock import Millis
 from heathershunt.routing.inflight import OwnWork
 
+SHORTEST_STEP_MS = 0.001
+
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
@@ -32,7 +34,8 @@
 
     def full_step_ms(self) -> float:
         """Return the time of a step with a full batch."""
-        return self.step_ms + self.token_ms * self.batch_limit
+        # A report of no time at all must not give an endless capacity.
+        return max(SHORTEST_STEP_MS, self.step_ms + self.token_ms * self.batch_limit)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -3,7 +3,13 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from heathershunt.routing import LoadReport, Router, RoutingConfig, RunnerView
+from heathershunt.routing import (
+    LoadReport,
+    Router,
+    RoutingConfig,
+    RunnerView,
+    pipeline_capacity,
+)
 
 CONFIG = RoutingConfig(other_domain_ms=0.6, near_equal=0.0)
 
@@ -100,11 +106,12 @@
         {"adapters": frozenset()},
         {"end_layer": 2},
         {"end_layer": 1},
+        {"load": LoadReport(batch_limit=0)},
     ],
     ids=str,
 )
 def test_unusable_runners_get_no_new_work(unusable):
-    """Guards against another version or adapter, leaving runners, empty ranges."""
+    """Guards against the wrong version, leaving runners and useless reports."""
     usable = view("ok", 2, 4, adapters=frozenset({"lora"}))
     first = view("first", 0, 2, adapters=frozenset({"lora"}))
     bad = view("bad", 2, 4, **{"adapters": frozenset({"lora"}), **unusable})
@@ -223,6 +230,13 @@
     assert count == 200 if peer_factor == 1 else wide_runs <= count < 200
 
 
+def test_a_report_of_no_time_still_allows_a_choice():
+    """Guards against dividing by the step time of a runner that reports none."""
+    views = [view(n, 0, 4, load=LoadReport(step_ms=0.0)) for n in "ab"]
+    assert choose(views).is_ok()
+    assert pipeline_capacity(views, 4).tokens_per_second == pytest.approx(2e6)
+
+
 def test_seeds_spread_equal_choices():
     """Guards against several VMs choosing the same runner on one report."""
     views = {f"r{i}": view(f"r{i}", 0, 4) for i in range(10)}
