--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -3,7 +3,13 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from heathershunt.routing import LoadReport, Router, RoutingConfig, RunnerView
+from heathershunt.routing import (
+    LoadReport,
+    Router,
+    RoutingConfig,
+    RunnerView,
+    pipeline_capacity,
+)
 
 CONFIG = RoutingConfig(other_domain_ms=0.6, near_equal=0.0)
 
@@ -51,6 +57,45 @@
         assert at == 8
 
 
+RANGES = [(0, 1), (0, 2), (0, 2), (0, 4), (1, 2), (1, 4), (2, 3), (2, 4), (3, 4)]
+LOADS = st.lists(
+    st.tuples(st.integers(0, 60), st.sampled_from("ab")),
+    min_size=len(RANGES),
+    max_size=len(RANGES),
+)
+
+
+def cheapest(router, views, at=0, domain=None):
+    """Return the cost of the best chain from a boundary on, by trying all."""
+    if at == 4:
+        return 0.0
+    costs = [
+        router._stage_cost(v, 0, (), 0)
+        + router._hop_costs(domain, [v.domain])[v.domain]
+        + cheapest(router, views, v.end_layer, v.domain)
+        for v in views
+        if v.first_layer == at and v.end_layer <= 4
+    ]
+    return min(costs, default=float("inf"))
+
+
+@given(LOADS)
+@settings(max_examples=80, deadline=None)
+def test_the_chosen_chain_is_the_cheapest_of_all(loads):
+    """Guards against a cheap first stage that leads to expensive ones."""
+    views = [
+        view(f"r{i}", *layers, domain=domain, load=LoadReport(busy, 0, 8, 20.0))
+        for i, (layers, (busy, domain)) in enumerate(zip(RANGES, loads, strict=True))
+    ]
+    router = Router.from_config(CONFIG, seed=1)
+    by_runner = {v.runner: v for v in views}
+    chain = router.choose_chain("m", "1", None, 4, by_runner, 0).ok_value
+    expected = cheapest(router, views)
+    chosen = [by_runner[runner] for runner in chain.runners()]
+    assert cheapest(router, chosen) == pytest.approx(expected)
+    assert chain.cost_ms == pytest.approx(expected)
+
+
 @pytest.mark.parametrize(
     "unusable",
     [
@@ -61,11 +106,12 @@
         {"adapters": frozenset()},
         {"end_layer": 2},
         {"end_layer": 1},
+        {"load": LoadReport(batch_limit=0)},
     ],
     ids=str,
 )
 def test_unusable_runners_get_no_new_work(unusable):
-    """Guards against another version or adapter, leaving runners, empty ranges."""
+    """Guards against the wrong version, leaving runners and useless reports."""
     usable = view("ok", 2, 4, adapters=frozenset({"lora"}))
     first = view("first", 0, 2, adapters=frozenset({"lora"}))
     bad = view("bad", 2, 4, **{"adapters": frozenset({"lora"}), **unusable})
@@ -166,6 +212,31 @@
         assert chain.runners() == ("a0", expected)
 
 
+@pytest.mark.parametrize(("peer_factor", "wide_runs"), [(1, 200), (64, 150)])
+def test_unseen_runs_of_other_vms_spread_the_choice(peer_factor, wide_runs):
+    """Guards against many VMs filling the runner that looked idle to all of them."""
+    wide = LoadReport(running=10, batch_limit=24, step_ms=20.0)
+    narrow = LoadReport(running=9, batch_limit=8, step_ms=20.0)
+    views = {"a": view("a", 0, 4, load=wide), "b": view("b", 0, 4, load=narrow)}
+    router = Router.from_config(CONFIG, seed=1)
+    router.set_peer_factor(peer_factor)
+    chosen = []
+    for now in range(0, 4000, 10):
+        views = {n: replace(v, reported_at=now - 500) for n, v in views.items()}
+        chain = router.choose_chain("m", "1", None, 4, views, now).ok_value
+        chosen.append(chain.runners()[0])
+    # Two draws by capacity (3:1) and the cheaper of them: at least 3 in 4.
+    count = chosen[200:].count("a")
+    assert count == 200 if peer_factor == 1 else wide_runs <= count < 200
+
+
+def test_a_report_of_no_time_still_allows_a_choice():
+    """Guards against dividing by the step time of a runner that reports none."""
+    views = [view(n, 0, 4, load=LoadReport(step_ms=0.0)) for n in "ab"]
+    assert choose(views).is_ok()
+    assert pipeline_capacity(views, 4).tokens_per_second == pytest.approx(2e6)
+
+
 def test_seeds_spread_equal_choices():
     """Guards against several VMs choosing the same runner on one report."""
     views = {f"r{i}": view(f"r{i}", 0, 4) for i in range(10)}
