--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the router with real processes; ``python -m measure`` runs all."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -50,7 +50,7 @@
         self._epoch_by_run: OrderedDict[str, int] = OrderedDict()
         self._queue: list[Work] = []
         self._wake = asyncio.Event()
-        self._links_by_address: dict[str, asyncio.StreamWriter] = {}
+        self._links_by_address: dict[str, tuple] = {}
         self._prefixes: OrderedDict[str, int] = OrderedDict()
         self._events: deque[tuple[float, dict]] = deque(maxlen=4096)
         self._event_seq = 0
@@ -436,13 +436,15 @@
     async def _send(self, address: str, items: list[dict]) -> None:
         data = cbor2.dumps(items)
         try:
-            writer = self._links_by_address.get(address)
-            if writer is None or writer.transport.is_closing():
+            link = self._links_by_address.get(address)
+            # A peer that was started again has closed the old link; what is written
+            # to it is lost without an error.
+            if link is None or link[0].at_eof() or link[1].transport.is_closing():
                 target = Address.from_text(address)
                 async with asyncio.timeout(1):
-                    _, writer = await asyncio.open_connection(target.host, target.port)
-                self._links_by_address[address] = writer
-            writer.write(FRAME.pack(len(data)) + data)
+                    link = await asyncio.open_connection(target.host, target.port)
+                self._links_by_address[address] = link
+            link[1].write(FRAME.pack(len(data)) + data)
         except (OSError, TimeoutError):
             self._links_by_address.pop(address, None)
 
