Give silent stages a quarter of the deadline once another has answered

Cause: after a missed progress deadline a paused stage was probed for a second whole deadline, so a pause cost twice the detection time. Change: once one stage has answered its probe, the others have a quarter of the deadline; only if none answers is the whole deadline used. Ruled out: probing at half of the deadline ahead of time, since it sends three probes for every slow token.

--- a/src/heathershunt/drafts/epoch.py
+++ b/src/heathershunt/drafts/epoch.py
@@ -18,6 +18,7 @@
 from heathershunt.verdict import Progress
 
 PROBES_BEFORE_GIVING_UP = 3
+QUICK_PROBE_SHARE = 0.25
 
 
 @dataclass(frozen=True)
@@ -189,10 +190,7 @@
         stages = self._order.chain.stages
         self._probes += 1
         seen = len(self._draft.tokens)
-        timeout_ms = int(self._estimator.deadline_ms())
-        positions = await asyncio.gather(
-            *(self._engine.probe(s, self._order.run, timeout_ms) for s in stages)
-        )
+        positions = await self._positions()
         if len(self._draft.tokens) != seen or self._outcome.done():
             return
         silent = {s.runner for s, p in zip(stages, positions, strict=True) if p is None}
@@ -206,6 +204,30 @@
             wait_ms = self._estimator.deadline_ms() * 2**self._probes
             self._watched.deadline = self._clock.now() + wait_ms
 
+    async def _positions(self) -> list[int | None]:
+        """Return the position of each stage, ``None`` for the silent ones.
+
+        Once one stage has answered, the network and this process work, and the others
+        have a quarter of the progress deadline; only if none answers is the whole
+        deadline used.
+        """
+        timeout_ms = self._estimator.deadline_ms()
+        probes = [
+            asyncio.create_task(
+                self._engine.probe(stage, self._order.run, int(timeout_ms))
+            )
+            for stage in self._order.chain.stages
+        ]
+        try:
+            quick = timeout_ms * QUICK_PROBE_SHARE / 1000
+            done, _ = await asyncio.wait(probes, timeout=quick)
+            if not done:
+                await asyncio.wait(probes, return_when="FIRST_COMPLETED")
+            return [probe.result() if probe.done() else None for probe in probes]
+        finally:
+            for probe in probes:
+                probe.cancel()
+
     def _behind(self, positions: list[int]) -> set[str]:
         """Return the first stage that lags behind the one before it."""
         stages = self._order.chain.stages
