Blame a stalled stage after one deadline without any movement

Cause: when a link between stages goes silent all stages answer probes, and the draft waited for three probes with doubling pauses. Change: a second probe one deadline later settles it if no stage has moved; a stage that moved keeps the doubling pauses. Ruled out: blame at the first probe, since one probe cannot tell a slow step from a lost one.

--- a/src/heathershunt/drafts/epoch.py
+++ b/src/heathershunt/drafts/epoch.py
@@ -63,6 +63,7 @@
         self._watched = Watched(float("inf"), self._stalled)
         self._last_token_at: int | None = None
         self._probes = 0
+        self._stalled_at: list[int | None] = []
         self._expected_trace = [
             [stage.runner, stage.first_layer, stage.end_layer, order.chain.version]
             for stage in order.chain.stages
@@ -176,6 +177,7 @@
             self._estimator.observe(now - self._last_token_at)
         self._last_token_at = now
         self._probes = 0
+        self._stalled_at = []
         self._watched.deadline = now + self._estimator.deadline_ms()
 
     def _fail(self, suspects: set[str], detail: str) -> None:
@@ -198,10 +200,13 @@
             self._fail(silent, f"no answer to a probe from {', '.join(silent)}")
         elif positions[-1] >= seen:
             self._fail(set(), "the stream went silent while the stage goes on")
-        elif self._probes >= PROBES_BEFORE_GIVING_UP:
+        elif positions == self._stalled_at or self._probes >= PROBES_BEFORE_GIVING_UP:
             self._fail(self._behind(positions), "the stages make no progress")
         else:
-            wait_ms = self._estimator.deadline_ms() * 2**self._probes
+            # A whole deadline in which no stage moves settles it; a stage that is
+            # merely slow has moved by then.
+            self._stalled_at = positions
+            wait_ms = self._estimator.deadline_ms() * 2 ** (self._probes - 1)
             self._watched.deadline = self._clock.now() + wait_ms
 
     async def _positions(self) -> list[int | None]:
