Frame the chunks of streamed bodies without the h11 state machine

Cause: a profile of the relay path shows a tenth of the time in h11's send path for each chunk of a body. Change: the server frames the chunks of a streamed body itself; head and end still pass through h11, as does everything for HTTP/1.0 and HEAD. Ruled out: leaving h11 for heads too, which are rare.

--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -126,7 +126,7 @@
         self._connection = connection
 
     def write(self, data: bytes) -> None:
-        self._connection.send(h11.Data(data=data))
+        self._connection.send_body(data)
 
     def backlog(self) -> int:
         return self._connection.writer.transport.get_write_buffer_size()
@@ -147,6 +147,7 @@
         self._handler = handler
         self._limits = limits
         self._busy = False
+        self._frames_chunks = False
         self._closed = asyncio.Event()
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -231,6 +232,8 @@
             self.send(h11.InformationalResponse(status_code=100, headers=[]))
 
     def _build_request(self, head: h11.Request, body: bytes) -> Request:
+        # h11 sends no chunks to HTTP/1.0 and no body in answer to HEAD.
+        self._frames_chunks = head.http_version == b"1.1" and head.method != b"HEAD"
         target = urlsplit(head.target.decode("ascii"))
         headers = {
             name.decode("ascii"): value.decode("latin-1")
@@ -309,10 +312,26 @@
             )
         )
 
-    def send(self, event) -> None:
-        """Write one h11 event; raise ``ConnectionError`` after the end."""
+    def send_body(self, data: bytes) -> None:
+        """Write body bytes of a streamed response as one chunk.
+
+        The chunk is framed here rather than by h11, whose state machine costs more
+        than the rest of a relayed token. The head and the end of the body still pass
+        through h11, which knows no chunk that is open between two events.
+        """
+        if not self._frames_chunks:
+            self.send(h11.Data(data=data))
+        elif data:
+            self._require_open()
+            self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def _require_open(self) -> None:
         if self._closed.is_set() or self.writer.transport.is_closing():
             raise ConnectionResetError("the caller closed the connection")
+
+    def send(self, event) -> None:
+        """Write one h11 event; raise ``ConnectionError`` after the end."""
+        self._require_open()
         self.writer.write(self._h11.send(event))
 
     async def wait_closed(self) -> None:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -72,6 +72,25 @@
     client.close()
 
 
+@pytest.mark.parametrize(
+    "request_line, body",
+    [
+        (b"GET /stream HTTP/1.1", b"2\r\n0;\r\n2\r\n1;\r\n2\r\n2;\r\n0\r\n\r\n"),
+        (b"GET /stream HTTP/1.0", b"0;1;2;"),
+        (b"HEAD /stream HTTP/1.1", b""),
+    ],
+)
+async def test_streamed_body_is_framed_as_the_request_allows(
+    address, request_line, body
+):
+    """HTTP/1.0 knows no chunks, and an answer to HEAD has no body."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(request_line + b"\r\nhost: a\r\nconnection: close\r\n\r\n")
+    received = await reader.read()
+    assert received.partition(b"\r\n\r\n")[2] == body
+    writer.close()
+
+
 async def test_failed_stream_never_looks_complete(address):
     response = (await HttpClient().request(address, "GET", "/cut")).ok_value
     with pytest.raises(ConnectionError):
