--- a/src/heathershunt/drafts/epoch.py
+++ b/src/heathershunt/drafts/epoch.py
@@ -4,10 +4,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
 from result import Err, Ok, Result
 
 from heathershunt.clock import Clock
-from heathershunt.drafts.engine import EngineClient, RunOrder, StageLine, StageStream
+from heathershunt.drafts.engine import (
+    EngineClient,
+    RunOrder,
+    StageLine,
+    StageStream,
+    decode_trace,
+)
 from heathershunt.drafts.journal import Draft
 from heathershunt.drafts.progress import (
     FIRST_TOKEN_LIMIT_MS,
@@ -18,6 +25,7 @@
 from heathershunt.verdict import Progress
 
 PROBES_BEFORE_GIVING_UP = 3
+QUICK_PROBE_SHARE = 0.25
 
 
 @dataclass(frozen=True)
@@ -62,6 +70,8 @@
         self._watched = Watched(float("inf"), self._stalled)
         self._last_token_at: int | None = None
         self._probes = 0
+        self._stalled_at: list[int | None] = []
+        self._accepted_trace: msgspec.Raw | None = None
         self._expected_trace = [
             [stage.runner, stage.first_layer, stage.end_layer, order.chain.version]
             for stage in order.chain.stages
@@ -152,8 +162,8 @@
     def _take(self, line: StageLine, runner: str) -> None:
         if line.epoch != self._order.epoch or self._outcome.done():
             return
-        if line.trace != self._expected_trace:
-            suspects = self._suspects_of(line.trace) or {runner}
+        if line.trace != self._accepted_trace and not self._accepts(line.trace):
+            suspects = self._suspects_of(decode_trace(line.trace)) or {runner}
             self._fail(suspects, f"position {line.position} ran over other stages")
             return
         if not self._draft.accept(line.position, line.text, line.last):
@@ -165,6 +175,13 @@
         if self._draft.is_whole:
             self._outcome.set_result(Ok(None))
 
+    def _accepts(self, trace: msgspec.Raw) -> bool:
+        """Check a trace and keep its bytes, so that equal bytes need no decoding."""
+        if decode_trace(trace) != self._expected_trace:
+            return False
+        self._accepted_trace = trace.copy()
+        return True
+
     def _suspects_of(self, trace: list) -> set[str]:
         pairs = zip(self._expected_trace, trace, strict=False)
         return {expected[0] for expected, seen in pairs if expected != seen}
@@ -175,6 +192,7 @@
             self._estimator.observe(now - self._last_token_at)
         self._last_token_at = now
         self._probes = 0
+        self._stalled_at = []
         self._watched.deadline = now + self._estimator.deadline_ms()
 
     def _fail(self, suspects: set[str], detail: str) -> None:
@@ -189,10 +207,7 @@
         stages = self._order.chain.stages
         self._probes += 1
         seen = len(self._draft.tokens)
-        timeout_ms = int(self._estimator.deadline_ms())
-        positions = await asyncio.gather(
-            *(self._engine.probe(s, self._order.run, timeout_ms) for s in stages)
-        )
+        positions = await self._positions()
         if len(self._draft.tokens) != seen or self._outcome.done():
             return
         silent = {s.runner for s, p in zip(stages, positions, strict=True) if p is None}
@@ -200,12 +215,39 @@
             self._fail(silent, f"no answer to a probe from {', '.join(silent)}")
         elif positions[-1] >= seen:
             self._fail(set(), "the stream went silent while the stage goes on")
-        elif self._probes >= PROBES_BEFORE_GIVING_UP:
+        elif positions == self._stalled_at or self._probes >= PROBES_BEFORE_GIVING_UP:
             self._fail(self._behind(positions), "the stages make no progress")
         else:
-            wait_ms = self._estimator.deadline_ms() * 2**self._probes
+            # A whole deadline in which no stage moves settles it; a stage that is
+            # merely slow has moved by then.
+            self._stalled_at = positions
+            wait_ms = self._estimator.deadline_ms() * 2 ** (self._probes - 1)
             self._watched.deadline = self._clock.now() + wait_ms
 
+    async def _positions(self) -> list[int | None]:
+        """Return the position of each stage, ``None`` for the silent ones.
+
+        Once one stage has answered, the network and this process work, and the others
+        have a quarter of the progress deadline; only if none answers is the whole
+        deadline used.
+        """
+        timeout_ms = self._estimator.deadline_ms()
+        probes = [
+            asyncio.create_task(
+                self._engine.probe(stage, self._order.run, int(timeout_ms))
+            )
+            for stage in self._order.chain.stages
+        ]
+        try:
+            quick = timeout_ms * QUICK_PROBE_SHARE / 1000
+            done, _ = await asyncio.wait(probes, timeout=quick)
+            if not done:
+                await asyncio.wait(probes, return_when="FIRST_COMPLETED")
+            return [probe.result() if probe.done() else None for probe in probes]
+        finally:
+            for probe in probes:
+                probe.cancel()
+
     def _behind(self, positions: list[int]) -> set[str]:
         """Return the first stage that lags behind the one before it."""
         stages = self._order.chain.stages
