--- a/measure/__init__.py
+++ b/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of single parts of the product."""
+"""Measurements with fixed seeds; not part of the product."""
--- a/src/heathershunt/bundle/__init__.py
+++ b/src/heathershunt/bundle/__init__.py
@@ -1,6 +1,7 @@
 """The versioned, signed bundle: model, parts, signatures, and the one in force."""
 
 from heathershunt.bundle.check import bundle_from_mapping
+from heathershunt.bundle.confirmation import ConfirmationTracker
 from heathershunt.bundle.error import BundleError
 from heathershunt.bundle.file import MAX_FILE_BYTES, decode_file, encode_file, read_file
 from heathershunt.bundle.keeper import BundleKeeper
@@ -23,14 +24,17 @@
     split_bundle,
 )
 from heathershunt.bundle.signing import new_key_pair, sign_root, verify_root
+from heathershunt.bundle.spread import BundleSpreader
 
 __all__ = [
     "MAX_FILE_BYTES",
     "Bundle",
     "BundleError",
     "BundleKeeper",
+    "BundleSpreader",
     "Call",
     "ClientAccount",
+    "ConfirmationTracker",
     "Model",
     "PartEntry",
     "Policy",
--- a/src/heathershunt/bundle/keeper.py
+++ b/src/heathershunt/bundle/keeper.py
@@ -5,9 +5,10 @@
 import logbook
 from result import Err, Ok, Result
 
+from heathershunt.bundle.delta import assemble_next
 from heathershunt.bundle.error import BundleError
 from heathershunt.bundle.model import Bundle
-from heathershunt.bundle.parts import Root, SignedRoot, assemble
+from heathershunt.bundle.parts import Root, SignedRoot
 from heathershunt.bundle.signing import verify_root
 
 log = logbook.Logger("heathershunt.bundle")
@@ -74,7 +75,17 @@
         :raises BundleError: at the first fault.
         """
         self.verify(signed)
-        assemble(signed.root(), {**parts_by_sha256, **self.parts_by_sha256})
+        self._assemble(signed.root(), parts_by_sha256)
+
+    def _assemble(
+        self, root: Root, parts_by_sha256: Mapping[str, bytes]
+    ) -> tuple[Bundle, dict[str, bytes]]:
+        """Return the bundle of ``root`` and its parts, building on what is held."""
+        # Parts that are held were verified; an offered one must not hide them.
+        parts = {**parts_by_sha256, **self.parts_by_sha256}
+        in_force = self.signed.root() if self.signed else None
+        bundle = assemble_next(root, parts, in_force, self.bundle)
+        return bundle, {entry.sha256: parts[entry.sha256] for entry in root.parts}
 
     def offer(
         self, signed: SignedRoot, parts_by_sha256: Mapping[str, bytes]
@@ -82,15 +93,13 @@
         """Put a newer bundle into force, or return why it is refused."""
         try:
             root = self._check(signed)
-            # Parts that are held were verified; an offered one must not hide them.
-            parts = {**parts_by_sha256, **self.parts_by_sha256}
-            bundle = assemble(root, parts)
+            bundle, parts = self._assemble(root, parts_by_sha256)
         except BundleError as error:
             return Err(error)
         self.previous_version = self.version
         self.signed = signed
         self.bundle = bundle
-        self.parts_by_sha256 = {e.sha256: parts[e.sha256] for e in root.parts}
+        self.parts_by_sha256 = parts
         log.info("bundle {} in force ({})", bundle.version, signed.sha256[:12])
         self._notify(bundle)
         return Ok(bundle)
--- a/src/heathershunt/bundle/parts.py
+++ b/src/heathershunt/bundle/parts.py
@@ -182,6 +182,7 @@
 
     :raises BundleError: if a part is missing, altered or malformed.
     """
+    _check_root(root)
     raw: dict[str, Any] = {"version": root.version, "policy": asdict(root.policy)}
     for entry in root.parts:
         raw.setdefault(entry.kind, []).extend(_part_items(entry, parts_by_sha256))
--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -5,11 +5,15 @@
 
 import logbook
 
-from heathershunt.bundle import BundleKeeper
+from heathershunt.admission import ShareConfig, ShareSplitter
+from heathershunt.bundle import Bundle, BundleKeeper
 from heathershunt.clock import Clock, SystemClock
 from heathershunt.daemon.callers import CallerRoutes
+from heathershunt.daemon.fleet import Fleet
+from heathershunt.daemon.forwarding import PeerRequests
 from heathershunt.daemon.operations import Operations
 from heathershunt.drafts import (
+    AdmissionGate,
     DraftExecutor,
     DraftHandler,
     DraftTable,
@@ -17,9 +21,12 @@
     ProgressMonitor,
 )
 from heathershunt.http import Address, HttpClient, HttpServer
+from heathershunt.retries import EjectionConfig, EjectionPolicy
+from heathershunt.routing import Router, RoutingConfig
 from heathershunt.runners import RunnerBoard, RunnerPoller
+from heathershunt.services import ServiceHandler
 from heathershunt.settings import Settings
-from heathershunt.store import BundleWatch, KeyValueStore, VmList
+from heathershunt.store import BundleWatch, KeyValueStore, ListedVm, VmList
 
 log = logbook.Logger("heathershunt.daemon")
 
@@ -40,20 +47,24 @@
         self.http = HttpClient()
         self.operations = Operations(self)
         self.keeper = BundleKeeper(
-            settings.bundle.trusted_keys,
-            self.operations.on_bundle,
-            self.operations.on_conflict,
+            settings.bundle.trusted_keys, self._on_bundle, self.operations.on_conflict
         )
         addresses = tuple(map(Address.from_text, settings.platform.store))
         self.store = KeyValueStore(self.http, addresses)
+        self.router = Router.from_config(RoutingConfig(), self.incarnation)
+        self.board = RunnerBoard(self.router.in_flight)
+        self.ejection = EjectionPolicy.from_config(EjectionConfig())
+        self.splitter = ShareSplitter.from_config(ShareConfig(), settings.vm.name)
+        self.gate = AdmissionGate(
+            self.board, self.splitter, self.clock, self._known_vms
+        )
         self.watch = BundleWatch(
-            self.store, self.keeper, lambda: None, self.operations.on_refused
+            self.store, self.keeper, self._on_store_contact, self.operations.on_refused
         )
-        self.board = RunnerBoard()
         self.vm_list = VmList(
             self.http,
             Address.from_text(settings.platform.vm_list),
-            lambda entries: None,
+            self._on_vm_list,
         )
         self.poller = RunnerPoller(
             self.http, self.clock, self.board, lambda: self.vm_list.entries
@@ -67,34 +78,70 @@
         )
         executor = DraftExecutor(
             EngineClient(self.http),
+            self.router,
             self.board,
+            self.ejection,
             self.monitor,
             self.clock,
             settings.drafts.progress_floor_ms,
         )
-        self.drafts = DraftHandler(self.table, executor, self.clock)
+        self.drafts = DraftHandler(self.table, executor, self.gate, self.clock)
+        self.services = ServiceHandler.create(
+            settings.vm.name,
+            self.incarnation,
+            self.http,
+            self.store,
+            self.clock,
+            self.vm_list.service_addresses,
+        )
+        self.fleet = Fleet(self)
+        self.peer_requests = PeerRequests(self)
+        self.services.set_forwarder(self.peer_requests)
         self.callers = HttpServer(CallerRoutes(self).handle)
-        self.is_leaving = False
         self.is_shutting_down = False
         self._tasks: list[asyncio.Task] = []
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether this VM takes no new work."""
+        return self.is_shutting_down or self.fleet.membership.is_leaving
+
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
         address = Address.from_text(self.settings.listen.callers)
         await self.callers.start(address.host, address.port, self.operations.server_tls)
         await self.operations.start()
+        await self.fleet.start()
         await self.vm_list.poll()
         for work in (
             self.watch.run(),
             self.vm_list.run(),
             self.poller.run(),
             self.monitor.run(),
+            self.gate.run(),
             self.operations.lag.run(),
             self._keep_house(),
         ):
             self._spawn(work)
         log.info("{} listens for callers on {}", self.settings.vm.name, address)
 
+    def _on_bundle(self, bundle: Bundle) -> None:
+        self.gate.set_bundle(bundle)
+        self.operations.on_bundle(bundle)
+        self.fleet.spreader.announce()
+
+    def _on_vm_list(self, entries: tuple[ListedVm, ...]) -> None:
+        leaving = frozenset(entry.vm for entry in entries if entry.is_leaving)
+        self.board.set_leaving(leaving)
+        self.fleet.apply_vm_list(entries)
+
+    def _on_store_contact(self) -> None:
+        self.fleet.tracker.store_answered(self.clock.now())
+        self.fleet.spreader.announce()
+
+    def _known_vms(self) -> frozenset[str]:
+        return self.fleet.live_vms()
+
     def _spawn(self, work: Coroutine) -> None:
         self._tasks.append(asyncio.create_task(work))
 
@@ -102,17 +149,27 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_MS / 1000)
             self.table.remove_old()
+            self.ejection.set_ranges(self.board.ranges_by_runner())
+            self.services.remove_old()
+            self.fleet.tick()
+
+    def _has_work(self) -> bool:
+        window = self.settings.drafts.return_window_ms
+        running = self.services.running or self.callers.busy
+        return bool(self.table.undelivered(window) or running)
 
     async def shut_down(self) -> None:
         """Finish what runs, refuse what is new, then stop."""
-        self.is_leaving = self.is_shutting_down = True
+        self.is_shutting_down = True
+        self.fleet.set_leaving(self.settings.vm.name, True)
         self.operations.on_draining()
         self.callers.drain()
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
-        while self.table.running and self.clock.now() < limit:
+        while self._has_work() and self.clock.now() < limit:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         await self.callers.close()
         await self.operations.close()
+        await self.fleet.close()
         for task in self._tasks:
             task.cancel()
         self.http.close()
--- a/src/heathershunt/daemon/callers.py
+++ b/src/heathershunt/daemon/callers.py
@@ -1,5 +1,6 @@
 """Routes of the callers' listener."""
 
+import re
 from typing import TYPE_CHECKING
 
 from heathershunt.bundle import ClientAccount
@@ -10,6 +11,7 @@
     json_response,
     problem_response,
 )
+from heathershunt.services import SERVICES_PREFIX
 from heathershunt.verdict import Refusal, not_run
 
 if TYPE_CHECKING:
@@ -17,6 +19,10 @@
 
 RETRY_AFTER_MS = 1000
 BEARER = "bearer "
+RESUME_PREFIX = "/v1/completions/"
+ADDRESS_PATH = "/v1/address"
+REQUEST_ID = re.compile(r"[^/]{1,64}\.[0-9]{1,16}\.[0-9]{1,16}")
+EVENT_ID = re.compile(r"-1|[0-9]{1,9}")
 
 
 class CallerRoutes:
@@ -35,15 +41,62 @@
             return json_response(200, {"status": "ok"})
         if path == "/metrics":
             return self._daemon.operations.metrics_response()
+        if path == ADDRESS_PATH and request.method == "GET":
+            return self._address(request)
+        if self._daemon.keeper.bundle is not None and self._is_owed(request):
+            # A leaving VM still hands out the answers that it owes.
+            return await self._handle_authorized(request)
         refusal = self._refusal()
         if path == "/readyz":
-            if refusal is not None:
-                return problem_response(refusal)
-            runners = len(self._daemon.board.states_by_runner)
-            version = self._daemon.keeper.version
-            return json_response(200, {"version": version, "runners": runners})
+            return self._readiness(refusal)
         if refusal is not None:
             return self._refuse(refusal)
+        return await self._handle_authorized(request)
+
+    def _readiness(self, refusal: Refusal | None) -> Response:
+        if refusal is not None:
+            return problem_response(refusal)
+        daemon = self._daemon
+        return json_response(
+            200,
+            {
+                "version": daemon.keeper.version,
+                "runners": len(daemon.board.states_by_runner),
+                "vms": len(daemon.fleet.live_vms()),
+            },
+        )
+
+    def _address(self, request: Request) -> Response:
+        """Name the entry VM to use; a known account gets an idempotency key too."""
+        answer = self._daemon.fleet.answer(request.peer)
+        if answer is None:
+            detail = "no VM takes new work at present"
+            return self._refuse(not_run(503, "No VM", detail, RETRY_AFTER_MS))
+        payload = {
+            "vm": answer.vm,
+            "address": answer.address,
+            "keep_ms": answer.keep_ms,
+            "alternatives": list(answer.alternatives),
+        }
+        account = self._account(request)
+        if account is not None and not self._daemon.is_leaving:
+            payload["idempotency_key"] = self._daemon.services.issue_key(account)
+        headers = {"cache-control": f"max-age={answer.keep_ms // 1000}"}
+        return json_response(200, payload, headers)
+
+    def _is_owed(self, request: Request) -> bool:
+        if self._is_resume(request):
+            return True
+        key = request.headers.get("idempotency-key")
+        if key is None or not request.path.startswith(SERVICES_PREFIX):
+            return False
+        account = self._account(request)
+        return account is not None and self._daemon.services.knows(account, key)
+
+    def _is_resume(self, request: Request) -> bool:
+        return request.method == "GET" and request.path.startswith(RESUME_PREFIX)
+
+    async def _handle_authorized(self, request: Request) -> Response | StreamResponse:
         account = self._account(request)
         if account is None:
             detail = "the bearer token is missing or unknown"
@@ -51,10 +104,16 @@
         return await self._handle_account(request, account)
 
     def _refusal(self) -> Refusal | None:
-        if self._daemon.is_leaving:
-            return not_run(503, "Leaving", "this VM is leaving", RETRY_AFTER_MS)
-        if self._daemon.keeper.bundle is None:
+        daemon = self._daemon
+        other = daemon.fleet.other_address()
+        if daemon.is_leaving:
+            detail = "this VM is leaving"
+            return not_run(503, "Leaving", detail, RETRY_AFTER_MS, other)
+        if daemon.keeper.bundle is None:
             detail = "no bundle is in force here yet"
+            return not_run(503, "Not ready", detail, RETRY_AFTER_MS, other)
+        if not daemon.fleet.tracker.is_confirmed(daemon.clock.now()):
+            detail = "neither the store nor a peer confirms the bundle in force here"
             return not_run(503, "Not ready", detail, RETRY_AFTER_MS)
         return None
 
@@ -65,9 +124,10 @@
 
     def _account(self, request: Request) -> ClientAccount | None:
         value = request.headers.get("authorization", "")
-        if not value.lower().startswith(BEARER):
+        bundle = self._daemon.keeper.bundle
+        if bundle is None or not value.lower().startswith(BEARER):
             return None
-        return self._daemon.keeper.bundle.account_for_token(value[len(BEARER) :])
+        return bundle.account_for_token(value[len(BEARER) :])
 
     async def _handle_account(
         self, request: Request, account: ClientAccount
@@ -76,8 +136,24 @@
         route = (request.method, request.path)
         if route == ("POST", "/v1/completions"):
             return await drafts.complete(request, account, self._daemon.keeper.bundle)
-        if request.method == "GET" and request.path.startswith("/v1/completions/"):
-            request_id = request.path.removeprefix("/v1/completions/")
-            return await drafts.resume(request, request_id, account)
+        if self._is_resume(request):
+            return await self._resume(request, account)
+        if request.path.startswith(SERVICES_PREFIX):
+            bundle = self._daemon.keeper.bundle
+            return await self._daemon.services.handle(request, account, bundle)
         detail = f"there is no {request.method} {request.path}"
         return problem_response(not_run(404, "Not found", detail))
+
+    async def _resume(
+        self, request: Request, account: ClientAccount
+    ) -> Response | StreamResponse:
+        """Give a caller the rest of a draft, from this VM or from its owner."""
+        request_id = request.path.removeprefix(RESUME_PREFIX)
+        text = request.headers.get("last-event-id", "-1")
+        if REQUEST_ID.fullmatch(request_id) is None or EVENT_ID.fullmatch(text) is None:
+            detail = "the request id or Last-Event-ID is malformed"
+            return problem_response(not_run(400, "Request refused", detail))
+        after = int(text)
+        if self._daemon.table.is_owner(request_id):
+            return self._daemon.drafts.resume_own(request_id, after, account.name)
+        return await self._daemon.peer_requests.resume(request_id, after, account)
--- /dev/null
+++ b/src/heathershunt/daemon/forwarding.py
@@ -0,0 +1,179 @@
+"""Requests that one daemon runs for another: resumed drafts and keyed calls."""
+
+import asyncio
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+
+import cbor2
+import msgspec
+from result import Err, Ok, Result
+
+from heathershunt.bundle import ClientAccount
+from heathershunt.http import (
+    Response,
+    ResponseStream,
+    StreamResponse,
+    problem_response,
+)
+from heathershunt.peers import ForwardReply, ForwardRequest, ReplyStream
+from heathershunt.services import ServiceCall
+from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
+
+if TYPE_CHECKING:
+    from heathershunt.daemon.app import Daemon
+
+RESUME_KIND = "draft.resume"
+CALL_KIND = "service.call"
+RESUME_TIMEOUT_MS = 2000
+REPLY_BACKLOG_BYTES = 262_144
+
+
+class _PeerStream:
+    """Response stream that sends its body to a peer."""
+
+    def __init__(self, reply: ReplyStream) -> None:
+        self._reply = reply
+        self._pending = bytearray()
+        self._changed = asyncio.Event()
+
+    def write(self, data: bytes) -> None:
+        self._pending += data
+        self._changed.set()
+
+    def backlog(self) -> int:
+        return len(self._pending)
+
+    async def drain(self) -> None:
+        while len(self._pending) > REPLY_BACKLOG_BYTES:
+            await asyncio.sleep(0)
+            await self.flush()
+
+    async def wait_closed(self) -> None:
+        # The forwarder cancels the handler when the link or the request ends.
+        await asyncio.Event().wait()
+
+    async def flush(self) -> None:
+        data = bytes(self._pending)
+        self._pending.clear()
+        if data:
+            await self._reply.write(data)
+
+    async def pump(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            await self.flush()
+
+
+class PeerRequests:
+    """Runs requests for peers, and hands requests to them.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, daemon: "Daemon") -> None:
+        self._daemon = daemon
+        daemon.fleet.forwarder.handle(RESUME_KIND, self._run_resume)
+        daemon.fleet.forwarder.handle(CALL_KIND, self._run_call)
+
+    async def resume(
+        self, request_id: str, after: int, account: ClientAccount
+    ) -> Response | StreamResponse:
+        """Relay a draft from the VM that owns it."""
+        vm, incarnation, _ = request_id.rsplit(".", 2)
+        outcome = await self._daemon.fleet.forwarder.call(
+            vm,
+            RESUME_KIND,
+            headers={"id": request_id, "after": str(after), "account": account.name},
+            incarnation=int(incarnation),
+            timeout_ms=RESUME_TIMEOUT_MS,
+        )
+        if isinstance(outcome, Err):
+            refusal = outcome.err_value.refusal
+            return problem_response(refusal or _owner_gone(vm))
+        reply = outcome.ok_value
+        return StreamResponse(
+            reply.status, reply.headers, lambda stream: _relay(reply, stream)
+        )
+
+    async def call(
+        self, vm: str, incarnation: int, call: ServiceCall, key: str, timeout_ms: int
+    ) -> Result[Response, Progress]:
+        """Hand a keyed call to the VM that owns its key."""
+        body = cbor2.dumps({"call": asdict(call), "key": key, "timeout_ms": timeout_ms})
+        outcome = await self._daemon.fleet.forwarder.call(
+            vm, CALL_KIND, body=body, incarnation=incarnation, timeout_ms=timeout_ms
+        )
+        if isinstance(outcome, Err):
+            refusal = outcome.err_value.refusal
+            if refusal is not None:
+                return Ok(problem_response(refusal))
+            return Err(outcome.err_value.progress)
+        reply = outcome.ok_value
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return Ok(Response(reply.status, reply.headers, await reply.read()))
+        except (ConnectionError, TimeoutError, Exception):
+            reply.cancel()
+            return Err(Progress.SENT)
+
+    async def _run_resume(
+        self, request: ForwardRequest, reply: ReplyStream
+    ) -> Refusal | None:
+        headers = request.headers
+        response = self._daemon.drafts.resume_own(
+            headers.get("id", ""), int(headers.get("after", "-1")), headers["account"]
+        )
+        await reply.start(response.status, response.headers)
+        if isinstance(response, Response):
+            await reply.write(response.body)
+            return None
+        stream = _PeerStream(reply)
+        pump = asyncio.create_task(stream.pump())
+        try:
+            await response.run(stream)
+        finally:
+            pump.cancel()
+            await asyncio.gather(pump, return_exceptions=True)
+        await stream.flush()
+        if response.on_confirmed:
+            response.on_confirmed()
+        return None
+
+    async def _run_call(
+        self, request: ForwardRequest, reply: ReplyStream
+    ) -> Refusal | None:
+        bundle = self._daemon.keeper.bundle
+        try:
+            raw = cbor2.loads(request.body)
+            call = msgspec.convert(raw["call"], ServiceCall, builtin_types=(bytes,))
+            key, timeout_ms = str(raw["key"]), int(raw["timeout_ms"])
+        except (ValueError, KeyError, TypeError, msgspec.ValidationError) as error:
+            return not_run(400, "Malformed request of a peer", str(error))
+        if bundle is None:
+            return not_run(503, "Not ready", "no bundle is in force here yet", 1000)
+        services = self._daemon.services
+        response = await services.handle_forwarded(call, key, timeout_ms, bundle)
+        await reply.start(response.status, response.headers)
+        await reply.write(response.body)
+        return None
+
+
+async def _relay(reply: ForwardReply, stream: ResponseStream) -> None:
+    """Copy a reply to the caller; a cut reply cuts the caller's response."""
+    closed = asyncio.create_task(stream.wait_closed())
+    closed.add_done_callback(lambda _: reply.cancel("the caller is gone"))
+    try:
+        async for data in reply.chunks():
+            stream.write(data)
+            await stream.drain()
+    finally:
+        closed.cancel()
+
+
+def _owner_gone(vm: str) -> Refusal:
+    detail = (
+        f"{vm}, which ran this draft, is gone; repeat the request with the text of the "
+        "tokens received in heathershunt.received and the answer goes on after it"
+    )
+    return may_have_run(410, "Owner gone", detail)
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -179,16 +179,16 @@
 
     async def _set_leaving(self, vm: str, leaving: bool) -> Result[None, Refusal]:
         own = self._daemon.settings.vm.name
-        if vm != own:
-            detail = f"this daemon is {own}; {vm!r} is changed at its own listener"
-            return Err(not_run(404, "Another VM", detail))
-        if self._daemon.is_shutting_down and not leaving:
+        if vm == own and self._daemon.is_shutting_down and not leaving:
             detail = f"{vm} is shutting down and cannot be admitted again"
             return Err(not_run(409, "Shutting down", detail))
-        if self._daemon.is_leaving != leaving:
-            self._daemon.is_leaving = leaving
-            state = "leaving" if leaving else "live"
-            self.timeline.record(EventKind.MEMBERSHIP, state=state, by="operator")
+        if not self._daemon.fleet.set_leaving(vm, leaving):
+            detail = f"no VM {vm!r} is known here, or it is dead"
+            return Err(not_run(404, "Unknown VM", detail))
+        state = "leaving" if leaving else "live"
+        self.timeline.record(
+            EventKind.MEMBERSHIP, subject=vm, state=state, by="operator"
+        )
         return Ok(None)
 
 
--- a/src/heathershunt/http/messages.py
+++ b/src/heathershunt/http/messages.py
@@ -15,6 +15,7 @@
     """One request, with header names in lower case.
 
     :param peer: IP address of the sender.
+    :param target: path and query as they were sent, without decoding.
 
     .. versionadded:: 0.1
     """
@@ -25,6 +26,7 @@
     headers: Mapping[str, str]
     body: bytes
     peer: str = ""
+    target: str = ""
 
 
 @dataclass(frozen=True)
@@ -65,12 +67,16 @@
     If ``run`` raises, the connection is cut without the end of the body, so that a
     truncated answer never looks complete.
 
+    :param on_confirmed: called when the caller shows that it took the whole body: it
+        sends its next request or closes its side of the connection.
+
     .. versionadded:: 0.1
     """
 
     status: int
     headers: Mapping[str, str]
     run: Callable[[ResponseStream], Awaitable[None]]
+    on_confirmed: Callable[[], None] | None = None
 
 
 def json_response(
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -30,12 +30,12 @@
 from heathershunt.http import Address, HttpClient
 from heathershunt.store import KeyValueStore, roll_bundle
 from standins.engine_state import EngineSpec
+from standins.proxy_control import ProxyControl
 
 HOST = "127.0.0.1"
 ROOT = Path(__file__).resolve().parent.parent
 READY_SECONDS = 20
 POLL_SECONDS = 0.02
-STOP_SECONDS = 10
 
 
 class LaunchError(Exception):
@@ -54,6 +54,28 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
+def demo_bundle(version: int, model_version: str = "v1", layers: int = 12) -> dict:
+    """Return a bundle with one model, one service and two client accounts."""
+    return {
+        "version": version,
+        "priorities": [
+            {"name": "normal", "rank": 1},
+            {"name": "urgent", "rank": 0},
+        ],
+        "models": [{"name": "m", "layers": layers, "version": model_version}],
+        "services": [
+            {
+                "name": "orders",
+                "idempotent": [{"method": "GET", "path_prefix": "/"}],
+            }
+        ],
+        "accounts": [
+            {"name": name, "token_sha256": [token_sha256(f"{name}-token")]}
+            for name in ("parish", "notary")
+        ],
+    }
+
+
 @dataclass
 class Process:
     """One started process."""
@@ -134,6 +156,7 @@
         self.folder = Path(self._folder.name)
         self.processes_by_name: dict[str, Process] = {}
         self.ports_by_daemon: dict[str, DaemonPorts] = {}
+        self.platforms_by_daemon: dict[str, Address] = {}
         self.http = HttpClient()
         self.private_key, self.public_key = new_key_pair()
         self.operator_key = "operator-key"
@@ -182,6 +205,16 @@
         """Return the address of the platform."""
         return self.processes_by_name["platform"].address
 
+    async def start_proxy(self, seed: int = 0, name: str = "proxy") -> ProxyControl:
+        """Start a fault proxy; its ``before_...`` methods put it in place."""
+        process = await self.spawn_ready(name, "standins.proxy", str(seed))
+        return ProxyControl(self, process.address)
+
+    @staticmethod
+    def free_port() -> int:
+        """Return a port that is free now."""
+        return free_port()
+
     async def start_engines(self, specs: list[EngineSpec], name="engines") -> Process:
         """Start one process with the given engines and list their VMs."""
         path = self.folder / f"{name}.json"
@@ -200,8 +233,8 @@
             )
         return process
 
-    async def start_service(self, name: str) -> Process:
-        """Start one plain service and list its VM."""
+    async def start_service(self, name: str, service: str = "") -> Process:
+        """Start one address of a plain service and list its VM."""
         process = await self.spawn_ready(name, "standins.service")
         self.vms.append(
             {
@@ -210,7 +243,7 @@
                 "state": "live",
                 "role": "service",
                 "address": str(process.address),
-                "service": name,
+                "service": service or name,
             }
         )
         return process
@@ -233,6 +266,7 @@
             f'"{other.peers}"' for n, other in self.ports_by_daemon.items() if n != name
         ]
         operator = token_sha256(self.operator_key)
+        platform = self.platforms_by_daemon.get(name, self.platform)
         return f"""
 [vm]
 name = "{name}"
@@ -244,12 +278,15 @@
 peers = "{ports.peers}"
 
 [platform]
-store = ["{self.platform}"]
-vm_list = "{self.platform}"
+store = ["{platform}"]
+vm_list = "{platform}"
 
 [bundle]
 trusted_keys = ["{self.public_key}"]
 
+[drafts]
+return_window_ms = 3000
+
 [peers]
 seeds = [{", ".join(seeds)}]
 
@@ -315,31 +352,31 @@
         for name in self.ports_by_daemon:
             await self.wait_status(self.processes_by_name[name], "/readyz")
 
+    async def wait_version(self, version: int) -> None:
+        """Wait until every daemon has at least this bundle version in force."""
+        await self._wait_member("version", version)
+
     async def wait_runners(self, count: int) -> None:
         """Wait until every daemon has a report of at least ``count`` runners."""
+        await self._wait_member("runners", count)
+
+    async def _wait_member(self, member: str, least: int) -> None:
         for name in self.ports_by_daemon:
-            process = self.processes_by_name[name]
+            address = self.ports_by_daemon[name].callers
             for _ in range(int(READY_SECONDS / POLL_SECONDS)):
-                status, reply = (
-                    await self.http.request_json(process.address, "GET", "/readyz")
-                ).unwrap()
-                if status == 200 and reply["runners"] >= count:
+                outcome = await self.http.request_json(address, "GET", "/readyz")
+                status, reply = outcome.unwrap()
+                if status == 200 and reply[member] >= least:
                     break
                 await asyncio.sleep(POLL_SECONDS)
             else:
-                raise LaunchError(f"{name}: fewer than {count} runners reported")
+                raise LaunchError(f"{name}: {member} stays below {least}")
 
     async def stop(self) -> None:
         """End every process that was started."""
         self.http.close()
         for process in self.processes_by_name.values():
-            process.resume()
-            process.send(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(STOP_SECONDS):
-                for process in self.processes_by_name.values():
-                    await process.process.wait()
-        except TimeoutError:
-            for process in self.processes_by_name.values():
-                process.kill()
+            process.kill()
+        for process in self.processes_by_name.values():
+            await process.process.wait()
         self._folder.cleanup()
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -1,7 +1,6 @@
 import pytest
 
-from standins.demo import demo_bundle
-from standins.launch import Deployment, pipeline_specs
+from standins.launch import Deployment, demo_bundle, pipeline_specs
 
 LAYERS = 12
 
--- a/tests/operators/conftest.py
+++ b/tests/operators/conftest.py
@@ -6,8 +6,7 @@
 
 from heathershunt.cli.main import run
 from heathershunt.http import Address
-from standins.demo import demo_bundle
-from standins.launch import Deployment
+from standins.launch import Deployment, demo_bundle
 
 
 class Operator:
