Find all daemons from a few, bound the cost of a timeline query

Change: the status names the members with their operators' listeners, and status, timeline, drain and admit use those too. Queries filter before events are built and return the last 2000 of them by default, 5000 at most. A listener that cannot be bound ends the start with one line and exit code 3.

--- a/measure/timeline.py
+++ b/measure/timeline.py
@@ -4,12 +4,16 @@
 and the range of the rounds) and bytes per event kept.
 """
 
+import asyncio
+import hashlib
 import statistics
 import time
 import tracemalloc
 from collections import deque
 
 from heathershunt.clock import SystemClock
+from heathershunt.http import Request
+from heathershunt.operators import OperatorAccess, OperatorHooks, OperatorRoutes
 from heathershunt.timeline import Event, EventKind, HybridClock, TimeLine
 
 EVENTS = 100_000
@@ -42,8 +46,30 @@
     return clock
 
 
+def _read() -> None:
+    """Print how long a query of the default size holds the event loop."""
+    line = _tuples()
+    routes = OperatorRoutes(
+        OperatorAccess([hashlib.sha256(b"key").hexdigest()]),
+        OperatorHooks(dict, line, *(4 * [lambda: None])),
+    )
+    headers = {"authorization": "Bearer key"}
+    for query in ({}, {"request": "unknown"}):
+        request = Request("GET", "/v1/operator/timeline", query, headers, b"")
+        times = []
+        for _ in range(ROUNDS):
+            start = time.perf_counter_ns()
+            response = asyncio.run(routes.handle(request))
+            times.append((time.perf_counter_ns() - start) / 1e6)
+        print(
+            f"query {query}: {statistics.median(times):.1f} ms "
+            f"({min(times):.1f} to {max(times):.1f}), {len(response.body)} bytes"
+        )
+
+
 def main() -> None:
     """Print the costs."""
+    _read()
     for name, work in (
         ("tuples, events made on reading", _tuples),
         ("events made on recording", _events),
--- a/src/heathershunt/cli/commands.py
+++ b/src/heathershunt/cli/commands.py
@@ -161,7 +161,12 @@
 
     @SetParseFn(str)
     def timeline(
-        self, request: str = "", vm: str = "", kind: str = "", explain: str = ""
+        self,
+        request: str = "",
+        vm: str = "",
+        kind: str = "",
+        limit: str = "",
+        explain: str = "",
     ) -> None:
         """Show the events of all daemons in causal order.
 
@@ -169,9 +174,9 @@
             request: only events of this request.
             vm: only events of this VM.
             kind: only events of this kind.
+            limit: the last so many events of each VM, 2000 by default.
             explain: tell what happened to the request in sentences.
         """
         context = self._context
-        context.plan(
-            lambda: fleet.show_timeline(context, request, vm, kind, bool(explain))
-        )
+        query = {"request": request, "vm": vm, "kind": kind, "limit": limit}
+        context.plan(lambda: fleet.show_timeline(context, query, bool(explain)))
--- a/src/heathershunt/cli/daemons.py
+++ b/src/heathershunt/cli/daemons.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from contextlib import suppress
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import urlencode
 
@@ -19,6 +20,7 @@
 UNAUTHORIZED = 401
 CONFLICT = 409
 OUTCOME_UNKNOWN = 504
+STATUS = "/v1/operator/status"
 ROLL_TRIES = 3
 ROLL_RETRY_MS = 500
 SETTLE_MS = 10_000
@@ -47,6 +49,14 @@
         return str(detail or f"status {self.status}")
 
 
+@dataclass
+class Answers:
+    """What several daemons answered, and why the others gave no answer."""
+
+    values: dict[Address, Any] = field(default_factory=dict)
+    failures: dict[Address, str] = field(default_factory=dict)
+
+
 class Daemons:
     """The operators' listeners named in the configuration.
 
@@ -89,25 +99,35 @@
             raise CliError(ExitCode.UNAUTHORIZED, f"{address}: {answer.detail}")
         return Ok(answer)
 
-    async def ask_all(
-        self, target: str
-    ) -> tuple[dict[Address, Any], dict[Address, str]]:
-        """Return the answers of all daemons, and why the others gave none."""
+    async def ask_all(self, addresses: Iterable[Address], target: str) -> Answers:
+        """Ask several daemons at the same time."""
+        addresses = tuple(addresses)
         outcomes = await asyncio.gather(
-            *(self.ask(address, "GET", target) for address in self.addresses)
+            *(self.ask(address, "GET", target) for address in addresses)
         )
-        answers: dict[Address, Any] = {}
-        failures: dict[Address, str] = {}
-        for address, outcome in zip(self.addresses, outcomes, strict=True):
+        answers = Answers()
+        for address, outcome in zip(addresses, outcomes, strict=True):
             if isinstance(outcome, Err):
-                failures[address] = outcome.err_value.detail
+                answers.failures[address] = outcome.err_value.detail
             elif outcome.ok_value.status != 200:
-                failures[address] = outcome.ok_value.detail
+                answers.failures[address] = outcome.ok_value.detail
             else:
-                answers[address] = outcome.ok_value.json()
-        if not answers:
-            raise _unreachable(failures)
-        return answers, failures
+                answers.values[address] = outcome.ok_value.json()
+        return answers
+
+    async def survey(self) -> Answers:
+        """Return the status of the configured daemons and of those that they know.
+
+        :raises CliError: if no daemon answers.
+        """
+        found = await self.ask_all(self.addresses, STATUS)
+        if not found.values:
+            raise _unreachable(found.failures)
+        others = _known_listeners(found.values.values()) - set(self.addresses)
+        more = await self.ask_all(sorted(others, key=str), STATUS)
+        found.values.update(more.values)
+        found.failures.update(more.failures)
+        return found
 
     async def ask_any(self, target: str) -> Answer:
         """Return the first complete answer of a daemon."""
@@ -126,29 +146,26 @@
         target = "/v1/operator/timeline"
         if query:
             target += "?" + urlencode(query)
-        answers, failures = await self.ask_all(target)
+        known = await self.survey()
+        found = await self.ask_all(known.values, target)
+        failures = {**known.failures, **found.failures}
         events = []
-        for address, answer in answers.items():
+        for address, value in found.values.items():
             try:
-                events.append([event_from_mapping(raw) for raw in answer["events"]])
+                events.append([event_from_mapping(raw) for raw in value["events"]])
             except (ValueError, TypeError, KeyError) as error:
                 failures[address] = f"{address}: not a timeline: {error}"
         return events, failures
 
     async def change_vm(self, vm: str, action: str) -> None:
-        """Drain or admit a VM at its own listener; repeating it is harmless."""
-        answers, failures = await self.ask_all("/v1/operator/status")
-        address_by_vm = {s["vm"]["name"]: address for address, s in answers.items()}
-        address = address_by_vm.get(vm)
-        if address is None:
-            known = ", ".join(sorted(address_by_vm))
-            silent = ", ".join(map(str, failures)) or "none"
-            raise CliError(
-                ExitCode.UNREACHABLE if failures else ExitCode.REFUSED,
-                f"no daemon of {vm!r} answered; answered: {known}; silent: {silent}",
-            )
+        """Drain or admit a VM, at its own listener if it answers.
+
+        The other daemons pass the order on; repeating it is harmless.
+        """
+        known = await self.survey()
+        order = sorted(known.values, key=lambda a: _name(known.values[a]) != vm)
         body = json.dumps({"vm": vm}).encode()
-        outcome = await self.ask(address, "POST", f"/v1/operator/{action}", body)
+        outcome = await self.ask(order[0], "POST", f"/v1/operator/{action}", body)
         if isinstance(outcome, Err):
             error = outcome.err_value
             unsent = error.progress is Progress.NOT_SENT
@@ -196,7 +213,7 @@
         the version in force, its hash decides.
         """
         for _ in range(SETTLE_MS // SETTLE_POLL_MS):
-            status = (await self.ask_any("/v1/operator/status")).json()
+            status = (await self.ask_any(STATUS)).json()
             held = status.get("bundle", {})
             if held.get("sha256") == sha256:
                 return
@@ -210,3 +227,20 @@
 
 def _unreachable(failures: Mapping[Address, str]) -> CliError:
     return CliError(ExitCode.UNREACHABLE, "; ".join(failures.values()))
+
+
+def _name(status: Any) -> str | None:
+    vm = status.get("vm") if isinstance(status, dict) else None
+    return vm.get("name") if isinstance(vm, dict) else None
+
+
+def _known_listeners(statuses: Iterable[Any]) -> set[Address]:
+    """Return the operators' listeners of the VMs that are not dead."""
+    found = set()
+    for status in statuses:
+        members = status.get("members") if isinstance(status, dict) else None
+        for member in members if isinstance(members, list) else ():
+            with suppress(AttributeError, KeyError, TypeError, ValueError):
+                if member["state"] != "dead":
+                    found.add(Address.from_text(member["operators"]))
+    return found
--- a/src/heathershunt/cli/fleet.py
+++ b/src/heathershunt/cli/fleet.py
@@ -16,6 +16,7 @@
     "state",
     "bundle",
     "running",
+    "peers",
     "incarnation",
     "listener",
 )
@@ -43,13 +44,13 @@
 
     Of several reports of one runner the youngest is taken.
     """
-    vms = []
+    vm_by_name: dict[str, dict[str, Any]] = {}
     runner_by_name: dict[str, dict[str, Any]] = {}
     pipeline_by_key: dict[tuple, dict[str, Any]] = {}
     lease_by_model: dict[str, dict[str, Any]] = {}
     for address, status in answers.items():
         vm, bundle = status["vm"], status["bundle"]
-        vms.append(
+        vm_by_name[vm["name"]] = (
             {key: value for key, value in vm.items() if key != "name"}
             | {"vm": vm["name"], "listener": str(address)}
             | {"bundle": bundle["version"], "bundle_sha256": bundle["sha256"]}
@@ -64,8 +65,13 @@
             held = lease_by_model.get(lease["model"])
             if held is None or lease.get("fence", 0) > held.get("fence", 0):
                 lease_by_model[lease["model"]] = lease
+    for status in answers.values():
+        for member in status["members"]:
+            # Known to its peers only: it did not answer here, or it is dead.
+            if member["vm"] not in vm_by_name:
+                vm_by_name[member["vm"]] = member | {"listener": member["operators"]}
     return {
-        "vms": sorted(vms, key=lambda vm: vm["vm"]),
+        "vms": [vm_by_name[name] for name in sorted(vm_by_name)],
         "runners": [runner_by_name[name] for name in sorted(runner_by_name)],
         "pipelines": [pipeline_by_key[key] for key in sorted(pipeline_by_key)],
         "leases": [lease_by_model[model] for model in sorted(lease_by_model)],
@@ -102,27 +108,31 @@
 
 def show_status(context: Context) -> Output:
     """Show the state of the deployment."""
-    target = "/v1/operator/status"
-    answers, failures = context.ask(lambda daemons: daemons.ask_all(target))
+    found = context.ask(lambda daemons: daemons.survey())
     try:
-        state = merge_status(answers, failures)
+        state = merge_status(found.values, found.failures)
     except (KeyError, TypeError, ValueError) as error:
         detail = f"a daemon gave a status of another form: {error!r}"
         raise CliError(ExitCode.REFUSED, detail) from None
-    return Output(state, status_text(state), *_partial(failures))
+    return Output(state, status_text(state), *_partial(found.failures))
 
 
 def show_timeline(
-    context: Context, request: str, vm: str, kind: str, explained: bool
+    context: Context, query: Mapping[str, str], explained: bool
 ) -> Output:
-    """Show or explain the merged events."""
+    """Show or explain the merged events.
+
+    :param query: ``request``, ``vm``, ``kind`` and ``limit``, each empty for all.
+    """
+    kind, limit, request = query["kind"], query["limit"], query["request"]
     kinds = {known.value for known in EventKind}
     if kind and kind not in kinds:
         accepted = ", ".join(sorted(kinds))
         raise CliError(ExitCode.USAGE, f"--kind: {accepted} are accepted")
     if explained and not request:
         raise CliError(ExitCode.USAGE, "--explain needs --request")
-    query = {"request": request, "vm": vm, "kind": kind}
+    if limit and not (limit.isascii() and limit.isdigit()):
+        raise CliError(ExitCode.USAGE, "--limit: a number is accepted")
     query = {name: value for name, value in query.items() if value}
     lists, failures = context.ask(lambda daemons: daemons.timeline(query))
     events = merge_events(*lists)
--- a/src/heathershunt/daemon/main.py
+++ b/src/heathershunt/daemon/main.py
@@ -12,16 +12,27 @@
 
 USAGE = "usage: heathershuntd [--check] SETTINGS.toml"
 EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_LISTEN = 3
 EXIT_USAGE = 64
 
 
+class ListenError(Exception):
+    """A listener that cannot be bound; the message is one line.
+
+    .. versionadded:: 0.1
+    """
+
+
 async def serve(settings: Settings) -> None:
     """Run one daemon until it is asked to stop."""
     daemon = Daemon(settings)
     # Unhandled, the signal would end a process that is still starting.
     reload = daemon.operations.reload_certificates
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
-    await daemon.start()
+    try:
+        await daemon.start()
+    except OSError as error:
+        raise ListenError(f"cannot listen: {error.strerror or error}") from None
     stop = asyncio.Event()
     abort = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -57,7 +68,11 @@
     log_handler(log.level, log.format, settings.vm.name, sys.stderr).push_application()
     # Libraries log through the standard library.
     redirect_logging()
-    asyncio.run(serve(settings))
+    try:
+        asyncio.run(serve(settings))
+    except ListenError as error:
+        print(f"{paths[0]}: {error}", file=sys.stderr)
+        sys.exit(EXIT_CANNOT_LISTEN)
 
 
 if __name__ == "__main__":
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -1,12 +1,14 @@
 """The operators' side of one daemon: listener, timeline, state of the VM."""
 
 import ssl
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import logbook
 from result import Err, Ok, Result
 
 from heathershunt.bundle import Bundle, BundleError, SignedRoot, encode_file
+from heathershunt.daemon.status import status_of
 from heathershunt.http import Address, HttpServer, Response
 from heathershunt.metrics import LoopLag, Metrics
 from heathershunt.operators import (
@@ -31,6 +33,8 @@
     """What operators see and do on this VM.
 
     :param daemon: the daemon, whose other slices need not exist yet.
+    :ivar leases: returns the leases held here, as maps with the keys ``model``,
+        ``holder``, ``fence`` and ``expires_ms``.
 
     .. versionadded:: 0.1
     """
@@ -40,11 +44,12 @@
         self.hybrid = HybridClock(daemon.clock)
         vm = daemon.settings.vm.name
         self.timeline = TimeLine(self.hybrid, vm, daemon.incarnation)
+        self.leases: Callable[[], list[dict[str, Any]]] = list
         self.metrics = Metrics()
         self.tls = TlsContexts.from_settings(daemon.settings.tls)
         self.lag = LoopLag(self.metrics.observe_lag)
         hooks = OperatorHooks(
-            status=self.status,
+            status=lambda: status_of(daemon, self.leases()),
             timeline=self.timeline,
             bundle_file=self._bundle_file,
             roll=lambda data: roll_file(data, daemon.keeper, daemon.store),
@@ -68,6 +73,9 @@
             "bundle_version", "bundle version in force", lambda: daemon.keeper.version
         )
         gauge("runners", "runners reported", lambda: len(daemon.board.states_by_runner))
+        gauge(
+            "peers", "open links to peers", lambda: len(daemon.fleet.mesh.links_by_vm)
+        )
         gauge("drafts_running", "drafts in flight", lambda: daemon.table.running)
         gauge("timeline_dropped", "events dropped", lambda: self.timeline.dropped)
 
@@ -130,47 +138,6 @@
         running = self._daemon.table.running
         self.timeline.record(EventKind.MEMBERSHIP, state="draining", running=running)
 
-    def status(self) -> dict[str, Any]:
-        """Return the state of this VM and what it sees, as JSON values."""
-        daemon = self._daemon
-        bundle = daemon.keeper.bundle
-        now = daemon.clock.now()
-        states = daemon.board.states_by_runner.values()
-        runners = [_runner(state, now) for state in states]
-        return {
-            "vm": self._vm(),
-            "bundle": {
-                "version": daemon.keeper.version,
-                "sha256": daemon.keeper.sha256,
-                "accounts": len(bundle.accounts_by_name) if bundle else 0,
-            },
-            "listed_vms": [
-                {"vm": e.vm, "domain": e.domain, "state": e.state}
-                | {"role": e.role.value, "address": e.address, "service": e.service}
-                for e in daemon.vm_list.entries
-            ],
-            "runners": sorted(runners, key=lambda runner: runner["runner"]),
-            "pipelines": [] if bundle is None else _pipelines(bundle, runners),
-            "leases": [],
-        }
-
-    def _vm(self) -> dict[str, Any]:
-        daemon = self._daemon
-        state = "live"
-        if daemon.is_leaving:
-            state = "leaving"
-        elif daemon.keeper.bundle is None:
-            state = "not ready"
-        return {
-            "name": daemon.settings.vm.name,
-            "domain": daemon.settings.vm.domain,
-            "region": daemon.settings.vm.region,
-            "incarnation": daemon.incarnation,
-            "state": state,
-            "running": daemon.table.running,
-            "wall_ms": daemon.clock.wall(),
-        }
-
     def _bundle_file(self) -> bytes | None:
         keeper = self._daemon.keeper
         if keeper.signed is None:
@@ -190,55 +157,3 @@
             EventKind.MEMBERSHIP, subject=vm, state=state, by="operator"
         )
         return Ok(None)
-
-
-def _runner(state, now: int) -> dict[str, Any]:
-    report, load = state.report, state.report.load
-    return {
-        "runner": report.runner,
-        "address": str(state.address),
-        "vm": report.vm,
-        "domain": report.domain,
-        "kind": report.kind,
-        "state": "leaving" if report.leaving else "live",
-        "model": report.model,
-        "version": report.version,
-        "layers": [report.first_layer, report.end_layer],
-        "role": report.role,
-        "fence": report.fence,
-        "running": load.running,
-        "queued": load.queued,
-        "batch_limit": load.batch_limit,
-        "report_age_ms": now - state.received_at,
-    }
-
-
-def _pipelines(bundle: Bundle, runners: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    """Return for each model which layer ranges are held and by how many runners."""
-    pipelines = []
-    for model in bundle.models_by_name.values():
-        count_by_range: dict[tuple[int, int], int] = {}
-        for runner in runners:
-            held = (runner["model"], runner["version"], runner["state"])
-            if held == (model.name, model.version, "live"):
-                key = tuple(runner["layers"])
-                count_by_range[key] = count_by_range.get(key, 0) + 1
-        pipelines.append(
-            {
-                "model": model.name,
-                "version": model.version,
-                "layers": model.layers,
-                "stages": [[*key, n] for key, n in sorted(count_by_range.items())],
-                "complete": _covers(count_by_range, model.layers),
-            }
-        )
-    return pipelines
-
-
-def _covers(ranges, layers: int) -> bool:
-    """Return whether some chain of ranges covers all layers without overlap."""
-    reached = {0}
-    for first, end in sorted(ranges):
-        if first in reached:
-            reached.add(end)
-    return layers in reached
--- /dev/null
+++ b/src/heathershunt/daemon/status.py
@@ -0,0 +1,123 @@
+"""State of one VM and of what it sees, as JSON values for operators."""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+from heathershunt.bundle import Bundle
+from heathershunt.clock import Millis
+from heathershunt.peers import VmRecord
+from heathershunt.runners import RunnerState
+
+if TYPE_CHECKING:
+    from heathershunt.daemon.app import Daemon
+
+
+def status_of(daemon: "Daemon", leases: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return the state of a daemon.
+
+    :param leases: leases that it holds.
+    """
+    bundle = daemon.keeper.bundle
+    now = daemon.clock.now()
+    runners = [_runner(state, now) for state in daemon.board.states_by_runner.values()]
+    members = daemon.fleet.membership.records_by_vm.values()
+    return {
+        "vm": _vm(daemon),
+        "bundle": {
+            "version": daemon.keeper.version,
+            "sha256": daemon.keeper.sha256,
+            "accounts": len(bundle.accounts_by_name) if bundle else 0,
+        },
+        "members": [_member(record) for record in members],
+        "listed_vms": [
+            {"vm": e.vm, "domain": e.domain, "state": e.state}
+            | {"role": e.role.value, "address": e.address, "service": e.service}
+            for e in daemon.vm_list.entries
+        ],
+        "runners": sorted(runners, key=lambda runner: runner["runner"]),
+        "pipelines": [] if bundle is None else _pipelines(bundle, runners),
+        "leases": leases,
+    }
+
+
+def _vm(daemon: "Daemon") -> dict[str, Any]:
+    confirmed = daemon.fleet.tracker.is_confirmed(daemon.clock.now())
+    state = "live"
+    if daemon.is_leaving:
+        state = "leaving"
+    elif daemon.keeper.bundle is None or not confirmed:
+        state = "not ready"
+    return {
+        "name": daemon.settings.vm.name,
+        "domain": daemon.settings.vm.domain,
+        "region": daemon.settings.vm.region,
+        "incarnation": daemon.incarnation,
+        "state": state,
+        "running": daemon.table.running,
+        "peers": len(daemon.fleet.mesh.links_by_vm),
+        "wall_ms": daemon.clock.wall(),
+    }
+
+
+def _member(record: VmRecord) -> dict[str, Any]:
+    return {
+        "vm": record.vm,
+        "state": record.state.value,
+        "domain": record.domain,
+        "region": record.region,
+        "incarnation": record.incarnation,
+        "callers": record.callers,
+        "operators": record.operators,
+    }
+
+
+def _runner(state: RunnerState, now: Millis) -> dict[str, Any]:
+    report, load = state.report, state.report.load
+    return {
+        "runner": report.runner,
+        "address": str(state.address),
+        "vm": report.vm,
+        "domain": report.domain,
+        "kind": report.kind,
+        "state": "leaving" if report.leaving else "live",
+        "model": report.model,
+        "version": report.version,
+        "layers": [report.first_layer, report.end_layer],
+        "role": report.role,
+        "fence": report.fence,
+        "running": load.running,
+        "queued": load.queued,
+        "batch_limit": load.batch_limit,
+        "report_age_ms": now - state.received_at,
+    }
+
+
+def _pipelines(bundle: Bundle, runners: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return for each model which layer ranges are held and by how many runners."""
+    pipelines = []
+    for model in bundle.models_by_name.values():
+        count_by_range: dict[tuple[int, int], int] = {}
+        for runner in runners:
+            held = (runner["model"], runner["version"], runner["state"])
+            if held == (model.name, model.version, "live"):
+                key = tuple(runner["layers"])
+                count_by_range[key] = count_by_range.get(key, 0) + 1
+        pipelines.append(
+            {
+                "model": model.name,
+                "version": model.version,
+                "layers": model.layers,
+                "stages": [[*key, n] for key, n in sorted(count_by_range.items())],
+                "complete": _covers(count_by_range, model.layers),
+            }
+        )
+    return pipelines
+
+
+def _covers(ranges: Iterable[tuple[int, int]], layers: int) -> bool:
+    """Return whether some chain of ranges covers all layers without overlap."""
+    reached = {0}
+    for first, end in sorted(ranges):
+        if first in reached:
+            reached.add(end)
+    return layers in reached
--- a/src/heathershunt/operators/routes.py
+++ b/src/heathershunt/operators/routes.py
@@ -1,5 +1,6 @@
 """Routes of the operators' listener."""
 
+import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -20,14 +21,16 @@
     EventKind,
     TimeLine,
     event_to_mapping,
-    select_events,
     unpack_hlc,
 )
 from heathershunt.verdict import Refusal, not_run
 
 # A connection may hold a whole bundle file in memory.
-OPERATOR_LIMITS = HttpLimits(body_bytes=MAX_FILE_BYTES, connections=8)
-DEFAULT_EVENTS = 10_000
+OPERATOR_LIMITS = HttpLimits(body_bytes=MAX_FILE_BYTES, connections=8, idle_ms=5000)
+# Encoding an event takes some microseconds, during which no token is relayed.
+DEFAULT_EVENTS = 2000
+MAX_EVENTS = 5000
+LIMIT_PATTERN = re.compile(r"[0-9]{1,5}")
 CBOR = "application/cbor"
 
 
@@ -90,7 +93,7 @@
         return await handler(request)
 
     async def _status(self, request: Request) -> Response:
-        return json_response(200, self._hooks.status())
+        return _json(self._hooks.status())
 
     async def _timeline(self, request: Request) -> Response:
         query = request.query
@@ -102,21 +105,19 @@
                 accepted = ", ".join(kind.value for kind in EventKind)
                 return _problem(400, f"kind {query['kind']!r}: {accepted} are accepted")
         limit = query.get("limit", str(DEFAULT_EVENTS))
-        if not (limit.isascii() and limit.isdigit()):
-            return _problem(400, f"limit {limit!r}: a number is accepted")
+        if LIMIT_PATTERN.fullmatch(limit) is None or int(limit) > MAX_EVENTS:
+            return _problem(400, f"limit {limit!r}: 0 to {MAX_EVENTS} is accepted")
         line = self._hooks.timeline
-        events = select_events(
-            line.events(), query.get("request"), query.get("vm"), kind
-        )
-        kept = events[max(0, len(events) - int(limit)) :]
+        events = []
+        if query.get("vm", line.vm) == line.vm:
+            events = line.events(query.get("request"), kind, int(limit))
         payload = {
             "vm": line.vm,
             "now_ms": unpack_hlc(line.clock.tick())[0],
             "dropped": line.dropped,
-            "left_out": len(events) - len(kept),
-            "events": [event_to_mapping(event) for event in kept],
+            "events": [event_to_mapping(event) for event in events],
         }
-        return json_response(200, payload)
+        return _json(payload)
 
     async def _bundle_file(self, request: Request) -> Response:
         data = self._hooks.bundle_file()
@@ -154,6 +155,12 @@
         return json_response(200, {"vm": vm, "state": state})
 
 
+def _json(payload: dict[str, Any]) -> Response:
+    """Return large JSON; a field of another type is written as text."""
+    body = msgspec.json.encode(payload, enc_hook=str)
+    return Response(200, {"content-type": "application/json"}, body)
+
+
 def _problem(status: int, detail: str) -> Response:
     titles = {400: "Request refused", 404: "Not found"}
     return problem_response(not_run(status, titles[status], detail))
--- a/src/heathershunt/timeline/timeline.py
+++ b/src/heathershunt/timeline/timeline.py
@@ -52,12 +52,27 @@
         """Return the number of events that fell out of the buffer."""
         return self.recorded - len(self._entries)
 
-    def events(self) -> list[Event]:
-        """Return the events kept, oldest first."""
-        return [
-            Event(hlc, self.vm, self.incarnation, kind, request, fields)
-            for hlc, kind, request, fields in self._entries
-        ]
+    def events(
+        self,
+        request: str | None = None,
+        kind: EventKind | None = None,
+        limit: int | None = None,
+    ) -> list[Event]:
+        """Return the events kept that match every given filter, oldest first.
+
+        :param limit: only the last so many of them.
+        """
+        found = []
+        for hlc, own_kind, own_request, fields in reversed(self._entries):
+            if len(found) == limit:
+                break
+            if request in (None, own_request) and kind in (None, own_kind):
+                event = Event(
+                    hlc, self.vm, self.incarnation, own_kind, own_request, fields
+                )
+                found.append(event)
+        found.reverse()
+        return found
 
 
 def merge_events(*timelines: Iterable[Event]) -> list[Event]:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -43,6 +43,7 @@
         "status status",
         "timeline --kind nothing",
         "timeline --explain",
+        "timeline --limit many",
         "bundle check one.bundle --trusted=xyz",
     ],
 )
--- a/tests/operators/conftest.py
+++ b/tests/operators/conftest.py
@@ -27,9 +27,10 @@
         await self.deployment.start_platform()
         await self.deployment.start_daemons(2)
 
-    def configure(self, key, first=()):
-        ports = self.deployment.ports_by_daemon.values()
-        daemons = [*first, *(str(port.operators) for port in ports)]
+    def configure(self, key, first=(), only=None):
+        ports = self.deployment.ports_by_daemon.items()
+        own = [str(port.operators) for vm, port in ports if only in (None, vm)]
+        daemons = [*first, *own]
         (self.folder / "operator.key").write_text(key)
         (self.folder / "cli.toml").write_text(
             f"daemons = {json.dumps(daemons)}\ntimeout_ms = 5000\n"
@@ -84,12 +85,20 @@
         """Return the version in force by VM."""
         return {vm["vm"]: vm["bundle"] for vm in self.run("status")["vms"]}
 
-    def wait_version(self, version):
+    def wait(self, is_done):
         for _ in range(200):
-            if set(self.versions().values()) == {version}:
+            if is_done():
                 return
             self.loop.run_until_complete(asyncio.sleep(0.05))
-        raise AssertionError(f"bundle {version} is not in force: {self.versions()}")
+        raise AssertionError(self.out)
+
+    def wait_version(self, version):
+        self.wait(lambda: set(self.versions().values()) == {version})
+
+    def wait_members(self, count):
+        """Wait until the daemons know each other."""
+        for vm in self.deployment.ports_by_daemon:
+            self.wait(lambda vm=vm: self.call(vm, "/readyz")[1].get("vms") == count)
 
     def call(self, vm, path):
         address = self.deployment.ports_by_daemon[vm].callers
--- a/tests/operators/test_flows.py
+++ b/tests/operators/test_flows.py
@@ -94,6 +94,12 @@
     operator.configure("another-key")
 
 
+@given(parsers.parse('the operator knows only the listener of "{vm}"'))
+def know_one(operator, vm):
+    operator.wait_members(2)
+    operator.configure(operator.deployment.operator_key, only=vm)
+
+
 @given(parsers.parse('the daemon of "{vm}" was killed'))
 def kill_daemon(operator, vm):
     process = operator.deployment.processes_by_name[vm]
--- a/tests/operators/vms.feature
+++ b/tests/operators/vms.feature
@@ -11,6 +11,12 @@
     When the operator runs "vm admit vm2"
     Then "vm2" answers callers with 200
 
+  Scenario: VMs that the configuration does not name are found through the others
+    Given the operator knows only the listener of "vm1"
+    When the operator runs "vm drain vm2"
+    Then the status of "vm2" is "leaving"
+    And the merged timeline has "bundle" events of "vm1,vm2"
+
   Scenario: A VM that no daemon knows
     When the operator runs "vm drain vm9"
     Then the command ends with 1 and says "vm9"
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -1,3 +1,4 @@
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -73,15 +74,23 @@
         load_settings(path)
 
 
-def test_daemon_ends_with_the_line_and_exit_code(tmp_path):
+def test_daemon_ends_with_one_line_and_an_exit_code(tmp_path, settings_text):
+    """Neither wrong settings nor a port in use may end in a traceback."""
     path = tmp_path / "settings.toml"
-    path.write_text("[vm]\n")
-    command = [sys.executable, "-m", "heathershunt.daemon.main", "--check", str(path)]
-    done = subprocess.run(
-        command, env={"PYTHONPATH": "src"}, capture_output=True, text=True
-    )
-    assert done.returncode == 2
-    assert done.stderr.count("\n") == 1
+    command = [sys.executable, "-m", "heathershunt.daemon.main", str(path)]
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        texts = ("[vm]\n", settings_text.replace("127.0.0.1:8001", address))
+        for text, code in zip(texts, (2, 3), strict=True):
+            path.write_text(text)
+            done = subprocess.run(
+                command, env={"PYTHONPATH": "src"}, capture_output=True, text=True
+            )
+            assert done.returncode == code
+            *logged, last = done.stderr.splitlines()
+            assert last.startswith(f"{path}: ")
+            assert all(" INFO " in line for line in logged)
+            assert code == 3 or not logged
 
 
 def test_reference_page_matches_the_dataclasses():
