--- a/src/heathershunt/bundle/delta.py
+++ b/src/heathershunt/bundle/delta.py
@@ -9,8 +9,9 @@
 
 import cbor2
 
+from heathershunt.bundle.check import MAX_ACCOUNTS
 from heathershunt.bundle.error import BundleError
-from heathershunt.bundle.model import MAX_ACCOUNTS, Bundle, ClientAccount
+from heathershunt.bundle.model import Bundle, ClientAccount
 from heathershunt.bundle.parts import PartEntry, Root, assemble
 
 
--- a/src/heathershunt/bundle/keeper.py
+++ b/src/heathershunt/bundle/keeper.py
@@ -8,12 +8,7 @@
 from heathershunt.bundle.delta import assemble_next
 from heathershunt.bundle.error import BundleError
 from heathershunt.bundle.model import Bundle
-from heathershunt.bundle.parts import (
-    MAX_BUNDLE_BYTES,
-    MAX_ROOT_BYTES,
-    Root,
-    SignedRoot,
-)
+from heathershunt.bundle.parts import Root, SignedRoot
 from heathershunt.bundle.signing import verify_root
 
 log = logbook.Logger("heathershunt.bundle")
@@ -74,35 +69,51 @@
         in_force = self.bundle.policy if self.bundle else None
         verify_root(signed, self._trusted, in_force)
 
+    def examine(self, signed: SignedRoot, parts_by_sha256: Mapping[str, bytes]) -> None:
+        """Check signatures, policy and contents of a bundle without taking it.
+
+        :raises BundleError: at the first fault.
+        """
+        self.verify(signed)
+        self._assemble(signed.root(), parts_by_sha256)
+
+    def _assemble(
+        self, root: Root, parts_by_sha256: Mapping[str, bytes]
+    ) -> tuple[Bundle, dict[str, bytes]]:
+        """Return the bundle of ``root`` and its parts, building on what is held."""
+        # Parts that are held were verified; an offered one must not hide them.
+        parts = {**parts_by_sha256, **self.parts_by_sha256}
+        in_force = self.signed.root() if self.signed else None
+        bundle = assemble_next(root, parts, in_force, self.bundle)
+        return bundle, {entry.sha256: parts[entry.sha256] for entry in root.parts}
+
     def offer(
         self, signed: SignedRoot, parts_by_sha256: Mapping[str, bytes]
     ) -> Result[Bundle, BundleError]:
         """Put a newer bundle into force, or return why it is refused."""
         try:
             root = self._check(signed)
-            # Parts that are held were verified; an offered one must not hide them.
-            parts = {**parts_by_sha256, **self.parts_by_sha256}
-            in_force = self.signed.root() if self.signed else None
-            bundle = assemble_next(root, parts, in_force, self.bundle)
+            bundle, parts = self._assemble(root, parts_by_sha256)
         except BundleError as error:
             return Err(error)
         self.previous_version = self.version
         self.signed = signed
         self.bundle = bundle
-        self.parts_by_sha256 = {e.sha256: parts[e.sha256] for e in root.parts}
+        self.parts_by_sha256 = parts
         log.info("bundle {} in force ({})", bundle.version, signed.sha256[:12])
-        if self._on_change:
-            try:
-                self._on_change(bundle)
-            except Exception:
-                # The bundle is in force; a failed observer must not hide that.
-                log.exception("an observer of bundle {} failed", bundle.version)
+        self._notify(bundle)
         return Ok(bundle)
 
+    def _notify(self, bundle: Bundle) -> None:
+        """Tell the observer; its failure must not hide that the bundle is in force."""
+        try:
+            if self._on_change:
+                self._on_change(bundle)
+        except Exception:
+            log.exception("the observer of bundle {} failed", bundle.version)
+
     def _check(self, signed: SignedRoot) -> Root:
         """Verify signatures first, so that only signed roots are compared."""
-        if len(signed.body) > MAX_ROOT_BYTES:
-            raise BundleError("root", f"larger than {MAX_ROOT_BYTES} bytes")
         self.verify(signed)
         root = signed.root()
         if root.version <= self.version:
@@ -113,6 +124,4 @@
             raise BundleError(
                 "root.version", f"{root.version} is not higher than {self.version}"
             )
-        if sum(entry.size for entry in root.parts) > MAX_BUNDLE_BYTES:
-            raise BundleError("root.parts", f"more than {MAX_BUNDLE_BYTES} bytes")
         return root
