Explain drafts in the timeline; bound recovery by time without a token

Cause: the timeline held nothing of a draft; a draft gave up after twelve epochs however quickly they failed, and a wrongly suspected runner was left out for 5 s even where it was the last one. Change: DraftObserver records admission, chain, failure, recovery and verdict; recovery ends after 10 s without a token, with growing waits between idle epochs; suspects are used when nothing else covers the layers. Conclusion: one request can be explained from end to end.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -16,6 +16,7 @@
     AdmissionGate,
     DraftExecutor,
     DraftHandler,
+    DraftObserver,
     DraftTable,
     EngineClient,
     ProgressMonitor,
@@ -76,6 +77,7 @@
             self.clock,
             settings.drafts.resume_window_ms,
         )
+        observer = DraftObserver(self.operations.timeline, self.operations.metrics)
         executor = DraftExecutor(
             EngineClient(self.http),
             self.router,
@@ -84,8 +86,11 @@
             self.monitor,
             self.clock,
             settings.drafts.progress_floor_ms,
+            observer,
+        )
+        self.drafts = DraftHandler(
+            self.table, executor, self.gate, self.clock, observer
         )
-        self.drafts = DraftHandler(self.table, executor, self.gate, self.clock)
         self.services = ServiceHandler.create(
             settings.vm.name,
             self.incarnation,
--- a/src/heathershunt/drafts/__init__.py
+++ b/src/heathershunt/drafts/__init__.py
@@ -5,6 +5,7 @@
 from heathershunt.drafts.gate import AdmissionGate
 from heathershunt.drafts.handler import DraftHandler
 from heathershunt.drafts.journal import Draft, DraftRequest, DraftTable
+from heathershunt.drafts.observer import DraftObserver
 from heathershunt.drafts.progress import ProgressMonitor
 
 __all__ = [
@@ -12,6 +13,7 @@
     "Draft",
     "DraftExecutor",
     "DraftHandler",
+    "DraftObserver",
     "DraftRequest",
     "DraftTable",
     "EngineClient",
--- a/src/heathershunt/drafts/epoch.py
+++ b/src/heathershunt/drafts/epoch.py
@@ -43,6 +43,7 @@
     """Runs one epoch of one draft.
 
     :param estimator: shared by the drafts of a model.
+    :param on_first_token: called once, when this epoch's first token is accepted.
 
     .. versionadded:: 0.1
     """
@@ -55,7 +56,7 @@
         monitor: ProgressMonitor,
         estimator: GapEstimator,
         clock: Clock,
-        on_token: Callable[[], None] = lambda: None,
+        on_first_token: Callable[[], None] = lambda: None,
     ) -> None:
         self._draft = draft
         self._order = order
@@ -63,7 +64,7 @@
         self._monitor = monitor
         self._estimator = estimator
         self._clock = clock
-        self._on_token = on_token
+        self._on_first_token = on_first_token
         self._streams: list[StageStream] = []
         self._tasks: list[asyncio.Task] = []
         self._outcome: asyncio.Future = asyncio.get_running_loop().create_future()
@@ -170,7 +171,8 @@
             if line.position > len(self._draft.tokens):
                 self._fail(set(), f"position {line.position} came too early")
             return
-        self._on_token()
+        if self._last_token_at is None:
+            self._on_first_token()
         self._move_deadline()
         if self._draft.is_whole:
             self._outcome.set_result(Ok(None))
--- a/src/heathershunt/drafts/execution.py
+++ b/src/heathershunt/drafts/execution.py
@@ -10,6 +10,7 @@
 from heathershunt.drafts.engine import EngineClient, RunOrder
 from heathershunt.drafts.epoch import Epoch, EpochFailure
 from heathershunt.drafts.journal import Draft
+from heathershunt.drafts.observer import DraftObserver
 from heathershunt.drafts.progress import GapEstimator, ProgressMonitor
 from heathershunt.retries import EjectionPolicy
 from heathershunt.routing import Chain, NoChain, Router
@@ -18,16 +19,48 @@
 
 log = logbook.Logger("heathershunt.drafts")
 
-MAX_EPOCHS = 12
 SUSPECT_MS = 5_000
 REPLAN_DELAY_MS = 50
-# A replaced runner is listed within seconds; a draft without a chain for longer is
-# given up, because nothing says that one will come.
-NO_CHAIN_LIMIT_MS = 10_000
+LONGEST_REPLAN_DELAY_MS = 800
+# A replaced runner is listed within seconds; a draft without a token for longer is
+# given up, because nothing says that a working chain will come.
+RECOVERY_LIMIT_MS = 10_000
+EPOCHS_BEFORE_START = 4
 RETRY_AFTER_MS = 1_000
 INITIAL_GAP_MS = 34
 
 
+class _Recovery:
+    """When to stop to recover one draft, and how long to wait between epochs."""
+
+    def __init__(self, now: Millis, tokens: int) -> None:
+        self._moved_at = now
+        self._tokens = tokens
+        self._idle_epochs = 0
+
+    def is_over(self, draft: Draft, now: Millis) -> bool:
+        """Return whether the draft is to be given up."""
+        if not draft.may_have_started:
+            return draft.epoch >= EPOCHS_BEFORE_START or now >= draft.request.deadline
+        return now - self._moved_at > RECOVERY_LIMIT_MS
+
+    def has_moved(self, draft: Draft, now: Millis) -> bool:
+        """Note a failed epoch; return whether it brought a token."""
+        moved = len(draft.tokens) > self._tokens
+        if moved:
+            self._moved_at = now
+            self._tokens = len(draft.tokens)
+            self._idle_epochs = 0
+        self._idle_epochs += 1
+        return moved
+
+    def delay_ms(self) -> int:
+        """Return how long to wait; the first epoch without a token costs no wait."""
+        if self._idle_epochs <= 2:
+            return 0
+        return min(REPLAN_DELAY_MS << self._idle_epochs - 2, LONGEST_REPLAN_DELAY_MS)
+
+
 class DraftExecutor:
     """Runs drafts over chains of runners and recovers them.
 
@@ -43,6 +76,7 @@
         monitor: ProgressMonitor,
         clock: Clock,
         floor_ms: int,
+        observer: DraftObserver,
     ) -> None:
         self._engine = engine
         self._router = router
@@ -50,6 +84,7 @@
         self._ejection = ejection
         self._monitor = monitor
         self._clock = clock
+        self._observer = observer
         self._suspect_until_by_runner: dict[str, Millis] = {}
         self._estimators_by_model: dict[str, GapEstimator] = defaultdict(
             lambda: GapEstimator(floor_ms, INITIAL_GAP_MS)
@@ -60,27 +95,29 @@
         """Run ``draft`` to its end."""
         keep: frozenset[str] = frozenset()
         detail = ""
-        no_chain_limit = self._clock.now() + NO_CHAIN_LIMIT_MS
-        while draft.epoch < MAX_EPOCHS and not draft.ended.is_set():
-            has_tokens = len(draft.tokens) > len(draft.request.received)
-            if not has_tokens and self._clock.now() >= draft.request.deadline:
-                detail = f"the deadline has passed; {detail}"
+        recovery = _Recovery(self._clock.now(), len(draft.tokens))
+        while not draft.ended.is_set():
+            now = self._clock.now()
+            if recovery.is_over(draft, now):
                 break
             chosen = self._choose(draft, keep)
             if isinstance(chosen, Err):
                 detail = chosen.err_value.detail
-                if not draft.may_have_started or self._clock.now() >= no_chain_limit:
+                if not draft.may_have_started:
                     break
                 await asyncio.sleep(REPLAN_DELAY_MS / 1000)
                 continue
-            no_chain_limit = self._clock.now() + NO_CHAIN_LIMIT_MS
             failure = await self._run_until_ended(draft, chosen.ok_value)
             if failure is None:
-                return
+                break
             detail = failure.detail
-            names = {stage.runner for stage in chosen.ok_value.stages}
-            keep = frozenset(names - failure.suspects)
-        self._give_up(draft, detail)
+            names = frozenset(chosen.ok_value.runners())
+            keep = names - failure.suspects
+            if not recovery.has_moved(draft, self._clock.now()):
+                await asyncio.sleep(recovery.delay_ms() / 1000)
+        if not draft.ended.is_set():
+            self._give_up(draft, detail)
+        self._observer.ended(draft, self._clock.now())
 
     async def _run_until_ended(self, draft: Draft, chain: Chain) -> EpochFailure | None:
         """Run one epoch, but stop it when the draft is ended from elsewhere."""
@@ -104,9 +141,11 @@
         )
         ejected = self._ejection.excluded(now)
         chosen = None
-        for exclude in (suspects | ejected, suspects):
+        # A wrongly suspected runner may be the last one that holds its layers.
+        for exclude in (suspects | ejected, suspects, frozenset()):
             chosen = self._choose_without(draft, exclude, keep)
             if isinstance(chosen, Ok):
+                self._observer.chosen(draft, chosen.ok_value, exclude, keep)
                 break
         return chosen
 
@@ -148,6 +187,7 @@
             self._monitor,
             self._estimators_by_model[request.model],
             self._clock,
+            lambda: self._observer.first_token(draft, self._clock.now()),
         )
         runners = chain.runners()
         now = self._clock.now()
@@ -188,6 +228,7 @@
         until = self._clock.now() + SUSPECT_MS
         for runner in failure.suspects:
             self._suspect_until_by_runner[runner] = Millis(until)
+        self._observer.failed(draft, failure, self._clock.now())
         log.warn(
             "draft {} epoch {} failed at position {}: {}",
             draft.request_id,
--- a/src/heathershunt/drafts/handler.py
+++ b/src/heathershunt/drafts/handler.py
@@ -12,6 +12,7 @@
 from heathershunt.drafts.execution import DraftExecutor
 from heathershunt.drafts.gate import AdmissionGate
 from heathershunt.drafts.journal import Draft, DraftRequest, DraftTable
+from heathershunt.drafts.observer import DraftObserver
 from heathershunt.drafts.sse import stream_answer, whole_answer
 from heathershunt.http import Request, Response, StreamResponse, problem_response
 from heathershunt.verdict import Refusal, not_run
@@ -60,9 +61,11 @@
         executor: DraftExecutor,
         gate: AdmissionGate,
         clock: Clock,
+        observer: DraftObserver,
     ) -> None:
         self._table = table
         self._gate = gate
+        self._observer = observer
         self._executor = executor
         self._clock = clock
         self._tasks: set[asyncio.Task] = set()
@@ -116,7 +119,9 @@
         admitted = await self._gate.admit(ticket, request.model, account)
         if isinstance(admitted, Err):
             draft.refuse(admitted.err_value)
+            self._observer.refused(draft, admitted.err_value)
             return
+        self._observer.admitted(draft, self._clock.now())
         try:
             await self._executor.run(draft)
         finally:
@@ -171,6 +176,7 @@
                 priority.rank,
                 Millis(self._clock.now() + int(text)),
                 body.heathershunt.received,
+                priority.name,
             )
         )
 
--- a/src/heathershunt/drafts/journal.py
+++ b/src/heathershunt/drafts/journal.py
@@ -28,6 +28,7 @@
     priority: int
     deadline: Millis
     received: tuple[str, ...] = ()
+    priority_name: str = "normal"
 
 
 class Draft:
@@ -41,9 +42,14 @@
     .. versionadded:: 0.1
     """
 
-    def __init__(self, request_id: str, request: DraftRequest) -> None:
+    def __init__(
+        self, request_id: str, request: DraftRequest, created_at: Millis
+    ) -> None:
         self.request_id = request_id
         self.request = request
+        self.created_at = created_at
+        self.first_token_at: Millis | None = None
+        self.failed_at: Millis | None = None
         self.tokens: list[str] = list(request.received)
         self.epoch = 0
         self.is_whole = False
@@ -111,7 +117,7 @@
     def add(self, request: DraftRequest) -> Draft:
         """Create a draft with a new request id."""
         request_id = f"{self._prefix}.{next(self._counter)}"
-        draft = Draft(request_id, request)
+        draft = Draft(request_id, request, self._clock.now())
         self.drafts_by_request[request_id] = draft
         return draft
 
--- /dev/null
+++ b/src/heathershunt/drafts/observer.py
@@ -0,0 +1,104 @@
+"""What drafts write into the timeline and the metrics."""
+
+from collections.abc import Collection
+
+from heathershunt.clock import Millis
+from heathershunt.drafts.epoch import EpochFailure
+from heathershunt.drafts.journal import Draft
+from heathershunt.metrics import Metrics
+from heathershunt.routing import Chain
+from heathershunt.timeline import EventKind, TimeLine
+from heathershunt.verdict import Refusal, Verdict
+
+
+class DraftObserver:
+    """Records the course of each draft.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, timeline: TimeLine, metrics: Metrics) -> None:
+        self._timeline = timeline
+        self._metrics = metrics
+
+    def admitted(self, draft: Draft, now: Millis) -> None:
+        """Record that a draft left the admission queue."""
+        request = draft.request
+        self._timeline.record(
+            EventKind.REQUEST_ADMITTED,
+            draft.request_id,
+            account=request.account,
+            model=request.model,
+            waited_ms=now - draft.created_at,
+        )
+
+    def chosen(
+        self,
+        draft: Draft,
+        chain: Chain,
+        excluded: Collection[str],
+        keep: Collection[str],
+    ) -> None:
+        """Record a chain and what spoke for it."""
+        self._timeline.record(
+            EventKind.CHAIN_CHOSEN,
+            draft.request_id,
+            epoch=draft.epoch + 1,
+            runners=list(chain.runners()),
+            cost_ms=round(chain.cost_ms, 1),
+            excluded=sorted(excluded),
+            keep=sorted(keep),
+        )
+
+    def first_token(self, draft: Draft, now: Millis) -> None:
+        """Record the first token of an epoch, and with it a recovery."""
+        if draft.first_token_at is None:
+            draft.first_token_at = now
+            self._metrics.observe_first_token(now - draft.created_at)
+        if draft.failed_at is not None:
+            self._timeline.record(
+                EventKind.EPOCH_RECOVERED,
+                draft.request_id,
+                epoch=draft.epoch,
+                position=len(draft.tokens) - 1,
+                recovery_ms=now - draft.failed_at,
+            )
+            draft.failed_at = None
+
+    def failed(self, draft: Draft, failure: EpochFailure, now: Millis) -> None:
+        """Record a failed epoch."""
+        if draft.failed_at is None:
+            draft.failed_at = now
+        self._metrics.count_epoch("failed")
+        self._timeline.record(
+            EventKind.EPOCH_FAILED,
+            draft.request_id,
+            epoch=draft.epoch,
+            position=len(draft.tokens),
+            suspects=sorted(failure.suspects),
+            why=failure.detail,
+        )
+
+    def ended(self, draft: Draft, now: Millis) -> None:
+        """Record the final answer of a draft that was admitted."""
+        if draft.is_whole:
+            self._metrics.count_epoch("whole")
+            if draft.first_token_at is not None:
+                tokens = len(draft.tokens) - len(draft.request.received)
+                self._metrics.observe_gaps(tokens, now - draft.first_token_at)
+        self._count(draft, draft.refusal)
+
+    def refused(self, draft: Draft, refusal: Refusal) -> None:
+        """Record a draft that was not admitted."""
+        self._count(draft, refusal)
+
+    def _count(self, draft: Draft, refusal: Refusal | None) -> None:
+        verdict = Verdict.RAN if refusal is None else refusal.verdict
+        self._metrics.count_request(verdict, draft.request.priority_name)
+        self._timeline.record(
+            EventKind.VERDICT,
+            draft.request_id,
+            verdict=verdict.value,
+            tokens=len(draft.tokens),
+            why="" if refusal is None else refusal.detail,
+        )
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,27 +1,71 @@
 """The demo: stand-ins and four daemons, drafts and bookings of two accounts."""
 
 import asyncio
+import json
 import sys
 
-from standins.caller import Caller
+from heathershunt.timeline import event_from_mapping, explain, merge_events
+from standins.caller import Caller, Transcript
 from standins.launch import Deployment, demo_bundle, pipeline_specs
 from standins.oracle import expected_tokens
 
 LAYERS = 12
 TOKENS = 24
 DRAFTS_PER_ACCOUNT = 4
+TOKENS_BY_CALLER = ("parish-token", "notary-token")
 
 
-async def _draft(deployment: Deployment, token: str, index: int) -> bool:
+async def _draft(deployment: Deployment, token: str, index: int) -> Transcript | None:
+    """Stream one draft; return its transcript if the answer is whole and right."""
     names = list(deployment.ports_by_daemon)
     address = deployment.ports_by_daemon[names[index % len(names)]].callers
     prompt = f"Describe the crest number {index} of {token}"
     got = await Caller(token).draft(address, prompt, TOKENS)
     expected = expected_tokens("m", "v1", LAYERS, prompt, TOKENS)
     whole = got.is_whole and got.tokens == expected
-    text = "".join(got.tokens)[:60]
+    text = "".join(got.tokens)[:48]
     print(f"  {token} draft {index}: {'whole' if whole else 'WRONG'}: {text}...")
-    return whole
+    return got if whole else None
+
+
+async def _book(deployment: Deployment, token: str) -> bool:
+    """Place one booking twice with the same key; it must run once."""
+    caller = Caller(token)
+    first, second = list(deployment.ports_by_daemon.values())[:2]
+    _, _, body = await caller.call(first.callers, "GET", "/v1/address")
+    key = json.loads(body)["idempotency_key"]
+    order = f"one seal die for {token}".encode()
+    answers = [
+        await caller.call(
+            ports.callers,
+            "POST",
+            "/v1/services/orders/orders",
+            order,
+            **{"idempotency-key": key},
+        )
+        for ports in (first, second)
+    ]
+    service = deployment.processes_by_name["orders"].address
+    ledger = await deployment.call(service, "GET", "/ledger")
+    runs = sum(call["body"] == order.decode() for call in ledger["calls"])
+    statuses = [status for status, _, _ in answers]
+    print(f"  {token} booking sent twice, answers {statuses}, executions {runs}")
+    return statuses == [200, 200] and runs == 1 and answers[0][2] == answers[1][2]
+
+
+async def _print_timeline(deployment: Deployment, request: str) -> None:
+    """Print what all daemons recorded of one request."""
+    timelines = []
+    headers = {"authorization": f"Bearer {deployment.operator_key}"}
+    for ports in deployment.ports_by_daemon.values():
+        outcome = await deployment.http.request_json(
+            ports.operators, "GET", "/v1/operator/timeline", headers=headers
+        )
+        events = outcome.unwrap()[1]["events"]
+        timelines.append([event_from_mapping(event) for event in events])
+    print(f"timeline of {request}:")
+    for line in explain(merge_events(*timelines), request):
+        print(f"  {line}")
 
 
 async def run_demo() -> bool:
@@ -37,14 +81,17 @@
         await deployment.wait_ready()
         await deployment.wait_runners(6)
         print("four daemons are ready under bundle 1")
-        checks = await asyncio.gather(
+        drafts = await asyncio.gather(
             *(
                 _draft(deployment, token, index)
-                for token in ("parish-token", "notary-token")
+                for token in TOKENS_BY_CALLER
                 for index in range(DRAFTS_PER_ACCOUNT)
             )
         )
-        return all(checks)
+        bookings = [await _book(deployment, token) for token in TOKENS_BY_CALLER]
+        if drafts[0] is not None:
+            await _print_timeline(deployment, drafts[0].request_id)
+        return None not in drafts and all(bookings)
     finally:
         await deployment.stop()
 
--- a/tests/integration/test_drafts.py
+++ b/tests/integration/test_drafts.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from heathershunt.timeline import EventKind, event_from_mapping
 from standins.caller import Caller
 from standins.launch import demo_bundle, pipeline_specs
 from tests.integration.faults import (
@@ -139,3 +140,22 @@
     assert got.problem["verdict"] == "not_run"
     ledger = await fleet.call(engine_address(fleet, "m-s0-r0"), "GET", "/v1/ledger")
     assert not any(entry["run"] == got.request_id for entry in ledger["runs"])
+
+
+async def test_timeline_explains_a_recovery(fleet, entry, caller):
+    """Operators must see which runner was blamed and how long the recovery took."""
+    task, seen = await start_draft(caller, entry, PROMPT, COUNT)
+    runner = await busy_runner(fleet, seen.request_id, 1)
+    fleet.processes_by_name[runner].kill()
+    assert_whole(await task, PROMPT, COUNT)
+    outcome = await fleet.http.request_json(
+        fleet.ports_by_daemon["vm1"].operators,
+        "GET",
+        f"/v1/operator/timeline?request={seen.request_id}",
+        headers={"authorization": f"Bearer {fleet.operator_key}"},
+    )
+    events = [event_from_mapping(raw) for raw in outcome.unwrap()[1]["events"]]
+    fields_by_kind = {event.kind: event.fields for event in events}
+    assert runner in fields_by_kind[EventKind.EPOCH_FAILED]["suspects"]
+    assert fields_by_kind[EventKind.EPOCH_RECOVERED]["recovery_ms"] >= 0
+    assert fields_by_kind[EventKind.VERDICT]["verdict"] == "ran"
