Let every VM be chosen by the next one in a ring

Cause: a simulated partition of 390 VMs never ended in both sides agreeing: a VM beyond the partition that no near VM had chosen was watched by nobody and stayed live. Ruled out: more choices per VM, which only makes the case rarer. Conclusion: the case has a test that fails on the earlier choice.

--- a/src/heathershunt/peers/topology.py
+++ b/src/heathershunt/peers/topology.py
@@ -16,6 +16,17 @@
     return hashlib.blake2b(f"{low}\0{high}".encode(), digest_size=8).digest()
 
 
+def _successor(vm: str, others: list[str]) -> str:
+    """Return the next VM in the ring of all VMs ordered by hash."""
+    own = link_weight(vm, vm)
+
+    def distance(other: str) -> tuple[bool, bytes]:
+        place = link_weight(other, other)
+        return (place < own, place)
+
+    return min(others, key=distance)
+
+
 def choose_neighbours(
     vm: str,
     domain_by_vm: Mapping[str, str],
@@ -24,8 +35,10 @@
 ) -> frozenset[str]:
     """Return the VMs that ``vm`` links to by its own choice.
 
-    Others choose ``vm`` as well, so it has about twice ``links_chosen`` links. The
-    number does not depend on the size of the fleet.
+    One of them is the next VM in a ring, so that every VM is chosen, and therefore
+    watched, by some VM on each side of a partition. The others have the highest
+    rendezvous weights. Others choose ``vm`` as well, so it has about twice
+    ``links_chosen`` links. The number does not depend on the size of the fleet.
 
     :param domain_by_vm: failure domain of every VM that is not dead, with ``vm``.
     :param links_chosen: links per VM in a fleet larger than ``full_mesh_vms``.
@@ -36,9 +49,8 @@
     if len(others) < full_mesh_vms:
         return frozenset(others)
     others.sort(key=lambda other: link_weight(vm, other), reverse=True)
-    chosen = others[:links_chosen]
     own = domain_by_vm.get(vm)
     elsewhere = [other for other in others if domain_by_vm[other] != own]
-    needed = set(elsewhere[:OTHER_DOMAIN_LINKS])
-    spare = [other for other in chosen if other not in needed]
-    return frozenset(needed) | frozenset(spare[: links_chosen - len(needed)])
+    # The order matters: the successor and two other domains come first.
+    wanted = [_successor(vm, others), *elsewhere[:OTHER_DOMAIN_LINKS], *others]
+    return frozenset(list(dict.fromkeys(wanted))[:links_chosen])
--- a/tests/peers/test_topology.py
+++ b/tests/peers/test_topology.py
@@ -61,6 +61,21 @@
         assert is_connected(links_by_vm, left)
 
 
+@pytest.mark.parametrize("residue", range(1, 20, 2))
+def test_every_vm_beyond_a_partition_is_watched_in_time(residue):
+    """Guards against a VM that nobody watches and that stays live for ever."""
+    near = [index for index in range(390) if index % 2 == 0]
+    far = {f"vm-{index}" for index in range(390) if index % 20 == residue}
+    while far:
+        view = {f"vm-{index}": f"d{index % 9}" for index in near}
+        view |= {vm: f"d{int(vm[3:]) % 9}" for vm in far}
+        chosen = set()
+        for index in near:
+            chosen |= choose_neighbours(f"vm-{index}", view)
+        assert far & chosen
+        far -= chosen
+
+
 def test_a_new_vm_changes_few_links():
     before = fleet(200)
     after = {**before, "new": "d0"}
