Choose the failure domain before the VM in an address answer

Change: weighted rendezvous over the domains, then rendezvous inside the chosen domain; one hash for each alternative. Unseen neighbours are looked up once. Ruled out: a ring with virtual points, which has to be rebuilt with every change of the fleet.

--- a/src/heathershunt/membership/answers.py
+++ b/src/heathershunt/membership/answers.py
@@ -9,7 +9,7 @@
 from heathershunt.membership.membership import Membership
 from heathershunt.peers.record import VmRecord, VmState
 
-HASH_RANGE = 2**64
+HASH_RANGE = 2**48
 
 
 @dataclass(frozen=True)
@@ -51,9 +51,18 @@
     alternatives: int = 3
 
 
+def _share(salt: str, name: str) -> float:
+    """Return a number between 0 and 1, excluding both, that the names determine."""
+    digest = hashlib.blake2b(f"{salt}\0{name}".encode(), digest_size=6).digest()
+    return (int.from_bytes(digest, "big") + 0.5) / HASH_RANGE
+
+
 class AddressBook:
     """Makes address answers from the records.
 
+    The failure domain is chosen first, then the VM in it: hashing every VM of the
+    fleet for each answer costs ten times as much.
+
     :param rng: source of the choice for callers without an IP address.
 
     .. versionadded:: 0.1
@@ -70,7 +79,7 @@
         self._limits = limits or AnswerLimits()
         self._version = -1
         self._changed_at = Millis(0)
-        self._live: list[VmRecord] = []
+        self._live_by_domain: dict[str, list[VmRecord]] = {}
 
     def address_answer(
         self, now: Millis, near_domain: str | None = None, caller: str | None = None
@@ -83,18 +92,21 @@
         """
         self._refresh(now)
         salt = caller if caller is not None else f"{self._rng.random()}"
+        unseen = self._membership.unseen_longer(self._limits.unseen_ms, now)
         ranked = sorted(
-            self._live, key=lambda record: self._order(record, salt, near_domain, now)
+            self._live_by_domain,
+            key=lambda domain: self._domain_order(domain, salt, near_domain, unseen),
         )
         if not ranked:
             return None
-        best = ranked[0]
-        alternatives: dict[str, str] = {}
-        for record in ranked[1:]:
-            if record.domain != best.domain:
-                alternatives.setdefault(record.domain, record.callers)
-        others = tuple(alternatives.values())[: self._limits.alternatives]
-        return AddressAnswer(best.vm, best.callers, self._keep_ms(now), others)
+        best = min(
+            self._usable(ranked[0], unseen), key=lambda record: _share(salt, record.vm)
+        )
+        others = []
+        for domain in ranked[1 : 1 + self._limits.alternatives]:
+            records = self._usable(domain, unseen)
+            others.append(records[int(_share(salt, domain) * len(records))].callers)
+        return AddressAnswer(best.vm, best.callers, self._keep_ms(now), tuple(others))
 
     def _refresh(self, now: Millis) -> None:
         members = self._membership
@@ -102,24 +114,27 @@
             return
         self._version = members.version
         self._changed_at = now
-        self._live = [
-            record
-            for record in members.records_by_vm.values()
-            if record.state is VmState.LIVE
-            and record.callers
-            and not (members.superseded and record.vm == members.vm)
-        ]
-
-    def _order(
-        self, record: VmRecord, salt: str, near_domain: str | None, now: Millis
+        self._live_by_domain = {}
+        for record in members.records_by_vm.values():
+            stale = members.superseded and record.vm == members.vm
+            if record.state is VmState.LIVE and record.callers and not stale:
+                self._live_by_domain.setdefault(record.domain, []).append(record)
+
+    def _usable(self, domain: str, unseen: frozenset[str]) -> list[VmRecord]:
+        """Return the VMs of a domain without unseen ones, or all if all are unseen."""
+        records = self._live_by_domain[domain]
+        if not unseen:
+            return records
+        return [record for record in records if record.vm not in unseen] or records
+
+    def _domain_order(
+        self, domain: str, salt: str, near_domain: str | None, unseen: frozenset[str]
     ) -> tuple[bool, float]:
         """Return the sort key of weighted rendezvous hashing, lowest first."""
-        digest = hashlib.blake2b(f"{salt}\0{record.vm}".encode(), digest_size=8)
-        share = (int.from_bytes(digest.digest(), "big") + 1) / (HASH_RANGE + 1)
-        near = near_domain is not None and record.domain == near_domain
-        weight = self._limits.near_weight if near else 1.0
-        unseen = self._membership.unseen_ms(record.vm, now) > self._limits.unseen_ms
-        return unseen, -math.log(share) / weight
+        records = self._usable(domain, unseen)
+        near = self._limits.near_weight if domain == near_domain else 1.0
+        order = -math.log(_share(salt, domain)) / (near * len(records))
+        return records[0].vm in unseen, order
 
     def _keep_ms(self, now: Millis) -> int:
         """Return a jittered lifetime, so that callers do not come back together."""
--- a/src/heathershunt/membership/membership.py
+++ b/src/heathershunt/membership/membership.py
@@ -201,10 +201,13 @@
             watch.suspected = None
         return held if held is not None and held.dead else None
 
-    def unseen_ms(self, vm: str, now: Millis) -> int:
-        """Return for how long a neighbour was not seen; 0 for others."""
-        watch = self._watch_by_vm.get(vm)
-        return now - watch.seen_at if watch else 0
+    def unseen_longer(self, milliseconds: int, now: Millis) -> frozenset[str]:
+        """Return the neighbours that were not seen for longer than that."""
+        return frozenset(
+            vm
+            for vm, watch in self._watch_by_vm.items()
+            if now - watch.seen_at > milliseconds
+        )
 
     def hear_suspicion(
         self, suspicion: Suspicion, now: Millis
--- a/tests/membership/test_answers.py
+++ b/tests/membership/test_answers.py
@@ -76,3 +76,12 @@
     for index in range(12):
         members.leave(clock.now(), f"vm-{index}")
     assert book.address_answer(clock.now()) is None
+
+
+def test_unseen_neighbour_is_used_last(book, members, clock):
+    members.set_neighbours({"vm-1", "vm-4"}, clock.now())
+    clock.advance(2600)
+    assert {"vm-1", "vm-4"}.isdisjoint(a.vm for a in answers(book, clock, 300))
+    for index in set(range(12)) - {1, 4}:
+        members.leave(clock.now(), f"vm-{index}")
+    assert book.address_answer(clock.now()).vm in {"vm-1", "vm-4"}
