Try seeds that no live VM stands behind

Cause: dead records are kept for two hours; after a longer partition both sides have forgotten each other, each still has links, and seeds were dialled only without any link. Change: the probe that tries dead VMs also tries seeds whose address no VM that is not dead has, at most one address every 2.5 to 5 s. Ruled out: dialling seeds all the time, which 390 VMs would do to a few. Conclusion: a test joins two groups that do not know each other.

--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -46,7 +46,7 @@
 
     def __init__(self, fleet, vm):
         self.fleet, self.vm = fleet, vm
-        self.links_by_vm, self.targets = {}, {}
+        self.links_by_vm, self.targets, self.seeds = {}, {}, ()
         self.handlers = defaultdict(list)
         self.up, self.down = [], []
 
--- a/src/heathershunt/membership/exchange.py
+++ b/src/heathershunt/membership/exchange.py
@@ -160,11 +160,22 @@
         members.set_neighbours(self._chosen | kept | self._lost, self._clock.now())
 
     def _probe(self) -> None:
-        """Try one VM that is recorded as dead: a partition may have healed."""
+        """Try one VM recorded as dead, or a seed without a live VM behind it.
+
+        A partition may have healed. One that outlasts the records of the other side
+        leaves the seeds as the only way back.
+        """
         records = self._membership.records_by_vm.values()
-        dead = [r for r in records if r.dead and r.phase % 2 == 0 and r.peers]
-        if dead:
-            self._mesh.probe(self._rng.choice(dead).peers)
+        dead = [r.peers for r in records if r.dead and r.phase % 2 == 0 and r.peers]
+        present = self._membership.present()
+        known = {record.peers for record in present.values()}
+        seeds = [
+            address
+            for address in self._mesh.seeds
+            if address not in known and self._mesh.vm_at(address) not in present
+        ]
+        if addresses := dead + seeds:
+            self._mesh.probe(self._rng.choice(addresses))
 
     def _on_up(self, link: PeerLink) -> None:
         members = self._membership
--- a/src/heathershunt/peers/mesh.py
+++ b/src/heathershunt/peers/mesh.py
@@ -85,6 +85,7 @@
         tls: MeshTls | None = None,
     ) -> None:
         self.links_by_vm: dict[str, PeerLink] = {}
+        self.seeds: tuple[str, ...] = ()
         self._hello = hello
         self._heartbeat = heartbeat
         self._clock = clock
@@ -94,7 +95,6 @@
         self._on_up: list[Callable[[PeerLink], None]] = []
         self._on_down: list[Callable[[PeerLink], None]] = []
         self._target_by_vm: dict[str, str] = {}
-        self._seeds: tuple[str, ...] = ()
         self._vm_by_address: dict[str, str] = {}
         self._backoff = DialBackoff(rng)
         self._dials_by_address: dict[str, asyncio.Task] = {}
@@ -137,7 +137,7 @@
 
     def set_seeds(self, addresses: Iterable[str]) -> None:
         """Set the addresses that are dialled while no link is open."""
-        self._seeds = tuple(addresses)
+        self.seeds = tuple(addresses)
         self._dial_missing()
 
     def set_targets(self, address_by_vm: Mapping[str, str]) -> None:
@@ -145,6 +145,10 @@
         self._target_by_vm = dict(address_by_vm)
         self._dial_missing()
 
+    def vm_at(self, address: str) -> str | None:
+        """Return the VM that was last met at an address that was dialled."""
+        return self._vm_by_address.get(address)
+
     def probe(self, address: str) -> None:
         """Dial an address once, unless a link to its VM is open."""
         vm = self._vm_by_address.get(address)
@@ -232,7 +236,7 @@
                 self._start_dial(address)
         if not self.links_by_vm:
             own = self._hello().vm
-            for address in self._seeds:
+            for address in self.seeds:
                 known = self._vm_by_address.get(address)
                 if known != own and self._backoff.is_due(address, now):
                     self._start_dial(address)
--- a/tests/membership/test_exchange.py
+++ b/tests/membership/test_exchange.py
@@ -86,3 +86,14 @@
         await asyncio.sleep(0.1)
     await until(lambda: agree(fleet))
     assert all(n.state_of("vm-6") == "leaving" for n in fleet)
+
+
+async def test_seed_is_tried_when_the_other_side_was_forgotten(start_node):
+    """Guards against a partition that outlasts the records of the other side."""
+    nodes = [await start_node(vm) for vm in "abcd"]
+    nodes[1].mesh.set_seeds([nodes[0].address])
+    nodes[3].mesh.set_seeds([nodes[2].address])
+    await until(lambda: agree(nodes[:2]) and agree(nodes[2:]))
+    nodes[1].mesh.set_seeds([nodes[0].address, nodes[2].address])
+    nodes[1].exchange._probe()
+    await until(lambda: agree(nodes))
