Announce the end of an unneeded link before closing it

Cause: a simulated heal of 390 VMs ended in a storm of suspicions. A VM that no longer chose a neighbour closed the link before its next heartbeat said so; the neighbour took that for a failure, watched the VM, suspected it and made the whole fleet pass that on. Ruled out: a goodbye message, because it is lost with a broken link and the heartbeat carries the same fact anyway.

--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -30,7 +30,8 @@
         self.fleet, self.owner, self.vm = fleet, owner, other
         self.hello, self.incarnation = hello, hello.incarnation
         self.peer_keeps = True
-        self.heard_at = self.opened_at = fleet.clock.now()
+        self.heard_at = fleet.clock.now()
+        self.unwanted_since = None
 
     def offer(self, message):
         """Deliver in the next step, unless the path is broken."""
@@ -195,8 +196,12 @@
         for other, link in list(mesh.links_by_vm.items()):
             gone = vm not in self.meshes[other].links_by_vm
             wanted = other in mesh.targets or link.peer_keeps
-            old = now - link.opened_at > UNWANTED_MS
-            if now - link.heard_at > SILENCE_MS or gone or (old and not wanted):
+            if wanted:
+                link.unwanted_since = None
+            elif link.unwanted_since is None:
+                link.unwanted_since = now
+            since = now if wanted else link.unwanted_since
+            if now - link.heard_at > SILENCE_MS or gone or now - since > UNWANTED_MS:
                 mesh.cut(other)
         for other in mesh.targets:
             if other not in mesh.links_by_vm:
--- a/src/heathershunt/peers/link.py
+++ b/src/heathershunt/peers/link.py
@@ -43,11 +43,11 @@
         self.incarnation = hello.incarnation
         self.hello = hello
         self.dialled = dialled
-        self.opened_at: Millis = clock.now()
         self.heard_at: Millis = clock.now()
         self.used_at: Millis | None = None
         self.active_calls = 0
         self.peer_keeps = True
+        self.unwanted_since: Millis | None = None
         self.closed = False
         self.sent_bytes = 0
         self.received_bytes = 0
--- a/src/heathershunt/peers/mesh.py
+++ b/src/heathershunt/peers/mesh.py
@@ -224,8 +224,17 @@
         self._dial_missing()
 
     def _is_unwanted(self, link: PeerLink, now: Millis) -> bool:
-        old = now - link.opened_at > self._limits.unwanted_ms
-        return old and not link.peer_keeps and not self._wants(link)
+        """Return whether neither side has wanted the link for a while.
+
+        The delay lets the other side learn from heartbeats that the link may go;
+        otherwise it takes the end of the link for a failure of this VM.
+        """
+        if self._wants(link) or link.peer_keeps:
+            link.unwanted_since = None
+        elif link.unwanted_since is None:
+            link.unwanted_since = now
+        since = link.unwanted_since
+        return since is not None and now - since > self._limits.unwanted_ms
 
     def _dial_missing(self) -> None:
         if self._closing or self._server is None:
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -75,6 +75,25 @@
     proxy.close()
 
 
+async def test_end_of_an_unneeded_link_is_announced(start_node):
+    """Guards against taking it for a failure, which every VM would hear of."""
+    first = await start_node("a")
+    second = await start_node("b", first.address)
+    await until(lambda: "b" in first.mesh.links_by_vm)
+    await until(lambda: "a" in second.mesh.links_by_vm)
+    links = [first.mesh.links_by_vm["b"], second.mesh.links_by_vm["a"]]
+    for node, other in ((first, second), (second, first)):
+        node.exchange.close()
+        node.mesh.set_targets({other.members.vm: other.address})
+    await asyncio.sleep(0.5)
+    assert links[0].peer_keeps and links[1].peer_keeps
+    second.mesh.set_targets({})
+    await until(lambda: not links[0].peer_keeps)
+    first.mesh.set_targets({})
+    await until(lambda: links[0].closed and links[1].closed)
+    assert not links[1].peer_keeps
+
+
 class StuckSocket:
     """A connection whose other side takes no data."""
 
