Log a warning when an oversized message closes a link

Cause: a message above the size limit is refused inside the WebSocket library, so the link ended with an informational line only. Change: links that this side closes for a protocol fault are logged as warnings. Ruled out: raising the library's own limit and checking the size afterwards, because that allows the memory that the limit is there to refuse. Conclusion: every fault of a peer is one warning line.

--- a/src/heathershunt/peers/link.py
+++ b/src/heathershunt/peers/link.py
@@ -6,6 +6,7 @@
 
 import logbook
 from websockets.exceptions import ConnectionClosed
+from websockets.frames import CloseCode
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.peers.messages import (
@@ -19,6 +20,11 @@
 log = logbook.Logger("heathershunt.peers")
 
 MAX_QUEUE_BYTES = 1_048_576
+PROTOCOL_FAULTS = (
+    CloseCode.PROTOCOL_ERROR,
+    CloseCode.INVALID_DATA,
+    CloseCode.MESSAGE_TOO_BIG,
+)
 
 
 class LinkClosedError(ConnectionError):
@@ -123,6 +129,8 @@
                     raise MessageError("a text message")
                 dispatch(self, decode_message(data))
         except ConnectionClosed as error:
+            if error.sent is not None and error.sent.code in PROTOCOL_FAULTS:
+                log.warning("closing the link to {}: {}", self.vm, error)
             return f"connection closed: {error}"
         except MessageError as error:
             log.warning("closing the link to {}: bad message: {}", self.vm, error)
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -4,6 +4,7 @@
 import random
 import ssl
 
+import logbook
 import pytest
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -30,6 +31,13 @@
 
 @pytest.mark.parametrize("data", [b"\xff", "text", bytes(300_000)])
 async def test_bad_message_closes_only_its_own_link(start_node, data):
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        await send_bad_message(start_node, data)
+    assert any("closing the link to bad" in line for line in handler.formatted_records)
+
+
+async def send_bad_message(start_node, data):
     node = await start_node("a")
     other = await start_node("b", node.address)
     await until(lambda: "b" in node.mesh.links_by_vm)
