Repeat drain orders, keep ports of tests apart from outgoing connections

Cause: a drain whose reply was lost ended as unknown although repeating it is harmless; a time beyond the year 9999 in an event ended the command line in a traceback; a failed write left its temporary file; a bundle between 16 and 32 MB could be in force without having a file. In one run of the whole suite a daemon found the port taken that the launcher had seen free.

Change: a drain is repeated through up to three daemons; the time of an event is bounded; bundles are bounded by their file; the launcher takes ports below those of outgoing connections. Libraries log from warnings on.

--- a/src/heathershunt/bundle/parts.py
+++ b/src/heathershunt/bundle/parts.py
@@ -25,8 +25,9 @@
 ACCOUNTS_PER_PART = 256
 MAX_PART_BYTES = 262_144
 MAX_ROOT_BYTES = 65_536
-# Old and new parts are held at the same time while a bundle is taken.
-MAX_BUNDLE_BYTES = 33_554_432
+# Old and new parts are held at the same time while a bundle is taken, and each bundle
+# in force has a file of at most 16 MiB.
+MAX_BUNDLE_BYTES = 16_500_000
 MAX_SIGNED_ROOT_BYTES = 2 * MAX_ROOT_BYTES
 HASH_BITS = 256
 
--- a/src/heathershunt/cli/daemons.py
+++ b/src/heathershunt/cli/daemons.py
@@ -21,6 +21,7 @@
 CONFLICT = 409
 OUTCOME_UNKNOWN = 504
 STATUS = "/v1/operator/status"
+CHANGE_TRIES = 3
 ROLL_TRIES = 3
 ROLL_RETRY_MS = 500
 SETTLE_MS = 10_000
@@ -165,14 +166,17 @@
         known = await self.survey()
         order = sorted(known.values, key=lambda a: _name(known.values[a]) != vm)
         body = json.dumps({"vm": vm}).encode()
-        outcome = await self.ask(order[0], "POST", f"/v1/operator/{action}", body)
-        if isinstance(outcome, Err):
+        code = ExitCode.UNREACHABLE
+        for address in order[:CHANGE_TRIES]:
+            outcome = await self.ask(address, "POST", f"/v1/operator/{action}", body)
+            if isinstance(outcome, Ok):
+                if outcome.ok_value.status != 200:
+                    raise CliError(ExitCode.REFUSED, outcome.ok_value.detail)
+                return
             error = outcome.err_value
-            unsent = error.progress is Progress.NOT_SENT
-            code = ExitCode.UNREACHABLE if unsent else ExitCode.OUTCOME_UNKNOWN
-            raise CliError(code, f"{error.detail}; run the command again")
-        if outcome.ok_value.status != 200:
-            raise CliError(ExitCode.REFUSED, outcome.ok_value.detail)
+            if error.progress is not Progress.NOT_SENT:
+                code = ExitCode.OUTCOME_UNKNOWN
+        raise CliError(code, f"{error.detail}; run the command again")
 
     async def roll(self, data: bytes, version: int, sha256: str) -> None:
         """Roll a bundle file; return only once it is accepted.
@@ -214,7 +218,7 @@
         """
         for _ in range(SETTLE_MS // SETTLE_POLL_MS):
             status = (await self.ask_any(STATUS)).json()
-            held = status.get("bundle", {})
+            held = status.get("bundle", {}) if isinstance(status, dict) else {}
             if held.get("sha256") == sha256:
                 return
             if held.get("version", 0) == version:
--- a/src/heathershunt/cli/files.py
+++ b/src/heathershunt/cli/files.py
@@ -2,9 +2,9 @@
 
 import os
 import ssl
-import stat
 import tempfile
 import tomllib
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -17,6 +17,8 @@
 CONFIG_VARIABLE = "HEATHERSHUNT_CONFIG"
 DEFAULT_CONFIG = "heathershunt.toml"
 KEY_BYTES = 32
+SECRET_MODE = 0o600
+PUBLIC_MODE = 0o644
 MIN_TIMEOUT_MS = 100
 
 
@@ -121,16 +123,16 @@
     target = Path(path)
     if secret and target.exists():
         raise _bad_file(path, "exists already; a key is never overwritten")
+    temporary = ""
     try:
         handle, temporary = tempfile.mkstemp(dir=target.parent, prefix=".heathershunt")
         with os.fdopen(handle, "wb") as out:
             out.write(data)
-        mode = stat.S_IRUSR | stat.S_IWUSR
-        if not secret:
-            mode |= stat.S_IRGRP | stat.S_IROTH
-        os.chmod(temporary, mode)
+        os.chmod(temporary, SECRET_MODE if secret else PUBLIC_MODE)
         os.replace(temporary, target)
     except OSError as error:
+        with suppress(OSError):
+            os.unlink(temporary)
         raise _bad_file(path, f"cannot be written: {error.strerror}") from None
 
 
--- a/src/heathershunt/daemon/main.py
+++ b/src/heathershunt/daemon/main.py
@@ -66,8 +66,8 @@
         return
     log = settings.log
     log_handler(log.level, log.format, settings.vm.name, sys.stderr).push_application()
-    # Libraries log through the standard library.
-    redirect_logging()
+    # Libraries log through the standard library, warnings and above.
+    redirect_logging(set_root_logger_level=False)
     try:
         asyncio.run(serve(settings))
     except ListenError as error:
--- a/src/heathershunt/schema/schema.py
+++ b/src/heathershunt/schema/schema.py
@@ -53,7 +53,7 @@
     for step in re.findall(r"[^.\[\]]+", place):
         if isinstance(raw, Mapping):
             raw = raw.get(step)
-        elif isinstance(raw, list | tuple) and step.isdigit():
+        elif isinstance(raw, list | tuple) and step.isdigit() and int(step) < len(raw):
             raw = raw[int(step)]
         else:
             return None
--- a/src/heathershunt/timeline/events.py
+++ b/src/heathershunt/timeline/events.py
@@ -3,10 +3,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+# In the year 6429; a date beyond 9999 cannot be shown.
+MAX_HLC = 2**63 - 1
+
 
 class EventKind(Enum):
     """What an event is about.
@@ -41,7 +44,7 @@
     .. versionadded:: 0.1
     """
 
-    hlc: int
+    hlc: Annotated[int, msgspec.Meta(ge=0, le=MAX_HLC)]
     vm: str
     incarnation: int
     kind: EventKind
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -34,6 +35,9 @@
 
 HOST = "127.0.0.1"
 ROOT = Path(__file__).resolve().parent.parent
+# Below the ports that the system gives to outgoing connections; one of those could
+# take a port between this check and the bind of the process that is to use it.
+PORTS = (15_000, 30_000)
 READY_SECONDS = 20
 POLL_SECONDS = 0.02
 
@@ -44,9 +48,11 @@
 
 def free_port() -> int:
     """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 def token_sha256(token: str) -> str:
