Receive at most 16 KB at a time

Cause: a receive call took 17 us in the profile, more than any other step of the path; the transport allocates 256 KB for each call. Change: connections of server and client lower the transport's limit to 16 KB. Ruled out: a BufferedProtocol with one buffer, since the stream reader of asyncio would have to be replaced on both sides.

--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from heathershunt.http.chunked import ChunkedDecoder
+from heathershunt.http.transports import limit_reads
 from heathershunt.verdict import Progress
 
 READ_BYTES = 65536
@@ -203,6 +204,7 @@
         self.address = address
         self._reader = reader
         self._writer = writer
+        limit_reads(writer.transport)
         self._h11 = h11.Connection(h11.CLIENT)
         self.progress = Progress.NOT_SENT
         self.response: h11.Response | None = None
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -16,6 +16,7 @@
     StreamResponse,
     problem_response,
 )
+from heathershunt.http.transports import limit_reads
 from heathershunt.verdict import not_run
 
 log = logbook.Logger("heathershunt.http")
@@ -152,6 +153,7 @@
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
+        limit_reads(writer.transport)
         writer.transport.set_write_buffer_limits(high=BACKLOG_HIGH_WATER_BYTES)
 
     async def serve(self, draining: Callable[[], bool]) -> None:
