--- a/measure/_relay_reader.py
+++ b/measure/_relay_reader.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from measure._report import Latencies
+from standins.latencies import Latencies
 
 STAMP = re.compile(rb'"text":"(\d+)"')
 HEAD_END = b"\r\n\r\n"
--- a/measure/_report.py
+++ b/measure/_report.py
@@ -3,11 +3,8 @@
 import os
 from pathlib import Path
 
-from hdrh.histogram import HdrHistogram
+from standins.latencies import Latencies
 
-MICROSECONDS_PER_MILLISECOND = 1000
-HIGHEST_MICROSECONDS = 600_000_000
-SIGNIFICANT_DIGITS = 3
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 STAT_UTIME, STAT_STIME = 11, 12
 
@@ -27,39 +24,12 @@
     emit(f"{measurement}.machine_load", os.getloadavg()[0], "processes", "10 cores")
 
 
-class Latencies:
-    """Histogram of latencies in milliseconds, with microsecond resolution."""
-
-    def __init__(self) -> None:
-        self._histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
-
-    def add(self, milliseconds: float) -> None:
-        """Record one latency."""
-        value = max(1, round(milliseconds * MICROSECONDS_PER_MILLISECOND))
-        self._histogram.record_value(value)
-
-    def add_encoded(self, encoded: bytes) -> None:
-        """Add a histogram that another process encoded."""
-        self._histogram.decode_and_add(encoded)
-
-    def encode(self) -> bytes:
-        """Return the histogram for another process."""
-        return self._histogram.encode()
-
-    @property
-    def count(self) -> int:
-        """Return the number of latencies recorded."""
-        return self._histogram.get_total_count()
-
-    def centile(self, percent: float) -> float:
-        """Return the latency that ``percent`` of the records do not exceed."""
-        value = self._histogram.get_value_at_percentile(percent)
-        return value / MICROSECONDS_PER_MILLISECOND
-
-    def emit(self, name: str, bound: str = "-", centiles=(50, 95, 99)) -> None:
-        """Print one figure for each centile."""
-        for percent in centiles:
-            emit(f"{name}.p{percent}", self.centile(percent), "ms", bound)
+def emit_centiles(
+    name: str, latencies: Latencies, bound: str = "-", centiles=(50, 95, 99)
+) -> None:
+    """Print one figure for each centile."""
+    for percent in centiles:
+        emit(f"{name}.p{percent}", latencies.centile(percent), "ms", bound)
 
 
 def cpu_seconds(pid: int) -> float:
--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -15,8 +15,9 @@
 from heathershunt.http import Address
 from measure._baseline import BASELINE_TIMEOUT_MS, RestartingRouter
 from measure._fleet import LAYERS, deployment_of, restart_engine, run_measurement
-from measure._report import Latencies, emit, emit_conditions
+from measure._report import emit, emit_centiles, emit_conditions
 from standins.caller import Caller, Transcript
+from standins.latencies import Latencies
 from standins.launch import Deployment, pipeline_specs
 from standins.oracle import expected_tokens
 
@@ -187,7 +188,7 @@
             name = f"recovery.{fault}.stage{stage}"
             floor = self.floors_by_case[fault, stage].centile(50)
             emit(f"{name}.samples", times.count, "drafts")
-            times.emit(name, f"floor {floor:.0f} ms", (50, 95))
+            emit_centiles(name, times, f"floor {floor:.0f} ms", (50, 95))
             over = self.over_by_case[fault, stage].centile(50)
             emit(f"{name}.over_floor.p50", over, "ms", "0 ms")
 
@@ -262,7 +263,9 @@
                 floors.add(floor_ms(fault, STAGES - 1, position, waited_ms))
         floor = floors.centile(50)
         emit(f"recovery.entry_{fault}.samples", times.count, "drafts")
-        times.emit(f"recovery.entry_{fault}", f"floor {floor:.0f} ms", (50, 95))
+        emit_centiles(
+            f"recovery.entry_{fault}", times, f"floor {floor:.0f} ms", (50, 95)
+        )
     return lost
 
 
@@ -281,7 +284,7 @@
                     continue
                 taken, _, _ = draft.recovery_ms(struck)
                 times.add(taken)
-        times.emit(f"recovery.baseline_{fault}", bound, (50, 95))
+        emit_centiles(f"recovery.baseline_{fault}", times, bound, (50, 95))
 
 
 async def main() -> None:
--- a/measure/relay.py
+++ b/measure/relay.py
@@ -13,8 +13,9 @@
 import time
 
 from measure._fleet import run_measurement
-from measure._report import Latencies, cpu_seconds, emit, emit_conditions
+from measure._report import cpu_seconds, emit, emit_conditions
 from standins.demo import demo_bundle
+from standins.latencies import Latencies
 from standins.launch import ROOT, Deployment
 
 NEEDED_TOKENS_PER_SECOND = 13_334
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -128,7 +128,12 @@
 
 
 class Deployment:
-    """A platform, engines, services and daemons, each a process of its own."""
+    """A platform, engines, services and daemons, each a process of its own.
+
+    ``daemon_module`` may name a module that runs a daemon with parts replaced.
+    """
+
+    daemon_module = "heathershunt.daemon.main"
 
     def __init__(self) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="heathershunt-")
@@ -284,7 +289,7 @@
     async def start_daemon(self, name: str) -> Process:
         """Start, or start again, the daemon with the settings written for it."""
         path = self.folder / f"{name}.toml"
-        process = await self.spawn(name, "heathershunt.daemon.main", str(path))
+        process = await self.spawn(name, self.daemon_module, str(path))
         process.address = self.ports_by_daemon[name].callers
         await self.wait_status(process, "/healthz")
         return process
--- a/tests/standins/test_measure.py
+++ b/tests/standins/test_measure.py
@@ -1,7 +1,7 @@
 import pytest
 
 from measure.__main__ import parse_figure
-from measure._report import Latencies
+from standins.latencies import Latencies
 
 
 def test_figure_line_is_parsed():
@@ -29,3 +29,9 @@
     assert one.count == 100
     assert one.centile(50) == pytest.approx(50, rel=0.01)
     assert one.centile(100) == pytest.approx(100, rel=0.01)
+
+
+def test_latency_beyond_the_range_still_counts():
+    latencies = Latencies()
+    latencies.add(10**9)
+    assert latencies.count == 1
