Document when a forwarded request's handler is cancelled

Cause: a handler that runs a call at most once must survive a broken link. Change: the docstring of Forwarder.handle says so. Ruled out: shielding every handler, because a relayed draft should end with its reader.

--- a/src/heathershunt/peers/forward.py
+++ b/src/heathershunt/peers/forward.py
@@ -224,7 +224,9 @@
         """Run ``handler`` for requests of ``kind``.
 
         It returns ``None`` after a complete reply and a refusal otherwise. If it
-        raises, the verdict is ``may_have_run``.
+        raises, the verdict is ``may_have_run``. It is cancelled when the requesting
+        VM gives up or the link breaks; work that must not be interrupted has to run
+        in a task of its own.
         """
         self._handlers_by_kind[kind] = handler
 
