Hold the store's write rate for claims of callers' own keys

Cause: with several VMs, claims did not hold the store's 400 writes/s. The VMs took turns to lose swaps, and refused writes were repeated without a common pace.

Change: a pace of writes for each VM with additive increase and multiplicative decrease; a read before a swap while another VM writes to the shard; and claims through one VM for each shard, its home, when a ClaimRelay is given.

Window 0 and 64 shards are the defaults now.

The rule-based machine, run with the homes switched off, found a fault: a copy of a shard could show an old claim that a VM with a clock ahead had already replaced, and its key was refused as used by another request although the same request had just run. Claims older than the deduplication window are now read again; the machine covers both paths.

A call is also checked against its deadline right before its first byte, so that a process paused while it connects sends nothing out of date.

--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints one line for each figure: name, value, unit, bound."""
--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import ssl
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -122,16 +122,21 @@
         body: bytes = b"",
         timeout_ms: int = REQUEST_TIMEOUT_MS,
         fresh: bool = False,
+        may_send: Callable[[], bool] | None = None,
     ) -> Result[ClientResponse, TransportError]:
         """Send a request and return its response head.
 
         :param timeout_ms: time for the connection and the response head.
         :param fresh: use a new connection even if an idle one is open.
+        :param may_send: asked right before the first byte is written, so that a
+            process that was paused while connecting sends nothing out of date.
         """
         connection = None
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 connection = await self._connect(address, fresh)
+                if may_send is not None and not may_send():
+                    raise TimeoutError("it is too late to send the request")
                 await connection.send_request(method, target, headers or {}, body)
                 await connection.read_head()
                 return Ok(ClientResponse(self, connection))
--- a/src/heathershunt/services/__init__.py
+++ b/src/heathershunt/services/__init__.py
@@ -5,6 +5,7 @@
 from heathershunt.services.claims import Claim
 from heathershunt.services.dispatch import Dispatcher
 from heathershunt.services.handler import SERVICES_PREFIX, ServiceHandler
+from heathershunt.services.home import ClaimRelay, HomedClaims
 from heathershunt.services.issuer import IssuedKey, KeyIssuer, parse_issued_key
 from heathershunt.services.table import KeyTable
 
@@ -14,8 +15,10 @@
     "Claim",
     "ClaimBatcher",
     "ClaimFailure",
+    "ClaimRelay",
     "Dispatcher",
     "Forwarder",
+    "HomedClaims",
     "IssuedKey",
     "KeyIssuer",
     "KeyTable",
--- a/src/heathershunt/services/batches.py
+++ b/src/heathershunt/services/batches.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -20,17 +21,24 @@
     shard_key,
     shard_of,
 )
+from heathershunt.services.pacing import WritePacer
+from heathershunt.services.table import DEDUPLICATION_WINDOW_MS
 from heathershunt.store import Stored, StoreError, StoreFailure, Swapped
 
 log = logbook.Logger("heathershunt.services")
 
-BATCH_WINDOW_MS = 5
+# Under load, claims gather while a shard waits for its turn to write; a window would
+# add its whole length to every claim at low rates and save few writes.
+BATCH_WINDOW_MS = 0
 CLAIM_LIMIT_MS = 1_000
 RETRY_FLOOR_MS = 2
 RETRY_CEILING_MS = 100
 # After a failed store call, claims are refused without a call for this long.
 OUTAGE_PAUSE_MS = 200
 MAX_BATCH = 512
+# Another VM writes to a shard that lost a swap; for this long it is read before each
+# swap, because the store takes five times as many reads as writes.
+SHARED_MS = 10_000
 TRY_AGAIN = frozenset({StoreFailure.OUTCOME_UNKNOWN, StoreFailure.RATE_LIMITED})
 
 
@@ -73,6 +81,7 @@
     key: str
     queue: list[_Pending] = field(default_factory=list)
     held: Stored | None = None
+    shared_until: Millis = Millis(0)
     worker: asyncio.Task | None = None
 
     def take(self, count: int) -> list[_Pending]:
@@ -102,6 +111,7 @@
         window_ms: int = BATCH_WINDOW_MS,
         limit_ms: int = CLAIM_LIMIT_MS,
         shards: int = CLAIM_SHARDS,
+        pacer: WritePacer | None = None,
         max_shard_bytes: int = MAX_SHARD_BYTES,
         source: random.Random | None = None,
     ) -> None:
@@ -111,12 +121,25 @@
         self.limit_ms = limit_ms
         self._count = shards
         self._max_bytes = max_shard_bytes
+        self._pacer = pacer or WritePacer()
         self._random = source or random.Random()
         self._shards_by_number: dict[int, _Shard] = {}
         self._out_until = Millis(0)
         self.swaps = 0
         self.lost_swaps = 0
 
+    def share_writes(self, vms: int) -> None:
+        """Take one part of the store's writes; no more VMs than shards write."""
+        self._pacer.share(min(vms, self._count))
+
+    def shard_number(self, key: bytes) -> int:
+        """Return the number of the shard that holds a key hash."""
+        return shard_of(key, self._count)
+
+    def is_late(self, start: Millis) -> bool:
+        """Return whether a claim begun at ``start`` is too old to be used."""
+        return self._clock.now() >= start + 2 * self.limit_ms
+
     async def claim(
         self, claim: Claim, deadline: Millis
     ) -> Result[Claim, ClaimFailure]:
@@ -131,7 +154,7 @@
         give_up_at = Millis(min(deadline, now + self.limit_ms))
         settled = asyncio.get_running_loop().create_future()
         pending = _Pending(claim, give_up_at, settled)
-        number = shard_of(claim.key, self._count)
+        number = self.shard_number(claim.key)
         shard = self._shards_by_number.get(number)
         if shard is None:
             shard = _Shard(shard_key(number, self._count))
@@ -147,7 +170,7 @@
                 self._pause()
             return Err(ClaimFailure.TOO_SLOW)
         # After a long pause of this process the claim may have left the store.
-        if self._clock.now() >= now + 2 * self.limit_ms:
+        if self.is_late(now):
             return Err(ClaimFailure.TOO_SLOW)
         return result
 
@@ -165,6 +188,10 @@
     async def _commit(self, shard: _Shard, batch: list[_Pending]) -> None:
         """Settle every claim of a batch, with as many swaps as it takes."""
         delay = RETRY_FLOOR_MS
+        await self._pacer.take()
+        batch += shard.take(MAX_BATCH - len(batch))
+        if self._clock.now() < shard.shared_until:
+            shard.held = None
         while batch := [p for p in batch if p.is_open(self._clock.now())]:
             step = await self._swap_once(shard, batch)
             if isinstance(step, Err):
@@ -175,13 +202,15 @@
                 return
             await asyncio.sleep(delay * self._random.uniform(0.5, 1.0) / 1000)
             delay = min(2 * delay, RETRY_CEILING_MS)
+            await self._pacer.take()
             batch += shard.take(MAX_BATCH - len(batch))
 
     async def _swap_once(
         self, shard: _Shard, batch: list[_Pending]
     ) -> Result[None, ClaimFailure]:
         """Try one swap; ``Ok`` leaves unsettled what has to be tried again."""
-        if shard.held is None:
+        is_copy = shard.held is not None
+        if not is_copy:
             held = await self._store.get(shard.key)
             if isinstance(held, Err):
                 return self._fail(held.err_value)
@@ -193,6 +222,9 @@
             shard.held = None
             return Err(ClaimFailure.STORE_OUT)
         wanted = [pending.claim for pending in batch]
+        if is_copy and self._may_be_replaced(claims, wanted):
+            shard.held = None
+            return Ok(None)
         merged, refused = merge_claims(
             claims, wanted, self._clock.wall(), self._max_bytes
         )
@@ -207,6 +239,17 @@
             return Ok(None)
         return await self._write(shard, merged, open_now)
 
+    def _may_be_replaced(
+        self, held: Mapping[bytes, Claim], wanted: Sequence[Claim]
+    ) -> bool:
+        """Return whether a copy may show a claim that is no longer in the store.
+
+        A VM whose clock is ahead removes old claims before this VM takes them as
+        past their time.
+        """
+        limit = self._clock.wall() - DEDUPLICATION_WINDOW_MS
+        return any(c.key in held and held[c.key].at_ms <= limit for c in wanted)
+
     async def _write(
         self, shard: _Shard, merged: dict[bytes, Claim], batch: list[_Pending]
     ) -> Result[None, ClaimFailure]:
@@ -219,9 +262,11 @@
             # only one of the two writes can succeed.
             shard.held = None
             return self._fail(swapped.err_value)
+        self._pacer.accepted()
         shard.held = swapped.ok_value.current
         if not swapped.ok_value.done:
             self.lost_swaps += 1
+            shard.shared_until = Millis(self._clock.now() + SHARED_MS)
             return Ok(None)
         for pending in batch:
             pending.settle(Ok(merged[pending.claim.key]))
@@ -229,6 +274,8 @@
 
     def _fail(self, error: StoreError) -> Result[None, ClaimFailure]:
         """Return ``Ok`` if the store may answer when asked again."""
+        if error.kind is StoreFailure.RATE_LIMITED:
+            self._pacer.refused()
         if error.kind in TRY_AGAIN:
             return Ok(None)
         log.warning("claims not written: {}: {}", error.kind.value, error.detail)
--- a/src/heathershunt/services/claims.py
+++ b/src/heathershunt/services/claims.py
@@ -10,6 +10,7 @@
 
 # Every VM must find a key in the same shard, so the count is part of the store key
 # and the same in all processes; two counts at a time would allow two claims.
+# More shards write less of each claim's surroundings again; fewer make larger batches.
 CLAIM_SHARDS = 64
 # A claim outlives the kept answer by the longest call and the clock difference
 # between two VMs.
--- a/src/heathershunt/services/dispatch.py
+++ b/src/heathershunt/services/dispatch.py
@@ -156,6 +156,7 @@
             body=call.body,
             timeout_ms=timeout_ms,
             fresh=fresh,
+            may_send=lambda: self._clock.now() < end,
         )
         if isinstance(outcome, Err):
             error = outcome.err_value
--- a/src/heathershunt/services/handler.py
+++ b/src/heathershunt/services/handler.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable, Coroutine, Sequence
 
+from result import Result
+
 from heathershunt.bundle import Bundle, ClientAccount
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import Address, HttpClient, Request, Response
-from heathershunt.services.batches import ClaimBatcher, SwapStore
+from heathershunt.services.batches import ClaimBatcher, ClaimFailure, SwapStore
 from heathershunt.services.calls import (
     CallOutcome,
     Forwarder,
@@ -13,8 +15,9 @@
     refused,
     request_headers,
 )
-from heathershunt.services.claims import LONGEST_CALL_MS
+from heathershunt.services.claims import LONGEST_CALL_MS, Claim
 from heathershunt.services.dispatch import Dispatcher
+from heathershunt.services.home import ClaimRelay, HomedClaims
 from heathershunt.services.issuer import KeyIssuer
 from heathershunt.services.keyed import KeyedCalls
 from heathershunt.services.table import KeyTable
@@ -38,7 +41,7 @@
         dispatcher: Dispatcher,
         table: KeyTable,
         issuer: KeyIssuer,
-        batcher: ClaimBatcher,
+        claims: HomedClaims,
         clock: Clock,
         forwarder: Forwarder | None = None,
     ) -> None:
@@ -46,7 +49,7 @@
         self._table = table
         self._issuer = issuer
         self._clock = clock
-        self._keyed = KeyedCalls(dispatcher, table, issuer, batcher, clock, forwarder)
+        self._keyed = KeyedCalls(dispatcher, table, issuer, claims, clock, forwarder)
         self._waiting = 0
 
     @classmethod
@@ -67,7 +70,7 @@
             Dispatcher(http, clock, addresses),
             KeyTable(),
             KeyIssuer(vm, incarnation, clock),
-            ClaimBatcher(store, clock),
+            HomedClaims(ClaimBatcher(store, clock), clock, vm),
             clock,
         )
 
@@ -76,9 +79,26 @@
         """Return the calls that a graceful shutdown waits for."""
         return self._waiting + self._keyed.running
 
-    def set_forwarder(self, forwarder: Forwarder) -> None:
-        """Use ``forwarder`` for keys that another VM owns."""
+    def set_peers(
+        self,
+        forwarder: Forwarder,
+        relay: ClaimRelay | None = None,
+        vms: Callable[[], Sequence[str]] = tuple,
+    ) -> None:
+        """Reach other VMs for the keys they own and the shards they write.
+
+        :param vms: gives the names of the live VMs that are not leaving.
+        """
         self._keyed.forwarder = forwarder
+        self._keyed.claims.relay = relay
+        self._keyed.claims.vms = vms
+
+    async def claim_for_peer(
+        self, claim: Claim, timeout_ms: int
+    ) -> Result[Claim, ClaimFailure]:
+        """Claim a key that another VM sent here as the home of its shard."""
+        deadline = Millis(self._clock.now() + timeout_ms)
+        return await self._keyed.claims.claim_here(claim, deadline)
 
     def issue_key(self, account: ClientAccount) -> str:
         """Return a new idempotency key for the address answer."""
--- a/src/heathershunt/services/keyed.py
+++ b/src/heathershunt/services/keyed.py
@@ -10,10 +10,10 @@
 
 from heathershunt.bundle import Service
 from heathershunt.clock import Clock, Millis
-from heathershunt.services.batches import ClaimBatcher
 from heathershunt.services.calls import CallOutcome, Forwarder, ServiceCall, refused
 from heathershunt.services.claims import Claim, key_hash
 from heathershunt.services.dispatch import RETRY_AFTER_MS, Dispatcher
+from heathershunt.services.home import HomedClaims
 from heathershunt.services.issuer import (
     IssuedKey,
     KeyIssuer,
@@ -56,14 +56,14 @@
         dispatcher: Dispatcher,
         table: KeyTable,
         issuer: KeyIssuer,
-        batcher: ClaimBatcher,
+        claims: HomedClaims,
         clock: Clock,
         forwarder: Forwarder | None,
     ) -> None:
         self._dispatcher = dispatcher
         self._table = table
         self._issuer = issuer
-        self._batcher = batcher
+        self.claims = claims
         self._clock = clock
         self.forwarder = forwarder
         self._unused_nonces: OrderedDict[bytes, None] = OrderedDict()
@@ -189,7 +189,7 @@
             nonce,
             self._clock.wall(),
         )
-        settled = await self._batcher.claim(claim, deadline)
+        settled = await self.claims.claim(claim, deadline)
         if isinstance(settled, Err):
             self._remember_unused(nonce)
             # This speaks of this request alone: whether an earlier one with the same
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -97,3 +97,9 @@
     await asyncio.sleep(0)
     outcome = await HttpClient().request(address, "GET", "/")
     assert outcome.err_value.progress is Progress.NOT_SENT
+
+
+async def test_request_that_is_no_longer_allowed_is_not_sent(address):
+    """A process paused while it connected must not send what is out of date."""
+    outcome = await HttpClient().request(address, "GET", "/", may_send=lambda: False)
+    assert outcome.err_value.progress is Progress.NOT_SENT
--- a/tests/integration/test_services.py
+++ b/tests/integration/test_services.py
@@ -10,6 +10,7 @@
 
 ORDERS = "/v1/services/orders/orders"
 REPEATS = 20
+WAIT_SECONDS = 20
 
 
 @pytest.fixture
@@ -47,8 +48,9 @@
 
 
 async def wait_for_calls(shop, count):
-    while len(await ledger(shop)) < count:
-        await asyncio.sleep(0.01)
+    async with asyncio.timeout(WAIT_SECONDS):
+        while len(await ledger(shop)) < count:
+            await asyncio.sleep(0.01)
 
 
 async def faults(shop, **values):
@@ -170,9 +172,10 @@
     assert (await book(shop, idempotency_key=issued))[0] == 200
     await faults(shop)
     status = 503
-    while status == 503:
-        status, _ = await book(shop, idempotency_key="k", body=b"after")
-        await asyncio.sleep(0.02)
+    async with asyncio.timeout(WAIT_SECONDS):
+        while status == 503:
+            status, _ = await book(shop, idempotency_key="k", body=b"after")
+            await asyncio.sleep(0.02)
     bodies = [call["body"] for call in await ledger(shop)]
     assert sorted(bodies) == ["after", "die"]
 
--- a/tests/services/doubles.py
+++ b/tests/services/doubles.py
@@ -11,15 +11,18 @@
 from heathershunt.services import (
     CallOutcome,
     ClaimBatcher,
+    HomedClaims,
     KeyIssuer,
     KeyTable,
     ServiceCall,
 )
 from heathershunt.services.calls import refused
 from heathershunt.services.keyed import KeyedCalls
+from heathershunt.services.pacing import WritePacer
 from heathershunt.store import Stored, StoreError, StoreFailure, Swapped
 from heathershunt.verdict import Progress
 
+FAST = WritePacer(1e9)
 SERVICE = Service("orders")
 UNKNOWN = Err(StoreError(StoreFailure.OUTCOME_UNKNOWN, "reply lost"))
 OUT = Err(StoreError(StoreFailure.UNAVAILABLE, "out"))
@@ -102,10 +105,11 @@
         self.table = KeyTable(**limits)
         self.issuer = KeyIssuer(name, incarnation, clock, secret=name.encode())
         self.batcher = ClaimBatcher(
-            self.store, clock, window_ms=0, source=random.Random(7)
+            self.store, clock, window_ms=0, pacer=FAST, source=random.Random(7)
         )
+        claims = HomedClaims(self.batcher, clock, name)
         self.keyed = KeyedCalls(
-            self.dispatcher, self.table, self.issuer, self.batcher, clock, None
+            self.dispatcher, self.table, self.issuer, claims, clock, None
         )
 
     async def call(self, key, body=b"die", account="parish", forwarded=False, ms=9000):
@@ -117,7 +121,12 @@
 
 
 class DirectForwarder:
-    """Hands calls to VMs of this process; a missing VM is dead."""
+    """Hands calls and claims to VMs of this process; a missing VM is dead.
+
+    ``lose_claims`` replies to claims are lost after the home wrote them.
+    """
+
+    lose_claims = 0
 
     def __init__(self, vms_by_name):
         self.vms_by_name = vms_by_name
@@ -128,3 +137,14 @@
             return Err(Progress.NOT_SENT)
         outcome = await target.call(key, call.body, call.account, forwarded=True)
         return Ok(outcome.response)
+
+    async def claim(self, vm, claim, timeout_ms):
+        target = self.vms_by_name.get(vm)
+        if target is None:
+            return Err(Progress.NOT_SENT)
+        deadline = Millis(target.clock.now() + timeout_ms)
+        outcome = await target.keyed.claims.claim_here(claim, deadline)
+        if self.lose_claims:
+            self.lose_claims -= 1
+            return Err(Progress.SENT)
+        return outcome
--- a/tests/services/test_machine.py
+++ b/tests/services/test_machine.py
@@ -32,8 +32,9 @@
 
 
 class KeyMachine(RuleBasedStateMachine):
-    @initialize()
-    def begin(self):
+    @initialize(homes=st.booleans())
+    def begin(self, homes):
+        self.homes = homes
         self.loop = asyncio.new_event_loop()
         self.clock = ManualClock()
         self.store = FaultyStore()
@@ -48,7 +49,10 @@
     def start_vm(self, name, incarnation):
         clock = self.clock if name == "vm1" else AheadClock(self.clock)
         vm = Vm(name, clock, self.store, self.runs, incarnation)
-        vm.keyed.forwarder = DirectForwarder(self.vms_by_name)
+        peers = DirectForwarder(self.vms_by_name)
+        vm.keyed.forwarder = peers
+        vm.keyed.claims.relay = peers if self.homes else None
+        vm.keyed.claims.vms = lambda: NAMES
         self.vms_by_name[name] = vm
 
     def teardown(self):
@@ -79,15 +83,17 @@
         index=st.integers(0, 1),
         body=st.sampled_from([b"x", b"x", b"y"]),
         faults=st.just([]) | FAULTS,
+        lose_claims=st.sampled_from([0, 0, 1]),
         out=st.sampled_from([False, False, False, True]),
         progress=st.sampled_from([*Progress, Progress.ANSWERED]),
     )
-    def request(self, names, own, index, body, faults, out, progress):
+    def request(self, names, own, index, body, faults, lose_claims, out, progress):
         """Send the same request at the same time to one or several VMs."""
         key = self.keys[index if own else -1 - index]
         self.store.faults, self.store.is_out = list(faults), out and not faults
         for vm in self.vms_by_name.values():
             vm.dispatcher.plan = [progress]
+            vm.keyed.forwarder.lose_claims = lose_claims
         before = len(self.runs)
         calls = [self.vms_by_name[name].call(key, body) for name in names]
         outcomes = self.loop.run_until_complete(_all(calls))
