Add placement control behind a lease for each model

Cause: nothing decided which runner holds which layers, so a new model version in the bundle never reached the runners, and the layers of a leaving or lost runner were not moved.

Change: the slice `placement`, off by default. One VM holds the lease of a model in the store; the revision of its key is the fencing token. A pure planner shares the runners among models and ranges, rolls versions without breaking the last full chain and moves as few runners as it can. Orders are sent only while the lease is valid by the holder's own clock, asked again right before the first byte. Runners that ignore tokens get their first order when no order of the old holder can be under way. The chain of a draft leaves out runners that load. The engine stand-in takes time to load at the rate of standins/weights.py.

Proofs, each switched off in a scratch copy (tests/placement and the integration tests): - own clock not checked: 3 failed, old orders in the runners' ledgers - lease not checked before the first byte: 1 failed - no wait for runners without tokens: 1 failed - old version not protected: 2 failed, no version had a full chain - loads not paced: 2 failed, 12 layers queued where 8 are accepted - expiry counted from the reply: 1 failed, after the test was changed; its delay was smaller than the safety margin at first - lost write not read back: 1 failed - leaving runner still ordered: 2 failed - new token not told: 1 failed - sent orders not remembered: 1 failed - no read back of the state: 2 failed - fenced reply ignored: 1 failed With the comparison of reports switched off the run did not end within its time-out and was stopped; the waits of the tests are bounded now.

The plan does not weigh kinds of accelerators and assumes that ranges fit, because reports say neither.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -16,6 +16,7 @@
     ProgressMonitor,
 )
 from heathershunt.http import Address, HttpClient, HttpServer
+from heathershunt.placement import PlacementControl
 from heathershunt.runners import RunnerBoard, RunnerPoller
 from heathershunt.services import ServiceHandler
 from heathershunt.settings import Settings
@@ -74,6 +75,17 @@
             self.clock,
             self.vm_list.service_addresses,
         )
+        self.placement = PlacementControl(
+            settings.placement,
+            settings.vm.name,
+            self.incarnation,
+            self.store,
+            self.http,
+            self.clock,
+            self.board,
+            lambda: self.keeper.bundle,
+            self.vm_list.entry_vms,
+        )
         self.callers = HttpServer(CallerRoutes(self).handle)
         self.is_leaving = False
         self._tasks: list[asyncio.Task] = []
@@ -91,6 +103,8 @@
             self._keep_house(),
         ):
             self._spawn(work)
+        if self.settings.placement.enabled:
+            self._spawn(self.placement.run())
         log.info("{} listens for callers on {}", self.settings.vm.name, address)
 
     def _spawn(self, work: Coroutine) -> None:
@@ -110,6 +124,7 @@
         """Finish what runs, refuse what is new, then stop."""
         self.is_leaving = True
         self.callers.drain()
+        await self.placement.release()
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
         while self._is_busy() and self.clock.now() < limit:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
--- a/src/heathershunt/drafts/chain.py
+++ b/src/heathershunt/drafts/chain.py
@@ -30,6 +30,9 @@
     stages: tuple[Stage, ...]
 
 
+DRAFTING_ROLE = "drafting"
+
+
 def choose_chain(
     board: RunnerBoard,
     model: str,
@@ -73,6 +76,7 @@
     return (
         (report.model, report.version) == (model, version)
         and not report.leaving
+        and report.role == DRAFTING_ROLE
         and (not adapter or adapter in report.adapters)
     )
 
--- /dev/null
+++ b/src/heathershunt/placement/__init__.py
@@ -0,0 +1,17 @@
+"""Placement: which runner holds which layers, ordered by one VM for each model."""
+
+from heathershunt.placement.control import PlacementControl
+from heathershunt.placement.lease import Lease, LeaseKeeper
+from heathershunt.placement.orders import ORDER_TIMEOUT_MS, OrderReply, OrderSender
+from heathershunt.placement.plan import Order, plan
+
+__all__ = [
+    "ORDER_TIMEOUT_MS",
+    "Lease",
+    "LeaseKeeper",
+    "Order",
+    "OrderReply",
+    "OrderSender",
+    "PlacementControl",
+    "plan",
+]
--- a/src/heathershunt/settings/settings.py
+++ b/src/heathershunt/settings/settings.py
@@ -104,6 +104,24 @@
     drain_limit_ms: int = 120_000
 
 
+@dataclass(frozen=True)
+class PlacementSettings:
+    """Control of what the runners hold.
+
+    :param enabled: whether this VM competes for the leases and sends orders.
+    :param layers_per_runner: most layers in a range that no runner holds yet.
+    :param weight_layers_per_second: rate of the weight store, over all models.
+    :param loads_at_a_time: runners of one model that load at the same time.
+    :param lease_ttl_ms: time to live of a lease.
+    """
+
+    enabled: bool = False
+    layers_per_runner: int = 16
+    weight_layers_per_second: float = 16.0
+    loads_at_a_time: int = 4
+    lease_ttl_ms: int = 6_000
+
+
 @dataclass(frozen=True)
 class TlsSettings:
     """Certificate files.
@@ -132,6 +150,7 @@
     peers: PeerSettings = field(default_factory=PeerSettings)
     operators: OperatorSettings = field(default_factory=OperatorSettings)
     drafts: DraftSettings = field(default_factory=DraftSettings)
+    placement: PlacementSettings = field(default_factory=PlacementSettings)
     tls: TlsSettings | None = None
 
 
--- a/src/heathershunt/store/vm_list.py
+++ b/src/heathershunt/store/vm_list.py
@@ -87,6 +87,14 @@
             self.entries = entries
             self._on_change(entries)
 
+    def entry_vms(self) -> list[str]:
+        """Return the names of the entry VMs that are not leaving."""
+        return [
+            entry.vm
+            for entry in self.entries
+            if entry.role is VmRole.ENTRY and not entry.is_leaving
+        ]
+
     def service_addresses(self, service: str) -> list[Address]:
         """Return the addresses of a plain service on VMs that are not leaving."""
         return [
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,6 +17,7 @@
 
 from heathershunt.http import (
     Address,
+    HttpClient,
     HttpLimits,
     HttpServer,
     Request,
@@ -33,6 +34,8 @@
 PROGRESS_SECONDS = 1.0
 ENDED_RUNS_KEPT = 2048
 POSITIONS_PER_BLOCK = 16
+LOAD_TIMEOUT_MS = 600_000
+LOAD_RETRY_SECONDS = 0.2
 
 
 class Engine:
@@ -43,6 +46,9 @@
         self.incarnation = time.time_ns() // 1_000_000
         self.fence = 0
         self.leaving = False
+        self.http_client = HttpClient()
+        self._loading: EngineSpec | None = None
+        self._load_task: asyncio.Task | None = None
         self.ledger: list[dict] = []
         self.orders: list[dict] = []
         self._runs_by_id: dict[str, Run] = {}
@@ -112,9 +118,9 @@
         return json_response(404, {"error": "no such path"})
 
     def _status(self) -> dict:
-        spec = self.spec
+        spec = self._loading or self.spec
         cutoff = time.monotonic() - spec.report_lag_ms / 1000
-        load = self._load()
+        load = self._load_report()
         for stamp, report in reversed(self._reports):
             if stamp <= cutoff:
                 load = report
@@ -133,12 +139,12 @@
             "adapters": list(spec.adapters),
             "first_layer": spec.first_layer,
             "end_layer": spec.end_layer,
-            "role": spec.role,
+            "role": "loading" if self._loading else spec.role,
             "fabric": spec.advertised_fabric,
             "load": load,
         }
 
-    def _load(self) -> dict:
+    def _load_report(self) -> dict:
         spec = self.spec
         return {
             "running": len(self._runs_by_id),
@@ -155,7 +161,7 @@
 
     async def _report_forever(self) -> None:
         while True:
-            self._reports.append((time.monotonic(), self._load()))
+            self._reports.append((time.monotonic(), self._load_report()))
             await asyncio.sleep(0.05)
 
     def _cache_events(self, request: Request) -> dict:
@@ -175,8 +181,8 @@
         if epoch <= self._epoch_by_run.get(run_id, 0):
             return json_response(409, {"error": "an epoch as high was opened already"})
         spec = self.spec
-        if self.leaving:
-            return json_response(503, {"error": "leaving"})
+        if self.leaving or self._loading:
+            return json_response(503, {"error": "leaving or loading"})
         if (body["model"], body["version"]) != (spec.model, spec.version):
             return json_response(409, {"error": "another model version is loaded"})
         if body["adapter"] and body["adapter"] not in spec.adapters:
@@ -286,7 +292,7 @@
             return json_response(409, {"error": "old fencing token"})
         self.fence = fence
         self.orders.append({**body, "done": True})
-        self.spec = replace(
+        ordered = replace(
             self.spec,
             model=body["model"],
             version=body["version"],
@@ -295,8 +301,36 @@
             end_layer=int(body["end_layer"]),
             role=body["role"],
         )
+        if ordered.loaded != (self._loading or self.spec).loaded:
+            self._load(ordered)
+        elif self._loading is None:
+            self.spec = ordered
         return json_response(200, {})
 
+    def _load(self, ordered: EngineSpec) -> None:
+        """Replace what is loaded; while loading, no run is served."""
+        for run in list(self._runs_by_id.values()):
+            self._end(run, "reloaded")
+        if self._load_task is not None:
+            self._load_task.cancel()
+        if not ordered.weights:
+            self.spec = ordered
+            return
+        self._loading = ordered
+        self._load_task = asyncio.create_task(self._read_weights(ordered))
+
+    async def _read_weights(self, ordered: EngineSpec) -> None:
+        layers = ordered.end_layer - ordered.first_layer
+        address = Address.from_text(ordered.weights)
+        target = f"/v1/weights?layers={layers}"
+        while (
+            await self.http_client.request_json(
+                address, "GET", target, timeout_ms=LOAD_TIMEOUT_MS
+            )
+        ).is_err():
+            await asyncio.sleep(LOAD_RETRY_SECONDS)
+        self.spec, self._loading = ordered, None
+
     # Steps
 
     def _enqueue_token(self, run: Run, recompute_from: tuple[int, ...]) -> None:
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -14,6 +14,7 @@
     :param token_ms: additional time for each item of a step.
     :param prefill_token_ms: additional time for each recomputed position.
     :param report_lag_ms: age of the load report it publishes.
+    :param weights: address of the weight store; empty to load without delay.
     """
 
     runner: str
@@ -39,6 +40,13 @@
     kv_token_limit: int = 200_000
     prefix_limit: int = 256
     keep_ledger: bool = True
+    weights: str = ""
+
+    @property
+    def loaded(self) -> tuple:
+        """Return what takes a load to change."""
+        layers = (self.first_layer, self.end_layer)
+        return self.model, self.version, self.adapters, layers
 
 
 @dataclass
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -138,6 +138,7 @@
         self.private_key, self.public_key = new_key_pair()
         self.operator_key = "operator-key"
         self.vms: list[dict] = []
+        self.extra_settings = ""
         self.previous_root = ""
         self.last_signed: SignedRoot | None = None
 
@@ -177,6 +178,12 @@
         """Start the platform stand-in."""
         return await self.spawn_ready("platform", "standins.platform")
 
+    async def start_weights(self, layers_per_second: float) -> Process:
+        """Start the weight store stand-in."""
+        return await self.spawn_ready(
+            "weights", "standins.weights", str(layers_per_second)
+        )
+
     @property
     def platform(self) -> Address:
         """Return the address of the platform."""
@@ -255,7 +262,7 @@
 
 [operators]
 key_sha256 = ["{operator}"]
-"""
+{self.extra_settings}"""
 
     async def start_daemons(self, count: int) -> None:
         """Start daemons named ``vm1`` on and wait until they listen."""
--- /dev/null
+++ b/standins/weights.py
@@ -0,0 +1,54 @@
+"""Stand-in of the weight store: layers at a limited rate, first come, first served.
+
+Start with ``python -m standins.weights LAYERS_PER_SECOND``. ``GET
+/v1/weights?layers=N`` answers when N layers have been read; ``GET /v1/counts`` gives
+the layers read and the longest queue in layers.
+"""
+
+import asyncio
+import json
+import sys
+
+from heathershunt.http import HttpServer, Request, Response, json_response
+
+HOST = "127.0.0.1"
+
+
+class WeightStore:
+    """Hands out layers at a rate.
+
+    :param rate: layers a second, over all readers.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._free_at = 0.0
+        self.layers = 0
+        self.longest_queue = 0.0
+        self.http = HttpServer(self.handle)
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        if request.path == "/v1/counts":
+            counts = {"layers": self.layers, "longest_queue": self.longest_queue}
+            return json_response(200, counts)
+        layers = int(request.query["layers"])
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(now, self._free_at) + layers / self._rate
+        self.layers += layers
+        queue = (self._free_at - now) * self._rate
+        self.longest_queue = max(self.longest_queue, queue)
+        await asyncio.sleep(self._free_at - now)
+        return json_response(200, {"layers": layers})
+
+
+async def run_weights(rate: float) -> None:
+    """Run the weight store until the process is ended."""
+    weights = WeightStore(rate)
+    await weights.http.start(HOST, 0)
+    print(json.dumps({"address": f"{HOST}:{weights.http.port}"}), flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(run_weights(float(sys.argv[1])))
--- /dev/null
+++ b/tests/integration/test_placement.py
@@ -0,0 +1,164 @@
+"""Two daemons compete for one model; the runners' own order ledgers are the judge."""
+
+import asyncio
+import json
+from dataclasses import replace
+
+import pytest
+
+from heathershunt.http import Address
+from heathershunt.store import KeyValueStore
+from standins.caller import Caller
+from standins.demo import demo_bundle
+from standins.launch import pipeline_specs
+from standins.oracle import expected_tokens
+
+LAYERS = 12
+LAYERS_PER_SECOND = 80
+SETTINGS = f"""
+[placement]
+enabled = true
+lease_ttl_ms = 1500
+weight_layers_per_second = {LAYERS_PER_SECOND}
+"""
+WAIT_SECONDS = 20
+PROMPT = "Describe the crest"
+
+
+def bundle(number, version):
+    raw = demo_bundle(number)
+    raw["models"][0]["version"] = version
+    return raw
+
+
+@pytest.fixture
+async def placed(deployment):
+    """Two daemons before three stages with two runners; each second one checks."""
+    await deployment.start_platform()
+    weights = await deployment.start_weights(LAYERS_PER_SECOND)
+    specs = [
+        replace(spec, checks_fence=spec.runner.endswith("r0"))
+        for spec in pipeline_specs(
+            "m", "v1", LAYERS, 3, 2, weights=str(weights.address)
+        )
+    ]
+    await deployment.start_engines(specs)
+    await deployment.publish_vms()
+    deployment.extra_settings = SETTINGS
+    await deployment.start_daemons(2)
+    await deployment.roll(bundle(1, "v1"))
+    await deployment.wait_ready()
+    await deployment.wait_runners(6)
+    return deployment
+
+
+def engines(placed):
+    return [
+        Address.from_text(engine["address"])
+        for engine in placed.processes_by_name["engines"].info["engines"]
+    ]
+
+
+async def holder(placed, other_than=""):
+    """Return the name of the VM that holds the lease, and its fencing token."""
+    store = KeyValueStore(placed.http, (placed.platform,))
+    async with asyncio.timeout(WAIT_SECONDS):
+        while True:
+            held = (await store.get("placement/m")).unwrap()
+            name = held.value.decode().split(".")[0] if held.value else ""
+            if name and name != other_than:
+                return name, held.revision
+            await asyncio.sleep(0.05)
+
+
+async def states(placed):
+    return [await placed.call(a, "GET", "/v1/status") for a in engines(placed)]
+
+
+async def wait_version(placed, version):
+    """Wait until every runner serves a version; full chains must exist throughout."""
+    deadline = asyncio.get_running_loop().time() + WAIT_SECONDS
+    while asyncio.get_running_loop().time() < deadline:
+        reports = await states(placed)
+        serving = {
+            (r["version"], r["first_layer"]) for r in reports if r["role"] == "drafting"
+        }
+        full = [v for v in ("v1", "v2") if {(v, x) for x in (0, 4, 8)} <= serving]
+        assert full, "no version had a full chain"
+        if all((r["version"], r["role"]) == (version, "drafting") for r in reports):
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError(f"not every runner serves {version}: {reports}")
+
+
+async def orders_up_to(placed, token):
+    """Return the orders, also rejected ones, with a token of at most ``token``."""
+    ledgers = [await placed.call(a, "GET", "/v1/ledger") for a in engines(placed)]
+    orders = [order for ledger in ledgers for order in ledger["orders"]]
+    return [order for order in orders if order["fence"] <= token]
+
+
+async def test_holder_paused_past_its_lease_changes_nothing(placed):
+    """The old holder wakes with the old bundle, and without a store to tell it."""
+    old, old_token = await holder(placed)
+    placed.processes_by_name[old].pause()
+    new, new_token = await holder(placed, other_than=old)
+    assert new_token > old_token
+    await placed.roll(bundle(2, "v2"))
+    await wait_version(placed, "v2")
+    before = await orders_up_to(placed, old_token)
+    await placed.call(placed.platform, "POST", "/v1/faults", {"outage": True})
+    placed.processes_by_name[old].resume()
+    await asyncio.sleep(3)
+    assert await orders_up_to(placed, old_token) == before
+    address = placed.ports_by_daemon[new].callers
+    got = await Caller("parish-token").draft(address, PROMPT, 8)
+    assert got.tokens == expected_tokens("m", "v2", LAYERS, PROMPT, 8)
+    await placed.call(placed.platform, "POST", "/v1/faults", {})
+    await holder(placed)
+    await asyncio.sleep(1)
+    await wait_version(placed, "v2")
+    assert await orders_up_to(placed, old_token) == before
+
+
+async def test_late_order_of_an_old_holder_is_corrected(placed):
+    """A runner that checks tokens rejects it; the other one is ordered back."""
+    await placed.roll(bundle(2, "v2"))
+    await wait_version(placed, "v2")
+    for address in engines(placed)[:2]:
+        report = await placed.call(address, "GET", "/v1/status")
+        late = {k: report[k] for k in ("model", "adapters", "first_layer")}
+        late |= {"end_layer": report["end_layer"], "role": "drafting"}
+        late |= {"version": "v1", "fence": 1}
+        status, _ = (
+            await placed.http.request_json(address, "POST", "/v1/orders", late)
+        ).unwrap()
+        assert status == (409 if report["checks_fence"] else 200)
+    await wait_version(placed, "v2")
+
+
+async def test_loads_stay_within_the_rate_of_the_weight_store(placed):
+    """Loads that queue at the weight store would keep their runners out of use."""
+    await placed.roll(bundle(2, "v2"))
+    await wait_version(placed, "v2")
+    weights = placed.processes_by_name["weights"].address
+    counts = await placed.call(weights, "GET", "/v1/counts")
+    assert counts["layers"] == 2 * LAYERS
+    assert counts["longest_queue"] <= 2 * LAYERS / 3
+
+
+async def test_layers_of_a_leaving_runner_are_moved(placed):
+    """Its layers go to a runner of a range with two; it gets no order itself."""
+    for address in engines(placed)[:2]:
+        await placed.call(address, "POST", "/v1/leave")
+    held = []
+    deadline = asyncio.get_running_loop().time() + WAIT_SECONDS
+    while not {0, 4, 8} <= set(held):
+        assert asyncio.get_running_loop().time() < deadline
+        held = [r for r in await states(placed) if not r["leaving"]]
+        held = [r["first_layer"] for r in held if r["role"] == "drafting"]
+        await asyncio.sleep(0.05)
+    ledger = await placed.call(engines(placed)[1], "GET", "/v1/ledger")
+    assert json.dumps(ledger["orders"]).count('"first_layer": 0') == len(
+        ledger["orders"]
+    )
