--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -22,6 +22,7 @@
     ProgressMonitor,
 )
 from heathershunt.http import Address, HttpClient, HttpServer
+from heathershunt.placement import PlacementControl
 from heathershunt.retries import EjectionConfig, EjectionPolicy
 from heathershunt.routing import Router, RoutingConfig
 from heathershunt.runners import RunnerBoard, RunnerPoller
@@ -101,7 +102,22 @@
         )
         self.fleet = Fleet(self)
         self.peer_requests = PeerRequests(self)
-        self.services.set_forwarder(self.peer_requests)
+        self.services.set_peers(
+            self.peer_requests,
+            self.peer_requests,
+            lambda: tuple(self.fleet.live_vms()),
+        )
+        self.placement = PlacementControl(
+            settings.placement,
+            settings.vm.name,
+            self.incarnation,
+            self.store,
+            self.http,
+            self.clock,
+            self.board,
+            lambda: self.keeper.bundle,
+            self.vm_list.entry_vms,
+        )
         self.callers = HttpServer(CallerRoutes(self).handle)
         self.is_shutting_down = False
         self._tasks: list[asyncio.Task] = []
@@ -128,6 +144,8 @@
             self._keep_house(),
         ):
             self._spawn(work)
+        if self.settings.placement.enabled:
+            self._spawn(self.placement.run())
         log.info("{} listens for callers on {}", self.settings.vm.name, address)
 
     def _on_bundle(self, bundle: Bundle) -> None:
@@ -169,6 +187,7 @@
         self.fleet.set_leaving(self.settings.vm.name, True)
         self.operations.on_draining()
         self.callers.drain()
+        await self.placement.release()
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
         while self._has_work() and self.clock.now() < limit:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
--- a/src/heathershunt/daemon/forwarding.py
+++ b/src/heathershunt/daemon/forwarding.py
@@ -15,8 +15,8 @@
     StreamResponse,
     problem_response,
 )
-from heathershunt.peers import ForwardReply, ForwardRequest, ReplyStream
-from heathershunt.services import ServiceCall
+from heathershunt.peers import ForwardError, ForwardReply, ForwardRequest, ReplyStream
+from heathershunt.services import Claim, ClaimFailure, ServiceCall
 from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
 
 if TYPE_CHECKING:
@@ -24,7 +24,10 @@
 
 RESUME_KIND = "draft.resume"
 CALL_KIND = "service.call"
+CLAIM_KIND = "service.claim"
 RESUME_TIMEOUT_MS = 2000
+CLAIMED = 200
+CLAIM_FAILED = 409
 REPLY_BACKLOG_BYTES = 262_144
 
 
@@ -75,6 +78,7 @@
         self._daemon = daemon
         daemon.fleet.forwarder.handle(RESUME_KIND, self._run_resume)
         daemon.fleet.forwarder.handle(CALL_KIND, self._run_call)
+        daemon.fleet.forwarder.handle(CLAIM_KIND, self._run_claim)
 
     async def resume(
         self, request_id: str, after: int, account: ClientAccount
@@ -113,7 +117,28 @@
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 return Ok(Response(reply.status, reply.headers, await reply.read()))
-        except (ConnectionError, TimeoutError, Exception):
+        except (ForwardError, TimeoutError):
+            reply.cancel()
+            return Err(Progress.SENT)
+
+    async def claim(
+        self, vm: str, claim: Claim, timeout_ms: int
+    ) -> Result[Claim, ClaimFailure | Progress]:
+        """Have the home of a shard claim a key."""
+        body = cbor2.dumps({"claim": asdict(claim), "timeout_ms": timeout_ms})
+        outcome = await self._daemon.fleet.forwarder.call(
+            vm, CLAIM_KIND, body=body, timeout_ms=timeout_ms
+        )
+        if isinstance(outcome, Err):
+            return Err(outcome.err_value.progress)
+        reply = outcome.ok_value
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                raw = cbor2.loads(await reply.read())
+            if reply.status == CLAIM_FAILED:
+                return Err(ClaimFailure(raw))
+            return Ok(msgspec.convert(raw, Claim, builtin_types=(bytes,)))
+        except (ForwardError, TimeoutError, ValueError, msgspec.ValidationError):
             reply.cancel()
             return Err(Progress.SENT)
 
@@ -158,6 +183,24 @@
         await reply.write(response.body)
         return None
 
+    async def _run_claim(
+        self, request: ForwardRequest, reply: ReplyStream
+    ) -> Refusal | None:
+        try:
+            raw = cbor2.loads(request.body)
+            claim = msgspec.convert(raw["claim"], Claim, builtin_types=(bytes,))
+            timeout_ms = int(raw["timeout_ms"])
+        except (ValueError, KeyError, TypeError, msgspec.ValidationError) as error:
+            return not_run(400, "Malformed request of a peer", str(error))
+        outcome = await self._daemon.services.claim_for_peer(claim, timeout_ms)
+        if isinstance(outcome, Err):
+            await reply.start(CLAIM_FAILED, {})
+            await reply.write(cbor2.dumps(outcome.err_value.value))
+        else:
+            await reply.start(CLAIMED, {})
+            await reply.write(cbor2.dumps(asdict(outcome.ok_value)))
+        return None
+
 
 async def _relay(reply: ForwardReply, stream: ResponseStream) -> None:
     """Copy a reply to the caller; a cut reply cuts the caller's response."""
--- a/src/heathershunt/runners/__init__.py
+++ b/src/heathershunt/runners/__init__.py
@@ -3,9 +3,10 @@
 from heathershunt.runners.board import RunnerBoard
 from heathershunt.runners.poller import RunnerPoller
 from heathershunt.runners.prefixes import prefix_hashes
-from heathershunt.runners.reports import RunnerReport, RunnerState
+from heathershunt.runners.reports import ReportedLoad, RunnerReport, RunnerState
 
 __all__ = [
+    "ReportedLoad",
     "RunnerBoard",
     "RunnerPoller",
     "RunnerReport",
--- a/src/heathershunt/settings/reference.py
+++ b/src/heathershunt/settings/reference.py
@@ -60,7 +60,8 @@
         return f"text: {rule.accepts}"
     for meta in getattr(hint, "__metadata__", ()):
         if isinstance(meta, msgspec.Meta):
-            return f"integer, {meta.ge} to {meta.le}"
+            kind = "number" if hint.__origin__ is float else "integer"
+            return f"{kind}, {meta.ge} to {meta.le}"
     return {int: "integer", str: "text", bool: "true or false"}[hint]
 
 
--- a/src/heathershunt/settings/settings.py
+++ b/src/heathershunt/settings/settings.py
@@ -8,10 +8,12 @@
 
 from heathershunt.settings.types import (
     AddressText,
+    Count,
     DurationMs,
     FilePath,
     HexKey,
     Name,
+    Rate,
     one_of,
 )
 
@@ -120,6 +122,24 @@
     format: one_of("json", "text") = "text"
 
 
+@dataclass(frozen=True)
+class PlacementSettings:
+    """Control of what the runners hold.
+
+    :param enabled: whether this VM competes for the leases and sends orders.
+    :param layers_per_runner: most layers in a range that no runner holds yet.
+    :param weight_layers_per_second: rate of the weight store, over all models.
+    :param loads_at_a_time: runners of one model that load at the same time.
+    :param lease_ttl_ms: time to live of a lease.
+    """
+
+    enabled: bool = False
+    layers_per_runner: Count = 16
+    weight_layers_per_second: Rate = 16.0
+    loads_at_a_time: Count = 4
+    lease_ttl_ms: DurationMs = 6_000
+
+
 @dataclass(frozen=True)
 class TlsSettings:
     """Certificate files. Without this section the listeners use plain TCP.
@@ -149,4 +169,5 @@
     operators: OperatorSettings = field(default_factory=OperatorSettings)
     drafts: DraftSettings = field(default_factory=DraftSettings)
     log: LogSettings = field(default_factory=LogSettings)
+    placement: PlacementSettings = field(default_factory=PlacementSettings)
     tls: TlsSettings | None = None
--- a/src/heathershunt/settings/types.py
+++ b/src/heathershunt/settings/types.py
@@ -55,5 +55,7 @@
     "64 hexadecimal digits", lambda text: HEX_PATTERN.fullmatch(text) is not None
 )
 FilePath = _text("the path of a readable file", lambda text: bool(text))
+Count = Annotated[int, Meta(ge=1, le=100_000)]
+Rate = Annotated[float, Meta(ge=0.001, le=1_000_000)]
 # An hour is far beyond every deadline; a higher number is a mistyped unit.
 DurationMs = Annotated[int, Meta(ge=1, le=3_600_000)]
