Count the runners of a pipeline once for all models

Cause: the status looked at every runner for every model, which at 1,800 runners and 38 models held the event loop for 21.2 ms.

Change: runners are counted by model and version once.

The test that the policy in force binds the next bundle is dropped from test_refusals.py, since test_keeper.py holds the same one.

--- a/src/heathershunt/daemon/status.py
+++ b/src/heathershunt/daemon/status.py
@@ -1,5 +1,6 @@
 """State of one VM and of what it sees, as JSON values for operators."""
 
+from collections import Counter
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
@@ -94,27 +95,27 @@
 
 def _pipelines(bundle: Bundle, runners: list[dict[str, Any]]) -> list[dict[str, Any]]:
     """Return for each model which layer ranges are held and by how many runners."""
+    counts_by_model: dict[tuple[str, str], Counter[tuple[int, int]]] = {}
+    for runner in runners:
+        if runner["state"] == "live":
+            held = (runner["model"], runner["version"])
+            counts_by_model.setdefault(held, Counter())[tuple(runner["layers"])] += 1
     pipelines = []
     for model in bundle.models_by_name.values():
-        count_by_range: dict[tuple[int, int], int] = {}
-        for runner in runners:
-            held = (runner["model"], runner["version"], runner["state"])
-            if held == (model.name, model.version, "live"):
-                key = tuple(runner["layers"])
-                count_by_range[key] = count_by_range.get(key, 0) + 1
+        counts = counts_by_model.get((model.name, model.version), Counter())
         pipelines.append(
             {
                 "model": model.name,
                 "version": model.version,
                 "layers": model.layers,
-                "stages": [[*key, n] for key, n in sorted(count_by_range.items())],
-                "complete": _covers(count_by_range, model.layers),
+                "stages": [[*key, count] for key, count in sorted(counts.items())],
+                "complete": covers(counts, model.layers),
             }
         )
     return pipelines
 
 
-def _covers(ranges: Iterable[tuple[int, int]], layers: int) -> bool:
+def covers(ranges: Iterable[tuple[int, int]], layers: int) -> bool:
     """Return whether some chain of ranges covers all layers without overlap."""
     reached = {0}
     for first, end in sorted(ranges):
--- a/tests/bundle/test_refusals.py
+++ b/tests/bundle/test_refusals.py
@@ -185,17 +185,6 @@
 STRICT = {"policy": {"signatures_needed": 2, "approvals_needed": 0}}
 
 
-def test_policy_in_force_binds_the_next_bundle():
-    """One signer must not lower the number of signatures for the own roll."""
-    keeper = BundleKeeper([PUBLIC, OTHER_PUBLIC])
-    signed, parts = rolled(raw_bundle(**STRICT))
-    assert keeper.offer(signed, parts).err_value.place == "root.signatures"
-    assert keeper.offer(sign_root(signed, OTHER_PRIVATE), parts).is_ok()
-    signed, parts = rolled(raw_bundle(version=2))
-    assert keeper.offer(signed, parts).err_value.place == "root.signatures"
-    assert keeper.version == 1
-
-
 def test_one_key_in_two_cases_counts_once():
     signed, parts = rolled(raw_bundle(**STRICT))
     mark = signed.signatures_by_key[PUBLIC]
