--- a/measure/relay.py
+++ b/measure/relay.py
@@ -13,8 +13,9 @@
 import time
 
 from measure._fleet import run_measurement
-from measure._report import Latencies, cpu_seconds, emit, emit_conditions
+from measure._report import cpu_seconds, emit, emit_conditions
 from standins.demo import demo_bundle
+from standins.latencies import Latencies
 from standins.launch import ROOT, Deployment
 
 NEEDED_TOKENS_PER_SECOND = 13_334
@@ -23,8 +24,9 @@
 GAP_MS = 34
 STAGES = 3
 LAYERS = 12
-TOKENS = 260
-RAMP_SECONDS = 2.0
+TOKENS = 520
+# 37 new drafts a second; the design scale gives a node 33 requests a second.
+RAMP_SECONDS = 12.0
 SETTLE_SECONDS = 0.5
 WINDOW_SECONDS = 5.0
 LEAD_SECONDS = 1.0
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -4,6 +4,7 @@
 import random
 import ssl
 
+import logbook
 import pytest
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -30,6 +31,13 @@
 
 @pytest.mark.parametrize("data", [b"\xff", "text", bytes(300_000)])
 async def test_bad_message_closes_only_its_own_link(start_node, data):
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        await send_bad_message(start_node, data)
+    assert any("closing the link to bad" in line for line in handler.formatted_records)
+
+
+async def send_bad_message(start_node, data):
     node = await start_node("a")
     other = await start_node("b", node.address)
     await until(lambda: "b" in node.mesh.links_by_vm)
@@ -75,6 +83,25 @@
     proxy.close()
 
 
+async def test_end_of_an_unneeded_link_is_announced(start_node):
+    """Guards against taking it for a failure, which every VM would hear of."""
+    first = await start_node("a")
+    second = await start_node("b", first.address)
+    await until(lambda: "b" in first.mesh.links_by_vm)
+    await until(lambda: "a" in second.mesh.links_by_vm)
+    links = [first.mesh.links_by_vm["b"], second.mesh.links_by_vm["a"]]
+    for node, other in ((first, second), (second, first)):
+        node.exchange.close()
+        node.mesh.set_targets({other.members.vm: other.address})
+    await asyncio.sleep(0.5)
+    assert links[0].peer_keeps and links[1].peer_keeps
+    second.mesh.set_targets({})
+    await until(lambda: not links[0].peer_keeps)
+    first.mesh.set_targets({})
+    await until(lambda: links[0].closed and links[1].closed)
+    assert not links[1].peer_keeps
+
+
 class StuckSocket:
     """A connection whose other side takes no data."""
 
