--- a/src/heathershunt/daemon/forwarding.py
+++ b/src/heathershunt/daemon/forwarding.py
@@ -125,7 +125,7 @@
         self, vm: str, claim: Claim, timeout_ms: int
     ) -> Result[Claim, ClaimFailure | Progress]:
         """Have the home of a shard claim a key."""
-        body = cbor2.dumps({"claim": asdict(claim), "timeout_ms": timeout_ms})
+        body = cbor2.dumps({"claim": list(claim), "timeout_ms": timeout_ms})
         outcome = await self._daemon.fleet.forwarder.call(
             vm, CLAIM_KIND, body=body, timeout_ms=timeout_ms
         )
@@ -198,7 +198,7 @@
             await reply.write(cbor2.dumps(outcome.err_value.value))
         else:
             await reply.start(CLAIMED, {})
-            await reply.write(cbor2.dumps(asdict(outcome.ok_value)))
+            await reply.write(cbor2.dumps(list(outcome.ok_value)))
         return None
 
 
