Report the last finished position in probes

An opened run reported its next position, so a new epoch that stalled before its first token was taken for a silent stream whose stage goes on; nobody was blamed, the same chain was opened again, and after 12 epochs the draft was given up. Ruled out: blaming the last stage for every silent stream, since one lost connection table would make suspects of all runners.

--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+import sys
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -126,7 +127,14 @@
         await asyncio.gather(*running)
         await self.repair(fault, victim)
         for draft in drafts:
-            self.lost += not draft.is_whole()
+            if not draft.is_whole():
+                self.lost += 1
+                got = draft.transcript
+                print(
+                    f"lost after {fault} of {victim} at token {len(got.tokens)}:",
+                    got.problem or got.broken or "wrong text",
+                    file=sys.stderr,
+                )
         for draft in hit:
             if draft.is_whole():
                 self._record((fault, stage), draft, struck_at)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -267,7 +267,7 @@
         run = self._runs_by_id.get(run_id)
         if run is None:
             return json_response(404, {"error": "no such run"})
-        return json_response(200, {"epoch": run.epoch, "position": run.position})
+        return json_response(200, {"epoch": run.epoch, "position": run.finished})
 
     def _cancel(self, run_id: str, epoch: int) -> Response:
         self._epoch_by_run[run_id] = max(epoch, self._epoch_by_run.get(run_id, 0))
@@ -355,7 +355,7 @@
         stop = run.prompt_positions + work.position + 1
         recomputed = max(0, stop - 1 - work.recompute_from[run.stage])
         self._kv_by_run[run.run] = stop
-        run.position = work.position
+        run.position = run.finished = work.position
         entry = [spec.runner, spec.first_layer, spec.end_layer, spec.version]
         if spec.keep_ledger:
             self.ledger.append(
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -43,7 +43,11 @@
 
 @dataclass
 class Run:
-    """One epoch of one draft at this stage."""
+    """One epoch of one draft at this stage.
+
+    :param position: the next position at the first stage, the last one elsewhere.
+    :param finished: the last position that this stage has finished.
+    """
 
     run: str
     epoch: int
@@ -60,6 +64,10 @@
     started: bool = False
     last_progress: float = 0.0
     outbox: asyncio.Queue = field(default_factory=asyncio.Queue)
+    finished: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.finished = self.position - 1
 
     @property
     def is_first(self) -> bool:
