Close idle connections to an address after a time-out or a stall

Cause: connections that went silent together stay in the pool, and each costs a time-out when it is used. Change: a time-out of a request closes the idle connections to its address; a stalled draft closes those to its stages before it probes them. Ruled out: fresh connections for all calls, one more round trip each. Figures: the new test fails without the change.

--- a/src/heathershunt/drafts/epoch.py
+++ b/src/heathershunt/drafts/epoch.py
@@ -206,6 +206,8 @@
         """Settle a stall over fresh connections before any stage is blamed."""
         stages = self._order.chain.stages
         self._probes += 1
+        for stage in stages:
+            self._engine.forget_connections(stage)
         seen = len(self._draft.tokens)
         positions = await self._positions()
         if len(self._draft.tokens) != seen or self._outcome.done():
--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -143,6 +143,8 @@
             if connection is not None:
                 progress = connection.progress
                 connection.close()
+            if isinstance(error, TimeoutError):
+                self.forget(address)
             reason = str(error) or type(error).__name__
             return Err(TransportError(progress, f"{method} {address}: {reason}"))
         except BaseException:
@@ -189,12 +191,15 @@
         else:
             connection.close()
 
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to an address, as they may be silent for good."""
+        for connection in self._idle_by_address.pop(address, []):
+            connection.close()
+
     def close(self) -> None:
         """Close all idle connections."""
-        for idle in self._idle_by_address.values():
-            for connection in idle:
-                connection.close()
-        self._idle_by_address.clear()
+        for address in list(self._idle_by_address):
+            self.forget(address)
 
 
 class _Connection:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -91,6 +91,20 @@
     writer.close()
 
 
+async def test_timeout_closes_the_idle_connections_to_the_address(address):
+    """Connections that went silent together must not cost a time-out each."""
+    client = HttpClient()
+    silent = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    silent_address = Address("127.0.0.1", silent.sockets[0].getsockname()[1])
+    client._idle_by_address[silent_address] = [
+        await client._connect(silent_address, True) for _ in range(3)
+    ]
+    assert (await client.request(silent_address, "GET", "/", timeout_ms=50)).is_err()
+    assert silent_address not in client._idle_by_address
+    silent.close()
+    client.close()
+
+
 async def test_failed_stream_never_looks_complete(address):
     response = (await HttpClient().request(address, "GET", "/cut")).ok_value
     with pytest.raises(ConnectionError):
