Keep quiet streams alive and bound the wait for a stage's first line

Cause: in measure.recovery one caller of a paused VM waited 60 s: the head of its answer was held back until the first token, so it could not tell a slow answer from a silent connection. A stage that sent a head and no line could hold an epoch open for ever. Change: the stream begins after 1 s at the latest and carries a comment every second without a token; opening a stage includes its first line. Ruled out: a stuck epoch (probes and outcomes were complete in the log).

--- a/measure/_baseline.py
+++ b/measure/_baseline.py
@@ -2,18 +2,20 @@
 
 import asyncio
 import time
+from collections import Counter
 
 from result import Ok
 
 from heathershunt.clock import Millis, SystemClock
 from heathershunt.drafts import Draft, DraftRequest, EngineClient, ProgressMonitor
-from heathershunt.drafts.chain import choose_chain
 from heathershunt.drafts.engine import RunOrder
 from heathershunt.drafts.epoch import Epoch
 from heathershunt.http import HttpClient
+from heathershunt.routing import InFlight
 from heathershunt.runners import RunnerBoard, RunnerPoller
 from heathershunt.store import ListedVm, VmRole
 from measure._fleet import LAYERS
+from measure._simple_chain import choose_chain
 from standins.launch import Deployment
 
 BASELINE_TIMEOUT_MS = 5_000
@@ -45,7 +47,8 @@
         self._deployment = deployment
         self._http = HttpClient()
         self._clock = SystemClock()
-        self._board = RunnerBoard()
+        self._board = RunnerBoard(InFlight())
+        self._inflight_by_runner: Counter[str] = Counter()
         self._monitor = ProgressMonitor(self._clock)
 
     async def run(self, drafts: list, fault: str, at: int, tokens: int):
@@ -75,7 +78,9 @@
         )
 
     def _chain(self, failed: frozenset[str]):
-        return choose_chain(self._board, "m", "v1", "", LAYERS, failed).unwrap()
+        return choose_chain(
+            self._board, self._inflight_by_runner, "m", "v1", LAYERS, failed
+        )
 
     async def _draft(self, observed, index: int, tokens: int) -> None:
         """Restart until whole; only tokens beyond those shown count as new."""
@@ -87,12 +92,12 @@
             if attempt == 1:
                 observed.runners = {stage.runner for stage in chain.stages}
             for stage in chain.stages:
-                self._board.add_inflight(stage.runner, 1)
+                self._inflight_by_runner[stage.runner] += 1
             request = DraftRequest(
                 "a", "m", "v1", "", LAYERS, observed.prompt, tokens, 0, 1, Millis(0)
             )
             name = f"baseline.{id(self)}.{index}.{attempt}"
-            draft = Draft(name, request)
+            draft = Draft(name, request, self._clock.now())
             draft.subscribe(lambda draft=draft: self._note(observed, draft))
             order = RunOrder(name, 1, chain, observed.prompt, (), 0, tokens, 0, 1, 0)
             epoch = UnprobedEpoch(
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -1,5 +1,6 @@
 """Adapter of the engine protocol for drafts: open, start, probe, cancel."""
 
+import asyncio
 import json
 from dataclasses import dataclass
 from functools import lru_cache
@@ -129,8 +130,9 @@
             detail = f"{stage.runner} refused the run with status {response.status}"
             return Err(TransportError(Progress.ANSWERED, detail))
         try:
-            lines = await stream.read_lines()
-        except (ConnectionError, ValueError) as error:
+            async with asyncio.timeout(OPEN_TIMEOUT_MS / 1000):
+                lines = await stream.read_lines()
+        except (OSError, TimeoutError, ValueError) as error:
             stream.close()
             return Err(TransportError(Progress.SENT, f"{stage.runner}: {error}"))
         return Ok((stream, lines))
--- a/src/heathershunt/drafts/handler.py
+++ b/src/heathershunt/drafts/handler.py
@@ -21,6 +21,7 @@
 PRIORITY_HEADER = "x-priority"
 MAX_PROMPT_CHARACTERS = 200_000
 MAX_DEADLINE_MS = 3_600_000
+FIRST_TOKEN_WAIT_MS = 1000
 
 
 @dataclass(frozen=True)
@@ -128,12 +129,22 @@
             self._gate.release(ticket, request.model, is_whole=draft.is_whole)
 
     async def _wait_first_token(self, draft: Draft, count: int) -> None:
+        """Wait for the first token or the end, but not longer than a short while.
+
+        A refusal within that time gets its own status; afterwards the stream begins,
+        so that its caller can tell a slow answer from a silent connection.
+        """
         changed = asyncio.Event()
         unsubscribe = draft.subscribe(changed.set)
-        while len(draft.tokens) == count and not draft.ended.is_set():
-            changed.clear()
-            await changed.wait()
-        unsubscribe()
+        try:
+            async with asyncio.timeout(FIRST_TOKEN_WAIT_MS / 1000):
+                while len(draft.tokens) == count and not draft.ended.is_set():
+                    changed.clear()
+                    await changed.wait()
+        except TimeoutError:
+            pass
+        finally:
+            unsubscribe()
 
     def _check(
         self,
--- a/src/heathershunt/drafts/sse.py
+++ b/src/heathershunt/drafts/sse.py
@@ -18,6 +18,10 @@
 
 PAUSE_BACKLOG_BYTES = 131_072
 encode_text = msgspec.json.Encoder().encode
+# A caller that gets no byte for several times as long may take the connection as
+# silent and come back for the rest.
+KEEP_ALIVE_MS = 1000
+KEEP_ALIVE_COMMENT = b": keep-alive\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
@@ -86,14 +90,24 @@
                 if self._draft.ended.is_set() and self._is_level():
                     self._finish()
                     return
-                await self._wake.wait()
-                self._wake.clear()
+                await self._wait()
                 await self._stream.drain()
                 self._push()
         finally:
             unsubscribe()
             closed.cancel()
 
+    async def _wait(self) -> None:
+        """Wait until there is something to do; keep a quiet connection alive."""
+        written = self._position
+        try:
+            async with asyncio.timeout(KEEP_ALIVE_MS / 1000):
+                await self._wake.wait()
+        except TimeoutError:
+            if self._position == written:
+                self._stream.write(KEEP_ALIVE_COMMENT)
+        self._wake.clear()
+
     def _is_level(self) -> bool:
         return self._position >= len(self._draft.tokens)
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -28,6 +28,8 @@
 
 def _take_event(transcript: Transcript, event: bytes) -> None:
     fields = {}
+    if event.startswith(b":"):
+        return
     for line in event.decode().split("\n"):
         name, _, value = line.partition(": ")
         fields[name] = value
