Judge reports by their longest poll; mark leaving runners for placement

Change: a report counts as at most one second old when it arrives; the states given to the plan are marked as leaving; the burst is used up by calls at the same time.

Ruled out: taking the views of the router for the plan; they lack the fencing token and say nothing of adapters being loaded.

Proofs, switched off in a scratch copy: report taken as new when it arrives: 1 failed; mark left out: 1 failed.

--- a/measure/claims.py
+++ b/measure/claims.py
@@ -1,9 +1,11 @@
 """Cost of claims of callers' own idempotency keys against the store's write rate.
 
-``python -m measure.claims`` prints, for each mix of order rate, VMs, batching window
-and shards, the store writes for each order and the latency that the claim adds.
-``python -m measure.claims homes`` does so for claims through the home of a shard,
-``python -m measure.claims steady`` for shards filled to their steady state.
+``python -m measure.claims`` prints, for each order rate, the store writes for each
+order and the latency that the claim adds, with the defaults, for one VM and for four
+that claim through the home of a shard. ``grid`` and ``homes`` go through all batching
+windows and numbers of shards, without and with homes; ``steady`` fills the shards with
+the claims of a whole retention time first.
+
 Each VM is a process; arrivals are Poisson with fixed seeds.
 """
 
@@ -13,7 +15,7 @@
 import random
 import sys
 import time
-from dataclasses import asdict, dataclass, replace
+from dataclasses import asdict, dataclass
 
 import cbor2
 from result import Err, Ok
@@ -27,8 +29,10 @@
     HomedClaims,
     KeyIssuer,
 )
+from heathershunt.services.batches import BATCH_WINDOW_MS
 from heathershunt.services.claims import (
     CLAIM_RETENTION_MS,
+    CLAIM_SHARDS,
     encode_shard,
     key_hash,
     shard_key,
@@ -45,6 +49,7 @@
 STORE_WRITES_PER_SECOND = 400
 DEADLINE_MS = 1_000
 ISSUED_KEYS = 5_000
+BURST_CALLS = 100
 
 
 @dataclass(frozen=True)
@@ -71,7 +76,7 @@
 
 def report(name: str, value: float, unit: str, bound: str = "-") -> None:
     """Print one figure."""
-    print(f"{name} {value:.4g} {unit} {bound}", flush=True)
+    print(f"{name}\t{value:.4g}\t{unit}\t{bound}", flush=True)
 
 
 def percentile(values: list[float], share: float) -> float:
@@ -182,12 +187,16 @@
 
 async def use_up_burst(deployment: Deployment) -> None:
     """Take the store's saved-up writes, so that only its rate counts."""
-    status = 0
-    while status != 429:
-        outcome = await deployment.http.request_json(
-            deployment.platform, "POST", "/v1/leases/none/keepalive", {}
-        )
-        status = outcome.unwrap()[0]
+    statuses = [0]
+    while 429 not in statuses:
+        # One call after the other would be slower than the rate on a busy machine.
+        calls = [
+            deployment.http.request_json(
+                deployment.platform, "POST", "/v1/leases/none/keepalive", {}
+            )
+            for _ in range(BURST_CALLS)
+        ]
+        statuses = [reply.unwrap()[0] for reply in await asyncio.gather(*calls)]
 
 
 async def measure_mix(mix: Mix) -> None:
@@ -267,6 +276,21 @@
         await measure_mix(mix)
 
 
+def select_mixes(name: str) -> list[Mix]:
+    """Return the mixes of one selection of the command line."""
+    product = itertools.product
+    if name == "grid":
+        return [Mix(*values) for values in product(RATES, VMS, WINDOWS_MS, SHARDS)]
+    if name == "homes":
+        values = product(RATES, VMS[1:], WINDOWS_MS, SHARDS)
+        return [Mix(*one, homes=True) for one in values]
+    is_steady = name == "steady"
+    return [
+        Mix(rate, vms, BATCH_WINDOW_MS, CLAIM_SHARDS, is_steady, homes=vms > 1)
+        for rate, vms in product(RATES, VMS)
+    ]
+
+
 def main() -> None:
     """Run the measurement, or one VM of it."""
     arguments = sys.argv[1:]
@@ -274,21 +298,8 @@
         mix = Mix(**json.loads(arguments[3]))
         asyncio.run(run_vm(arguments[1], int(arguments[2]), mix))
         return
-    steady = arguments == ["steady"]
-    mixes = [
-        Mix(*values, steady=steady)
-        for values in itertools.product(
-            RATES, VMS, WINDOWS_MS if not steady else (0,), SHARDS
-        )
-    ]
-    homed = [replace(mix, homes=True) for mix in mixes if mix.vms > 1]
-    if arguments == ["homes"]:
-        mixes = homed
-    if steady:
-        mixes = [mix for mix in mixes if mix.vms == 1] + homed
-        # One shard holds fewer claims than the higher rates leave in it.
-        mixes = [mix for mix in mixes if mix.rate / mix.shards <= 50]
-    asyncio.run(measure_all(mixes))
+    name = arguments[0] if arguments else "short"
+    asyncio.run(measure_all(select_mixes(name)))
 
 
 if __name__ == "__main__":
--- a/src/heathershunt/placement/control.py
+++ b/src/heathershunt/placement/control.py
@@ -3,7 +3,7 @@
 import asyncio
 import hashlib
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, replace
 
 import logbook
@@ -21,6 +21,8 @@
 log = logbook.Logger("heathershunt.placement")
 
 TICK_MS = 500
+# The runner may have described itself this long before its report arrived.
+LONGEST_POLL_MS = 1_000
 # All reports are asked for within this time, so a new holder sees the state after it.
 READ_BACK_MS = 2_000
 # VMs that compete for the lease of one model; more would only add reads.
@@ -28,7 +30,7 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
-def is_candidate(model: str, vm: str, vms: Sequence[str]) -> bool:
+def is_candidate(model: str, vm: str, vms: Collection[str]) -> bool:
     """Return whether ``vm`` is among the few that compete for a model's lease."""
 
     def weight(name: str) -> bytes:
@@ -133,7 +135,7 @@
         view = []
         for state in states:
             sent = self._sent_by_runner.get(state.report.runner)
-            asked_at = state.received_at - 2 * state.delay_ms
+            asked_at = state.received_at - LONGEST_POLL_MS
             if sent is None or asked_at >= sent.at:
                 self._sent_by_runner.pop(state.report.runner, None)
                 view.append(state)
@@ -152,8 +154,7 @@
         now = self._clock.now()
         reports = {state.report.runner: state.report for state in view}
         is_read_back = now >= lease.acquired_at + READ_BACK_MS or all(
-            state.received_at - 2 * state.delay_ms >= lease.acquired_at
-            for state in view
+            state.received_at - LONGEST_POLL_MS >= lease.acquired_at for state in view
         )
         chosen = []
         for order in orders:
@@ -194,7 +195,7 @@
         clock: Clock,
         board: RunnerBoard,
         bundle: Callable[[], Bundle | None],
-        entry_vms: Callable[[], Sequence[str]],
+        entry_vms: Callable[[], Collection[str]],
     ) -> None:
         self._settings = settings
         self._vm = vm
@@ -217,7 +218,7 @@
             await asyncio.sleep(TICK_MS * random.uniform(0.9, 1.1) / 1000)
 
     async def _tick_all(self, bundle: Bundle) -> None:
-        states = tuple(self._board.states_by_runner.values())
+        states = [self._marked(s) for s in self._board.states_by_runner.values()]
         vms = self._entry_vms()
         ticks = [
             self._control(name).tick(name, bundle, states)
@@ -228,6 +229,12 @@
             if isinstance(outcome, Exception):
                 log.error("placement failed: {!r}", outcome)
 
+    def _marked(self, state: RunnerState) -> RunnerState:
+        """Return the state, leaving also if the VM list or an operator says so."""
+        if not self._board.views_by_runner[state.report.runner].leaving:
+            return state
+        return replace(state, report=replace(state.report, leaving=True))
+
     def _control(self, model: str) -> ModelControl:
         control = self._controls_by_model.get(model)
         if control is None:
--- a/tests/placement/test_control.py
+++ b/tests/placement/test_control.py
@@ -1,8 +1,12 @@
+from dataclasses import replace
+
 import pytest
 
 from heathershunt.bundle import Bundle
-from heathershunt.placement import OrderReply, OrderSender
+from heathershunt.placement import OrderReply, OrderSender, PlacementControl
 from heathershunt.placement.control import READ_BACK_MS, ModelControl
+from heathershunt.routing.inflight import InFlight
+from heathershunt.runners import RunnerBoard
 from heathershunt.settings import PlacementSettings
 from tests.placement.test_lease import LeaseStore, Runner, keeper
 from tests.placement.test_plan import M2, fleet
@@ -42,10 +46,24 @@
     await loads(control, states)
     clock.advance(READ_BACK_MS)
     assert len(await loads(control, states)) == 1
-    clock.advance(500)
+    clock.advance(900)
+    states = [replace(state, received_at=clock.now()) for state in states]
     assert await loads(control, states) == []
 
 
+async def test_runner_that_leaves_by_the_vm_list_is_left_alone(clock, runner):
+    """The list may know of a leaving VM before its runner says so."""
+    board = RunnerBoard(InFlight())
+    for state in fleet(2, "v2"):
+        board.record(state)
+    board.set_leaving(frozenset({"s0r0"}))
+    placement = PlacementControl(
+        SETTINGS, "vm1", 1, None, runner, clock, board, lambda: BUNDLE, tuple
+    )
+    marked = map(placement._marked, board.states_by_runner.values())
+    assert [s.report.runner for s in marked if s.report.leaving] == ["s0r0"]
+
+
 async def test_fenced_holder_raises_its_token(control, clock, runner):
     """A runner that came from another model may know a higher token."""
     runner.status = 409
