--- a/standins/caller.py
+++ b/standins/caller.py
@@ -64,7 +64,7 @@
         """Stream one draft and return its transcript."""
         payload = {"model": model, "prompt": prompt, "max_tokens": max_tokens}
         payload |= {"stream": True, **body}
-        return await self._stream(
+        return await self.stream(
             address, "POST", COMPLETIONS, headers, payload, Transcript(), on_token
         )
 
@@ -73,7 +73,7 @@
         transcript.broken = ""
         headers = {"last-event-id": str(transcript.last_event_id)}
         target = f"{COMPLETIONS}/{transcript.request_id}"
-        return await self._stream(
+        return await self.stream(
             address, "GET", target, headers, None, transcript, None
         )
 
@@ -87,9 +87,13 @@
         response = outcome.ok_value
         return response.status, response.headers, await response.read()
 
-    async def _stream(
+    async def stream(
         self, address, method, target, headers, payload, transcript, on_token
     ) -> Transcript:
+        """Send one request and add the events of its answer to ``transcript``.
+
+        :param on_token: called with the transcript after each piece of the answer.
+        """
         outcome = await self.http.request(
             address,
             method,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -361,6 +361,7 @@
             self.ledger.append(
                 {
                     "run": run.run,
+                    "prompt": run.prompt,
                     "epoch": run.epoch,
                     "position": work.position,
                     "stage": run.stage,
