--- a/tests/fuzz/fleet.py
+++ b/tests/fuzz/fleet.py
@@ -177,9 +177,7 @@
                     method,
                     target,
                     payload,
-                    headers={
-                        "authorization": f"Bearer {self.deployment.operator_key}"
-                    },
+                    headers={"authorization": f"Bearer {self.deployment.operator_key}"},
                 )
         except TimeoutError:
             return 0, None
@@ -319,4 +317,3 @@
             ledger = await self.deployment.call(address, "GET", "/ledger")
             calls += ledger["calls"]
         return [call for call in calls if call["method"] == "POST"]
-
