Answer malformed input and outlive malformed replies

Cause, each found by tests/fuzz/test_malformed.py: - A request target that urlsplit refuses ("//[") ended the connection without an answer; so did JSON nested 50,000 deep and x-deadline-ms of a superscript digit or of 5,000 digits, because RecursionError and the ValueError of int() were not caught. - A store reply of another shape raised KeyError, TypeError or binascii.Error in the watch, which ended the task: the daemon then followed no bundle from the store. A 404 to a swap counted as a write that was done. - One malformed address in the VM list ended the polls of the runners, and calls of plain services failed. - A probe's reply that is no object, and a token line nested too deeply, raised in tasks that nobody awaits, so that a draft could wait without an end. - A JSON reply had no limit of size. Change: each reply is checked for its shape where it is read; malformed entries of the VM list are left out one by one; a malformed reply to a swap has an unknown outcome; a JSON reply has at most 16 MiB; reports of runners have bounds; a draft that fails by a fault of the program ends with may_have_run. A plain service may answer any status. Ruled out: restarting background tasks that ended, which hides the cause and loses their state. The reports and replies of runners still time out and are looked into next.

--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -61,11 +61,24 @@
     deadline_ms: int
 
 
+class _Probe(msgspec.Struct):
+    """Reply to a probe."""
+
+    position: int
+
+
 _address = lru_cache(maxsize=4096)(Address.from_text)
 _decode_line = msgspec.json.Decoder(StageLine).decode
 decode_trace = msgspec.json.Decoder(list[Any]).decode
 
 
+def _decode(line: bytes) -> StageLine:
+    try:
+        return _decode_line(line)
+    except RecursionError:
+        raise ValueError("a line of the stage is nested too deeply") from None
+
+
 class StageStream:
     """The open stream of one stage."""
 
@@ -89,7 +102,7 @@
             if len(self._rest) > MAX_LINE_BYTES:
                 raise ValueError("a line of the stage is too long")
             if lines:
-                return [_decode_line(line) for line in lines]
+                return [_decode(line) for line in lines]
 
     def close(self) -> None:
         """Drop the stream; the stage then ends the run."""
@@ -166,7 +179,10 @@
         )
         if isinstance(outcome, Err) or outcome.ok_value[0] != 200:
             return None
-        return outcome.ok_value[1].get("position")
+        try:
+            return msgspec.convert(outcome.ok_value[1], _Probe).position
+        except msgspec.ValidationError:
+            return None
 
     async def cancel(self, stage: Stage, run: str, epoch: int) -> None:
         """Cancel all epochs of a run up to ``epoch`` at a stage."""
--- a/src/heathershunt/drafts/handler.py
+++ b/src/heathershunt/drafts/handler.py
@@ -1,8 +1,10 @@
 """Callers' requests for drafts: ``/v1/completions``."""
 
 import asyncio
+import re
 from dataclasses import dataclass
 
+import logbook
 import msgspec
 from result import Err, Ok, Result
 
@@ -14,12 +16,15 @@
 from heathershunt.drafts.journal import Draft, DraftRequest, DraftTable
 from heathershunt.drafts.sse import stream_answer, whole_answer
 from heathershunt.http import Request, Response, StreamResponse, problem_response
-from heathershunt.verdict import Refusal, not_run
+from heathershunt.verdict import Refusal, may_have_run, not_run
+
+log = logbook.Logger("heathershunt.drafts")
 
 DEADLINE_HEADER = "x-deadline-ms"
 PRIORITY_HEADER = "x-priority"
 MAX_PROMPT_CHARACTERS = 200_000
 MAX_DEADLINE_MS = 3_600_000
+DEADLINE_TEXT = re.compile(r"[0-9]{1,9}")
 
 
 @dataclass(frozen=True)
@@ -119,6 +124,11 @@
             return
         try:
             await self._executor.run(draft)
+        except Exception:
+            # Without an end its callers would wait until their own limits.
+            log.exception("draft {} failed", draft.request_id)
+            detail = "the draft ended by a fault of this VM"
+            draft.refuse(may_have_run(500, "Draft not finished", detail))
         finally:
             self._gate.release(ticket, request.model, is_whole=draft.is_whole)
 
@@ -156,7 +166,9 @@
         if priority is None or priority.rank < own.rank:
             return _bad(400, f"the priority {name!r} is not open to this account")
         text = request.headers.get(DEADLINE_HEADER, str(priority.deadline_ms))
-        if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+        if DEADLINE_TEXT.fullmatch(text) is None or not (
+            0 < int(text) <= MAX_DEADLINE_MS
+        ):
             return _bad(400, f"{DEADLINE_HEADER}: 1 to {MAX_DEADLINE_MS} is accepted")
         return Ok(
             DraftRequest(
@@ -178,6 +190,8 @@
 def _parse_body(data: bytes) -> Result[CompletionBody, Refusal]:
     try:
         return Ok(_decode_body(data))
+    except RecursionError:
+        return _bad(400, "the JSON is nested too deeply")
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return _bad(400, str(error))
 
--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import ssl
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
@@ -18,6 +19,23 @@
 CONNECT_TIMEOUT_MS = 1000
 REQUEST_TIMEOUT_MS = 10_000
 BODILESS_STATUSES = (204, 304)
+JSON_ERRORS = (
+    OSError,
+    TimeoutError,
+    ValueError,
+    RecursionError,
+    h11.RemoteProtocolError,
+)
+
+
+# Connecting to any other text raises errors of many types.
+ADDRESS_TEXT = re.compile(
+    r"(?P<host>[0-9A-Za-z_:\[\]-]{1,63}(\.[0-9A-Za-z_-]{1,63}){0,9}):(?P<port>[0-9]{1,5})"
+)
+MAX_PORT = 65_535
+# Values of the store have up to 1 MB; the longest replies are lists of VMs and the
+# history of the bundle's root.
+MAX_JSON_BYTES = 16_777_216
 
 
 @dataclass(frozen=True)
@@ -33,10 +51,10 @@
     @classmethod
     def from_text(cls, text: str) -> "Address":
         """Parse ``host:port``; raise ``ValueError`` if it is something else."""
-        host, separator, port = text.rpartition(":")
-        if not separator or not host:
+        found = ADDRESS_TEXT.fullmatch(text)
+        if found is None or int(found["port"]) > MAX_PORT:
             raise ValueError(f"{text!r} is not of the form host:port")
-        return cls(host, int(port))
+        return cls(found["host"], int(found["port"]))
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
@@ -89,9 +107,20 @@
             self._client.release(self._connection)
         return data
 
-    async def read(self) -> bytes:
-        """Return the rest of the body."""
-        return b"".join([chunk async for chunk in self.chunks()])
+    async def read(self, limit: int | None = None) -> bytes:
+        """Return the rest of the body.
+
+        :param limit: largest size in bytes.
+        :raises ValueError: if the body is larger; the connection is then closed.
+        """
+        pieces, size = [], 0
+        async for piece in self.chunks():
+            pieces.append(piece)
+            size += len(piece)
+            if limit is not None and size > limit:
+                self.close()
+                raise ValueError(f"the reply is larger than {limit} bytes")
+        return b"".join(pieces)
 
     async def read_json(self) -> Any:
         """Return the body decoded from JSON; raise ``ValueError`` if it is not."""
@@ -161,9 +190,9 @@
         response = outcome.ok_value
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                raw = await response.read()
+                raw = await response.read(MAX_JSON_BYTES)
             return Ok((response.status, json.loads(raw) if raw else None))
-        except (OSError, TimeoutError, ValueError, h11.RemoteProtocolError) as error:
+        except JSON_ERRORS as error:
             response.close()
             return Err(TransportError(Progress.SENT, f"{method} {address}: {error}"))
 
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -124,6 +124,14 @@
             connection.cut()
 
 
+def _phrase(status: int) -> str:
+    """Return the reason phrase; a plain service may answer any status."""
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return ""
+
+
 class _Stream:
     """Writes the body of one streamed response."""
 
@@ -276,7 +284,11 @@
     def _build_request(self, head: h11.Request, body: bytes) -> Request:
         # h11 sends no chunks to HTTP/1.0 and no body in answer to HEAD.
         self._frames_chunks = head.http_version == b"1.1" and head.method != b"HEAD"
-        target = urlsplit(head.target.decode("ascii"))
+        try:
+            target = urlsplit(head.target.decode("ascii"))
+        except ValueError as error:
+            detail = f"The request target is not valid: {error}."
+            raise RequestRejectedError(400, detail) from None
         headers = {
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
@@ -351,7 +363,7 @@
             h11.Response(
                 status_code=status,
                 headers=[(name, text.encode("latin-1")) for name, text in headers],
-                reason=HTTPStatus(status).phrase.encode(),
+                reason=_phrase(status).encode(),
             )
         )
 
--- a/src/heathershunt/operators/routes.py
+++ b/src/heathershunt/operators/routes.py
@@ -147,6 +147,8 @@
     ) -> Response:
         try:
             vm = msgspec.json.decode(request.body, type=VmBody).vm
+        except RecursionError:
+            return _problem(400, "the JSON is nested too deeply")
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return _problem(400, str(error))
         outcome = await change(vm)
--- a/src/heathershunt/runners/reports.py
+++ b/src/heathershunt/runners/reports.py
@@ -1,30 +1,40 @@
 """Status reports of the runners in the engine protocol."""
 
 from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
 
 from heathershunt.clock import Millis
 from heathershunt.http import Address
 
+# Bounds far beyond any real runner keep a malformed report out of the cost of chains,
+# where NaN compares as neither less nor greater.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Duration = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Layer = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
+RunnerName = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+
 
 @dataclass(frozen=True)
 class ReportedLoad:
     """Load of a runner as of ``at_ms``, wall time of the runner in milliseconds."""
 
-    running: int
-    queued: int
-    batch_limit: int
-    step_ms: float
-    token_ms: float
-    prefill_token_ms: float
-    kv_free_tokens: int
-    at_ms: int
+    running: Count
+    queued: Count
+    batch_limit: Count
+    step_ms: Duration
+    token_ms: Duration
+    prefill_token_ms: Duration
+    kv_free_tokens: Count
+    at_ms: Count
 
 
 @dataclass(frozen=True)
 class RunnerReport:
     """Status of a runner in the engine protocol."""
 
-    runner: str
+    runner: RunnerName
     incarnation: int
     kind: str
     fence: int
@@ -35,8 +45,8 @@
     model: str
     version: str
     adapters: tuple[str, ...]
-    first_layer: int
-    end_layer: int
+    first_layer: Layer
+    end_layer: Layer
     role: str
     fabric: str
     load: ReportedLoad
--- a/src/heathershunt/store/client.py
+++ b/src/heathershunt/store/client.py
@@ -3,9 +3,10 @@
 import base64
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
+from typing import Annotated, Any, TypeVar
 from urllib.parse import quote
 
+import msgspec
 from result import Err, Ok, Result
 
 from heathershunt.http import Address, HttpClient
@@ -17,6 +18,9 @@
 NOT_FOUND = 404
 GONE = 410
 
+T = TypeVar("T")
+Revision = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class StoreFailure(Enum):
     """Why a call of the store failed."""
@@ -74,7 +78,9 @@
     async def get(self, key: str) -> Result[Stored, StoreError]:
         """Read one key."""
         outcome = await self._call("GET", f"/v1/kv?key={quote(key, safe='')}")
-        return outcome.map(lambda reply: _stored(key, reply[1]))
+        return outcome.and_then(lambda reply: _checked(reply, _Value, NOT_FOUND)).map(
+            lambda checked: checked[1].stored(key)
+        )
 
     async def swap(
         self, key: str, value: bytes | None, expected: int, lease: str | None = None
@@ -89,10 +95,15 @@
         outcome = await self._call("POST", "/v1/kv/swap", body)
         if isinstance(outcome, Err):
             return outcome
-        status, reply = outcome.ok_value
+        checked = _checked(outcome.ok_value, _Value, CONFLICT)
+        if isinstance(checked, Err):
+            # A malformed reply does not say whether the write took effect.
+            detail = checked.err_value.detail
+            return Err(StoreError(StoreFailure.OUTCOME_UNKNOWN, detail))
+        status, reply = checked.ok_value
         if status == CONFLICT:
-            return Ok(Swapped(False, _stored(key, reply)))
-        return Ok(Swapped(True, Stored(key, value, reply["revision"])))
+            return Ok(Swapped(False, reply.stored(key)))
+        return Ok(Swapped(True, Stored(key, value, reply.revision)))
 
     async def watch(
         self, prefix: str, after: int, wait_ms: int
@@ -102,14 +113,19 @@
         outcome = await self._call("GET", target, extra_ms=wait_ms)
         if isinstance(outcome, Err):
             return outcome
-        reply = outcome.ok_value[1]
-        events = [_stored(event["key"], event) for event in reply["events"]]
-        return Ok((events, reply["revision"]))
+        checked = _checked(outcome.ok_value, _Events)
+        if isinstance(checked, Err):
+            return checked
+        reply = checked.ok_value[1]
+        events = [event.stored(event.key) for event in reply.events]
+        return Ok((events, reply.revision))
 
     async def grant_lease(self, ttl_ms: int) -> Result[str, StoreError]:
         """Ask for a lease; return its id."""
         outcome = await self._call("POST", "/v1/leases", {"ttl_ms": ttl_ms})
-        return outcome.map(lambda reply: reply[1]["lease"])
+        return outcome.and_then(lambda reply: _checked(reply, _Lease)).map(
+            lambda checked: checked[1].lease
+        )
 
     async def keep_alive(self, lease: str) -> Result[None, StoreError]:
         """Renew a lease."""
@@ -153,7 +169,41 @@
     return Err(StoreError(StoreFailure.UNAVAILABLE, f"status {status}"))
 
 
-def _stored(key: str, reply: dict[str, Any]) -> Stored:
-    text = reply.get("value")
-    value = None if text is None else base64.b64decode(text)
-    return Stored(key, value, reply.get("revision", 0))
+class _Value(msgspec.Struct):
+    """A value or the new revision; msgspec decodes the base64."""
+
+    revision: Revision
+    value: bytes | None = None
+
+    def stored(self, key: str) -> Stored:
+        return Stored(key, self.value, self.revision)
+
+
+class _Event(_Value, kw_only=True):
+    key: str
+
+
+class _Events(msgspec.Struct):
+    events: list[_Event]
+    revision: Revision
+
+
+class _Lease(msgspec.Struct):
+    lease: str
+
+
+def _checked(
+    outcome: tuple[int, Any], cls: type[T], other_status: int = 200
+) -> Result[tuple[int, T], StoreError]:
+    """Check status and shape of a reply.
+
+    :param other_status: status beside 200 that the call may answer.
+    """
+    status, reply = outcome
+    if status not in (200, other_status):
+        return Err(StoreError(StoreFailure.UNAVAILABLE, f"status {status}"))
+    try:
+        return Ok((status, msgspec.convert(reply, cls)))
+    except msgspec.ValidationError as error:
+        detail = f"malformed reply: {error}"
+        return Err(StoreError(StoreFailure.UNAVAILABLE, detail))
--- a/src/heathershunt/store/vm_list.py
+++ b/src/heathershunt/store/vm_list.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 import logbook
 import msgspec
@@ -45,6 +46,27 @@
         return self.state != "live"
 
 
+def _valid_entries(raw: list[Any]) -> tuple[ListedVm, ...]:
+    """Return the well-formed entries, so that one mistake hides no other VM.
+
+    :raises ValidationError: if no entry is well-formed.
+    """
+    entries = []
+    error = None
+    for item in raw:
+        try:
+            entry = msgspec.convert(item, ListedVm)
+            if entry.role is not VmRole.ENTRY:
+                Address.from_text(entry.address)
+            entries.append(entry)
+        except ValueError as cause:
+            error = cause
+            log.warn("entry of the VM list refused: {}", cause)
+    if error is not None and not entries:
+        raise msgspec.ValidationError(f"no entry is well-formed: {error}")
+    return tuple(entries)
+
+
 class VmList:
     """Polls the list and keeps the last answer through an outage.
 
@@ -79,7 +101,7 @@
         status, reply = outcome.ok_value
         try:
             raw = reply["vms"] if status == 200 else None
-            entries = msgspec.convert(raw, tuple[ListedVm, ...])
+            entries = _valid_entries(msgspec.convert(raw, list[Any]))
         except (msgspec.ValidationError, KeyError, TypeError) as error:
             log.warn("VM list refused: {}", error)
             return
