--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -192,8 +192,8 @@
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 raw = await response.read(MAX_JSON_BYTES)
-            # Unlike json, msgspec refuses NaN and lone surrogates, which raise errors of
-            # other types where the reply is checked.
+            # Unlike json, msgspec refuses NaN and lone surrogates, which raise errors
+            # of other types where the reply is checked.
             return Ok((response.status, msgspec.json.decode(raw) if raw else None))
         except JSON_ERRORS as error:
             response.close()
