--- a/src/heathershunt/store/vm_list.py
+++ b/src/heathershunt/store/vm_list.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 import logbook
 import msgspec
@@ -14,7 +15,7 @@
 log = logbook.Logger("heathershunt.store")
 
 SHORTEST_INTERVAL_MS = 1000
-# The list comes whole each time; at about 100 bytes an entry this keeps it below 8 KB/s.
+# The list comes whole each time; at 100 bytes an entry this keeps it below 8 KB/s.
 ENTRIES_PER_SECOND = 80
 
 
@@ -47,6 +48,27 @@
         return self.state != "live"
 
 
+def _valid_entries(raw: list[Any]) -> tuple[ListedVm, ...]:
+    """Return the well-formed entries, so that one mistake hides no other VM.
+
+    :raises ValidationError: if no entry is well-formed.
+    """
+    entries = []
+    error = None
+    for item in raw:
+        try:
+            entry = msgspec.convert(item, ListedVm)
+            if entry.role is not VmRole.ENTRY:
+                Address.from_text(entry.address)
+            entries.append(entry)
+        except ValueError as cause:
+            error = cause
+            log.warn("entry of the VM list refused: {}", cause)
+    if error is not None and not entries:
+        raise msgspec.ValidationError(f"no entry is well-formed: {error}")
+    return tuple(entries)
+
+
 class VmList:
     """Polls the list and keeps the last answer through an outage.
 
@@ -82,7 +104,7 @@
         status, reply = outcome.ok_value
         try:
             raw = reply["vms"] if status == 200 else None
-            entries = msgspec.convert(raw, tuple[ListedVm, ...])
+            entries = _valid_entries(msgspec.convert(raw, list[Any]))
         except (msgspec.ValidationError, KeyError, TypeError) as error:
             log.warn("VM list refused: {}", error)
             return
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -395,6 +395,7 @@
             self.ledger.append(
                 {
                     "run": run.run,
+                    "prompt": run.prompt,
                     "epoch": run.epoch,
                     "position": work.position,
                     "stage": run.stage,
