Answer a caller that lost only the end of its answer

Cause: found in reading the code: a caller that had every token and whose owner was gone got 400 for repeating its request. Change: such a request is answered as whole at once, and nothing runs. Figures: the new test gave 400 before and passes now. Conclusion: the explicit end can be had again from any VM.

--- a/src/heathershunt/drafts/handler.py
+++ b/src/heathershunt/drafts/handler.py
@@ -111,6 +111,10 @@
     def start(self, wanted: DraftRequest, account: ClientAccount) -> Draft:
         """Start a draft; it goes on when its caller's connection is gone."""
         draft = self._table.add(wanted)
+        if len(wanted.received) == wanted.max_tokens:
+            # Only the end of the answer was lost; there is nothing left to run.
+            draft.finish()
+            return draft
         task = asyncio.create_task(self._run(draft, account))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -174,7 +178,7 @@
             )
         if body.adapter and body.adapter not in model.adapters:
             return _bad(404, f"the adapter {body.adapter!r} is not in the bundle")
-        if len(body.heathershunt.received) >= body.max_tokens:
+        if len(body.heathershunt.received) > body.max_tokens:
             return _bad(400, "more tokens were received than max_tokens")
         name = request.headers.get(PRIORITY_HEADER, account.priority)
         priority = bundle.priorities_by_name.get(name)
--- a/src/heathershunt/drafts/journal.py
+++ b/src/heathershunt/drafts/journal.py
@@ -67,11 +67,15 @@
             return False
         self.tokens.append(text)
         if last:
-            self.is_whole = True
-            self.ended.set()
+            self.finish()
         self._notify()
         return True
 
+    def finish(self) -> None:
+        """End a draft whose last token is there."""
+        self.is_whole = True
+        self.ended.set()
+
     def confirm_delivery(self) -> None:
         """Note that a caller has the whole answer, if the draft has ended."""
         self.is_delivered = self.ended.is_set()
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -70,6 +70,16 @@
     assert_whole(rest, PROMPT, 300)
 
 
+async def test_only_the_end_of_an_answer_was_lost(fleet):
+    """A caller with every token, whose owner is gone, still needs the end."""
+    caller = Caller("parish-token")
+    first = await caller.draft(entry(fleet, "vm1"), PROMPT, 5)
+    rest = await caller.draft(
+        entry(fleet, "vm2"), PROMPT, 5, heathershunt={"received": first.tokens}
+    )
+    assert (rest.is_whole, rest.tokens) == (True, [])
+
+
 async def test_drained_vm_names_another_and_leaves_the_address_answers(fleet):
     """A leaving VM must receive no new work after a few seconds."""
     caller = Caller("parish-token")
