--- /dev/null
+++ b/tests/drafts/test_epoch.py
@@ -0,0 +1,120 @@
+import asyncio
+
+import msgspec
+import pytest
+from result import Ok
+
+from heathershunt.clock import Millis, SystemClock
+from heathershunt.drafts.engine import RunOrder, StageLine
+from heathershunt.drafts.epoch import Epoch
+from heathershunt.drafts.journal import Draft, DraftRequest
+from heathershunt.drafts.progress import GapEstimator, ProgressMonitor
+from heathershunt.routing import Chain, Stage
+
+STAGES = (
+    Stage("r0", "127.0.0.1:1", "127.0.0.1:2", 0, 6),
+    Stage("r1", "127.0.0.1:3", "127.0.0.1:4", 6, 12),
+)
+TRACE = '[["r0",0,6,"v1"],["r1",6,12,"v1"]]'
+REQUEST = DraftRequest("parish", "m", "v1", "", 12, "prompt", 2, 0, 1, Millis(0))
+
+
+def token(position, epoch=1, trace=TRACE, last=False):
+    text = (
+        f'{{"event":"token","epoch":{epoch},"position":{position},"text":"t",'
+        f'"trace":{trace},"last":{str(last).lower()}}}'
+    )
+    return msgspec.json.decode(text, type=StageLine)
+
+
+class ScriptedStream:
+    """Stream of one stage that gives the scripted lines and then stays open."""
+
+    def __init__(self, stage, lines):
+        self.stage = stage
+        self._lines = list(lines)
+
+    async def read_lines(self):
+        if self._lines:
+            return [self._lines.pop(0)]
+        await asyncio.Event().wait()
+
+    def close(self):
+        pass
+
+
+class ScriptedEngine:
+    """Engine whose last stage emits the given tokens."""
+
+    def __init__(self, tokens):
+        self._tokens = tokens
+
+    async def open(self, order, index):
+        stage = STAGES[index]
+        opened = StageLine(
+            "opened",
+            runner=stage.runner,
+            first_layer=stage.first_layer,
+            end_layer=stage.end_layer,
+            version="v1",
+        )
+        lines = self._tokens if index == len(STAGES) - 1 else []
+        return Ok((ScriptedStream(stage, lines), [opened]))
+
+    async def start(self, order, held):
+        return Ok(None)
+
+
+async def run_epoch(tokens):
+    chain = Chain(1, "m", "v1", None, STAGES)
+    order = RunOrder("run", 1, chain, "prompt", (), 0, 2, 0, 1, 0)
+    draft = Draft("vm1.1.1", REQUEST, Millis(0))
+    clock = SystemClock()
+    epoch = Epoch(
+        draft,
+        order,
+        ScriptedEngine(tokens),
+        ProgressMonitor(clock),
+        GapEstimator(250, 34),
+        clock,
+    )
+    async with asyncio.timeout(5):
+        return draft, await epoch.run()
+
+
+async def test_tokens_of_the_epoch_make_the_answer_whole():
+    draft, outcome = await run_epoch([token(0), token(1, last=True)])
+    assert isinstance(outcome, Ok)
+    assert draft.is_whole
+
+
+@pytest.mark.parametrize(
+    ("trace", "suspect"),
+    [
+        ('[["r0",0,6,"v1"],["r1",6,12,"v2"]]', "r1"),
+        ('[["r0",0,6,"v1"],["r1",5,12,"v1"]]', "r1"),
+        ('[["r9",0,6,"v1"],["r1",6,12,"v1"]]', "r0"),
+        ('[["r0",0,6,"v1"]]', "r1"),
+        ("[]", "r1"),
+    ],
+)
+async def test_token_with_another_trace_is_not_accepted(trace, suspect):
+    """A token that skipped or repeated layers, or ran another version, is wrong."""
+    draft, outcome = await run_epoch([token(0), token(1, trace=trace, last=True)])
+    assert draft.tokens == ["t"]
+    assert suspect in outcome.err_value.suspects
+
+
+async def test_token_of_an_old_epoch_is_ignored():
+    """A stage that wakes late may still emit what an old epoch computed."""
+    tokens = [token(0), token(1, epoch=0, last=True), token(1, last=True)]
+    draft, outcome = await run_epoch(tokens)
+    assert isinstance(outcome, Ok)
+    assert draft.tokens == ["t", "t"]
+
+
+async def test_token_that_comes_too_early_fails_the_epoch():
+    """A gap in the positions means that a token was lost."""
+    draft, outcome = await run_epoch([token(0), token(2, last=True)])
+    assert not draft.is_whole
+    assert "too early" in outcome.err_value.detail
