Read chunk sizes as h11 does; fix the seeds of all property tests

Cause: test_what_is_accepted_is_read_as_h11_reads_it failed on '0 ;x': the decoder took white space before a chunk extension, h11 refuses it. The other test of the decoder demanded that it be taken, so the two contradicted each other, and only some random seeds showed it. Ruled out: taking it as RFC 9112 allows, because two readers that disagree on framing open the door to response splitting. Conclusion: both readers agree on what they accept.

--- a/src/heathershunt/http/__init__.py
+++ b/src/heathershunt/http/__init__.py
@@ -6,6 +6,7 @@
     HttpClient,
     TransportError,
 )
+from heathershunt.http.connection import HttpLimits
 from heathershunt.http.messages import (
     Request,
     Response,
@@ -14,7 +15,7 @@
     json_response,
     problem_response,
 )
-from heathershunt.http.server import HttpLimits, HttpServer
+from heathershunt.http.server import HttpServer
 
 __all__ = [
     "Address",
--- a/src/heathershunt/http/chunked.py
+++ b/src/heathershunt/http/chunked.py
@@ -7,7 +7,8 @@
 MAX_TRAILER_BYTES = 16_384
 TRAILER_FIELD = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*")
 BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
-HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
+# Readers differ on white space before an extension, so it is refused, as h11 does.
+SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)(?:;[^\n]*)?[ \t]*")
 
 
 class ChunkedBodyError(ConnectionError):
@@ -114,7 +115,7 @@
 
 
 def _parse_size(line: bytes) -> int:
-    digits = line.partition(b";")[0].rstrip(b" \t")
-    if not 0 < len(digits) <= MAX_SIZE_DIGITS or not HEX_DIGITS.issuperset(digits):
+    match = SIZE_LINE.fullmatch(line)
+    if match is None or len(match[1]) > MAX_SIZE_DIGITS:
         raise ChunkedBodyError("the size of a chunk is not hexadecimal")
-    return int(digits, 16)
+    return int(match[1], 16)
--- /dev/null
+++ b/src/heathershunt/http/connection.py
@@ -0,0 +1,360 @@
+"""One accepted HTTP/1.1 connection: parsing by h11, one request after the other."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+import logbook
+
+from heathershunt.http.messages import (
+    Request,
+    Response,
+    StreamResponse,
+    problem_response,
+)
+from heathershunt.http.transports import limit_reads
+from heathershunt.verdict import not_run
+
+log = logbook.Logger("heathershunt.http")
+
+READ_BYTES = 65536
+BACKLOG_HIGH_WATER_BYTES = 262_144
+LINGER_MS = 2000
+
+Handler = Callable[[Request], Awaitable[Response | StreamResponse]]
+
+
+@dataclass(frozen=True)
+class HttpLimits:
+    """Bounds on what one listener accepts.
+
+    :param header_bytes: largest request line and header block.
+    :param body_bytes: largest request body.
+    :param connections: open connections at a time.
+    :param request_ms: longest time from the first byte of a request to its last.
+    :param idle_ms: longest time between two requests on a connection.
+
+    .. versionadded:: 0.1
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 1_048_576
+    connections: int = 4096
+    request_ms: int = 10_000
+    idle_ms: int = 75_000
+
+
+class RequestRejectedError(Exception):
+    """A request that breaks the protocol or a limit.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+class _Stream:
+    """Writes the body of one streamed response."""
+
+    def __init__(self, connection: "Connection") -> None:
+        self._connection = connection
+
+    def write(self, data: bytes) -> None:
+        self._connection.send_body(data)
+
+    def backlog(self) -> int:
+        return self._connection.writer.transport.get_write_buffer_size()
+
+    async def drain(self) -> None:
+        await self._connection.writer.drain()
+
+    async def wait_closed(self) -> None:
+        await self._connection.wait_closed()
+
+
+class Connection:
+    """One accepted connection."""
+
+    def __init__(self, reader, writer, handler: Handler, limits: HttpLimits) -> None:
+        self.reader = reader
+        self.writer = writer
+        self._handler = handler
+        self._limits = limits
+        self.is_busy = False
+        self._served_any = False
+        self._on_confirmed: Callable[[], None] | None = None
+        self._frames_chunks = False
+        self._closed = asyncio.Event()
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        limit_reads(writer.transport)
+        writer.transport.set_write_buffer_limits(high=BACKLOG_HIGH_WATER_BYTES)
+
+    async def serve(self, draining: Callable[[], bool]) -> None:
+        """Serve requests one after the other until the connection ends."""
+        try:
+            while await self._serve_one(draining):
+                self._h11.start_next_cycle()
+        except RequestRejectedError as error:
+            await self.reject(error.status, error.detail)
+        except (ConnectionError, TimeoutError, h11.LocalProtocolError):
+            self.cut()
+        finally:
+            self._closed.set()
+            self.writer.close()
+
+    async def _serve_one(self, draining: Callable[[], bool]) -> bool:
+        request = await self._read_request(draining)
+        if request is None:
+            return False
+        self.is_busy = True
+        response = await self._run_handler(request)
+        await self._respond(response, draining())
+        self.is_busy = False
+        self._on_confirmed = getattr(response, "on_confirmed", None)
+        self._served_any = True
+        done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        if done and not draining():
+            return True
+        await self._linger()
+        return False
+
+    async def _linger(self) -> None:
+        """Half-close and wait for the caller's end, which confirms the response."""
+        if not self._on_confirmed:
+            return
+        if not self.writer.can_write_eof():
+            self._confirm()
+            return
+        self.writer.write_eof()
+        if await self._read_end():
+            self._confirm()
+
+    async def _read_end(self) -> bool:
+        try:
+            async with asyncio.timeout(LINGER_MS / 1000):
+                while await self.reader.read(READ_BYTES):
+                    pass
+        except (TimeoutError, ConnectionError):
+            return False
+        return True
+
+    def _confirm(self) -> None:
+        if self._on_confirmed:
+            self._on_confirmed()
+        self._on_confirmed = None
+
+    async def _read_request(self, draining: Callable[[], bool]) -> Request | None:
+        if not self._h11.trailing_data[0]:
+            # A new connection gets an answer to its first request even in a drain,
+            # so that a late caller learns where to go.
+            if draining() and self._served_any:
+                return None
+            if not await self._wait_first_byte():
+                return None
+        try:
+            async with asyncio.timeout(self._limits.request_ms / 1000):
+                return await self._parse_request()
+        except TimeoutError:
+            raise RequestRejectedError(408, "The request took too long.") from None
+        except h11.RemoteProtocolError as error:
+            status = getattr(error, "error_status_hint", 400) or 400
+            raise RequestRejectedError(
+                status, f"The request is not valid HTTP/1.1: {error}."
+            ) from None
+
+    async def _wait_first_byte(self) -> bool:
+        try:
+            async with asyncio.timeout(self._limits.idle_ms / 1000):
+                data = await self.reader.read(READ_BYTES)
+        except TimeoutError:
+            return False
+        self._confirm()
+        if data:
+            self._h11.receive_data(data)
+        return bool(data)
+
+    async def _parse_request(self) -> Request | None:
+        head = None
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                self._send_continue()
+                self._h11.receive_data(await self.reader.read(READ_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    limit = self._limits.body_bytes
+                    raise RequestRejectedError(
+                        413, f"The request body is larger than {limit} bytes."
+                    )
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return self._build_request(head, b"".join(parts))
+            else:
+                return None
+
+    def _send_continue(self) -> None:
+        if self._h11.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _build_request(self, head: h11.Request, body: bytes) -> Request:
+        # h11 sends no chunks to HTTP/1.0 and no body in answer to HEAD.
+        self._frames_chunks = head.http_version == b"1.1" and head.method != b"HEAD"
+        try:
+            target = urlsplit(head.target.decode("ascii"))
+        except ValueError as error:
+            detail = f"The request target is not valid: {error}."
+            raise RequestRejectedError(400, detail) from None
+        headers = {
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        peer = self.writer.get_extra_info("peername")
+        return Request(
+            head.method.decode("ascii"),
+            unquote(target.path),
+            dict(parse_qsl(target.query, keep_blank_values=True)),
+            headers,
+            body,
+            peer[0] if peer else "",
+            f"{target.path}?{target.query}" if target.query else target.path,
+        )
+
+    async def _run_handler(self, request: Request) -> Response | StreamResponse:
+        try:
+            return await self._handler(request)
+        except Exception:
+            log.exception("handler failed: {} {}", request.method, request.path)
+            raise ConnectionError("the handler failed") from None
+
+    async def _respond(
+        self, response: Response | StreamResponse, closing: bool
+    ) -> None:
+        headers = list(response.headers.items())
+        if closing:
+            headers.append(("connection", "close"))
+        if isinstance(response, Response):
+            headers.append(("content-length", str(len(response.body))))
+            self._send_head(response.status, headers)
+            if response.body:
+                self.send(h11.Data(data=response.body))
+        else:
+            headers.append(("transfer-encoding", "chunked"))
+            self._send_head(response.status, headers)
+            await self._run_stream(response)
+        self.send(h11.EndOfMessage())
+        await self.writer.drain()
+
+    async def _run_stream(self, response: StreamResponse) -> None:
+        watcher = asyncio.create_task(self._watch_peer())
+        try:
+            await response.run(_Stream(self))
+        except ConnectionError:
+            raise
+        except Exception:
+            log.exception("streamed response failed")
+            raise ConnectionError("the streamed response failed") from None
+        finally:
+            # The next request is read only after the watcher has let go of the reader.
+            watcher.cancel()
+            await asyncio.wait({watcher})
+
+    async def _watch_peer(self) -> None:
+        """Notice the end of the connection while a response is streamed.
+
+        Bytes that arrive early belong to a pipelined request and are kept.
+        """
+        while True:
+            try:
+                data = await self.reader.read(READ_BYTES)
+            except ConnectionError:
+                data = b""
+            if not data:
+                self._closed.set()
+                return
+            self._h11.receive_data(data)
+
+    def _send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self.send(
+            h11.Response(
+                status_code=status,
+                headers=[(name, text.encode("latin-1")) for name, text in headers],
+                reason=_phrase(status).encode(),
+            )
+        )
+
+    def send_body(self, data: bytes) -> None:
+        """Write body bytes of a streamed response as one chunk.
+
+        The chunk is framed here rather than by h11, whose state machine costs more
+        than the rest of a relayed token. The head and the end of the body still pass
+        through h11, which knows no chunk that is open between two events.
+        """
+        if not self._frames_chunks:
+            self.send(h11.Data(data=data))
+        elif data:
+            self._require_open()
+            self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def _require_open(self) -> None:
+        if self._closed.is_set() or self.writer.transport.is_closing():
+            raise ConnectionResetError("the caller closed the connection")
+
+    def send(self, event) -> None:
+        """Write one h11 event; raise ``ConnectionError`` after the end."""
+        self._require_open()
+        self.writer.write(self._h11.send(event))
+
+    async def wait_closed(self) -> None:
+        """Wait until the peer has closed the connection."""
+        await self._closed.wait()
+
+    async def reject(self, status: int, detail: str) -> None:
+        """Answer with a problem document and close."""
+        refusal = not_run(status, HTTPStatus(status).phrase, detail)
+        try:
+            if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                await self._respond(problem_response(refusal), True)
+        except (ConnectionError, h11.LocalProtocolError):
+            pass
+        self.writer.close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being served.
+
+        A half-close lets the waiting read see the caller's end, which confirms the
+        last response.
+        """
+        if self.is_busy or self._h11.their_state is not h11.IDLE:
+            return
+        if not self._served_any:
+            return
+        if self._on_confirmed and self.writer.can_write_eof():
+            self.writer.write_eof()
+        else:
+            self.writer.close()
+
+    def cut(self) -> None:
+        """Abort the connection."""
+        self._closed.set()
+        self.writer.transport.abort()
+
+
+def _phrase(status: int) -> str:
+    """Return the reason phrase; a plain service may answer any status."""
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return ""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,13 @@
 import pytest
+from hypothesis import settings
 
 from heathershunt.clock import ManualClock
 from tests.nodes import Node
 
+# The verdict of a run must not depend on drawn examples; `make fuzz` draws its own.
+settings.register_profile("fixed", derandomize=True, deadline=None)
+settings.load_profile("fixed")
+
 
 @pytest.fixture
 def clock():
