Show the leases of placement in the operators' status

Cause: the status had a place for leases that nothing filled. Change: PlacementControl names model, holder, fencing token and expiry. Conclusion: operators can trace a stuck placement to its holder.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -118,6 +118,7 @@
             lambda: self.keeper.bundle,
             self.vm_list.entry_vms,
         )
+        self.operations.leases = self.placement.leases
         self.callers = HttpServer(CallerRoutes(self).handle)
         self.is_shutting_down = False
         self._tasks: list[asyncio.Task] = []
--- a/src/heathershunt/placement/control.py
+++ b/src/heathershunt/placement/control.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, replace
+from typing import Any
 
 import logbook
 
@@ -250,6 +251,21 @@
             self._controls_by_model[model] = control
         return control
 
+    def leases(self) -> list[dict[str, Any]]:
+        """Return the leases held here, as values for the operators' status."""
+        now = self._clock.now()
+        held = [(n, c.keeper.current()) for n, c in self._controls_by_model.items()]
+        return [
+            {
+                "model": model,
+                "holder": self._holder,
+                "fence": lease.revision,
+                "expires_ms": lease.expires_at - now,
+            }
+            for model, lease in held
+            if lease is not None
+        ]
+
     async def release(self) -> None:
         """Send no more orders and give all leases back."""
         self._is_released = True
--- a/tests/integration/test_placement.py
+++ b/tests/integration/test_placement.py
@@ -121,6 +121,21 @@
     assert await orders_up_to(placed, old_token) == before
 
 
+async def test_operators_see_who_holds_a_lease(placed):
+    """A stuck placement is traced to its holder by the status."""
+    name, token = await holder(placed)
+    outcome = await placed.http.request_json(
+        placed.ports_by_daemon[name].operators,
+        "GET",
+        "/v1/operator/status",
+        headers={"authorization": f"Bearer {placed.operator_key}"},
+    )
+    (lease,) = outcome.unwrap()[1]["leases"]
+    assert lease["model"] == "m"
+    assert lease["holder"].startswith(f"{name}.")
+    assert lease["fence"] == token
+
+
 async def test_late_order_of_an_old_holder_is_corrected(placed):
     """A runner that checks tokens rejects it; the other one is ordered back."""
     await placed.roll(bundle(2, "v2"))
