Let the engine stand-in import a KV cache

Cause: the stand-in exported a cache and ignored import_from. Change: a run opened with import_from takes over what the other runner holds. Conclusion: the router can use imports next; it does not ask for them yet.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,6 +14,7 @@
 
 import cbor2
 import msgspec
+from result import Err
 
 from heathershunt.http import (
     Address,
@@ -62,6 +63,7 @@
         self._event_seq = 0
         self._reports: deque[tuple[float, dict]] = deque(maxlen=512)
         self._running = 0
+        self._client = HttpClient()
         self.http = HttpServer(self.handle, HttpLimits(idle_ms=600_000))
         self.fabric: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
@@ -203,6 +205,7 @@
             body["adapter"],
             int(body["priority"]),
             0,
+            import_from=body.get("import_from"),
         )
         run.kv_positions = self._kv_positions(run)
         self._runs_by_id[run_id] = run
@@ -228,6 +231,8 @@
 
     async def _stream_run(self, run: Run, stream) -> None:
         spec = self.spec
+        if run.import_from:
+            await self._import_kv(run)
         opened = {
             "event": "opened",
             "runner": spec.runner,
@@ -282,6 +287,18 @@
             self._end(run, "cancelled")
         return json_response(200, {})
 
+    async def _import_kv(self, run: Run) -> None:
+        """Take over the cache that another runner still holds for the run."""
+        source = Address.from_text(run.import_from)
+        outcome = await self._client.request_json(source, "GET", f"/v1/kv/{run.run}")
+        if isinstance(outcome, Err) or run.started:
+            return
+        held = min(
+            outcome.ok_value[1]["positions"], run.prompt_positions + run.position
+        )
+        if held > run.kv_positions:
+            run.kv_positions = self._kv_by_run[run.run] = held
+
     def _export_kv(self, run_id: str) -> Response:
         return json_response(200, {"positions": self._kv_by_run.get(run_id, 0)})
 
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -69,6 +69,7 @@
     adapter: str
     priority: int
     kv_positions: int
+    import_from: str | None = None
     started: bool = False
     last_progress: float = 0.0
     outbox: asyncio.Queue = field(default_factory=asyncio.Queue)
