Ask every runner of a paused chain, and count living heads as attempts

Ruled out: waiting for the report to name the runner (its lag is 200 ms and more).

Change: after a pause of 1.25 times the longest one that is on time, all runners of the chain are asked for a report, shared by all streams for 250 ms; one that gives none is blamed. A runner that is named in a rejection is passed over for 300 ms and asked too. A request goes to at most max_attempts living first runners; it may go to the same again.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -38,6 +38,7 @@
 from heathershunt.relay import (
     BudgetConfig,
     CallerRequest,
+    Diagnosis,
     RelayParts,
     SuspectList,
     TargetWire,
@@ -161,6 +162,7 @@
             ledger=ledger,
             chooser=ChainChooser(ledger),
             runners=ports.runners,
+            diagnosis=Diagnosis(clock, ports.runners, self.suspects),
             events=events,
             vms=lambda: max(1, len(self.members)),
             domain=config.domain,
--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -65,6 +65,7 @@
         vms: int,
         avoided: Collection[str] = (),
         head: ChainPart | None = None,
+        heads: Collection[str] | None = None,
     ) -> Chain | None:
         """Return the cheapest chain, ``None`` if the layers are not all there.
 
@@ -72,6 +73,7 @@
             requests running as this one.
         :param avoided: ids of runners not to use.
         :param head: part that must come first.
+        :param heads: ids of runners one of which must come first.
         """
         usable = [
             runner
@@ -90,11 +92,11 @@
                 for runner in usable
                 if runner.domain == domain or (head and runner.id == head.runner.id)
             ]
-            found = self._cheapest(engine, inside, job, vms, head)
+            found = self._cheapest(engine, inside, job, vms, head, heads)
             if found is not None:
                 chains.append(found)
         if not chains or min(cost for cost, _ in chains) >= FULL_MS:
-            found = self._cheapest(engine, usable, job, vms, head)
+            found = self._cheapest(engine, usable, job, vms, head, heads)
             if found is not None:
                 chains.append(found)
         if not chains:
@@ -108,6 +110,7 @@
         job: Job,
         vms: int,
         head: ChainPart | None,
+        heads: Collection[str] | None,
     ) -> tuple[float, Chain] | None:
         """Return the cost and the chain by dynamic programming over cut points."""
         cuts = sorted(
@@ -127,6 +130,8 @@
                     continue
                 if at == 0 and head is not None and runner.id != head.runner.id:
                     continue
+                if at == 0 and heads is not None and runner.id not in heads:
+                    continue
                 base = here.cost + self._entry_cost(here.runner, runner, job, vms)
                 for end in cuts:
                     if not at < end <= held.end:
--- a/src/heathershunt/relay/__init__.py
+++ b/src/heathershunt/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from heathershunt.relay.budget import BudgetConfig, WindowBudget
 from heathershunt.relay.calls import CallRelay
+from heathershunt.relay.diagnosis import Diagnosis
 from heathershunt.relay.messages import (
     CallerRequest,
     Dispatch,
@@ -17,6 +18,7 @@
     "BudgetConfig",
     "CallRelay",
     "CallerRequest",
+    "Diagnosis",
     "Dispatch",
     "RelayParts",
     "ReplyHead",
--- /dev/null
+++ b/src/heathershunt/relay/diagnosis.py
@@ -0,0 +1,79 @@
+"""Which runner of a chain is at fault, found by asking them."""
+
+import asyncio
+
+from heathershunt.clock import Clock, Millis
+from heathershunt.discovery import Target
+from heathershunt.pipelines import Chain, RunnerApi, RunnerReport
+from heathershunt.relay.suspects import SuspectList
+
+REPORT_TIMEOUT_MS = 150
+# Many streams pause at once when a runner fails; they share their questions.
+SHARED_MS = 250
+# Time for which a runner is passed over that rejected its part of a chain: it may be
+# short of memory, or giving up its layers.
+REJECTED_MS = 300
+
+
+class Diagnosis:
+    """Asks the runners of a chain for reports, and blames those that give none.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, clock: Clock, runners: RunnerApi, suspects: SuspectList) -> None:
+        self._clock = clock
+        self._runners = runners
+        self._suspects = suspects
+        self._asked_by_id: dict[str, tuple[Millis, asyncio.Task]] = {}
+
+    async def find_faulty(self, chain: Chain) -> Target | None:
+        """Return a runner of the chain that does not work, and blame it.
+
+        A runner is at fault if it gives no report, or if the first runner of the chain
+        says that work waits for it.
+        """
+        for part in chain.parts:
+            if self._suspects.is_blamed(part.runner):
+                return part.runner
+        reports = await asyncio.gather(*(self._ask(p.runner) for p in chain.parts))
+        for part, report in zip(chain.parts, reports, strict=True):
+            if report is None or self._is_restarted(part.runner, report):
+                self._suspects.blame(part.runner)
+                return part.runner
+        for job in reports[0].stalled:
+            runner = chain.runner_at(job.address)
+            if runner is not None:
+                self._suspects.blame(runner)
+                return runner
+        return None
+
+    async def judge_rejection(self, runner: Target) -> None:
+        """Find out whether a runner that was named in a rejection works at all."""
+        if self._suspects.is_suspect(runner):
+            return
+        # Requests that follow at once shall not run into the same rejection.
+        self._suspects.pause(runner, REJECTED_MS)
+        report = await self._ask(runner)
+        if report is None or self._is_restarted(runner, report):
+            self._suspects.blame(runner)
+
+    def _is_restarted(self, runner: Target, report: RunnerReport) -> bool:
+        """Return whether the report is of another start than the known one."""
+        return bool(runner.born and report.born and report.born != runner.born)
+
+    async def _ask(self, runner: Target) -> RunnerReport | None:
+        now = self._clock.now()
+        asked = self._asked_by_id.get(runner.id)
+        if asked is None or now - asked[0] > SHARED_MS:
+            self._forget_before(now - SHARED_MS)
+            question = self._runners.report(runner, REPORT_TIMEOUT_MS)
+            asked = (now, asyncio.create_task(question))
+            self._asked_by_id[runner.id] = asked
+        # One stream that ends must not cancel the question of the others.
+        return await asyncio.shield(asked[1])
+
+    def _forget_before(self, limit: int) -> None:
+        for runner_id, (asked_at, task) in list(self._asked_by_id.items()):
+            if asked_at < limit and task.done():
+                del self._asked_by_id[runner_id]
--- a/src/heathershunt/relay/parts.py
+++ b/src/heathershunt/relay/parts.py
@@ -9,6 +9,7 @@
 from heathershunt.logs import EventLog
 from heathershunt.pipelines import ChainChooser, LoadLedger, RunnerApi
 from heathershunt.relay.budget import WindowBudget
+from heathershunt.relay.diagnosis import Diagnosis
 from heathershunt.relay.messages import TargetWire
 from heathershunt.relay.suspects import SuspectList
 
@@ -32,6 +33,7 @@
     ledger: LoadLedger
     chooser: ChainChooser
     runners: RunnerApi
+    diagnosis: Diagnosis
     events: EventLog
     vms: Callable[[], int]
     domain: str
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -10,7 +10,13 @@
 from heathershunt.catalog import Engine, Route
 from heathershunt.clock import Millis
 from heathershunt.discovery import Target
-from heathershunt.http import ClientResponse, Response, ResponseStream, StreamResponse
+from heathershunt.http import (
+    ClientResponse,
+    Response,
+    ResponseStream,
+    StreamResponse,
+    TransportError,
+)
 from heathershunt.pipelines import Chain, Job
 from heathershunt.pipelines.runners import OrderOutcome
 from heathershunt.relay.events import EventSplitter, StreamEvent
@@ -21,14 +27,13 @@
 CONNECT_MS = 250
 # Pause after which the runners are asked who stalls, over the longest pause at which a
 # stream is still on time.
-SUSPECT_GAP_FACTOR = 2.0
+SUSPECT_GAP_FACTOR = 1.25
 # Time to the first event after which the runners are asked, over its target.
 SUSPECT_FIRST_FACTOR = 1.6
 # Pause after which a chain is given up though no runner is known to stall.
-GIVE_UP_FACTOR = 2.0
-REPORT_TIMEOUT_MS = 200
-# Sends to chains whose runners failed; others count against the route's attempts.
-MAX_FAILED_RUNNERS = 4
+GIVE_UP_FACTOR = 3.0
+# Sends of one request, whatever befell the runners.
+MAX_SENDS = 6
 RETRY_AFTER_MS = 500
 BACKLOG_BYTES = 65_536
 SUCCESS = 200
@@ -114,7 +119,7 @@
         self._run: _Run | None = None
         self._avoided: set[str] = set()
         self._sends = 0
-        self._failed_runners = 0
+        self._heads_by_id: dict[str, Target] = {}
         self._may_have_run = False
         self._refusal_detail = "no chain of runners holds all layers"
         likely = request.likely_tokens or engine.usual_answer or request.most_tokens
@@ -145,7 +150,7 @@
         left_ms = self._deadline - parts.clock.now()
         if left_ms <= 0:
             return self._fail(True)
-        if not self._may_send():
+        if self._sends >= MAX_SENDS:
             return self._fail(False)
         chain = self._choose()
         if chain is None:
@@ -155,11 +160,19 @@
             return self._fail(False)
         return await self._send(chain, left_ms)
 
-    def _may_send(self) -> bool:
-        if self._failed_runners >= MAX_FAILED_RUNNERS:
-            return False
-        # Sends that a runner's failure undid do not count as attempts.
-        return self._sends - self._failed_runners < self._route.max_attempts
+    def _heads_left(self) -> set[str] | None:
+        """Return the runners that may come first; ``None`` if any may.
+
+        A request goes to no more than ``max_attempts`` runners that live; to the same
+        one it may go again.
+        """
+        registry, suspects = self._parts.registry, self._parts.suspects
+        living = {
+            head.id
+            for head in self._heads_by_id.values()
+            if registry.get(head.id) == head and not suspects.is_blamed(head)
+        }
+        return None if len(living) < self._route.max_attempts else living
 
     def _choose(self) -> Chain | None:
         parts = self._parts
@@ -201,10 +214,11 @@
         finally:
             if response is None:
                 parts.ledger.remove(chain, self._job.tokens)
+        self._sends += 1
         if response is None:
-            self._note_send_failure(chain, outcome.err_value)
+            await self._on_send_failure(chain, outcome.err_value)
             return False
-        self._sends += 1
+        self._heads_by_id[chain.head.id] = chain.head
         head = parts.wire.reply_head(response)
         self._run = _Run(chain, self._job.tokens, response, head, EventSplitter())
         if head.status == SUCCESS and head.request_id == request.id:
@@ -212,11 +226,22 @@
             return True
         return await self._on_failure_reply(chain, head, response)
 
-    def _note_send_failure(self, chain: Chain, error) -> None:
-        if error.progress is not Progress.NOT_SENT:
-            self._sends += 1
-            self._may_have_run = True
-        self._blame(chain.head, error.detail)
+    async def _on_send_failure(self, chain: Chain, error: TransportError) -> None:
+        self._refusal_detail = error.detail
+        self._parts.events.emit(
+            "send_failed",
+            request=self._request.id,
+            target=chain.head.id,
+            progress=error.progress.value,
+            detail=error.detail,
+        )
+        if error.progress is Progress.NOT_SENT:
+            self._avoid(chain.head)
+            return
+        self._heads_by_id[chain.head.id] = chain.head
+        self._may_have_run = True
+        faulty = await self._parts.diagnosis.find_faulty(chain)
+        self._avoided.add((faulty or chain.head).id)
 
     async def _on_failure_reply(
         self, chain: Chain, head: ReplyHead, response: ClientResponse
@@ -232,6 +257,7 @@
                 status=head.status,
             )
             self._drop_run()
+            await self._parts.diagnosis.judge_rejection(runner)
             return False
         self._may_have_run = True
         if head.request_id == self._request.id and head.status < SERVER_ERROR:
@@ -242,7 +268,8 @@
             self._drop_run()
             if body is not None and not head.is_success:
                 return Response(head.status, head.headers, body)
-        self._blame(chain.head, f"status {head.status}")
+        self._refusal_detail = f"runner {chain.head.id}: status {head.status}"
+        self._avoid(chain.head)
         self._drop_run()
         return False
 
@@ -343,11 +370,16 @@
         try:
             return await self._read_within(run, patience_ms)
         except TimeoutError:
-            guilty = await self._find_stalled(run)
-        if guilty is not None:
-            self._parts.suspects.blame(guilty)
-            if not await self._repath(run, guilty):
-                raise StreamBrokenError(f"runner {guilty.id} does not answer")
+            faulty = await self._parts.diagnosis.find_faulty(run.chain)
+        self._parts.events.emit(
+            "pause_examined",
+            request=self._request.id,
+            target=run.chain.head.id,
+            after=self._last_id,
+            faulty=faulty.id if faulty else None,
+        )
+        if faulty is not None and not await self._repath(run, faulty):
+            raise StreamBrokenError(f"runner {faulty.id} does not answer")
         return await self._read_within(run, patience_ms * (GIVE_UP_FACTOR - 1))
 
     async def _read_within(self, run: _Run, patience_ms: float) -> bytes | None:
@@ -357,21 +389,10 @@
         async with asyncio.timeout(min(patience_ms, left_ms) / 1000):
             return await run.response.read_some()
 
-    async def _find_stalled(self, run: _Run) -> Target | None:
-        """Return the runner of the chain that does not answer, if one is known."""
-        report = await self._parts.runners.report(run.chain.head, REPORT_TIMEOUT_MS)
-        if report is None:
-            return run.chain.head
-        for job in report.stalled:
-            runner = run.chain.runner_at(job.address)
-            if runner is not None:
-                return runner
-        return None
-
-    async def _repath(self, run: _Run, guilty: Target) -> bool:
+    async def _repath(self, run: _Run, faulty: Target) -> bool:
         """Replace a runner of a running chain; return whether that was done."""
         parts = self._parts
-        if guilty.id == run.chain.head.id:
+        if faulty.id == run.chain.head.id:
             return False
         runners = parts.registry.of_service(self._service)
         suspects = {r.id for r in runners if parts.suspects.is_suspect(r)}
@@ -380,7 +401,7 @@
             runners,
             self._job,
             parts.vms(),
-            suspects | {guilty.id},
+            suspects | {faulty.id},
             run.chain.parts[0],
         )
         if chain is None:
@@ -390,7 +411,7 @@
         parts.events.emit(
             "chain_replaced" if is_done else "chain_not_replaced",
             request=self._request.id,
-            target=guilty.id,
+            target=faulty.id,
             outcome=outcome.value,
         )
         if is_done:
@@ -412,19 +433,18 @@
             after=self._last_id,
             detail=self._refusal_detail,
         )
-        if not isinstance(error, TimeoutError):
-            self._failed_runners += 1
-        self._avoided.add(run.chain.head.id)
         self._drop_run()
+        if isinstance(error, TimeoutError):
+            self._avoided.add(run.chain.head.id)
+            return
+        # A chain also breaks off where a runner in its middle fails.
+        faulty = await self._parts.diagnosis.find_faulty(run.chain)
+        if faulty is not None:
+            self._avoided.add(faulty.id)
 
-    def _blame(self, runner: Target, detail: str) -> None:
-        self._failed_runners += 1
-        self._refusal_detail = f"runner {runner.id} failed: {detail}"
+    def _avoid(self, runner: Target) -> None:
         self._avoided.add(runner.id)
         self._parts.suspects.blame(runner)
-        self._parts.events.emit(
-            "send_failed", request=self._request.id, target=runner.id, detail=detail
-        )
 
     def _drop_run(self) -> None:
         run, self._run = self._run, None
--- a/src/heathershunt/relay/suspects.py
+++ b/src/heathershunt/relay/suspects.py
@@ -34,6 +34,7 @@
         self._clock = clock
         self._by_id: dict[str, _Record] = {}
         self._timeouts_by_id: dict[str, int] = {}
+        self._paused_until: dict[str, Millis] = {}
 
     def note_timeout(self, target: Target) -> None:
         """Count a request that got no answer in its time; blame after some."""
@@ -59,12 +60,23 @@
         pause_ms = min(MOST_MS, BASE_MS * 2 ** (record.failures - 1))
         record.until = Millis(now + pause_ms)
 
+    def pause(self, target: Target, duration_ms: int) -> None:
+        """Avoid a target for a short time without counting a failure."""
+        self._paused_until[target.id] = Millis(self._clock.now() + duration_ms)
+
     def clear(self, target: Target) -> None:
         """Note a success of a target."""
         self.forget(target.id)
 
     def is_suspect(self, target: Target) -> bool:
         """Return whether a target is to be avoided now."""
+        paused_until = self._paused_until.get(target.id)
+        if paused_until is not None and self._clock.now() < paused_until:
+            return True
+        return self.is_blamed(target)
+
+    def is_blamed(self, target: Target) -> bool:
+        """Return whether a target failed lately."""
         record = self._by_id.get(target.id)
         if record is None or record.born != target.born:
             return False
@@ -74,3 +86,4 @@
         """Drop what is known of a target that is gone."""
         self._by_id.pop(target_id, None)
         self._timeouts_by_id.pop(target_id, None)
+        self._paused_until.pop(target_id, None)
