--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -121,6 +121,10 @@
         self._sends = 0
         self._heads_by_id: dict[str, Target] = {}
         self._may_have_run = False
+        self._replaced_chains = 0
+        self._last_event_at = request.received_at
+        self._first_event_ms: int | None = None
+        self._longest_gap_ms = 0
         self._refusal_detail = "no chain of runners holds all layers"
         likely = request.likely_tokens or engine.usual_answer or request.most_tokens
         answer = min(likely, request.most_tokens) if request.most_tokens else likely
@@ -314,9 +318,30 @@
                 if sink.backlog() > BACKLOG_BYTES:
                     await sink.drain()
                 events = await self._next_or_resumed()
+            self._note_end("complete")
+        except asyncio.CancelledError:
+            self._note_end("caller_left")
+            raise
+        except ConnectionError:
+            self._note_end("broken")
+            raise
         finally:
             self.close()
 
+    def _note_end(self, outcome: str) -> None:
+        run = self._run
+        self._parts.events.emit(
+            "stream_ended",
+            request=self._request.id,
+            outcome=outcome,
+            after=self._last_id,
+            first_event_ms=self._first_event_ms,
+            longest_gap_ms=self._longest_gap_ms,
+            sends=self._sends,
+            replaced_chains=self._replaced_chains,
+            chain=[part.runner.id for part in run.chain.parts] if run else [],
+        )
+
     def _write(self, sink: ResponseStream, events: list[StreamEvent]) -> None:
         fresh = []
         for event in events:
@@ -327,6 +352,16 @@
             fresh.append(event.data)
         if fresh:
             sink.write(b"".join(fresh))
+            self._note_gap()
+
+    def _note_gap(self) -> None:
+        now = self._parts.clock.now()
+        gap_ms = now - self._last_event_at
+        self._last_event_at = now
+        if self._first_event_ms is None:
+            self._first_event_ms = gap_ms
+        else:
+            self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
 
     async def _next_or_resumed(self) -> list[StreamEvent] | None:
         """Return the next events, from another run if need be; ``None`` at the end."""
@@ -418,6 +453,7 @@
             parts.ledger.remove(run.chain, run.tokens)
             run.chain = chain
             parts.ledger.add(chain, run.tokens)
+            self._replaced_chains += 1
         return is_done
 
     async def _on_break(self, error: BaseException) -> None:
