Weigh layers against KV cache, detect early, and stop faster

A stopping VM took work for 2.5 s more and stayed up to its limit.

Change: two thirds of the memory for layers; runners are asked after 250 ms without a first event; a working chain is left only while the request may still go elsewhere; the leader plans without runners that fail and give no report; leases of 2.5 s; new connections are taken for 1 s after the stop signal.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -49,11 +49,11 @@
 
 MEMBER_PREFIX = "vm/"
 LEADER_KEY = "leader/placement"
-LEASE_TTL_MS = 4000
+LEASE_TTL_MS = 2500
 TICK_MS = 100
 # After the stop signal, new connections are still taken for this long: callers use
 # addresses that they were given before.
-ACCEPT_AFTER_STOP_MS = 2500
+ACCEPT_AFTER_STOP_MS = 1000
 # Left of the grace time for closing.
 STOP_MARGIN_MS = 500
 DRAIN_POLL_MS = 50
@@ -177,6 +177,7 @@
             self._placeable,
             lambda: self.leadership.is_leader and not self.is_leaving,
             lambda: self.leadership.fencing_token,
+            self.suspects.is_blamed,
         )
         self._callers = HttpServer(self._handle_caller, cancels_handlers=True)
         self._readiness = HttpServer(self._handle_readiness)
--- a/src/heathershunt/pipelines/layout.py
+++ b/src/heathershunt/pipelines/layout.py
@@ -17,7 +17,7 @@
     .. versionadded:: 0.2
     """
 
-    weight_part: float = 0.75
+    weight_part: float = 0.66
     least_kv_tokens: int = 8000
 
 
--- a/src/heathershunt/pipelines/placer.py
+++ b/src/heathershunt/pipelines/placer.py
@@ -52,6 +52,8 @@
     :param runners: called for the runners of a service that stay.
     :param leads: called for whether this VM leads.
     :param fence: called for the fencing token of the leader.
+    :param is_doubtful: called for whether a runner failed lately; it is asked before a
+        plan relies on it.
 
     .. versionadded:: 0.2
     """
@@ -64,6 +66,7 @@
         runners: Callable[[str], Iterable[Target]],
         leads: Callable[[], bool],
         fence: Callable[[], int],
+        is_doubtful: Callable[[Target], bool],
         config: PlacerConfig | None = None,
         layout: LayoutConfig | None = None,
     ) -> None:
@@ -73,6 +76,8 @@
         self._runners = runners
         self._leads = leads
         self._fence = fence
+        self._is_doubtful = is_doubtful
+        self._dead: set[tuple[str, int]] = set()
         self._config = config or PlacerConfig()
         self._layout = layout or LayoutConfig()
         self._pending: dict[str, _Pending] = {}
@@ -91,7 +96,7 @@
                 await self._look(service, engine)
 
     async def _look(self, service: str, engine: Engine) -> None:
-        runners = list(self._runners(service))
+        runners = await self._without_dead(list(self._runners(service)))
         self._settle_pending(runners)
         if not self._is_settled(runners):
             return
@@ -100,6 +105,22 @@
         if plan:
             await asyncio.gather(*(self._order(engine, item) for item in plan))
 
+    async def _without_dead(self, runners: list[Target]) -> list[Target]:
+        """Leave out runners that fail and give no report.
+
+        Their entries may stay for seconds, while others could hold their layers.
+        """
+        doubtful = [runner for runner in runners if self._is_doubtful(runner)]
+        starts = {(runner.id, runner.born) for runner in doubtful}
+        self._dead &= starts
+        asked = [r for r in doubtful if (r.id, r.born) not in self._dead]
+        report_ms = self._config.report_ms
+        reports = await asyncio.gather(*(self._api.report(r, report_ms) for r in asked))
+        for runner, report in zip(asked, reports, strict=True):
+            if report is None or report.born != runner.born:
+                self._dead.add((runner.id, runner.born))
+        return [r for r in runners if (r.id, r.born) not in self._dead]
+
     def _is_settled(self, runners: list[Target]) -> bool:
         now = self._clock.now()
         known = frozenset((runner.id, runner.born) for runner in runners)
--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -9,7 +9,7 @@
 
 REPORT_TIMEOUT_MS = 150
 # Many streams pause at once when a runner fails; they share their questions.
-SHARED_MS = 250
+SHARED_MS = 600
 # Time for which a runner is passed over that rejected its part of a chain: it may be
 # short of memory, or giving up its layers.
 REJECTED_MS = 300
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -1,11 +1,12 @@
 """Relay of streams over chains of runners, with recovery inside one answer."""
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from functools import partial
 
 import h11
-from result import Err
+from result import Err, Result
 
 from heathershunt.catalog import Engine, Route
 from heathershunt.clock import Millis
@@ -25,13 +26,19 @@
 from heathershunt.verdict import Progress, may_have_run, not_run
 
 CONNECT_MS = 250
+# A runner sends the head of its reply with the first event.
+HEAD_TIMEOUT_MS = 1200
 # Pause after which the runners are asked who stalls, over the longest pause at which a
 # stream is still on time.
 SUSPECT_GAP_FACTOR = 1.25
 # Time to the first event after which the runners are asked, over its target.
-SUSPECT_FIRST_FACTOR = 1.6
-# Pause after which a chain is given up though no runner is known to stall.
-GIVE_UP_FACTOR = 3.0
+SUSPECT_FIRST_FACTOR = 0.5
+# Pause after which callers leave: the longest of these.
+LEAST_ABANDON_MS = 2000
+ABANDON_TARGETS = 4
+ABANDON_GAPS = 8
+# Part of that after which a chain is left though none of its runners is at fault.
+GIVE_UP_PART = 0.6
 # Sends of one request, whatever befell the runners.
 MAX_SENDS = 6
 RETRY_AFTER_MS = 500
@@ -174,7 +181,8 @@
         living = {
             head.id
             for head in self._heads_by_id.values()
-            if registry.get(head.id) == head and not suspects.is_blamed(head)
+            if _is_same_start(registry.get(head.id), head)
+            and not suspects.is_blamed(head)
         }
         return None if len(living) < self._route.max_attempts else living
 
@@ -203,16 +211,17 @@
         parts.ledger.add(chain, self._job.tokens)
         response = None
         try:
-            outcome = await parts.http.request(
+            sending = parts.http.request(
                 chain.head.address,
                 request.method,
                 request.target,
                 headers=parts.wire.fields(request, dispatch),
                 body=request.body,
-                timeout_ms=min(left_ms, self._first_patience_ms * GIVE_UP_FACTOR),
+                timeout_ms=min(left_ms, HEAD_TIMEOUT_MS),
                 connect_ms=CONNECT_MS,
                 fresh=True,
             )
+            outcome = await self._await_head(chain, sending)
             if not isinstance(outcome, Err):
                 response = outcome.ok_value
         finally:
@@ -230,6 +239,41 @@
             return True
         return await self._on_failure_reply(chain, head, response)
 
+    async def _await_head(
+        self, chain: Chain, sending: Coroutine
+    ) -> Result[ClientResponse, TransportError]:
+        """Return the head of the reply, which comes with the first event.
+
+        When it takes long, the runners are asked who is at fault.
+        """
+        task = asyncio.ensure_future(sending)
+        is_taken = False
+        try:
+            timeout = self._first_patience_ms / 1000
+            done, _ = await asyncio.wait({task}, timeout=timeout)
+            faulty = None if done else await self._examine(chain)
+            if faulty is not None and not task.done():
+                detail = f"runner {faulty.id} does not answer"
+                return Err(TransportError(Progress.SENT, detail))
+            outcome = await task
+            is_taken = True
+            return outcome
+        finally:
+            if not is_taken:
+                _abandon(task)
+
+    async def _examine(self, chain: Chain) -> Target | None:
+        """Return the runner that is at fault for a pause, if one is found."""
+        faulty = await self._parts.diagnosis.find_faulty(chain)
+        self._parts.events.emit(
+            "pause_examined",
+            request=self._request.id,
+            target=chain.head.id,
+            after=self._last_id,
+            faulty=faulty.id if faulty else None,
+        )
+        return faulty
+
     async def _on_send_failure(self, chain: Chain, error: TransportError) -> None:
         self._refusal_detail = error.detail
         self._parts.events.emit(
@@ -405,17 +449,28 @@
         try:
             return await self._read_within(run, patience_ms)
         except TimeoutError:
-            faulty = await self._parts.diagnosis.find_faulty(run.chain)
-        self._parts.events.emit(
-            "pause_examined",
-            request=self._request.id,
-            target=run.chain.head.id,
-            after=self._last_id,
-            faulty=faulty.id if faulty else None,
-        )
+            faulty = await self._examine(run.chain)
         if faulty is not None and not await self._repath(run, faulty):
             raise StreamBrokenError(f"runner {faulty.id} does not answer")
-        return await self._read_within(run, patience_ms * (GIVE_UP_FACTOR - 1))
+        return await self._read_within(run, self._second_patience_ms(run))
+
+    def _second_patience_ms(self, run: _Run) -> float:
+        """Return how long a run that works may go on pausing.
+
+        Another chain has to read all tokens again, so a slow one is left late, and only
+        while the request may still go elsewhere.
+        """
+        route = self._route
+        abandoned_ms = max(
+            LEAST_ABANDON_MS,
+            ABANDON_TARGETS * route.target_latency_ms,
+            ABANDON_GAPS * route.target_gap_ms,
+        )
+        paused_ms = self._parts.clock.now() - self._last_event_at
+        heads = self._heads_left()
+        may_move = heads is None or bool(heads - {run.chain.head.id})
+        part = GIVE_UP_PART if may_move else 1.0
+        return max(1.0, abandoned_ms * part - paused_ms)
 
     async def _read_within(self, run: _Run, patience_ms: float) -> bytes | None:
         left_ms = self._deadline - self._parts.clock.now()
@@ -491,3 +546,18 @@
     def close(self) -> None:
         """Drop the connection to the runner, which ends its work."""
         self._drop_run()
+
+
+def _is_same_start(known: Target | None, runner: Target) -> bool:
+    """Return whether a runner still is the one that a request was sent to."""
+    return known is not None and known.born == runner.born
+
+
+def _abandon(task: asyncio.Future) -> None:
+    """Cancel a request; drop its connection if the reply has come after all."""
+    if not task.done():
+        task.cancel()
+    elif not task.cancelled() and task.exception() is None:
+        outcome = task.result()
+        if not isinstance(outcome, Err):
+            outcome.ok_value.close()
