Fill gaps with the smallest runner that fits, and mix domains where one lacks layers

Ruled out: keeping the largest; it fills the gap at once but loads the longest.

Change: of the runners that fill the gap, the one that loads least is moved. Chains over several domains are weighed whenever a domain lacks layers, and the cost of a hop is kept for each domain before it.

--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -39,11 +39,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Step:
-    """Cheapest way to a layer: the runner of the last part and where it begins."""
+    """Cheapest way to a layer: the runner of the last part and where it begins.
+
+    :param before: the way to the first layer of that part.
+    """
 
     cost: float
     first: int
     runner: Target | None
+    before: "_Step | None"
 
 
 class ChainChooser:
@@ -84,24 +88,24 @@
         usable = [runner for runner in usable if runner.held.version == version]
         if head is not None and all(r.id != head.runner.id for r in usable):
             return None
-        chains = []
-        domains = {runner.domain for runner in usable}
-        for domain in sorted(domains):
+        found = []
+        domains = sorted({runner.domain for runner in usable})
+        for domain in domains:
             inside = [
                 runner
                 for runner in usable
                 if runner.domain == domain or (head and runner.id == head.runner.id)
             ]
-            found = self._cheapest(engine, inside, job, vms, head, heads)
-            if found is not None:
-                chains.append(found)
-        if not chains or min(cost for cost, _ in chains) >= FULL_MS:
-            found = self._cheapest(engine, usable, job, vms, head, heads)
-            if found is not None:
-                chains.append(found)
-        if not chains:
+            found.append(self._cheapest(engine, inside, job, vms, head, heads))
+        whole = [pair for pair in found if pair is not None]
+        # Chains over several domains matter where one of them lacks layers or room.
+        if len(whole) < len(domains) or min(cost for cost, _ in whole) >= FULL_MS:
+            mixed = self._cheapest(engine, usable, job, vms, head, heads)
+            if mixed is not None:
+                whole.append(mixed)
+        if not whole:
             return None
-        return min(chains, key=lambda pair: pair[0])[1]
+        return min(whole, key=lambda pair: pair[0])[1]
 
     def _cheapest(
         self,
@@ -119,33 +123,41 @@
             | {min(runner.held.end, engine.layers) for runner in runners}
         )
         rates = {runner.id: self._rate(engine, runner, job, vms) for runner in runners}
-        best: dict[int, _Step] = {0: _Step(0.0, 0, None)}
+        ends_by_id = {
+            runner.id: [cut for cut in cuts if cut <= runner.held.end]
+            for runner in runners
+        }
+        # The cost of a hop depends on the domain before it, so that is kept apart.
+        best: dict[int, dict[str, _Step]] = {0: {"": _Step(0.0, 0, None, None)}}
         for at in cuts:
-            here = best.get(at)
-            if here is None or at >= engine.layers:
+            steps = best.get(at)
+            if steps is None or at >= engine.layers:
                 continue
             for runner in runners:
-                held = runner.held
-                if not held.first <= at < held.end:
-                    continue
-                if at == 0 and head is not None and runner.id != head.runner.id:
+                if not runner.held.first <= at < runner.held.end:
                     continue
-                if at == 0 and heads is not None and runner.id not in heads:
+                if at == 0 and not _may_head(runner, head, heads):
                     continue
-                base = here.cost + self._entry_cost(here.runner, runner, job, vms)
-                for end in cuts:
-                    if not at < end <= held.end:
-                        continue
-                    if at == 0 and head is not None and end != head.end:
+                before, base = min(
+                    (
+                        (step, step.cost + self._entry_cost(step, runner, job, vms))
+                        for step in steps.values()
+                    ),
+                    key=lambda pair: pair[1],
+                )
+                for end in ends_by_id[runner.id]:
+                    if end <= at or (at == 0 and head and end != head.end):
                         continue
                     cost = base + self._part_cost(
                         engine, runner, rates[runner.id], end - at, job, vms
                     )
-                    if end not in best or cost < best[end].cost:
-                        best[end] = _Step(cost, at, runner)
+                    known = best.setdefault(end, {}).get(runner.domain)
+                    if known is None or cost < known.cost:
+                        best[end][runner.domain] = _Step(cost, at, runner, before)
         if engine.layers not in best:
             return None
-        return best[engine.layers].cost, _walk_back(best, engine.layers)
+        last = min(best[engine.layers].values(), key=lambda step: step.cost)
+        return last.cost, _walk_back(last, engine.layers)
 
     def _rate(self, engine: Engine, runner: Target, job: Job, vms: int) -> float:
         """Return the estimated time of the request for all layers on this runner."""
@@ -160,13 +172,11 @@
         share = read_ms * running / max(1.0, job.answer_tokens)
         return read_ms + job.answer_tokens * (pace * step_ms + share)
 
-    def _entry_cost(
-        self, before: Target | None, runner: Target, job: Job, vms: int
-    ) -> float:
-        if before is None:
+    def _entry_cost(self, before: _Step, runner: Target, job: Job, vms: int) -> float:
+        if before.runner is None:
             received = self._ledger.load(runner.id).received * vms
             return FULL_MS if received >= runner.slots else 0.0
-        if before.domain == runner.domain:
+        if before.runner.domain == runner.domain:
             return HOP_MS * job.answer_tokens
         return (HOP_MS + CROSS_DOMAIN_MS) * job.answer_tokens
 
@@ -196,11 +206,20 @@
     return max(0.0, (kind.memory_mb - held * engine.layer_mb) / engine.kv_mb)
 
 
-def _walk_back(best: dict[int, _Step], layers: int) -> Chain:
+def _may_head(
+    runner: Target, head: ChainPart | None, heads: Collection[str] | None
+) -> bool:
+    if head is not None and runner.id != head.runner.id:
+        return False
+    return heads is None or runner.id in heads
+
+
+def _walk_back(last: _Step, layers: int) -> Chain:
     parts = []
-    at = layers
-    while at > 0:
-        step = best[at]
-        parts.append(ChainPart(step.runner, step.first, at))
-        at = step.first
+    end = layers
+    step = last
+    while step.runner is not None:
+        parts.append(ChainPart(step.runner, step.first, end))
+        end = step.first
+        step = step.before
     return Chain.from_parts(reversed(parts))
--- a/src/heathershunt/pipelines/layout.py
+++ b/src/heathershunt/pipelines/layout.py
@@ -95,24 +95,40 @@
     """Move redundant runners to layers that nobody in the domain holds."""
     plan = []
     movable = [r for r in runners if r.held is not None and r.id not in pending]
-    while 0 in copies and movable:
+    while 0 in copies:
         spare = [r for r in movable if _is_redundant(copies, held[r.id])]
         if not spare:
             break
-        runner = max(spare, key=lambda r: (layers_for(engine, r, config), r.id))
+        gap = _first_gap(copies)
+        runner = min(spare, key=lambda r: _move_cost(engine, r, config, gap.size))
         movable.remove(runner)
         size = layers_for(engine, runner, config)
         _count(copies, held[runner.id], -1)
         layers = _thinnest(copies, size)
-        if 0 not in copies[layers.first : layers.end]:
-            _count(copies, held[runner.id], 1)
-            break
         _count(copies, layers, 1)
         held[runner.id] = layers
         plan.append(Placement(runner, layers))
     return plan
 
 
+def _move_cost(engine, runner: Target, config: LayoutConfig, gap: int):
+    """Return a key that is least for the runner to move.
+
+    As much of the gap as possible shall be filled; of the runners that fill it, the one
+    that loads least is ready first and takes the least away from where it was.
+    """
+    size = layers_for(engine, runner, config)
+    return (-min(size, gap), size, runner.id)
+
+
+def _first_gap(copies: list[int]) -> LayerRange:
+    first = copies.index(0)
+    end = first
+    while end < len(copies) and copies[end] == 0:
+        end += 1
+    return LayerRange(first, end)
+
+
 def _is_redundant(copies: list[int], layers: LayerRange) -> bool:
     return all(count > 1 for count in copies[layers.first : layers.end])
 
