Accept keys until the revocation bound, and tell an outage from an old view

A view that changed twice in a row counted as an outage (calm VMs logged "store regained" at 11.4 s and 12.9 s), and gone targets were then kept for 2.5 s more, too long for the drain bound.

Change: callers are sent elsewhere after 3 s, keys are refused after 4.5 s; an outage is judged by the last answer; a first runner counts as an attempt only if it took the request or rejected it for itself.

--- a/src/heathershunt/coordination/view.py
+++ b/src/heathershunt/coordination/view.py
@@ -69,6 +69,7 @@
         self._on_changes = on_changes
         self._on_return = on_return
         self._failures = 0
+        self._answered_at: Millis | None = None
         self.revision: int | None = None
         self.confirmed_at: Millis | None = None
 
@@ -116,12 +117,12 @@
 
     def _note_contact(self, confirmed_at: int) -> None:
         now = self._clock.now()
-        away_ms = None if self.confirmed_at is None else now - self.confirmed_at
+        away_ms = 0 if self._answered_at is None else now - self._answered_at
         # A suspended process finds its own clock further on than the wait explains.
-        limit = self._config.wait_ms + self._config.outage_ms
-        if away_ms is not None and away_ms > limit:
+        if away_ms > self._config.wait_ms + self._config.outage_ms:
             log.notice("store regained after {} ms", away_ms)
             self._on_return(away_ms)
+        self._answered_at = now
         self.confirmed_at = Millis(min(now, max(confirmed_at, self.confirmed_at or 0)))
         self._failures = 0
 
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -249,7 +249,7 @@
         """Return whether callers are better served here than turned away."""
         if self.is_leaving or self.catalog is None:
             return False
-        return self.entry.is_fit_for_keys()
+        return self.entry.is_fit()
 
     # The view of the store
 
--- a/src/heathershunt/gateway/entry.py
+++ b/src/heathershunt/gateway/entry.py
@@ -10,8 +10,10 @@
 from heathershunt.relay import CallerRequest, CallRelay, RelayParts, StreamRelay, refuse
 from heathershunt.verdict import Refusal, not_run
 
-# Part of the revocation bound after which a view without contact is too old for keys.
-KEY_AGE_PART = 0.6
+# Keys are refused this long before the revocation bound has passed without contact.
+KEY_MARGIN_MS = 500
+# Part of the revocation bound after which callers are better served elsewhere.
+FIT_AGE_PART = 0.6
 RETRY_AFTER_MS = 300
 # The final answer leaves this much before the time limit, so that it arrives in time.
 ANSWER_MARGIN_MS = 20
@@ -58,12 +60,19 @@
                 return self._refuse(request, account)
         return await self._relay(catalog, request, route, account)
 
-    def is_fit_for_keys(self) -> bool:
-        """Return whether a removed API key would be known to be removed."""
+    def is_fit(self) -> bool:
+        """Return whether callers with keys are as well served here as elsewhere."""
+        return self._is_fresher_than(self._bounds.revoke_ms * FIT_AGE_PART)
+
+    def _may_check_keys(self) -> bool:
+        """Return whether a removed API key would be known to be removed in time."""
+        return self._is_fresher_than(self._bounds.revoke_ms - KEY_MARGIN_MS)
+
+    def _is_fresher_than(self, limit_ms: float) -> bool:
         if not self._bounds.is_revocation_strict:
             return True
         age = self._view_age_ms()
-        return age is not None and age < self._bounds.revoke_ms * KEY_AGE_PART
+        return age is not None and age < limit_ms
 
     def _is_current(self) -> bool:
         age = self._view_age_ms()
@@ -77,7 +86,7 @@
     def _account(
         self, catalog: Catalog, request: CallerRequest
     ) -> ClientAccount | Refusal:
-        if not self.is_fit_for_keys():
+        if not self._may_check_keys():
             return _unavailable("API keys cannot be checked without the store")
         account = catalog.account_for_key(request.key) if request.key else None
         if account is not None:
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -231,13 +231,14 @@
         if response is None:
             await self._on_send_failure(chain, outcome.err_value)
             return False
+        was_known = chain.head.id in self._heads_by_id
         self._heads_by_id[chain.head.id] = chain.head
         head = parts.wire.reply_head(response)
         self._run = _Run(chain, self._job.tokens, response, head, EventSplitter())
         if head.status == SUCCESS and head.request_id == request.id:
             self._may_have_run = True
             return True
-        return await self._on_failure_reply(chain, head, response)
+        return await self._on_failure_reply(chain, head, response, was_known)
 
     async def _await_head(
         self, chain: Chain, sending: Coroutine
@@ -292,10 +293,17 @@
         self._avoided.add((faulty or chain.head).id)
 
     async def _on_failure_reply(
-        self, chain: Chain, head: ReplyHead, response: ClientResponse
+        self,
+        chain: Chain,
+        head: ReplyHead,
+        response: ClientResponse,
+        was_known: bool,
     ) -> Response | bool:
         if head.is_not_run:
             runner = chain.runner_at(head.faulty_address or "") or chain.head
+            if runner.id != chain.head.id and not was_known:
+                # The first runner would have taken the request on another chain.
+                del self._heads_by_id[chain.head.id]
             self._avoided.add(runner.id)
             self._refusal_detail = f"runner {runner.id} rejected it: {head.status}"
             self._parts.events.emit(
