Test the gateway against stand-ins of the platform

Change: stand-ins of the metadata store and of targets, a site fixture, and tests of the catalog, the registry, the view, chains, layout, events, budget, suspects, and of a whole gateway: streams over chains, plain calls, configuration, keys, directory and stopping.

Found by the tests and mended: the chooser raised when no runner was left; a target that left while the store's history was dropped was kept as if the store had been away; a VM whose entry was removed did not write it again.

--- a/src/heathershunt/coordination/lease.py
+++ b/src/heathershunt/coordination/lease.py
@@ -48,7 +48,8 @@
         return self.lease is not None and self._clock.now() < self._valid_until
 
     def publish(self) -> None:
-        """Write the value soon, as it has changed."""
+        """Write the value soon, as it has changed or was removed."""
+        self._published = None
         self._wake.set()
 
     async def run(self) -> None:
--- a/src/heathershunt/discovery/registry.py
+++ b/src/heathershunt/discovery/registry.py
@@ -70,9 +70,8 @@
     def replace_all(self, targets: Iterable[Target]) -> None:
         """Take a complete list; what it lacks may have lapsed with the store."""
         listed = {target.id: target for target in targets}
-        now = self._clock.now()
         for target_id in self._by_id.keys() - listed.keys():
-            self._missing_since.setdefault(target_id, now)
+            self.remove(target_id)
         for target in listed.values():
             self.put(target)
 
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -221,9 +221,13 @@
                 break
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         self._events.emit("stopped", cut=self._callers.busy)
-        for server in (self._callers, self._readiness, self._directory):
-            await server.close()
         ending.cancel()
+        self.stop_now()
+
+    def stop_now(self) -> None:
+        """Close the listeners, cut what runs and end the background tasks."""
+        for server in (self._callers, self._readiness, self._directory):
+            server.close_now()
         for task in self._tasks:
             task.cancel()
         self._events.flush()
@@ -308,6 +312,8 @@
             self.members.put(member)
         else:
             self.members.remove(vm)
+            if vm == self.config.vm and self.directory.takes_callers:
+                self.keeper.publish()
         self._events.emit("member", member=vm, is_listed=member is not None)
 
     def _on_configuration(self, entry: StoreEntry) -> None:
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -83,6 +83,10 @@
 
     async def close(self) -> None:
         """Stop to accept connections and cut the remaining ones."""
+        self.close_now()
+
+    def close_now(self) -> None:
+        """Do what :meth:`close` does, without a coroutine."""
         if self._server is None:
             return
         self._server.close()
--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -98,8 +98,9 @@
             ]
             found.append(self._cheapest(engine, inside, job, vms, head, heads))
         whole = [pair for pair in found if pair is not None]
+        least = min((cost for cost, _ in whole), default=FULL_MS)
         # Chains over several domains matter where one of them lacks layers or room.
-        if len(whole) < len(domains) or min(cost for cost, _ in whole) >= FULL_MS:
+        if len(whole) < len(domains) or least >= FULL_MS:
             mixed = self._cheapest(engine, usable, job, vms, head, heads)
             if mixed is not None:
                 whole.append(mixed)
--- /dev/null
+++ b/standins/metadata_store.py
@@ -0,0 +1,222 @@
+"""Stand-in of the platform's metadata store, in memory, with faults to switch on."""
+
+import asyncio
+import base64
+import itertools
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from heathershunt.http import HttpServer, Request, Response
+
+PAGE_ITEMS = 50
+JSON_TYPE = {"content-type": "application/json"}
+
+
+@dataclass(frozen=True)
+class _Item:
+    key: str
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+class MetadataStoreStandIn:
+    """Keys with revisions, leases and watches over HTTP.
+
+    :ivar is_down: answer every call with 503.
+    :ivar lost_replies: number of writes to carry out without an answer.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[str, _Item] = {}
+        self._history: list[tuple[int, str, _Item | None]] = []
+        self._forgotten = 0
+        self._revision = 1
+        self._leases: dict[int, tuple[float, int]] = {}
+        self._lease_numbers = itertools.count(1000)
+        self._changed = asyncio.Event()
+        self._server = HttpServer(self._handle)
+        self._expiry: asyncio.Task | None = None
+        self.is_down = False
+        self.lost_replies = 0
+
+    async def start(self) -> str:
+        """Listen on a free port and return the address."""
+        await self._server.start("127.0.0.1", 0)
+        self._expiry = asyncio.create_task(self._expire_leases())
+        return f"127.0.0.1:{self._server.port}"
+
+    async def stop(self) -> None:
+        """Stop to listen."""
+        self._expiry.cancel()
+        await self._server.close()
+
+    # What a test does directly
+
+    def put(self, key: str, value: object) -> None:
+        """Write a value, JSON unless it is bytes."""
+        raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self._write(key, raw, 0)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if key in self._items:
+            self._note(key, None)
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys under a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def value(self, key: str) -> bytes | None:
+        """Return the value of a key."""
+        item = self._items.get(key)
+        return item.value if item else None
+
+    def forget_history(self) -> None:
+        """Drop the history; watches from before get 410."""
+        self._forgotten = self._revision
+        self._history.clear()
+        self._changed.set()
+
+    def _write(self, key: str, value: bytes, lease: int) -> None:
+        created = self._items[key].created if key in self._items else 0
+        item = _Item(key, value, 0, created, lease)
+        self._note(key, item)
+
+    def _note(self, key: str, item: _Item | None) -> None:
+        self._revision += 1
+        if item is None:
+            del self._items[key]
+        else:
+            created = item.created or self._revision
+            item = replace(item, revision=self._revision, created=created)
+            self._items[key] = item
+        self._history.append((self._revision, key, item))
+        self._changed.set()
+
+    # Calls
+
+    async def _handle(self, request: Request) -> Response:
+        if self.is_down:
+            return Response(503)
+        name, _, argument = request.path.strip("/").partition("/")
+        calls = {
+            "kv-key": self._key,
+            "kv-range": self._range,
+            "kv-watch": self._watch,
+            "kv-txn": self._transaction,
+            "kv-lease": self._grant,
+            "kv-keep": self._keep,
+            "kv-lease-end": self._end,
+        }
+        if name not in calls:
+            return Response(404)
+        response = await calls[name](request, argument)
+        if self.lost_replies and name == "kv-txn":
+            self.lost_replies -= 1
+            raise ConnectionError("the reply is lost")
+        return response
+
+    async def _key(self, request: Request, _) -> Response:
+        item = self._items.get(request.query.get("key", ""))
+        if item is None:
+            return Response(404)
+        return _reply({**_encode(item), "current_rev": self._revision})
+
+    async def _range(self, request: Request, _) -> Response:
+        prefix, after = request.query.get("prefix", ""), request.query.get("after", "")
+        keys = [key for key in self.keys(prefix) if key > after]
+        items = [_encode(self._items[key]) for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        revision = self._revision
+        return _reply({"items": items, "has_more": more, "current_rev": revision})
+
+    async def _watch(self, request: Request, _) -> Response:
+        prefix = request.query.get("prefix", "")
+        after = int(request.query["after"])
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(request.query["wait_ms"]) / 1000
+        while True:
+            if after < self._forgotten:
+                return Response(410)
+            events = [
+                _encode(item)
+                if item
+                else {"key": key, "revision": revision, "tombstone": True}
+                for revision, key, item in self._history
+                if revision > after and key.startswith(prefix)
+            ]
+            left = until - loop.time()
+            if events or left <= 0:
+                return _reply({"events": events, "current_rev": self._revision})
+            self._changed.clear()
+            try:
+                await asyncio.wait_for(self._changed.wait(), min(left, 0.05))
+            except TimeoutError:
+                pass
+
+    async def _transaction(self, request: Request, _) -> Response:
+        body = msgspec.json.decode(request.body)
+        for row in body["expected"]:
+            item = self._items.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                return Response(412, JSON_TYPE, b'{"items":[]}')
+        for row in body["puts"]:
+            if row.get("lease", 0) and row["lease"] not in self._leases:
+                return Response(404)
+        for row in body["puts"]:
+            self._write(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
+        for key in body["remove"]:
+            self.remove(key)
+        return _reply({"revision": self._revision})
+
+    async def _grant(self, request: Request, _) -> Response:
+        ttl_ms = msgspec.json.decode(request.body)["ttl_ms"]
+        lease = next(self._lease_numbers)
+        self._leases[lease] = (asyncio.get_running_loop().time(), ttl_ms)
+        return _reply({"lease": lease, "ttl_ms": ttl_ms})
+
+    async def _keep(self, _, argument: str) -> Response:
+        lease = int(argument)
+        if lease not in self._leases:
+            return Response(404)
+        ttl_ms = self._leases[lease][1]
+        self._leases[lease] = (asyncio.get_running_loop().time(), ttl_ms)
+        return _reply({"ttl_ms": ttl_ms})
+
+    async def _end(self, _, argument: str) -> Response:
+        self._end_lease(int(argument))
+        return _reply({})
+
+    def _end_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for item in list(self._items.values()):
+            if item.lease == lease:
+                self._note(item.key, None)
+
+    async def _expire_leases(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.05)
+            if self.is_down:
+                continue
+            for lease, (kept_at, ttl_ms) in list(self._leases.items()):
+                if loop.time() - kept_at > ttl_ms / 1000:
+                    self._end_lease(lease)
+
+
+def _encode(item: _Item) -> dict[str, object]:
+    value = base64.b64encode(item.value).decode()
+    return {
+        "key": item.key,
+        "value": value,
+        "revision": item.revision,
+        "created": item.created,
+        "lease": item.lease,
+    }
+
+
+def _reply(payload: object) -> Response:
+    return Response(200, JSON_TYPE, msgspec.json.encode(payload))
--- /dev/null
+++ b/tests/catalog/test_catalog.py
@@ -0,0 +1,72 @@
+import pytest
+
+from heathershunt.catalog import (
+    CallerLimits,
+    Catalog,
+    ClientAccount,
+    Repeatability,
+    Route,
+    WeightedService,
+    hash_key,
+)
+
+
+def route(prefix, host="a.example", **options):
+    values = {
+        "name": prefix,
+        "host": host,
+        "prefix": prefix,
+        "repeatability": Repeatability.IDEMPOTENT,
+        "services": (WeightedService("s", 1.0),),
+        "timeout_ms": 1000,
+        "target_latency_ms": 100,
+    }
+    return Route(**(values | options))
+
+
+def catalog(*routes, accounts=()):
+    return Catalog.from_parts(1, routes, (), accounts, CallerLimits(), True)
+
+
+@pytest.mark.parametrize(
+    ("path", "prefix"),
+    [
+        ("/a/b/c", "/a/b/"),
+        ("/a/b/", "/a/b/"),
+        ("/a/b", "/a/"),
+        ("/a/", "/a/"),
+        ("/a", None),
+        ("/x/a/b/", None),
+    ],
+)
+def test_longest_prefix_that_begins_the_path_wins(path, prefix):
+    found = catalog(route("/a/"), route("/a/b/")).route_for("a.example", path)
+    assert (found.prefix if found else None) == prefix
+
+
+def test_route_of_another_host_is_not_used():
+    assert catalog(route("/a/")).route_for("b.example", "/a/x") is None
+
+
+def test_account_is_found_by_each_of_its_keys_and_by_no_other():
+    owner = ClientAccount("owner", (hash_key("one"), hash_key("two")))
+    found = catalog(accounts=[owner])
+    assert found.account_for_key("two") is owner
+    assert found.account_for_key("three") is None
+
+
+@pytest.mark.parametrize(
+    ("repeatability", "is_resumable", "may_repeat"),
+    [
+        (Repeatability.IDEMPOTENT, False, True),
+        (Repeatability.NON_IDEMPOTENT, False, False),
+        (Repeatability.NON_IDEMPOTENT, True, False),
+        (Repeatability.STREAM, False, False),
+        (Repeatability.STREAM, True, True),
+    ],
+)
+def test_only_idempotent_calls_and_resumable_streams_repeat(
+    repeatability, is_resumable, may_repeat
+):
+    found = route("/a/", repeatability=repeatability, is_resumable=is_resumable)
+    assert found.may_repeat is may_repeat
--- /dev/null
+++ b/tests/discovery/test_registry.py
@@ -0,0 +1,71 @@
+import pytest
+
+from heathershunt.discovery import Target, TargetRegistry
+from heathershunt.discovery.registry import REAPPEAR_MS
+from heathershunt.http import Address
+
+
+def target(target_id, **options):
+    values = {"service": "s", "address": Address("10.0.0.1", 80), "domain": "a"}
+    return Target(id=target_id, slots=4, **(values | options))
+
+
+@pytest.fixture
+def registry(clock):
+    return TargetRegistry(clock, lambda target_id: None)
+
+
+def ids(registry):
+    return {item.id for item in registry.of_service("s")}
+
+
+def test_removed_target_is_gone_at_once_in_steady_state(registry):
+    registry.put(target("t1"))
+    registry.remove("t1")
+    assert ids(registry) == set()
+
+
+def test_list_without_a_target_removes_it_at_once_in_steady_state(registry):
+    # Guards against a target that left while the history was dropped: it must receive
+    # nothing after the drain bound, so it is not kept as if the store had been away.
+    registry.replace_all([target("t1"), target("t2")])
+    registry.replace_all([target("t2")])
+    assert ids(registry) == {"t2"}
+
+
+def test_target_whose_entry_lapsed_with_the_store_is_kept_until_it_reappears(
+    registry, clock
+):
+    registry.put(target("t1"))
+    registry.store_returned()
+    registry.remove("t1")
+    assert ids(registry) == {"t1"}
+    assert registry.is_missing("t1")
+    registry.put(target("t1"))
+    clock.advance(REAPPEAR_MS)
+    registry.expire()
+    assert ids(registry) == {"t1"}
+    assert not registry.is_missing("t1")
+
+
+def test_target_that_does_not_reappear_after_an_outage_is_gone(registry, clock):
+    registry.replace_all([target("t1")])
+    registry.store_returned()
+    registry.replace_all([])
+    clock.advance(REAPPEAR_MS)
+    registry.expire()
+    assert ids(registry) == set()
+
+
+def test_draining_target_takes_nothing_new(registry):
+    registry.put(target("t1"))
+    registry.put(target("t1", is_draining=True))
+    assert ids(registry) == set()
+    assert [item.id for item in registry.all_of_service("s")] == ["t1"]
+
+
+def test_target_that_changes_its_service_leaves_the_old_one(registry):
+    registry.put(target("t1"))
+    registry.put(target("t1", service="other"))
+    assert ids(registry) == set()
+    assert [item.id for item in registry.of_service("other")] == ["t1"]
--- /dev/null
+++ b/tests/gateway/test_calls.py
@@ -0,0 +1,115 @@
+"""Plain calls: what may be repeated, and what is promised of what was not."""
+
+import asyncio
+
+import pytest
+
+from heathershunt.http import Response
+
+
+def answer_all(site, answer):
+    for name in ("desk-a", "desk-b"):
+        site.targets[name].answer = answer
+
+
+def reject(request):
+    return Response(503, {"heathershunt-not-executed": "1"})
+
+
+def fail(request):
+    return Response(500, {}, b"broken")
+
+
+async def test_answer_comes_back_with_its_receipt_and_body(site):
+    status, headers, body = await site.call("POST", "/orders/7?x=%20y", b"order")
+    assert (status, body) == (200, b"done")
+    (run,) = site.runs()
+    assert headers["heathershunt-response-signature"] == f"receipt-{run.runner}"
+    assert (run.target, run.body) == ("/orders/7?x=%20y", b"order")
+
+
+async def test_call_that_may_not_repeat_is_sent_once_and_its_loss_is_told(site):
+    # Guards the at-most-once promise: after a reset nobody knows whether it ran.
+    def drop(request):
+        raise ConnectionError("the reply is lost")
+
+    answer_all(site, drop)
+    status, _, _ = await site.call("POST", "/orders/7", b"order")
+    assert status == 502
+
+
+async def test_rejected_call_is_refused_with_a_promise(site):
+    answer_all(site, reject)
+    status, headers, _ = await site.call("POST", "/orders/7", b"order")
+    assert status == 503
+    assert 0 < float(headers["retry-after"]) < 2
+    assert site.runs() == []
+
+
+async def test_idempotent_call_is_repeated_at_another_target(site):
+    site.targets["desk-a"].answer = fail
+    site.targets["desk-b"].answer = None
+    for _ in range(4):
+        status, _, _ = await site.call("GET", "/status/7")
+        assert status == 200
+
+
+async def test_failure_that_stays_comes_back_as_the_target_gave_it(site):
+    answer_all(site, fail)
+    status, headers, body = await site.call("GET", "/status/7")
+    assert (status, body) == (500, b"broken")
+    assert "heathershunt-response-signature" in headers
+    assert len(site.runs()) == 2
+
+
+async def test_rejection_after_a_run_is_no_promise(site):
+    # Guards against telling a caller that nothing ran when a first target had run it.
+    answers = iter((fail, reject))
+    answer_all(site, lambda request: next(answers)(request))
+    status, _, _ = await site.call("GET", "/status/7")
+    assert status == 502
+
+
+async def test_reply_of_another_request_is_not_passed_on(site):
+    answer_all(site, lambda r: Response(200, {"heathershunt-request-id": "other"}))
+    status, _, _ = await site.call("POST", "/orders/7", b"order")
+    assert status == 502
+
+
+async def test_silent_target_ends_with_a_timeout_at_the_caller_s_limit(site):
+    for name in ("desk-a", "desk-b"):
+        site.targets[name].is_dark = True
+    started = asyncio.get_running_loop().time()
+    status, _, _ = await site.call(
+        "POST", "/orders/7", b"order", heathershunt_deadline_ms="300"
+    )
+    assert status == 504
+    assert asyncio.get_running_loop().time() - started < 0.6
+
+
+async def test_target_whose_address_is_used_again_does_not_run_the_request(site):
+    # Another service answers at the address; it must reject and the caller may retry.
+    site.targets["desk-a"].id = "newcomer"
+    site.targets["desk-b"].id = "newcomer-2"
+    status, _, _ = await site.call("POST", "/orders/7", b"order")
+    assert status == 503
+    assert site.runs() == []
+
+
+@pytest.mark.parametrize(
+    ("path", "changes", "status"),
+    [
+        ("/nowhere/7", {}, 404),
+        ("/orders/7", {"host": "other.example"}, 404),
+        ("/orders/7", {"authorization": "Token wrong"}, 401),
+        ("/orders/7", {"authorization": None}, 401),
+        ("/open/7", {"authorization": None}, 200),
+        ("/orders/7", {"heathershunt_deadline_ms": "soon"}, 400),
+    ],
+)
+async def test_requests_are_judged_by_the_configuration(site, path, changes, status):
+    assert (await site.call("POST", path, b"x", **changes))[0] == status
+
+
+async def test_body_beyond_the_limit_is_refused(site):
+    assert (await site.call("POST", "/orders/7", b"x" * 10_001))[0] == 413
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,123 @@
+"""Streams over chains, with the failures that the platform names."""
+
+import asyncio
+import re
+
+import pytest
+
+from tests.gateway.site import configuration
+
+EVENT = re.compile(rb"id: (\d+)\ndata: event (\d+)\n\n")
+
+
+def ids(body):
+    found = EVENT.findall(body)
+    assert b"".join(b"id: %b\ndata: event %b\n\n" % pair for pair in found) == body
+    return [int(number) for number, _ in found]
+
+
+def covers_all_layers(chain):
+    at = 0
+    for part in chain.split(","):
+        first, _, end = part.partition("=")[2].partition("-")
+        if int(first) != at:
+            return False
+        at = int(end)
+    return at == 80
+
+
+async def test_stream_passes_every_layer_once_and_in_order_for_each_event(site):
+    response = await site.open_stream(events=30)
+    assert ids(await response.read()) == list(range(1, 31))
+    (run,) = site.runs()
+    assert len(run.chains) == 30
+    assert all(map(covers_all_layers, run.chains))
+
+
+async def test_runner_gets_the_account_and_not_the_key(site):
+    response = await site.open_stream(events=2, heathershunt_tenant="forged")
+    await response.read()
+    (run,) = site.runs()
+    assert run.headers["heathershunt-tenant"] == "owner"
+    assert "authorization" not in run.headers
+    assert run.headers["heathershunt-expect-instance"] == run.runner
+    assert int(run.headers["heathershunt-deadline-ms"]) <= 5000
+
+
+async def test_stream_goes_on_without_a_gap_after_a_later_runner_dies(site):
+    # Guards against a piece that is missing or comes twice after the chain is replaced.
+    response = await site.open_stream(events=100)
+    first = await response.read_some()
+    chain = site.runs()[0].chains[0]
+    later = chain.split(",")[1].partition("=")[0]
+    site.fleet[later].is_dark = True
+    body = first + await response.read()
+    assert ids(body) == list(range(1, 101))
+    assert len(site.runs()) == 1, "the chain is replaced, the prompt is not sent again"
+    assert later not in site.runs()[0].chains[-1]
+
+
+async def test_stream_goes_on_at_another_runner_after_the_first_one_dies(site):
+    response = await site.open_stream(events=100)
+    first = await response.read_some()
+    receipt = response.headers["heathershunt-response-signature"]
+    run = site.runs()[0]
+    await site.targets[run.runner].stop()
+    body = first + await response.read()
+    assert ids(body) == list(range(1, 101))
+    assert receipt == f"receipt-{run.runner}"
+    again = [run for run in site.runs() if run.headers.get("last-event-id")]
+    assert len(again) == 1
+    assert again[0].request_id == run.request_id
+
+
+async def test_stream_without_resumption_is_cut_and_never_looks_complete(site):
+    changed = configuration(2)
+    changed["routes"][0]["resumable"] = False
+    site.store.put("op/config", changed)
+    await site.until(lambda: site.gateways["vm-1"].catalog.version == 2)
+    response = await site.open_stream(events=100)
+    await response.read_some()
+    await site.targets[site.runs()[0].runner].stop()
+    with pytest.raises(ConnectionError):
+        await response.read()
+    assert len(site.runs()) == 1
+
+
+async def test_runner_stops_when_the_caller_leaves(site):
+    response = await site.open_stream(events=500)
+    await response.read_some()
+    response.close()
+    run = site.runs()[0]
+    await asyncio.sleep(0.1)
+    made = len(run.events)
+    await asyncio.sleep(0.2)
+    assert len(run.events) == made
+
+
+async def test_request_that_no_chain_serves_is_refused_at_once(site):
+    for name in ("runner-a0", "runner-b0"):
+        target = site.targets[name]
+        target.is_draining = True
+        target.register()
+    registry = site.gateways["vm-1"].registry
+    await site.until(lambda: len(registry.of_service("engine")) == 4)
+    status, headers, _ = await site.call(
+        "POST", "/drafts/x", b"p", heathershunt_token_counts="700,20"
+    )
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert site.runs() == []
+
+
+async def test_missing_layers_are_ordered_from_a_redundant_runner(site):
+    # Guards against a domain that stays without a chain while others could hold its
+    # layers.
+    spare = await site.add_target("spare", "engine", "a", "small", (31, 36))
+    await site.targets["runner-a1"].stop()
+    site.store.remove("servers/runner-a1")
+    await site.until(lambda: bool(spare.order_bodies))
+    order = spare.order_bodies[0]
+    assert (order["operation"], order["from"]) == ("place", 40)
+    assert order["expected"] == 0
+    assert order["fencing_token"] > 0
--- /dev/null
+++ b/tests/pipelines/test_chooser.py
@@ -0,0 +1,130 @@
+"""The load answered here: many streams over unlike cards that share layers."""
+
+import pytest
+from hypothesis import given, strategies
+
+from heathershunt.pipelines import ChainChooser, Job, LoadLedger
+from heathershunt.pipelines.chooser import kv_capacity
+from tests.pipelines import engines
+
+JOB = Job(760, 167)
+
+
+@pytest.fixture
+def ledger():
+    return LoadLedger()
+
+
+@pytest.fixture
+def chooser(ledger):
+    return ChainChooser(ledger)
+
+
+def test_chain_covers_every_layer_once_and_in_order(engine, runner, chooser):
+    runners = [
+        runner("medium", held=(0, 30)),
+        runner("small", held=(20, 50)),
+        runner("small", held=(45, 80)),
+    ]
+    assert chooser.choose(engine, runners, JOB, 1).covers(80)
+
+
+def test_there_is_no_chain_without_all_layers(engine, runner, chooser):
+    runners = [runner(held=(0, 40)), runner(held=(41, 80))]
+    assert chooser.choose(engine, runners, JOB, 1) is None
+
+
+def test_faster_card_does_the_layers_that_two_hold(engine, runner, chooser):
+    fast = runner("large", held=(0, 40))
+    slow = runner("small", held=(0, 40))
+    rest = runner("small", held=(40, 80))
+    chain = chooser.choose(engine, [slow, fast, rest], JOB, 1)
+    assert [part.runner.id for part in chain.parts] == [fast.id, rest.id]
+
+
+def test_streams_spread_over_equal_chains(engine, runner, chooser, ledger):
+    runners = [runner(domain=name, held=(0, 80)) for name in "abc"]
+    for _ in range(30):
+        ledger.add(chooser.choose(engine, runners, JOB, 4), JOB.tokens)
+    assert [ledger.load(item.id).requests for item in runners] == [10, 10, 10]
+
+
+def test_domains_are_mixed_only_where_one_lacks_layers(engine, runner, chooser):
+    left = [runner(domain="a", held=(0, 40)), runner(domain="a", held=(40, 80))]
+    right = [runner(domain="b", held=(0, 40)), runner("large", "b", held=(40, 80))]
+    chain = chooser.choose(engine, [*left, right[1]], JOB, 1)
+    assert chain.covers(80)
+    whole = chooser.choose(engine, [*left, *right], JOB, 1)
+    assert {part.runner.domain for part in whole.parts} == {"b"}
+
+
+def test_runner_without_kv_cache_left_comes_last(engine, runner, chooser, ledger):
+    full = runner("tiny", held=(0, 8))
+    free = runner("small", held=(0, 8))
+    rest = runner("large", held=(8, 80))
+    load = kv_capacity(engine, full) / full.held.size
+    only_full = chooser.choose(engine, [full, rest], JOB, 1)
+    ledger.add(only_full, load)
+    chain = chooser.choose(engine, [full, free, rest], JOB, 1)
+    assert chain.head.id == free.id
+
+
+def test_avoided_runner_is_not_used(engine, runner, chooser):
+    first, second = runner(held=(0, 80)), runner(held=(0, 80))
+    assert chooser.choose(engine, [first, second], JOB, 1, {first.id}).head == second
+    assert chooser.choose(engine, [first], JOB, 1, {first.id}) is None
+
+
+def test_replacement_keeps_the_first_part_as_it_is(engine, runner, chooser):
+    first = runner(held=(0, 40))
+    others = [runner(held=(30, 80)), runner("large", held=(30, 80))]
+    chain = chooser.choose(engine, [first, others[0]], JOB, 1)
+    replaced = chooser.choose(
+        engine, [first, *others], JOB, 1, {others[0].id}, chain.parts[0]
+    )
+    assert replaced.parts[0] == chain.parts[0]
+    assert replaced.parts[1].runner.id == others[1].id
+
+
+def test_only_one_of_the_given_runners_comes_first(engine, runner, chooser):
+    fast, slow = runner("large", held=(0, 80)), runner(held=(0, 80))
+    chain = chooser.choose(engine, [fast, slow], JOB, 1, heads={slow.id})
+    assert chain.head.id == slow.id
+
+
+def test_runners_of_unlike_versions_do_not_meet_in_a_chain(engine, runner, chooser):
+    old = runner("large", held=(0, 80, 1))
+    new = [runner(held=(0, 40, 2)), runner(held=(40, 80, 2))]
+    chain = chooser.choose(engine, [old, *new], JOB, 1)
+    assert {part.runner.held.version for part in chain.parts} == {2}
+
+
+ranges = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 79),
+        strategies.integers(1, 40),
+        strategies.sampled_from(["large", "medium", "small", "tiny"]),
+        strategies.sampled_from("abc"),
+    ),
+    max_size=25,
+)
+
+
+@given(ranges)
+def test_any_chain_covers_all_layers_with_each_runner_once(drawn):
+    engine = engines.engine()
+    chooser = ChainChooser(LoadLedger())
+    runners = [
+        engines.runner(number, kind, domain, (first, min(80, first + size)))
+        for number, (first, size, kind, domain) in enumerate(drawn)
+    ]
+    chain = chooser.choose(engine, runners, JOB, 2)
+    held = {layer for r in runners for layer in range(r.held.first, r.held.end)}
+    assert (chain is not None) == (held == set(range(80)))
+    if chain is not None:
+        assert chain.covers(80)
+        names = [part.runner.id for part in chain.parts]
+        assert len(names) == len(set(names))
+        for part in chain.parts:
+            assert part.runner.held.first <= part.first < part.end
+            assert part.end <= part.runner.held.end
--- /dev/null
+++ b/tests/pipelines/test_layout.py
@@ -0,0 +1,77 @@
+"""The load answered here: cards of four kinds in one domain, some lost for good."""
+
+from dataclasses import replace
+
+import pytest
+
+from heathershunt.pipelines import LayoutConfig, plan_layout
+from heathershunt.pipelines.layout import layers_for
+
+CONFIG = LayoutConfig()
+# Cards of a domain with memory for little more than one copy of all layers.
+CARDS = ["medium"] + 8 * ["small"] + 3 * ["tiny"]
+
+
+def apply(runners, plan):
+    placed = {item.runner.id: item.layers for item in plan}
+    return [replace(r, held=placed.get(r.id, r.held)) for r in runners]
+
+
+def copies(engine, runners, domain="a"):
+    counts = [0] * engine.layers
+    for runner in runners:
+        if runner.domain == domain and runner.held:
+            for layer in range(runner.held.first, runner.held.end):
+                counts[layer] += 1
+    return counts
+
+
+@pytest.fixture
+def placed(engine, runner):
+    runners = [runner(kind) for kind in CARDS]
+    return apply(runners, plan_layout(engine, runners, CONFIG))
+
+
+def test_empty_runners_cover_every_layer_of_their_domain(engine, placed):
+    assert min(copies(engine, placed)) >= 1
+
+
+def test_no_runner_is_ordered_beyond_its_memory(engine, placed):
+    for item in placed:
+        kind = engine.kinds_by_name[item.kind]
+        used_mb = item.held.size * engine.layer_mb
+        least_kv_mb = CONFIG.least_kv_tokens * item.held.size * engine.kv_mb
+        assert used_mb + least_kv_mb <= kind.memory_mb
+
+
+def test_runner_of_an_unknown_kind_gets_no_layers(engine, runner):
+    unknown = runner("unheard of")
+    assert layers_for(engine, unknown, CONFIG) == 0
+    assert plan_layout(engine, [unknown], CONFIG) == []
+
+
+def test_plan_that_is_carried_out_is_not_changed(engine, placed):
+    assert plan_layout(engine, placed, CONFIG) == []
+
+
+def test_orders_under_way_are_not_given_again(engine, runner):
+    runners = [runner(kind) for kind in CARDS]
+    plan = plan_layout(engine, runners, CONFIG)
+    assert plan_layout(engine, runners, CONFIG, plan) == []
+
+
+def test_gap_is_filled_by_the_redundant_runner_that_loads_least(engine, runner):
+    # Guards against moving a large fast card, which loads for seconds, into a gap that
+    # a small one fills.
+    whole = [runner("large", held=(at, at + 20)) for at in (0, 20, 40)]
+    spare_large = runner("large", held=(0, 27))
+    spare_small = runner("small", held=(0, 8))
+    last = [runner("small", held=(60, 68)), runner("small", held=(74, 80))]
+    plan = plan_layout(engine, [*whole, spare_large, spare_small, *last], CONFIG)
+    assert [item.runner.id for item in plan] == [spare_small.id]
+    assert min(copies(engine, apply([*whole, spare_small, *last], plan))) >= 1
+
+
+def test_runner_that_alone_holds_a_layer_stays(engine, runner):
+    alone = [runner("small", held=(at, at + 10)) for at in range(0, 70, 10)]
+    assert plan_layout(engine, alone, CONFIG) == []
