Let few VMs watch the store and the others follow them

Ruled out: longer waits alone (a view may be 3 s old at most for API keys); reading through serializable calls (they may be seconds old, so they confirm nothing).

Change: in a fleet of more than eight VMs three watch the store, the others follow one of those on the internal port; what is passed on carries its age. Waits and pauses of watches are longer in small fleets.

--- a/src/heathershunt/coordination/__init__.py
+++ b/src/heathershunt/coordination/__init__.py
@@ -2,6 +2,7 @@
 
 from heathershunt.coordination.leader import Leadership, LeadershipConfig
 from heathershunt.coordination.lease import LeaseKeeper
+from heathershunt.coordination.mirror import FollowingStore, ViewMirror
 from heathershunt.coordination.store import (
     Changes,
     Entry,
@@ -18,6 +19,7 @@
     "Changes",
     "Entry",
     "Expectation",
+    "FollowingStore",
     "LeaseKeeper",
     "LeasedValue",
     "Leadership",
@@ -28,4 +30,5 @@
     "StoreFailure",
     "StoreView",
     "ViewConfig",
+    "ViewMirror",
 ]
--- a/src/heathershunt/coordination/store.py
+++ b/src/heathershunt/coordination/store.py
@@ -50,10 +50,12 @@
     """All entries under a prefix.
 
     :param revision: revision from which a watch misses nothing.
+    :param age_ms: age of the entries when they were sent.
     """
 
     entries: tuple[Entry, ...]
     revision: int
+    age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,10 +64,15 @@
 
     :param entries: written keys; a removed key has ``None`` as its value.
     :param revision: revision to continue from.
+    :param age_ms: age of the view that the changes come from when they were sent.
+    :param waited_ms: time for which a watch without changes waited at least; ``None``
+        for the time that was asked for.
     """
 
     entries: tuple[tuple[str, Entry | None], ...]
     revision: int
+    age_ms: int = 0
+    waited_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/heathershunt/coordination/view.py
+++ b/src/heathershunt/coordination/view.py
@@ -34,8 +34,8 @@
     .. versionadded:: 0.2
     """
 
-    wait_ms: int = 1500
-    pause_ms: int = 50
+    wait_ms: int = 1800
+    pause_ms: int = 150
     retry_least_ms: int = 50
     retry_most_ms: int = 400
     outage_ms: int = 1000
@@ -46,6 +46,8 @@
 
     :param on_snapshot: called with a complete list of the entries.
     :param on_changes: called with changes in order.
+    :param wait_ms: called for the longest wait of one watch; it bounds the age of the
+        view.
     :param on_return: called before the first data that follow an outage.
 
     .. versionadded:: 0.2
@@ -60,6 +62,7 @@
         on_snapshot: Callable[[Snapshot], None],
         on_changes: Callable[[Changes], None],
         on_return: Callable[[int], None],
+        wait_ms: Callable[[], int] | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -68,6 +71,7 @@
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._on_return = on_return
+        self._wait_ms = wait_ms or (lambda: config.wait_ms)
         self._failures = 0
         self._answered_at: Millis | None = None
         self.revision: int | None = None
@@ -96,20 +100,22 @@
         outcome = await self._store.read_all(self._prefix)
         if isinstance(outcome, Err):
             return outcome.err_value
-        self._note_contact(asked_at)
+        self._note_contact(asked_at - outcome.ok_value.age_ms)
         self.revision = outcome.ok_value.revision
         self._on_snapshot(outcome.ok_value)
         return None
 
     async def _follow(self) -> StoreError | None:
         asked_at = self._clock.now()
-        wait_ms = self._config.wait_ms
+        wait_ms = self._wait_ms()
         outcome = await self._store.watch(self._prefix, self.revision, wait_ms)
         if isinstance(outcome, Err):
             return outcome.err_value
         changes = outcome.ok_value
         # A watch without changes has waited at the store for its whole time.
-        self._note_contact(asked_at if changes.entries else asked_at + wait_ms)
+        waited_ms = wait_ms if changes.waited_ms is None else changes.waited_ms
+        current_at = asked_at if changes.entries else asked_at + waited_ms
+        self._note_contact(current_at - changes.age_ms)
         self.revision = changes.revision
         if changes.entries:
             self._on_changes(changes)
--- a/src/heathershunt/discovery/members.py
+++ b/src/heathershunt/discovery/members.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from heathershunt.clock import Clock, Millis
+from heathershunt.http import Address
 
 # As for targets: VMs that live write their entries again after an outage.
 REAPPEAR_MS = 2500
@@ -14,6 +15,7 @@
     """One VM that takes callers.
 
     :param callers: address of its listener for callers, as ``ip:port``.
+    :param peers: address of its listener for other VMs; ``None`` without one.
 
     .. versionadded:: 0.2
     """
@@ -21,6 +23,7 @@
     vm: str
     callers: str
     domain: str
+    peers: Address | None = None
 
 
 class MemberList:
@@ -41,6 +44,14 @@
         """Return the VMs that take callers."""
         return list(self._by_vm.values())
 
+    def names(self) -> list[str]:
+        """Return the names of the VMs that take callers."""
+        return list(self._by_vm)
+
+    def members_named(self, names: Iterable[str]) -> list[Member]:
+        """Return the VMs of these names that take callers."""
+        return [self._by_vm[vm] for vm in names if vm in self._by_vm]
+
     def put(self, member: Member) -> None:
         """Take a VM's newest entry."""
         self._missing_since.pop(member.vm, None)
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -13,6 +13,7 @@
 from heathershunt.coordination import (
     Changes,
     Entry as StoreEntry,
+    FollowingStore,
     Leadership,
     LeadershipConfig,
     LeaseKeeper,
@@ -20,12 +21,15 @@
     Store,
     StoreView,
     ViewConfig,
+    ViewMirror,
 )
 from heathershunt.discovery import Member, MemberList, Target, TargetRegistry
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory, only_get
 from heathershunt.gateway.entry import Entry
+from heathershunt.gateway.upstream import Upstream
 from heathershunt.http import (
+    Address,
     HttpClient,
     HttpLimits,
     HttpServer,
@@ -126,15 +130,18 @@
         own = str(config.listeners.callers)
         ttl_s = min(ANSWER_TTL_S, bounds.directory_ttl_most_s)
         self.directory = Directory(self.members, own, ttl_s)
+        self._upstream = Upstream(self.members, config.vm)
         self.view = StoreView(
-            ports.store,
+            FollowingStore(ports.store, http, clock.now, self._upstream.addresses),
             clock,
             ViewConfig(),
             "",
             self._on_snapshot,
             self._on_changes,
             self._on_store_return,
+            self._upstream.wait_ms,
         )
+        self.mirror = ViewMirror(lambda: self.view.age)
         self.keeper = LeaseKeeper(
             ports.store,
             clock,
@@ -182,6 +189,7 @@
         self._callers = HttpServer(self._handle_caller, cancels_handlers=True)
         self._readiness = HttpServer(self._handle_readiness)
         self._directory = HttpServer(self._handle_directory)
+        self._peers = HttpServer(self.mirror.handle)
 
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
@@ -190,6 +198,7 @@
             (self._callers, listeners.callers),
             (self._readiness, listeners.readiness),
             (self._directory, listeners.directory),
+            (self._peers, listeners.peers),
         ):
             await server.start(address.host, address.port)
         for work in (
@@ -226,7 +235,8 @@
 
     def stop_now(self) -> None:
         """Close the listeners, cut what runs and end the background tasks."""
-        for server in (self._callers, self._readiness, self._directory):
+        servers = (self._callers, self._readiness, self._directory, self._peers)
+        for server in servers:
             server.close_now()
         for task in self._tasks:
             task.cancel()
@@ -258,6 +268,7 @@
     # The view of the store
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
+        self.mirror.on_snapshot(snapshot)
         targets, members = [], []
         self._leader = None
         for entry in snapshot.entries:
@@ -275,6 +286,7 @@
         self.members.replace_all(members)
 
     def _on_changes(self, changes: Changes) -> None:
+        self.mirror.on_changes(changes)
         for key, entry in changes.entries:
             self._on_entry(key, entry)
 
@@ -354,7 +366,9 @@
         if not self.directory.takes_callers:
             return None
         config = self.config
-        value = {"callers": str(config.listeners.callers), "domain": config.domain}
+        value = _MemberValue(
+            str(config.listeners.callers), config.domain, str(config.listeners.peers)
+        )
         return MEMBER_PREFIX + config.vm, msgspec.json.encode(value)
 
     def _engines(self) -> dict[str, Engine]:
@@ -392,13 +406,15 @@
 class _MemberValue(msgspec.Struct):
     callers: str
     domain: str = ""
+    peers: str | None = None
 
 
 def _decode_member(entry: StoreEntry) -> Member | None:
     vm = entry.key.removeprefix(MEMBER_PREFIX)
     try:
         value = msgspec.json.decode(entry.value, type=_MemberValue)
+        peers = None if value.peers is None else Address.from_text(value.peers)
     except ValueError as error:
         log.warning("skipped the entry of VM {!r}: {}", vm, error)
         return None
-    return Member(vm, value.callers, value.domain)
+    return Member(vm, value.callers, value.domain, peers)
--- a/src/heathershunt/gateway/config.py
+++ b/src/heathershunt/gateway/config.py
@@ -12,6 +12,7 @@
     :param callers: callers' requests.
     :param readiness: checks whether this VM takes requests.
     :param directory: callers that ask which addresses to use.
+    :param peers: other VMs.
 
     .. versionadded:: 0.2
     """
@@ -19,6 +20,7 @@
     callers: Address
     readiness: Address
     directory: Address
+    peers: Address
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/heathershunt/gateway/upstream.py
@@ -0,0 +1,41 @@
+"""Which VMs watch the store, and whom the others follow."""
+
+from heathershunt.discovery import MemberList
+from heathershunt.http import Address
+
+# In a smaller fleet every VM watches the store.
+LEAST_FLEET = 8
+WATCHING_VMS = 3
+# Longest wait of a watch at the store. Where others follow, it is short: the age of the
+# view adds to theirs, and theirs must stay well within the time for a configuration.
+WAIT_MS = 1800
+WAIT_WITH_FOLLOWERS_MS = 500
+
+
+class Upstream:
+    """Divides the VMs into those that watch the store and those that follow them.
+
+    The first VMs by name watch the store, so that all agree without asking.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, members: MemberList, vm: str) -> None:
+        self._members = members
+        self._vm = vm
+
+    def addresses(self) -> list[Address]:
+        """Return the VMs to follow; none if this VM watches the store itself."""
+        watching = self._watching()
+        if not watching or self._vm in watching:
+            return []
+        peers = (member.peers for member in self._members.members_named(watching))
+        return [address for address in peers if address is not None]
+
+    def wait_ms(self) -> int:
+        """Return the longest wait of one watch at the store."""
+        return WAIT_WITH_FOLLOWERS_MS if self._watching() else WAIT_MS
+
+    def _watching(self) -> list[str]:
+        names = self._members.names()
+        return sorted(names)[:WATCHING_VMS] if len(names) > LEAST_FLEET else []
--- a/src/heathershunt/platform/settings.py
+++ b/src/heathershunt/platform/settings.py
@@ -52,6 +52,9 @@
     zone: str
     listen: _Listen
     platform: _Platform
+    ip: str
+    # First and last port that are free for traffic between VMs.
+    internal_ports: tuple[int, int]
     region: str = ""
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -84,6 +87,7 @@
             callers=Address.from_text(settings.listen.front),
             readiness=Address.from_text(settings.listen.ready),
             directory=Address.from_text(settings.listen.directory),
+            peers=Address(settings.ip, settings.internal_ports[0]),
         ),
         store=Address.from_text(settings.platform.address),
         least_lease_ms=int(settings.platform.min_ttl_ms),
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -131,6 +131,8 @@
             {
                 "node": vm,
                 "zone": "a",
+                "ip": "127.0.0.1",
+                "internal_ports": [_free_port(), 0],
                 "listen": {name: _free() for name in ("front", "ready", "directory")},
                 "platform": {"address": self._store_address},
                 "bounds": BOUNDS | bounds,
@@ -209,6 +211,10 @@
 
 
 def _free():
+    return str(Address("127.0.0.1", _free_port()))
+
+
+def _free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
-        return str(Address("127.0.0.1", probe.getsockname()[1]))
+        return probe.getsockname()[1]
