Share loads between VMs, keep chains in one domain, and close gaps from beside

Cause: each VM took the others to have as much running as itself, which is wrong while VMs restart and rounds to nothing with 33 of them.

Ruled out: the herd of 170 requests itself (chains inside a domain served it in 0.3 s).

Change: every 250 ms a VM sends its load by runner to one VM, which returns the sum of the others; a hop to another domain costs 25 ms a token in the choice instead of 4; a gap for which no spare is left is closed by the runners beside it, which load only the new layers.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -38,7 +38,15 @@
     StreamResponse,
 )
 from heathershunt.logs import EventLog
-from heathershunt.pipelines import ChainChooser, LoadLedger, Placer, RunnerApi
+from heathershunt.pipelines import (
+    LOAD_PATH,
+    ChainChooser,
+    LoadBoard,
+    LoadLedger,
+    LoadSharing,
+    Placer,
+    RunnerApi,
+)
 from heathershunt.relay import (
     BudgetConfig,
     CallerRequest,
@@ -155,7 +163,11 @@
             config.vm,
             lambda: self._leader,
         )
-        ledger = LoadLedger()
+        ledger = LoadLedger(clock)
+        self.board = LoadBoard(clock)
+        self.sharing = LoadSharing(
+            http, ledger, self.board, config.vm, self._upstream.boards
+        )
         budget = BudgetConfig(
             bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
         )
@@ -189,7 +201,7 @@
         self._callers = HttpServer(self._handle_caller, cancels_handlers=True)
         self._readiness = HttpServer(self._handle_readiness)
         self._directory = HttpServer(self._handle_directory)
-        self._peers = HttpServer(self.mirror.handle)
+        self._peers = HttpServer(self._handle_peer)
 
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
@@ -206,6 +218,7 @@
             self.keeper.run(),
             self.leadership.run(),
             self.placer.run(),
+            self.sharing.run(),
             self._tick(),
         ):
             self._spawn(work)
@@ -398,6 +411,11 @@
         refusal = only_get(request, self._ports.decoder.ready_path)
         return refusal or self.directory.readiness()
 
+    async def _handle_peer(self, request: Request) -> Response:
+        if request.path.startswith(LOAD_PATH):
+            return await self.board.handle(request)
+        return await self.mirror.handle(request)
+
     async def _handle_directory(self, request: Request) -> Response:
         refusal = only_get(request, self._ports.decoder.resolve_path)
         return refusal or self.directory.answer()
--- a/src/heathershunt/gateway/upstream.py
+++ b/src/heathershunt/gateway/upstream.py
@@ -1,4 +1,4 @@
-"""Which VMs watch the store, and whom the others follow."""
+"""Which VMs watch the store and add up loads for the others."""
 
 from heathershunt.discovery import MemberList
 from heathershunt.http import Address
@@ -32,6 +32,12 @@
         peers = (member.peers for member in self._members.members_named(watching))
         return [address for address in peers if address is not None]
 
+    def boards(self) -> list[Address | None]:
+        """Return the VMs that add up loads, first choice first; ``None`` is this VM."""
+        names = sorted(self._members.names())[:WATCHING_VMS]
+        members = self._members.members_named(names)
+        return [None if m.vm == self._vm else m.peers for m in members]
+
     def wait_ms(self) -> int:
         """Return the longest wait of one watch at the store."""
         return WAIT_WITH_FOLLOWERS_MS if self._watching() else WAIT_MS
--- a/src/heathershunt/pipelines/__init__.py
+++ b/src/heathershunt/pipelines/__init__.py
@@ -6,14 +6,18 @@
 from heathershunt.pipelines.load import LoadLedger
 from heathershunt.pipelines.placer import Placer, PlacerConfig
 from heathershunt.pipelines.runners import RunnerApi, RunnerReport, StalledJob
+from heathershunt.pipelines.sharing import LOAD_PATH, LoadBoard, LoadSharing
 
 __all__ = [
     "Chain",
     "ChainChooser",
     "ChainPart",
     "Job",
+    "LOAD_PATH",
     "LayoutConfig",
+    "LoadBoard",
     "LoadLedger",
+    "LoadSharing",
     "Placement",
     "Placer",
     "PlacerConfig",
--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -10,9 +10,9 @@
 
 # Time of a hop inside a failure domain for one token.
 HOP_MS = 0.1
-# Extra time of a hop to another failure domain for one token: the delay, and a link
-# that all chains share.
-CROSS_DOMAIN_MS = 4.0
+# Extra time of a hop to another failure domain for one token: the delay, and the wait
+# for a link that all chains share and that prompts block.
+CROSS_DOMAIN_MS = 25.0
 # Added where a runner's KV cache or slots are full, so that such a chain comes last.
 FULL_MS = 1_000_000.0
 MIN_FREE_KV_PART = 0.05
@@ -53,7 +53,7 @@
 class ChainChooser:
     """Finds chains of least estimated time.
 
-    :param ledger: requests of this VM at each runner.
+    :param ledger: requests of all VMs at each runner.
 
     .. versionadded:: 0.2
     """
@@ -73,8 +73,7 @@
     ) -> Chain | None:
         """Return the cheapest chain, ``None`` if the layers are not all there.
 
-        :param vms: entry VMs that share the runners; each is taken to have as many
-            requests running as this one.
+        :param vms: entry VMs that share the runners.
         :param avoided: ids of runners not to use.
         :param head: part that must come first.
         :param heads: ids of runners one of which must come first.
@@ -165,7 +164,7 @@
         kind = engine.kinds_by_name.get(runner.kind)
         pace = kind.pace if kind else 1.0
         read_factor = kind.read_factor if kind else 1.0
-        running = self._ledger.load(runner.id).requests * vms
+        running = self._ledger.total(runner.id, vms).requests
         context = engine.context_ms * job.tokens / 1000
         step_ms = engine.step_ms + (running + 1) * (engine.sequence_ms + context)
         read_ms = read_factor * job.prompt_tokens / engine.read_tokens_per_ms
@@ -175,7 +174,7 @@
 
     def _entry_cost(self, before: _Step, runner: Target, job: Job, vms: int) -> float:
         if before.runner is None:
-            received = self._ledger.load(runner.id).received * vms
+            received = self._ledger.total(runner.id, vms).received
             return FULL_MS if received >= runner.slots else 0.0
         if before.runner.domain == runner.domain:
             return HOP_MS * job.answer_tokens
@@ -192,7 +191,7 @@
     ) -> float:
         cost = rate * layers / engine.layers
         capacity = kv_capacity(engine, runner)
-        used = self._ledger.load(runner.id).kv * vms
+        used = self._ledger.total(runner.id, vms).kv
         if used + job.tokens * layers > capacity * (1 - MIN_FREE_KV_PART):
             cost += FULL_MS
         return cost
--- a/src/heathershunt/pipelines/layout.py
+++ b/src/heathershunt/pipelines/layout.py
@@ -38,9 +38,16 @@
     if kind is None or engine.layer_mb <= 0:
         return 0
     by_part = int(kind.memory_mb * config.weight_part / engine.layer_mb)
+    return min(by_part, most_layers(engine, runner, config))
+
+
+def most_layers(engine: Engine, runner: Target, config: LayoutConfig) -> int:
+    """Return how many layers a runner holds beside the least KV cache."""
+    kind = engine.kinds_by_name.get(runner.kind)
+    if kind is None or engine.layer_mb <= 0:
+        return 0
     kv_mb = config.least_kv_tokens * engine.kv_mb
-    by_kv = int(kind.memory_mb / (engine.layer_mb + kv_mb))
-    return max(0, min(by_part, by_kv, engine.layers))
+    return min(int(kind.memory_mb / (engine.layer_mb + kv_mb)), engine.layers)
 
 
 def plan_layout(
@@ -108,7 +115,31 @@
         _count(copies, layers, 1)
         held[runner.id] = layers
         plan.append(Placement(runner, layers))
-    return plan
+    return plan + _extend_into_gaps(engine, movable, config, held, copies)
+
+
+def _extend_into_gaps(engine, runners, config, held, copies) -> list[Placement]:
+    """Let the runners beside a gap take its layers into their spare memory."""
+    plan: dict[str, Placement] = {}
+    while 0 in copies:
+        gap = _first_gap(copies)
+        choices = []
+        for runner in runners:
+            layers = held[runner.id]
+            room = most_layers(engine, runner, config) - layers.size
+            size = min(room, gap.size)
+            if size > 0 and layers.end == gap.first:
+                choices.append((size, runner, (layers.first, layers.end + size)))
+            elif size > 0 and layers.first == gap.end:
+                choices.append((size, runner, (layers.first - size, layers.end)))
+        if not choices:
+            break
+        _, runner, (first, end) = max(choices, key=lambda c: (c[0], c[1].id))
+        _count(copies, held[runner.id], -1)
+        held[runner.id] = LayerRange(first, end)
+        _count(copies, held[runner.id], 1)
+        plan[runner.id] = Placement(runner, held[runner.id])
+    return list(plan.values())
 
 
 def _move_cost(engine, runner: Target, config: LayoutConfig, gap: int):
--- a/src/heathershunt/pipelines/load.py
+++ b/src/heathershunt/pipelines/load.py
@@ -1,13 +1,19 @@
-"""Load on each runner from the requests that this VM has running."""
+"""Load on each runner: what this VM has running there, and what the others have."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
+from heathershunt.clock import Clock, Millis
 from heathershunt.pipelines.chain import Chain
 
+# What other VMs told is used for this long; after that, each is taken to have as much
+# running as this one.
+FRESH_MS = 1500
+
 
 @dataclass(slots=True)
 class RunnerLoad:
-    """Requests of this VM at one runner.
+    """Requests at one runner.
 
     :param requests: requests that pass through it.
     :param received: requests that it receives as the first of their chain.
@@ -20,17 +26,42 @@
 
 
 class LoadLedger:
-    """Counts what this VM has running at each runner.
+    """Counts what this VM has running at each runner, and keeps what others told.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._by_runner: dict[str, RunnerLoad] = {}
+        self._others_by_runner: Mapping[str, RunnerLoad] = {}
+        self._others_at: Millis | None = None
+
+    def own(self) -> dict[str, RunnerLoad]:
+        """Return the load of this VM by runner."""
+        return self._by_runner
+
+    def set_others(self, by_runner: Mapping[str, RunnerLoad]) -> None:
+        """Take the load of all other VMs."""
+        self._others_by_runner = by_runner
+        self._others_at = self._clock.now()
 
-    def load(self, runner_id: str) -> RunnerLoad:
-        """Return the load at a runner."""
-        return self._by_runner.get(runner_id) or RunnerLoad()
+    def total(self, runner_id: str, vms: int) -> RunnerLoad:
+        """Return the load of all VMs at a runner.
+
+        :param vms: VMs that share the runners, for when nothing is known of them.
+        """
+        own = self._by_runner.get(runner_id) or RunnerLoad()
+        if self._others_at is None or self._clock.now() - self._others_at > FRESH_MS:
+            return RunnerLoad(own.requests * vms, own.received * vms, own.kv * vms)
+        others = self._others_by_runner.get(runner_id)
+        if others is None:
+            return own
+        return RunnerLoad(
+            own.requests + others.requests,
+            own.received + others.received,
+            own.kv + others.kv,
+        )
 
     def add(self, chain: Chain, tokens: float) -> None:
         """Count a request on every runner of its chain.
--- /dev/null
+++ b/src/heathershunt/pipelines/sharing.py
@@ -0,0 +1,155 @@
+"""How VMs tell each other their load: one of them adds it up for all.
+
+Every VM sends its own load to the same VM and gets back the sum of the others. Messages
+grow with the number of VMs, not with its square.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+import logbook
+import msgspec
+from result import Err
+
+from heathershunt.clock import Clock, Millis
+from heathershunt.http import Address, HttpClient, Request, Response
+from heathershunt.pipelines.load import LoadLedger, RunnerLoad
+
+log = logbook.Logger("heathershunt.pipelines")
+
+LOAD_PATH = "/load/"
+PERIOD_MS = 250
+TIMEOUT_MS = 200
+# Load of a VM that no longer tells it is dropped after this.
+KEPT_MS = 1500
+MAX_REPLY_BYTES = 1_048_576
+
+
+class _Row(msgspec.Struct, array_like=True):
+    runner: str
+    requests: int
+    received: int
+    kv: float
+
+
+class LoadBoard:
+    """Adds up the loads that VMs send.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._rows_by_vm: dict[str, tuple[Millis, list[_Row]]] = {}
+
+    def put(self, vm: str, rows: list[_Row]) -> None:
+        """Take the newest load of a VM."""
+        self._rows_by_vm[vm] = (self._clock.now(), rows)
+
+    def others(self, vm: str) -> dict[str, RunnerLoad]:
+        """Return the load of all VMs but one."""
+        limit = self._clock.now() - KEPT_MS
+        total: dict[str, RunnerLoad] = {}
+        for name, (told_at, rows) in list(self._rows_by_vm.items()):
+            if told_at < limit:
+                del self._rows_by_vm[name]
+            elif name != vm:
+                _add(total, rows)
+        return total
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a VM that sends its load."""
+        vm = request.path.removeprefix(LOAD_PATH)
+        try:
+            rows = msgspec.msgpack.decode(request.body, type=list[_Row])
+        except ValueError as error:
+            log.warning("malformed load of {!r}: {}", vm, error)
+            return Response(400)
+        self.put(vm, rows)
+        return Response(200, {}, msgspec.msgpack.encode(_rows(self.others(vm))))
+
+
+class LoadSharing:
+    """Sends the load of this VM and takes that of the others.
+
+    :param boards: called for the VMs that add up, the first one to be used if it works;
+        ``None`` stands for this VM itself.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        ledger: LoadLedger,
+        board: LoadBoard,
+        vm: str,
+        boards: Callable[[], Sequence[Address | None]],
+    ) -> None:
+        self._http = http
+        self._ledger = ledger
+        self._board = board
+        self._vm = vm
+        self._boards = boards
+
+    async def run(self) -> None:
+        """Exchange loads until cancelled."""
+        while True:
+            await self.exchange()
+            await asyncio.sleep(PERIOD_MS * random.uniform(0.8, 1.2) / 1000)
+
+    async def exchange(self) -> bool:
+        """Exchange loads once; return whether that worked."""
+        rows = _rows(self._ledger.own())
+        self._board.put(self._vm, rows)
+        for address in self._boards():
+            if address is None:
+                self._ledger.set_others(self._board.others(self._vm))
+                return True
+            others = await self._send(address, rows)
+            if others is not None:
+                self._ledger.set_others(others)
+                return True
+        return False
+
+    async def _send(
+        self, address: Address, rows: list[_Row]
+    ) -> dict[str, RunnerLoad] | None:
+        outcome = await self._http.exchange(
+            address,
+            "POST",
+            LOAD_PATH + self._vm,
+            body=msgspec.msgpack.encode(rows),
+            timeout_ms=TIMEOUT_MS,
+            limit=MAX_REPLY_BYTES,
+        )
+        if isinstance(outcome, Err):
+            log.debug("no load from {}: {}", address, outcome.err_value.detail)
+            return None
+        status, raw = outcome.ok_value
+        if status != 200:
+            log.warning("no load from {}: status {}", address, status)
+            return None
+        try:
+            total: dict[str, RunnerLoad] = {}
+            _add(total, msgspec.msgpack.decode(raw, type=list[_Row]))
+            return total
+        except ValueError as error:
+            log.warning("malformed load from {}: {}", address, error)
+            return None
+
+
+def _rows(by_runner: Mapping[str, RunnerLoad]) -> list[_Row]:
+    return [
+        _Row(runner, load.requests, load.received, load.kv)
+        for runner, load in by_runner.items()
+    ]
+
+
+def _add(total: dict[str, RunnerLoad], rows: list[_Row]) -> None:
+    for row in rows:
+        load = total.setdefault(row.runner, RunnerLoad())
+        load.requests += row.requests
+        load.received += row.received
+        load.kv += row.kv
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -392,6 +392,7 @@
             sends=self._sends,
             replaced_chains=self._replaced_chains,
             chain=[part.runner.id for part in run.chain.parts] if run else [],
+            domains=sorted({p.runner.domain for p in run.chain.parts}) if run else [],
         )
 
     def _write(self, sink: ResponseStream, events: list[StreamEvent]) -> None:
--- /dev/null
+++ b/tests/pipelines/test_sharing.py
@@ -0,0 +1,126 @@
+"""The load answered here: VMs that do not have equally much running."""
+
+from dataclasses import replace
+
+import pytest
+
+from heathershunt.clock import ManualClock
+from heathershunt.http import Address, HttpClient, HttpServer
+from heathershunt.pipelines import (
+    Chain,
+    ChainChooser,
+    ChainPart,
+    Job,
+    LoadBoard,
+    LoadLedger,
+    LoadSharing,
+)
+from heathershunt.pipelines.load import FRESH_MS
+from heathershunt.pipelines.sharing import KEPT_MS
+
+JOB = Job(760, 167)
+
+
+class Fleet:
+    """VMs that share their loads through the first of them."""
+
+    def __init__(self, size):
+        self.clock = ManualClock()
+        self.http = HttpClient()
+        self.ledgers = [LoadLedger(self.clock) for _ in range(size)]
+        self.boards = [LoadBoard(self.clock) for _ in range(size)]
+        self.servers = [HttpServer(board.handle) for board in self.boards]
+        self.addresses = []
+        self.sharings = []
+
+    async def start(self):
+        for server in self.servers:
+            await server.start("127.0.0.1", 0)
+            self.addresses.append(Address("127.0.0.1", server.port))
+        for number, ledger in enumerate(self.ledgers):
+            sharing = LoadSharing(
+                self.http,
+                ledger,
+                self.boards[number],
+                f"vm-{number}",
+                lambda number=number: self.boards_of(number),
+            )
+            self.sharings.append(sharing)
+
+    def boards_of(self, number):
+        return [None if n == number else self.addresses[n] for n in (0, 1)]
+
+    async def exchange(self):
+        for sharing in [*self.sharings, *self.sharings]:
+            await sharing.exchange()
+
+    async def stop(self):
+        self.http.close()
+        for server in self.servers:
+            await server.close()
+
+
+@pytest.fixture
+async def fleet():
+    fleet = Fleet(4)
+    await fleet.start()
+    yield fleet
+    await fleet.stop()
+
+
+def chain_over(*runners):
+    return Chain(tuple(ChainPart(r, r.held.first, r.held.end) for r in runners))
+
+
+async def test_each_vm_knows_the_load_of_all(fleet, runner):
+    item = runner(held=(0, 80))
+    for count, ledger in enumerate(fleet.ledgers):
+        for _ in range(count):
+            ledger.add(chain_over(item), 900)
+    await fleet.exchange()
+    totals = [ledger.total(item.id, 4) for ledger in fleet.ledgers]
+    assert [(t.requests, t.received, t.kv) for t in totals] == 4 * [(6, 6, 6 * 72_000)]
+
+
+async def test_second_vm_adds_up_when_the_first_is_gone(fleet, runner):
+    item = runner(held=(0, 80))
+    fleet.ledgers[3].add(chain_over(item), 900)
+    await fleet.servers[0].close()
+    for sharing in [*fleet.sharings[1:], *fleet.sharings[1:]]:
+        assert await sharing.exchange()
+    assert fleet.ledgers[2].total(item.id, 4).requests == 1
+
+
+async def test_load_of_a_vm_that_is_gone_is_dropped(fleet, runner):
+    # Guards against runners that look full for good after the VM that used them died.
+    item = runner(held=(0, 80))
+    fleet.ledgers[3].add(chain_over(item), 900)
+    await fleet.exchange()
+    fleet.clock.advance(KEPT_MS + 1)
+    for sharing in fleet.sharings[:3]:
+        await sharing.exchange()
+    assert fleet.ledgers[1].total(item.id, 4).requests == 0
+
+
+async def test_without_news_the_others_are_taken_to_be_like_this_vm(fleet, runner):
+    item = runner(held=(0, 80))
+    fleet.ledgers[1].add(chain_over(item), 900)
+    await fleet.exchange()
+    fleet.clock.advance(FRESH_MS + 1)
+    assert fleet.ledgers[1].total(item.id, 4).requests == 4
+
+
+async def test_idle_vm_does_not_send_work_where_a_busy_one_has_filled_up(
+    fleet, engine, runner
+):
+    # A VM that has just started knows nothing of its own that fills the fast chain.
+    engine = replace(engine, layer_mb=100)
+    fast, slow = runner("large", "a", (0, 80)), runner("small", "b", (0, 80))
+    assert (
+        ChainChooser(fleet.ledgers[3]).choose(engine, [fast, slow], JOB, 4).head == fast
+    )
+    for _ in range(60):
+        fleet.ledgers[0].add(chain_over(fast), 900)
+    await fleet.exchange()
+    chooser = ChainChooser(fleet.ledgers[3])
+    assert chooser.choose(engine, [fast, slow], JOB, 4).head.id == slow.id
