Count blamed runners as attempts

A first runner whose report came too late was blamed and no longer counted, though it lived.

Change: a first runner counts as long as the store lists the same start of it.

--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -174,15 +174,14 @@
     def _heads_left(self) -> set[str] | None:
         """Return the runners that may come first; ``None`` if any may.
 
-        A request goes to no more than ``max_attempts`` runners that live; to the same
-        one it may go again.
+        A request goes to no more than ``max_attempts`` runners that are listed; to the
+        same one it may go again. That a runner was blamed is no proof of its end.
         """
-        registry, suspects = self._parts.registry, self._parts.suspects
+        registry = self._parts.registry
         living = {
             head.id
             for head in self._heads_by_id.values()
             if _is_same_start(registry.get(head.id), head)
-            and not suspects.is_blamed(head)
         }
         return None if len(living) < self._route.max_attempts else living
 
