Serve metrics and log the end of each plain call

Cause: the on-call engineer had log lines without an end for plain calls, and no counters.

Change: one line at the end of each plain call; counters of all events by outcome, histograms of first events, gaps and calls, and gauges of what the process believes, on port 9464. No label holds a request, a key or an account.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -27,6 +27,7 @@
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory, only_get
 from heathershunt.gateway.entry import Entry
+from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.upstream import Upstream
 from heathershunt.http import (
     Address,
@@ -202,6 +203,10 @@
         self._readiness = HttpServer(self._handle_readiness)
         self._directory = HttpServer(self._handle_directory)
         self._peers = HttpServer(self._handle_peer)
+        self.metrics = GatewayMetrics()
+        events.add_observer(self.metrics.on_event)
+        self._add_gauges()
+        self._metrics = HttpServer(self.metrics.handle)
 
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
@@ -213,6 +218,7 @@
             (self._peers, listeners.peers),
         ):
             await server.start(address.host, address.port)
+        await self._start_metrics()
         for work in (
             self.view.run(),
             self.keeper.run(),
@@ -224,6 +230,34 @@
             self._spawn(work)
         self._events.emit("started", callers=str(listeners.callers))
 
+    async def _start_metrics(self) -> None:
+        """Serve metrics; requests are served without them if that fails."""
+        host = self.config.listeners.callers.host
+        try:
+            await self._metrics.start(host, self.config.metrics_port)
+        except OSError as error:
+            log.warning("no metrics: cannot listen on {}: {}", host, error)
+
+    def _add_gauges(self) -> None:
+        gauges = (
+            ("view_age_ms", "age of the view of the store", lambda: self.view.age),
+            ("members", "VMs that take callers", lambda: len(self.members)),
+            ("targets", "listed targets", lambda: len(self.registry)),
+            ("running", "requests being served", lambda: self._callers.busy),
+            (
+                "configuration_version",
+                "configuration in force",
+                lambda: self.catalog.version if self.catalog else None,
+            ),
+            (
+                "is_leader",
+                "whether this VM orders placements",
+                lambda: int(self.leadership.is_leader),
+            ),
+        )
+        for name, doc, read in gauges:
+            self.metrics.add_gauge(name, doc, read)
+
     async def shut_down(self) -> None:
         """Leave the directory, finish what runs, then stop."""
         started = self._clock.now()
@@ -248,8 +282,13 @@
 
     def stop_now(self) -> None:
         """Close the listeners, cut what runs and end the background tasks."""
-        servers = (self._callers, self._readiness, self._directory, self._peers)
-        for server in servers:
+        for server in (
+            self._callers,
+            self._readiness,
+            self._directory,
+            self._peers,
+            self._metrics,
+        ):
             server.close_now()
         for task in self._tasks:
             task.cancel()
--- a/src/heathershunt/gateway/config.py
+++ b/src/heathershunt/gateway/config.py
@@ -4,6 +4,8 @@
 
 from heathershunt.http import Address
 
+METRICS_PORT = 9464
+
 
 @dataclass(frozen=True)
 class Listeners:
@@ -56,6 +58,8 @@
     """Identity, listeners and bounds of one gateway.
 
     :param least_lease_ms: shortest time to live that the store grants.
+    :param metrics_port: port of the listener for metrics; ``deploy/system.toml`` names
+        the same.
 
     .. versionadded:: 0.2
     """
@@ -67,4 +71,5 @@
     store: Address
     least_lease_ms: int = 1000
     max_descriptors: int = 1024
+    metrics_port: int = METRICS_PORT
     bounds: Bounds = Bounds()
--- /dev/null
+++ b/src/heathershunt/gateway/metrics.py
@@ -0,0 +1,90 @@
+"""Counters, histograms and gauges of a gateway, in the text format of Prometheus."""
+
+from collections import Counter as Tally
+from collections.abc import Callable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from heathershunt.http import Request, Response
+
+PREFIX = "heathershunt_gateway_"
+METRICS_PATH = "/metrics"
+FIRST_EVENT_SECONDS = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+GAP_SECONDS = (0.025, 0.05, 0.1, 0.2, 0.4, 1.0, 2.0, 5.0)
+CALL_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 2.0)
+MILLISECONDS_PER_SECOND = 1000
+# Fields of an event that tell its outcome; their values are few.
+LABEL_BY_EVENT = {
+    "refused": "status",
+    "call_ended": "status",
+    "stream_ended": "outcome",
+    "send_failed": "progress",
+    "send_rejected": "status",
+}
+
+
+class GatewayMetrics:
+    """Counts the events that are logged and reads gauges when asked.
+
+    No label holds a request, a key or a client account, so their number is bounded.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._tally: Tally[tuple[str, str]] = Tally()
+        self._reads: list[tuple[Gauge, Callable[[], float | None]]] = []
+        self._events = Counter(
+            PREFIX + "events_total", "logged events", registry=self._registry
+        )
+        self._first_event = self._histogram(
+            "first_event_seconds", "time to a stream's first event", FIRST_EVENT_SECONDS
+        )
+        self._gap = self._histogram(
+            "longest_gap_seconds", "longest pause in a stream", GAP_SECONDS
+        )
+        self._call = self._histogram(
+            "call_seconds", "time to the answer of a plain call", CALL_SECONDS
+        )
+
+    def _histogram(self, name: str, doc: str, buckets: tuple[float, ...]) -> Histogram:
+        return Histogram(PREFIX + name, doc, registry=self._registry, buckets=buckets)
+
+    def add_gauge(self, name: str, doc: str, read: Callable[[], float | None]) -> None:
+        """Add a value that is read whenever the metrics are; ``None`` if unknown."""
+        gauge = Gauge(PREFIX + name, doc, registry=self._registry)
+        self._reads.append((gauge, read))
+
+    def on_event(self, event: str, fields: dict[str, object]) -> None:
+        """Count an event and observe the times that it tells."""
+        label = LABEL_BY_EVENT.get(event)
+        outcome = "" if label is None else str(fields.get(label))
+        self._tally[event, outcome] += 1
+        if event == "stream_ended":
+            self._observe(self._first_event, fields.get("first_event_ms"))
+            self._observe(self._gap, fields.get("longest_gap_ms"))
+        elif event == "call_ended":
+            self._observe(self._call, fields.get("elapsed_ms"))
+
+    def _observe(self, histogram: Histogram, milliseconds: object) -> None:
+        if isinstance(milliseconds, int):
+            histogram.observe({}, milliseconds / MILLISECONDS_PER_SECOND)
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return all metrics in the text format, and the headers of the response."""
+        for (event, outcome), count in self._tally.items():
+            self._events.set({"event": event, "outcome": outcome}, count)
+        for gauge, read in self._reads:
+            value = read()
+            if value is not None:
+                gauge.set({}, value)
+        body, headers = render(self._registry, [])
+        return body, {name.lower(): value for name, value in headers.items()}
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a fetch of the metrics."""
+        if request.path != METRICS_PATH:
+            return Response(404)
+        body, headers = self.render()
+        return Response(200, headers, body)
--- a/src/heathershunt/logs/lines.py
+++ b/src/heathershunt/logs/lines.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 
@@ -34,14 +35,21 @@
         self._rest = b""
         self._dropped = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._observers: list[Callable[[str, dict[str, object]], None]] = []
         os.set_blocking(descriptor, False)
 
+    def add_observer(self, observer: Callable[[str, dict[str, object]], None]) -> None:
+        """Call a function with every event and its fields, dropped ones too."""
+        self._observers.append(observer)
+
     def emit(self, event: str, **fields: object) -> None:
         """Queue a line.
 
         :param event: name of the event.
         :param fields: what decided it, and its outcome.
         """
+        for observe in self._observers:
+            observe(event, fields)
         if len(self._lines) >= MAX_WAITING_LINES:
             self._dropped += 1
             return
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -24,6 +24,8 @@
 REQUEST_TIMEOUT_SLACK_MS = 1000
 RETRY_AFTER_MS = 300
 SERVER_ERROR = 500
+# Statuses that promise that the request was not run.
+PROMISES = frozenset({408, 421, 429, 503})
 BODY_ERRORS = (OSError, ValueError, h11.RemoteProtocolError)
 TIMEOUT_DETAIL = "no complete answer in time"
 
@@ -98,7 +100,18 @@
             if not is_repeatable:
                 break
             may_have_started |= not head.is_not_run
-        return self._answer(request, last, deadline, may_have_started)
+        response = self._answer(request, last, deadline, may_have_started)
+        parts.events.emit(
+            "call_ended",
+            request=request.id,
+            status=response.status,
+            may_have_run=may_have_started or response.status not in PROMISES,
+            sends=sends,
+            connect_failures=connect_failures,
+            targets=sorted(tried),
+            elapsed_ms=parts.clock.now() - request.received_at,
+        )
+        return response
 
     def _pick(self, service: str, tried: set[str]) -> Target | None:
         """Return the target with the most free slots."""
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import socket
+from dataclasses import replace
 
 from heathershunt.clock import SystemClock
 from heathershunt.gateway.app import Gateway, Ports
@@ -144,6 +145,7 @@
             exchange,
             PlatformDecoder(exchange),
         )
+        config = replace(config, metrics_port=_free_port())
         events = EventLog(os.open(os.devnull, os.O_WRONLY), vm, clock)
         gateway = Gateway(config, ports, http, clock, events)
         self.gateways[vm] = gateway
