--- a/src/heathershunt/cli/commands.py
+++ b/src/heathershunt/cli/commands.py
@@ -2,7 +2,7 @@
 
 from fire.decorators import SetParseFn
 
-from heathershunt.cli import bundles, fleet, keys
+from heathershunt.cli import bundles, explain, fleet, keys
 from heathershunt.cli.context import Context
 
 
@@ -159,6 +159,16 @@
         context = self._context
         context.plan(lambda: fleet.show_status(context))
 
+    @SetParseFn(str)
+    def explain(self, request: str, logs: str = "-") -> None:
+        """Tell what happened to a request, from the logs of gateways.
+
+        Args:
+            request: id of the request.
+            logs: log files of all VMs, separated by commas; "-" is standard input.
+        """
+        self._context.plan(lambda: explain.explain_from_logs(request, logs))
+
     @SetParseFn(str)
     def timeline(
         self,
--- /dev/null
+++ b/tests/gateway/test_explain.py
@@ -0,0 +1,72 @@
+import json
+
+import pytest
+
+from heathershunt.cli.main import run
+from heathershunt.gateway.explain import explain_request, read_events
+
+
+def line(time_ms, event, vm="vm-1", **fields):
+    return json.dumps({"time_ms": time_ms, "vm": vm, "event": event, **fields})
+
+
+BROKEN_STREAM = [
+    line(90, "target_gone", target="other", vm="vm-2"),
+    line(100, "admitted", request="r1", route="d", service="s", left_ms=900),
+    line(110, "admitted", request="r2", route="d", service="s", left_ms=900),
+    line(150, "target_gone", target="run-7"),
+    line(200, "pause_examined", request="r1", target="run-1", after=4, faulty="run-7"),
+    line(210, "stream_broken", request="r1", target="run-1", after=4, detail="reset"),
+    line(
+        220,
+        "stream_ended",
+        request="r1",
+        outcome="broken",
+        after=4,
+        first_event_ms=30,
+        longest_gap_ms=100,
+        sends=2,
+    ),
+]
+
+
+def test_cause_comes_first_and_the_rest_in_order():
+    lines = explain_request(read_events(BROKEN_STREAM), "r1")
+    assert lines[0] == "cause: the run at run-1 ended after event 4: reset"
+    assert lines[1] == "    +0 ms vm-1: admitted on route d to service s, 900 ms left"
+    assert [line.split(":")[0].split()[0] for line in lines[1:]] == [
+        "+0",
+        "+50",
+        "+100",
+        "+110",
+        "+120",
+    ]
+
+
+def test_other_requests_and_other_vms_are_left_out():
+    text = "\n".join(explain_request(read_events(BROKEN_STREAM), "r1"))
+    assert "r2" not in text
+    assert "vm-2" not in text
+
+
+def test_prefixed_and_foreign_lines_are_read_as_far_as_they_go():
+    lines = [f"  12.5 front-1 {BROKEN_STREAM[1]}", "not JSON", '{"time_ms": 1']
+    assert [event.event for event in read_events(lines)] == ["admitted"]
+
+
+@pytest.fixture
+def log_file(tmp_path):
+    path = tmp_path / "vm-1.log"
+    path.write_text("\n".join(BROKEN_STREAM))
+    return path
+
+
+def test_command_explains_a_request_from_files(log_file, capsys):
+    assert run(["explain", "r1", "--logs", str(log_file)]) == 0
+    assert capsys.readouterr().out.startswith("cause: the run at run-1 ended")
+
+
+@pytest.mark.parametrize("request_id", ["r9", ""])
+def test_command_says_that_no_line_names_the_request(log_file, capsys, request_id):
+    assert run(["explain", request_id or "none", "--logs", str(log_file)]) != 0
+    assert "no line of the logs names" in capsys.readouterr().err
