Let streams wait for room instead of sending them where there is none

Change: a stream takes only a chain with room by the shared loads; it looks again every 60 ms for half of the time after which callers leave, and is refused after that. One for which layers are missing is refused at once. A rejection no longer rules a runner out for the whole request. A stream that was sent before goes on even where room is short.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of gateway processes with faults injected from outside them."""
--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -70,6 +70,7 @@
         avoided: Collection[str] = (),
         head: ChainPart | None = None,
         heads: Collection[str] | None = None,
+        needs_room: bool = False,
     ) -> Chain | None:
         """Return the cheapest chain, ``None`` if the layers are not all there.
 
@@ -77,6 +78,7 @@
         :param avoided: ids of runners not to use.
         :param head: part that must come first.
         :param heads: ids of runners one of which must come first.
+        :param needs_room: return no chain that has a runner without room.
         """
         usable = [
             runner
@@ -103,9 +105,8 @@
             mixed = self._cheapest(engine, usable, job, vms, head, heads)
             if mixed is not None:
                 whole.append(mixed)
-        if not whole:
-            return None
-        return min(whole, key=lambda pair: pair[0])[1]
+        cost, chain = min(whole, key=lambda pair: pair[0], default=(FULL_MS, None))
+        return None if needs_room and cost >= FULL_MS else chain
 
     def _cheapest(
         self,
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -40,7 +40,11 @@
 # Part of that after which a chain is left though none of its runners is at fault.
 GIVE_UP_PART = 0.6
 # Sends of one request, whatever befell the runners.
-MAX_SENDS = 6
+MAX_SENDS = 8
+# Time between two looks for a chain with room.
+ROOM_POLL_MS = 60
+# Part of the time after which callers leave that a stream waits for room.
+WAIT_PART = 0.5
 RETRY_AFTER_MS = 500
 BACKLOG_BYTES = 65_536
 SUCCESS = 200
@@ -163,9 +167,10 @@
             return self._fail(True)
         if self._sends >= MAX_SENDS:
             return self._fail(False)
-        chain = self._choose()
+        chain = await self._wait_for_chain()
         if chain is None:
             return self._fail(False)
+        left_ms = self._deadline - parts.clock.now()
         if self._sends and not parts.budget.take(self._service, parts.vms()):
             parts.events.emit("retry_denied", request=self._request.id)
             return self._fail(False)
@@ -185,16 +190,45 @@
         }
         return None if len(living) < self._route.max_attempts else living
 
-    def _choose(self) -> Chain | None:
-        parts = self._parts
-        runners = parts.registry.of_service(self._service)
-        suspects = {r.id for r in runners if parts.suspects.is_suspect(r)}
-        vms = parts.vms()
-        for avoided in (self._avoided | suspects, self._avoided):
-            chain = parts.chooser.choose(self._engine, runners, self._job, vms, avoided)
+    async def _wait_for_chain(self) -> Chain | None:
+        """Return a chain with room, after a short wait if need be.
+
+        Streams end all the time, so room that lacks now is often there soon; a caller
+        that were sent away would come back later than that.
+        """
+        was_sent = self._sends > 0
+        while True:
+            suspects = self._suspects()
+            chain = self._choose(suspects, needs_room=True)
             if chain is not None:
                 return chain
-        return None
+            if not was_sent and self._choose(set(), needs_room=False) is None:
+                return None
+            if self._wait_left_ms() <= 0:
+                return self._choose(set(), needs_room=not was_sent)
+            await asyncio.sleep(ROOM_POLL_MS / 1000)
+
+    def _wait_left_ms(self) -> float:
+        """Return how long the stream may wait until it would be too late to start."""
+        waited_ms = self._parts.clock.now() - self._last_event_at
+        left_ms = self._deadline - self._parts.clock.now()
+        return min(self._abandoned_ms * WAIT_PART - waited_ms, left_ms)
+
+    def _suspects(self) -> set[str]:
+        runners = self._parts.registry.of_service(self._service)
+        return {r.id for r in runners if self._parts.suspects.is_suspect(r)}
+
+    def _choose(self, suspects: set[str], needs_room: bool) -> Chain | None:
+        parts = self._parts
+        return parts.chooser.choose(
+            self._engine,
+            parts.registry.of_service(self._service),
+            self._job,
+            parts.vms(),
+            self._avoided | suspects,
+            heads=self._heads_left(),
+            needs_room=needs_room,
+        )
 
     async def _send(self, chain: Chain, left_ms: int) -> Response | bool:
         parts = self._parts
@@ -303,7 +337,6 @@
             if runner.id != chain.head.id and not was_known:
                 # The first runner would have taken the request on another chain.
                 del self._heads_by_id[chain.head.id]
-            self._avoided.add(runner.id)
             self._refusal_detail = f"runner {runner.id} rejected it: {head.status}"
             self._parts.events.emit(
                 "send_rejected",
@@ -468,17 +501,21 @@
         Another chain has to read all tokens again, so a slow one is left late, and only
         while the request may still go elsewhere.
         """
+        paused_ms = self._parts.clock.now() - self._last_event_at
+        heads = self._heads_left()
+        may_move = heads is None or bool(heads - {run.chain.head.id})
+        part = GIVE_UP_PART if may_move else 1.0
+        return max(1.0, self._abandoned_ms * part - paused_ms)
+
+    @property
+    def _abandoned_ms(self) -> float:
+        """Return the pause after which callers leave."""
         route = self._route
-        abandoned_ms = max(
+        return max(
             LEAST_ABANDON_MS,
             ABANDON_TARGETS * route.target_latency_ms,
             ABANDON_GAPS * route.target_gap_ms,
         )
-        paused_ms = self._parts.clock.now() - self._last_event_at
-        heads = self._heads_left()
-        may_move = heads is None or bool(heads - {run.chain.head.id})
-        part = GIVE_UP_PART if may_move else 1.0
-        return max(1.0, abandoned_ms * part - paused_ms)
 
     async def _read_within(self, run: _Run, patience_ms: float) -> bytes | None:
         left_ms = self._deadline - self._parts.clock.now()
@@ -493,13 +530,12 @@
         if faulty.id == run.chain.head.id:
             return False
         runners = parts.registry.of_service(self._service)
-        suspects = {r.id for r in runners if parts.suspects.is_suspect(r)}
         chain = parts.chooser.choose(
             self._engine,
             runners,
             self._job,
             parts.vms(),
-            suspects | {faulty.id},
+            self._suspects() | {faulty.id},
             run.chain.parts[0],
         )
         if chain is None:
--- a/tests/relay/test_streams.py
+++ b/tests/relay/test_streams.py
@@ -59,3 +59,62 @@
     assert session._heads_left() is None
     parts.registry.remove(second.id)
     assert session._heads_left() is None
+
+
+class FullChooser:
+    """Has room for a chain only after some questions.
+
+    :param full_for: questions until there is room; ``None`` for never.
+    """
+
+    def __init__(self, full_for, has_layers=True):
+        self.full_for = full_for
+        self.has_layers = has_layers
+        self.asked = 0
+
+    def choose(self, engine, runners, job, vms, avoided, heads=None, needs_room=False):
+        self.asked += needs_room
+        is_full = self.full_for is None or self.asked <= self.full_for
+        if not self.has_layers or (needs_room and is_full):
+            return None
+        return "chain"
+
+
+@pytest.fixture
+def ask(session, parts, monkeypatch):
+    """Return a coroutine function that asks for a chain with a chooser."""
+    parts.vms = lambda: 1
+
+    async def sleep(seconds):
+        parts.clock.advance(int(seconds * 1000))
+
+    monkeypatch.setattr("heathershunt.relay.streams.asyncio.sleep", sleep)
+
+    async def ask(chooser):
+        parts.chooser = chooser
+        return await session._wait_for_chain(), parts.clock.now()
+
+    return ask
+
+
+async def test_stream_waits_for_room_while_it_may_still_start(ask):
+    # The load: memory of all chains is full for a moment, as after a runner died.
+    chain, now = await ask(FullChooser(full_for=3))
+    assert chain == "chain"
+    assert 0 < now < 500
+
+
+async def test_stream_is_refused_once_it_would_start_too_late(ask):
+    chain, now = await ask(FullChooser(full_for=None))
+    assert chain is None
+    assert now <= 1100
+
+
+async def test_stream_for_which_layers_are_missing_is_refused_at_once(ask):
+    assert await ask(FullChooser(full_for=None, has_layers=False)) == (None, 0)
+
+
+async def test_stream_that_has_begun_goes_on_where_there_is_least_lack(session, ask):
+    session._sends = 1
+    chain, _ = await ask(FullChooser(full_for=None))
+    assert chain == "chain"
