Avoid slow runners, and bound the wait for room

Ruled out: leaving running streams on slow chains at once (another chain reads all tokens again); that is done only at four times the usual time.

Change: after a gap of 0.6 of the longest one in time, the runners of the chain are asked in the background; the choice multiplies a runner's cost by its pace for 3 s, and slow ones are asked again every second. A stream waits for room for a fifth of the time after which callers leave and is then sent all the same; loads of silent VMs are dropped after 0.8 s.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -45,6 +45,7 @@
     LoadBoard,
     LoadLedger,
     LoadSharing,
+    PaceBook,
     Placer,
     RunnerApi,
 )
@@ -165,6 +166,7 @@
             lambda: self._leader,
         )
         ledger = LoadLedger(clock)
+        paces = PaceBook(clock)
         self.board = LoadBoard(clock)
         self.sharing = LoadSharing(
             http, ledger, self.board, config.vm, self._upstream.boards
@@ -180,9 +182,9 @@
             suspects=self.suspects,
             budget=WindowBudget(clock, budget),
             ledger=ledger,
-            chooser=ChainChooser(ledger),
+            chooser=ChainChooser(ledger, paces),
             runners=ports.runners,
-            diagnosis=Diagnosis(clock, ports.runners, self.suspects),
+            diagnosis=Diagnosis(clock, ports.runners, self.suspects, paces),
             events=events,
             vms=lambda: max(1, len(self.members)),
             domain=config.domain,
@@ -225,6 +227,7 @@
             self.leadership.run(),
             self.placer.run(),
             self.sharing.run(),
+            self.parts.diagnosis.watch_slow(self.registry.get),
             self._tick(),
         ):
             self._spawn(work)
--- a/src/heathershunt/pipelines/__init__.py
+++ b/src/heathershunt/pipelines/__init__.py
@@ -4,6 +4,7 @@
 from heathershunt.pipelines.chooser import ChainChooser, Job
 from heathershunt.pipelines.layout import LayoutConfig, Placement, plan_layout
 from heathershunt.pipelines.load import LoadLedger
+from heathershunt.pipelines.pace import PaceBook
 from heathershunt.pipelines.placer import Placer, PlacerConfig
 from heathershunt.pipelines.runners import RunnerApi, RunnerReport, StalledJob
 from heathershunt.pipelines.sharing import LOAD_PATH, LoadBoard, LoadSharing
@@ -18,6 +19,7 @@
     "LoadBoard",
     "LoadLedger",
     "LoadSharing",
+    "PaceBook",
     "Placement",
     "Placer",
     "PlacerConfig",
--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -7,6 +7,7 @@
 from heathershunt.discovery import Target
 from heathershunt.pipelines.chain import Chain, ChainPart
 from heathershunt.pipelines.load import LoadLedger
+from heathershunt.pipelines.pace import PaceBook
 
 # Time of a hop inside a failure domain for one token.
 HOP_MS = 0.1
@@ -54,12 +55,14 @@
     """Finds chains of least estimated time.
 
     :param ledger: requests of all VMs at each runner.
+    :param paces: how slow runners are at present.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, ledger: LoadLedger) -> None:
+    def __init__(self, ledger: LoadLedger, paces: PaceBook) -> None:
         self._ledger = ledger
+        self._paces = paces
 
     def choose(
         self,
@@ -171,7 +174,8 @@
         read_ms = read_factor * job.prompt_tokens / engine.read_tokens_per_ms
         # Running requests read too; each does so once for the tokens that it writes.
         share = read_ms * running / max(1.0, job.answer_tokens)
-        return read_ms + job.answer_tokens * (pace * step_ms + share)
+        usual_ms = read_ms + job.answer_tokens * (pace * step_ms + share)
+        return usual_ms * self._paces.pace(runner.id)
 
     def _entry_cost(self, before: _Step, runner: Target, job: Job, vms: int) -> float:
         if before.runner is None:
--- /dev/null
+++ b/src/heathershunt/pipelines/pace.py
@@ -0,0 +1,42 @@
+"""How slow each runner is at present, as its reports tell."""
+
+from heathershunt.clock import Clock, Millis
+from heathershunt.pipelines.runners import RunnerReport
+
+# Below this a runner counts as usual; its reports vary a little.
+SLOW_PACE = 1.3
+# What a report told is used for this long.
+FRESH_MS = 3000
+
+
+class PaceBook:
+    """Paces of slow runners; 1.0 for all others.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._told_by_id: dict[str, tuple[Millis, float]] = {}
+
+    def note(self, runner_id: str, report: RunnerReport) -> None:
+        """Take what a report says."""
+        if report.pace >= SLOW_PACE:
+            self._told_by_id[runner_id] = (self._clock.now(), report.pace)
+        else:
+            self._told_by_id.pop(runner_id, None)
+
+    def pace(self, runner_id: str) -> float:
+        """Return the time of a runner's work relative to what is usual."""
+        told = self._told_by_id.get(runner_id)
+        if told is None or self._clock.now() - told[0] > FRESH_MS:
+            return 1.0
+        return told[1]
+
+    def slow(self) -> list[str]:
+        """Return the ids of the runners that were slow lately."""
+        limit = self._clock.now() - FRESH_MS
+        for runner_id, (told_at, _) in list(self._told_by_id.items()):
+            if told_at < limit:
+                del self._told_by_id[runner_id]
+        return list(self._told_by_id)
--- a/src/heathershunt/pipelines/sharing.py
+++ b/src/heathershunt/pipelines/sharing.py
@@ -22,7 +22,7 @@
 PERIOD_MS = 250
 TIMEOUT_MS = 200
 # Load of a VM that no longer tells it is dropped after this.
-KEPT_MS = 1500
+KEPT_MS = 800
 MAX_REPLY_BYTES = 1_048_576
 
 
--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -1,10 +1,11 @@
 """Which runner of a chain is at fault, found by asking them."""
 
 import asyncio
+from collections.abc import Callable
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.discovery import Target
-from heathershunt.pipelines import Chain, RunnerApi, RunnerReport
+from heathershunt.pipelines import Chain, PaceBook, RunnerApi, RunnerReport
 from heathershunt.relay.suspects import SuspectList
 
 REPORT_TIMEOUT_MS = 150
@@ -13,6 +14,10 @@
 # Time for which a runner is passed over that rejected its part of a chain: it may be
 # short of memory, or giving up its layers.
 REJECTED_MS = 300
+# A runner this much slower than usual is left by running streams too.
+BROKEN_PACE = 4.0
+# Time between two questions to a slow runner.
+WATCH_MS = 1000
 
 
 class Diagnosis:
@@ -21,10 +26,18 @@
     .. versionadded:: 0.2
     """
 
-    def __init__(self, clock: Clock, runners: RunnerApi, suspects: SuspectList) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        runners: RunnerApi,
+        suspects: SuspectList,
+        paces: PaceBook,
+    ) -> None:
         self._clock = clock
         self._runners = runners
         self._suspects = suspects
+        self._paces = paces
+        self._asking: set[asyncio.Task] = set()
         self._asked_by_id: dict[str, tuple[Millis, asyncio.Task]] = {}
 
     async def find_faulty(self, chain: Chain) -> Target | None:
@@ -46,8 +59,31 @@
             if runner is not None:
                 self._suspects.blame(runner)
                 return runner
+        for part, report in zip(chain.parts, reports, strict=True):
+            if report.pace >= BROKEN_PACE:
+                return part.runner
         return None
 
+    def ask_for_paces(self, chain: Chain) -> None:
+        """Ask the runners of a chain in the background how slow they are."""
+        task = asyncio.create_task(self._ask_all(chain))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+
+    async def _ask_all(self, chain: Chain) -> None:
+        await asyncio.gather(*(self._ask(part.runner) for part in chain.parts))
+
+    async def watch_slow(self, find: Callable[[str], Target | None]) -> None:
+        """Ask slow runners again and again until they are as usual.
+
+        :param find: returns a target by its id.
+        """
+        while True:
+            await asyncio.sleep(WATCH_MS / 1000)
+            found = map(find, self._paces.slow())
+            runners = [runner for runner in found if runner is not None]
+            await asyncio.gather(*map(self._ask, runners))
+
     async def judge_rejection(self, runner: Target) -> None:
         """Find out whether a runner that was named in a rejection works at all."""
         if self._suspects.is_suspect(runner):
@@ -71,7 +107,10 @@
             asked = (now, asyncio.create_task(question))
             self._asked_by_id[runner.id] = asked
         # One stream that ends must not cancel the question of the others.
-        return await asyncio.shield(asked[1])
+        report = await asyncio.shield(asked[1])
+        if report is not None:
+            self._paces.note(runner.id, report)
+        return report
 
     def _forget_before(self, limit: int) -> None:
         for runner_id, (asked_at, task) in list(self._asked_by_id.items()):
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -31,6 +31,8 @@
 # Pause after which the runners are asked who stalls, over the longest pause at which a
 # stream is still on time.
 SUSPECT_GAP_FACTOR = 1.25
+# Part of the longest pause in time after which runners are asked how slow they are.
+SLOW_GAP_PART = 0.6
 # Time to the first event after which the runners are asked, over its target.
 SUSPECT_FIRST_FACTOR = 0.5
 # Pause after which callers leave: the longest of these.
@@ -44,7 +46,7 @@
 # Time between two looks for a chain with room.
 ROOM_POLL_MS = 60
 # Part of the time after which callers leave that a stream waits for room.
-WAIT_PART = 0.5
+WAIT_PART = 0.2
 RETRY_AFTER_MS = 500
 BACKLOG_BYTES = 65_536
 SUCCESS = 200
@@ -205,7 +207,8 @@
             if not was_sent and self._choose(set(), needs_room=False) is None:
                 return None
             if self._wait_left_ms() <= 0:
-                return self._choose(set(), needs_room=not was_sent)
+                # The loads are estimates; the runners themselves know better.
+                return self._choose(set(), needs_room=False)
             await asyncio.sleep(ROOM_POLL_MS / 1000)
 
     def _wait_left_ms(self) -> float:
@@ -445,8 +448,11 @@
         self._last_event_at = now
         if self._first_event_ms is None:
             self._first_event_ms = gap_ms
-        else:
-            self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
+            return
+        self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
+        run = self._run
+        if run and gap_ms > self._route.target_gap_ms * SLOW_GAP_PART > 0:
+            self._parts.diagnosis.ask_for_paces(run.chain)
 
     async def _next_or_resumed(self) -> list[StreamEvent] | None:
         """Return the next events, from another run if need be; ``None`` at the end."""
