Let one waiting stream look for room at a time, and keep half of the retry budget back

Ruled out: telling repeats between VMs (what a killed VM used is lost all the same).

Change: after a search without result nobody searches for 60 ms; layers that are missing are looked for once. Half of the shared budget is used, divided by the most VMs of the last window; of a VM's share, two fifths are kept for streams that have begun.

--- a/src/heathershunt/relay/budget.py
+++ b/src/heathershunt/relay/budget.py
@@ -5,8 +5,12 @@
 
 from heathershunt.clock import Clock, Millis
 
-# Part of the shared budget that is used; VMs do not know of each other's repeats.
-USED_PART = 0.8
+# Part of the shared budget that is used. VMs do not know of each other's repeats, and
+# one that restarts does not know of its own.
+USED_PART = 0.5
+# Part of a VM's share for requests that nothing was delivered of; the rest is kept for
+# streams that have begun.
+FRESH_PART = 0.6
 
 
 @dataclass(frozen=True)
@@ -51,25 +55,38 @@
         self._config = config
         self._requests_by_service: dict[str, _Window] = {}
         self._repeats_by_service: dict[str, _Window] = {}
+        self._most_vms = 1
+        self._most_vms_at = clock.now()
 
     def note_request(self, service: str) -> None:
         """Count a request of a caller."""
         window = self._requests_by_service.setdefault(service, _Window())
         window.add(self._clock.now())
 
-    def take(self, service: str, vms: int) -> bool:
+    def take(self, service: str, vms: int, *, has_begun: bool = False) -> bool:
         """Take one repeat; return whether there was one left.
 
         :param vms: VMs that share the budget.
+        :param has_begun: whether a part of the answer was delivered already.
         """
         now = self._clock.now()
         since = now - self._config.window_ms
+        vms = self._note_vms(vms, now)
         requests = self._requests_by_service.setdefault(service, _Window())
         repeats = self._repeats_by_service.setdefault(service, _Window())
         config = self._config
         shared = config.slack / max(1, vms)
         allowed = USED_PART * (requests.count(since) * config.ratio + shared)
+        if not has_begun:
+            allowed *= FRESH_PART
         if repeats.count(since) + 1 > allowed:
             return False
         repeats.add(now)
         return True
+
+    def _note_vms(self, vms: int, now: Millis) -> int:
+        """Return the most VMs of the last window; those that left used their share."""
+        if vms >= self._most_vms or now - self._most_vms_at > self._config.window_ms:
+            self._most_vms = vms
+            self._most_vms_at = now
+        return self._most_vms
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -9,7 +9,7 @@
 from result import Err, Result
 
 from heathershunt.catalog import Engine, Route
-from heathershunt.clock import Millis
+from heathershunt.clock import Clock, Millis
 from heathershunt.discovery import Target
 from heathershunt.http import (
     ClientResponse,
@@ -75,6 +75,28 @@
     splitter: EventSplitter
 
 
+class RoomGate:
+    """Lets one waiting stream after the other look for room.
+
+    After one found none, the others need not look for a while: with many streams
+    waiting, the search itself would take all of the processor.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._full_until: dict[str, Millis] = {}
+
+    def may_look(self, service: str) -> bool:
+        """Return whether there may be room by now."""
+        return self._clock.now() >= self._full_until.get(service, 0)
+
+    def note_full(self, service: str) -> None:
+        """Take note that there is no room."""
+        self._full_until[service] = Millis(self._clock.now() + ROOM_POLL_MS)
+
+
 class StreamRelay:
     """Opens streams and relays their events.
 
@@ -83,6 +105,7 @@
 
     def __init__(self, parts: RelayParts) -> None:
         self._parts = parts
+        self._room = RoomGate(parts.clock)
 
     async def relay(
         self,
@@ -99,7 +122,7 @@
         """
         self._parts.budget.note_request(service)
         session = _Session(
-            self._parts, request, route, service, engine, account, deadline
+            self._parts, self._room, request, route, service, engine, account, deadline
         )
         try:
             return await session.open()
@@ -114,6 +137,7 @@
     def __init__(
         self,
         parts: RelayParts,
+        room: RoomGate,
         request: CallerRequest,
         route: Route,
         service: str,
@@ -122,6 +146,7 @@
         deadline: Millis,
     ) -> None:
         self._parts = parts
+        self._room = room
         self._request = request
         self._route = route
         self._service = service
@@ -173,7 +198,9 @@
         if chain is None:
             return self._fail(False)
         left_ms = self._deadline - parts.clock.now()
-        if self._sends and not parts.budget.take(self._service, parts.vms()):
+        if self._sends and not parts.budget.take(
+            self._service, parts.vms(), has_begun=self._run_has_begun
+        ):
             parts.events.emit("retry_denied", request=self._request.id)
             return self._fail(False)
         return await self._send(chain, left_ms)
@@ -192,20 +219,25 @@
         }
         return None if len(living) < self._route.max_attempts else living
 
+    @property
+    def _run_has_begun(self) -> bool:
+        """Return whether the caller has a part of the answer."""
+        return self._first_event_ms is not None
+
     async def _wait_for_chain(self) -> Chain | None:
         """Return a chain with room, after a short wait if need be.
 
         Streams end all the time, so room that lacks now is often there soon; a caller
         that were sent away would come back later than that.
         """
-        was_sent = self._sends > 0
+        if not self._sends and self._choose(set(), needs_room=False) is None:
+            return None
         while True:
-            suspects = self._suspects()
-            chain = self._choose(suspects, needs_room=True)
-            if chain is not None:
-                return chain
-            if not was_sent and self._choose(set(), needs_room=False) is None:
-                return None
+            if self._room.may_look(self._service):
+                chain = self._choose(self._suspects(), needs_room=True)
+                if chain is not None:
+                    return chain
+                self._room.note_full(self._service)
             if self._wait_left_ms() <= 0:
                 # The loads are estimates; the runners themselves know better.
                 return self._choose(set(), needs_room=False)
--- a/tests/relay/test_budget.py
+++ b/tests/relay/test_budget.py
@@ -1,11 +1,12 @@
 from heathershunt.relay import BudgetConfig, WindowBudget
+from heathershunt.relay.budget import FRESH_PART, USED_PART
 
 CONFIG = BudgetConfig(window_ms=1000, ratio=0.5, slack=10)
 
 
-def take_all(budget, vms):
+def take_all(budget, vms, has_begun=True):
     taken = 0
-    while budget.take("s", vms):
+    while budget.take("s", vms, has_begun=has_begun):
         taken += 1
     return taken
 
@@ -14,7 +15,7 @@
     budget = WindowBudget(clock, CONFIG)
     for _ in range(20):
         budget.note_request("s")
-    assert take_all(budget, vms=2) == int(0.8 * (20 * 0.5 + 10 / 2))
+    assert take_all(budget, vms=2) == int(USED_PART * (20 * 0.5 + 10 / 2))
 
 
 def test_all_vms_together_stay_within_the_budget(clock):
@@ -36,3 +37,26 @@
     budget = WindowBudget(clock, CONFIG)
     take_all(budget, vms=1)
     assert budget.take("other", 1)
+
+
+def test_streams_that_have_begun_find_a_part_that_others_leave(clock):
+    # Guards against streams that are cut since requests without a first event have
+    # used all repeats.
+    budget = WindowBudget(clock, BudgetConfig(window_ms=1000, ratio=0.5, slack=100))
+    fresh = take_all(budget, vms=1, has_begun=False)
+    assert fresh == int(USED_PART * 100 * FRESH_PART)
+    assert take_all(budget, vms=1) == int(USED_PART * 100) - fresh
+
+
+def test_vms_that_left_are_counted_for_a_window(clock):
+    # Guards the shared bound while VMs stop one after the other: those that left have
+    # used their shares.
+    budget = WindowBudget(clock, BudgetConfig(window_ms=1000, ratio=0.5, slack=100))
+    budget.take("s", 4)
+    clock.advance(900)
+    assert take_all(budget, vms=1) + 1 == int(USED_PART * 100 / 4)
+
+
+def test_restarted_vm_that_uses_its_share_again_stays_within_the_budget(clock):
+    before, after = WindowBudget(clock, CONFIG), WindowBudget(clock, CONFIG)
+    assert take_all(before, vms=1) + take_all(after, vms=1) <= CONFIG.slack
--- a/tests/relay/test_streams.py
+++ b/tests/relay/test_streams.py
@@ -7,7 +7,7 @@
 from heathershunt.catalog import Repeatability, Route
 from heathershunt.discovery import TargetRegistry
 from heathershunt.relay import CallerRequest, SuspectList
-from heathershunt.relay.streams import _Session
+from heathershunt.relay.streams import ROOM_POLL_MS, RoomGate, _Session
 from tests.pipelines import engines
 
 ROUTE = Route("r", "h", "/r/", Repeatability.STREAM, (), 5000, 500, max_attempts=2)
@@ -23,7 +23,8 @@
 
 @pytest.fixture
 def session(parts):
-    return _Session(parts, REQUEST, ROUTE, "s", engines.engine(), None, 5000)
+    room = RoomGate(parts.clock)
+    return _Session(parts, room, REQUEST, ROUTE, "s", engines.engine(), None, 5000)
 
 
 def send_to(session, *runners):
@@ -120,3 +121,17 @@
     session._sends = 1
     chain, _ = await ask(FullChooser(full_for=None))
     assert chain == "chain"
+
+
+def test_many_waiting_streams_cost_one_search_at_a_time(clock):
+    # The load: one VM is left and a hundred streams wait; each search takes some
+    # milliseconds of its processor.
+    gate = RoomGate(clock)
+    searches = 0
+    for _ in range(10):
+        for _ in range(100):
+            if gate.may_look("s"):
+                searches += 1
+                gate.note_full("s")
+        clock.advance(ROOM_POLL_MS)
+    assert searches == 10
