Avoid runners without an entry after an outage; end cancelled connections quietly

Change: streams avoid runners whose entry is missing while others do; the task of a connection ends normally when the process cancels it.

--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -60,6 +60,10 @@
         self._connections.add(connection)
         try:
             await connection.serve(lambda: self._draining)
+        except asyncio.CancelledError:
+            # The end of the process cancels this task. The stream protocol of asyncio
+            # would report that as an error of its own.
+            connection.cut()
         finally:
             self._connections.discard(connection)
 
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -250,8 +250,13 @@
         return min(self._abandoned_ms * WAIT_PART - waited_ms, left_ms)
 
     def _suspects(self) -> set[str]:
-        runners = self._parts.registry.of_service(self._service)
-        return {r.id for r in runners if self._parts.suspects.is_suspect(r)}
+        """Return runners that failed lately, or may have left during an outage."""
+        registry, suspects = self._parts.registry, self._parts.suspects
+        return {
+            runner.id
+            for runner in registry.of_service(self._service)
+            if suspects.is_suspect(runner) or registry.is_missing(runner.id)
+        }
 
     def _choose(self, suspects: set[str], needs_room: bool) -> Chain | None:
         parts = self._parts
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -148,3 +148,21 @@
     """A process paused while it connected must not send what is out of date."""
     outcome = await HttpClient().request(address, "GET", "/", may_send=lambda: False)
     assert outcome.err_value.progress is Progress.NOT_SENT
+
+
+async def test_cancelled_connection_is_no_error_of_the_loop(server, address):
+    # Guards against tracebacks in the log of every process that stops with open
+    # connections.
+    errors = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: errors.append(context))
+    before = asyncio.all_tasks()
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    await asyncio.sleep(0.05)
+    serving = asyncio.all_tasks() - before
+    assert serving
+    for task in serving:
+        task.cancel()
+    await asyncio.sleep(0.05)
+    writer.close()
+    assert errors == []
--- a/tests/relay/test_streams.py
+++ b/tests/relay/test_streams.py
@@ -135,3 +135,13 @@
                 gate.note_full("s")
         clock.advance(ROOM_POLL_MS)
     assert searches == 10
+
+
+def test_runner_that_may_have_left_during_an_outage_is_avoided(session, parts):
+    # Guards against rejections that use up the repeats right after an outage.
+    kept, missing = engines.runner(1), engines.runner(2)
+    parts.registry.put(kept)
+    parts.registry.put(missing)
+    parts.registry.store_returned()
+    parts.registry.remove(missing.id)
+    assert session._suspects() == {missing.id}
