--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,11 @@
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
+TEST_WORKERS ?= 3
+# First and last seed, and seconds of faults in each run.
+SOAK ?= 1 50 8
 
-.PHONY: venv test lint format demo measure fuzz
+.PHONY: venv test lint format demo measure fuzz soak
 
 venv: $(VENV)/.installed
 
@@ -21,7 +24,7 @@
 	$(PYTHON) -m ruff check --fix .
 
 test: venv
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n $(TEST_WORKERS) --dist loadfile
 
 demo: venv
 	$(PYTHON) -m standins.demo
@@ -31,3 +34,6 @@
 
 fuzz: venv
 	HEATHERSHUNT_FUZZ=long $(PYTHON) -m pytest tests/fuzz
+
+soak: venv
+	$(PYTHON) -m soak $(SOAK)
