Split the relay of streams, and close streams whose caller left before the head

Reading it showed a fault: where the caller left between the answer of the handler and the head, the body was never asked for, so the runner worked on and its load stayed counted.

Change: attempts, patience, progress and room are modules of their own, moved as they were; a streamed response has a callback that is called once its body has ended or was given up.

--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -289,8 +289,12 @@
                 self.send(h11.Data(data=response.body))
         else:
             headers.append(("transfer-encoding", "chunked"))
-            self._send_head(response.status, headers)
-            await self._run_stream(response)
+            try:
+                self._send_head(response.status, headers)
+                await self._run_stream(response)
+            finally:
+                if response.on_closed is not None:
+                    response.on_closed()
         self.send(h11.EndOfMessage())
         await self.writer.drain()
 
--- a/src/heathershunt/http/messages.py
+++ b/src/heathershunt/http/messages.py
@@ -70,6 +70,7 @@
     If ``run`` raises, the connection is cut without the end of the body, so that a
     truncated answer never looks complete.
 
+    :param on_closed: called once the body has ended, also if ``run`` never began.
     :param on_confirmed: called when the caller shows that it took the whole body: it
         sends its next request or closes its side of the connection.
 
@@ -80,6 +81,7 @@
     headers: Mapping[str, str]
     run: Callable[[ResponseStream], Awaitable[None]]
     on_confirmed: Callable[[], None] | None = None
+    on_closed: Callable[[], None] | None = None
 
 
 def json_response(
--- /dev/null
+++ b/src/heathershunt/relay/attempts.py
@@ -0,0 +1,54 @@
+"""Runners that one request was sent to, and those it is to avoid."""
+
+from heathershunt.discovery import Target, TargetRegistry
+
+
+class Attempts:
+    """Counts the sends of one stream.
+
+    :param most: runners that the request may go to.
+    :ivar sends: sends so far, whatever befell the runners.
+    :ivar avoided: ids of runners that failed this request.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, registry: TargetRegistry, most: int) -> None:
+        self._registry = registry
+        self._most = most
+        self._heads_by_id: dict[str, Target] = {}
+        self.sends = 0
+        self.avoided: set[str] = set()
+
+    def has_head(self, runner: Target) -> bool:
+        """Return whether the request went to this runner before."""
+        return runner.id in self._heads_by_id
+
+    def note_head(self, runner: Target) -> None:
+        """Count a first runner that took the request."""
+        self._heads_by_id[runner.id] = runner
+
+    def forget_head(self, runner: Target) -> None:
+        """Uncount a first runner that rejected it on account of a later one."""
+        self._heads_by_id.pop(runner.id, None)
+
+    def heads_left(self) -> set[str] | None:
+        """Return the runners that may come first; ``None`` if any may.
+
+        A request goes to no more than ``most`` runners that are listed; to the same
+        one it may go again. That a runner was blamed is no proof of its end.
+        """
+        living = {
+            head.id for head in self._heads_by_id.values() if self._is_listed(head)
+        }
+        return None if len(living) < self._most else living
+
+    def may_leave(self, head: Target) -> bool:
+        """Return whether another runner than ``head`` may come first."""
+        heads = self.heads_left()
+        return heads is None or bool(heads - {head.id})
+
+    def _is_listed(self, runner: Target) -> bool:
+        """Return whether the store lists the same start of a runner."""
+        known = self._registry.get(runner.id)
+        return known is not None and known.born == runner.born
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -9,7 +9,7 @@
 from result import Err, Result
 
 from heathershunt.catalog import Engine, Route
-from heathershunt.clock import Clock, Millis
+from heathershunt.clock import Millis
 from heathershunt.discovery import Target
 from heathershunt.http import (
     ClientResponse,
@@ -20,33 +20,20 @@
 )
 from heathershunt.pipelines import Chain, Job
 from heathershunt.pipelines.runners import OrderOutcome
+from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.events import EventSplitter, StreamEvent
 from heathershunt.relay.messages import CallerRequest, Dispatch, ReplyHead, refuse
 from heathershunt.relay.parts import RelayParts
+from heathershunt.relay.patience import Patience
+from heathershunt.relay.progress import StreamProgress
+from heathershunt.relay.room import ROOM_POLL_MS, RoomGate
 from heathershunt.verdict import Progress, may_have_run, not_run
 
 CONNECT_MS = 250
 # A runner sends the head of its reply with the first event.
 HEAD_TIMEOUT_MS = 1200
-# Pause after which the runners are asked who stalls, over the longest pause at which a
-# stream is still on time.
-SUSPECT_GAP_FACTOR = 1.25
-# Part of the longest pause in time after which runners are asked how slow they are.
-SLOW_GAP_PART = 0.6
-# Time to the first event after which the runners are asked, over its target.
-SUSPECT_FIRST_FACTOR = 0.5
-# Pause after which callers leave: the longest of these.
-LEAST_ABANDON_MS = 2000
-ABANDON_TARGETS = 4
-ABANDON_GAPS = 8
-# Part of that after which a chain is left though none of its runners is at fault.
-GIVE_UP_PART = 0.6
 # Sends of one request, whatever befell the runners.
 MAX_SENDS = 8
-# Time between two looks for a chain with room.
-ROOM_POLL_MS = 60
-# Part of the time after which callers leave that a stream waits for room.
-WAIT_PART = 0.2
 RETRY_AFTER_MS = 500
 BACKLOG_BYTES = 65_536
 SUCCESS = 200
@@ -75,28 +62,6 @@
     splitter: EventSplitter
 
 
-class RoomGate:
-    """Lets one waiting stream after the other look for room.
-
-    After one found none, the others need not look for a while: with many streams
-    waiting, the search itself would take all of the processor.
-
-    .. versionadded:: 0.2
-    """
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._full_until: dict[str, Millis] = {}
-
-    def may_look(self, service: str) -> bool:
-        """Return whether there may be room by now."""
-        return self._clock.now() >= self._full_until.get(service, 0)
-
-    def note_full(self, service: str) -> None:
-        """Take note that there is no room."""
-        self._full_until[service] = Millis(self._clock.now() + ROOM_POLL_MS)
-
-
 class StreamRelay:
     """Opens streams and relays their events.
 
@@ -153,16 +118,14 @@
         self._engine = engine
         self._account = account
         self._deadline = deadline
-        self._last_id = request.last_event_id
+        self._patience = Patience.from_route(route)
+        self._attempts = Attempts(parts.registry, route.max_attempts)
+        self._progress = StreamProgress(
+            parts.clock, request.received_at, request.last_event_id
+        )
         self._run: _Run | None = None
-        self._avoided: set[str] = set()
-        self._sends = 0
-        self._heads_by_id: dict[str, Target] = {}
         self._may_have_run = False
         self._replaced_chains = 0
-        self._last_event_at = request.received_at
-        self._first_event_ms: int | None = None
-        self._longest_gap_ms = 0
         self._refusal_detail = "no chain of runners holds all layers"
         likely = request.likely_tokens or engine.usual_answer or request.most_tokens
         answer = min(likely, request.most_tokens) if request.most_tokens else likely
@@ -184,7 +147,9 @@
             if events is None:
                 continue
             relay = partial(self._relay, events=events)
-            return StreamResponse(SUCCESS, run.head.headers, relay)
+            return StreamResponse(
+                SUCCESS, run.head.headers, relay, on_closed=self.close
+            )
 
     async def _start(self) -> Response | bool:
         """Start a run; return whether there is one, or the final answer."""
@@ -192,45 +157,26 @@
         left_ms = self._deadline - parts.clock.now()
         if left_ms <= 0:
             return self._fail(True)
-        if self._sends >= MAX_SENDS:
+        if self._attempts.sends >= MAX_SENDS:
             return self._fail(False)
         chain = await self._wait_for_chain()
         if chain is None:
             return self._fail(False)
         left_ms = self._deadline - parts.clock.now()
-        if self._sends and not parts.budget.take(
-            self._service, parts.vms(), has_begun=self._run_has_begun
+        if self._attempts.sends and not parts.budget.take(
+            self._service, parts.vms(), has_begun=self._progress.has_begun
         ):
             parts.events.emit("retry_denied", request=self._request.id)
             return self._fail(False)
         return await self._send(chain, left_ms)
 
-    def _heads_left(self) -> set[str] | None:
-        """Return the runners that may come first; ``None`` if any may.
-
-        A request goes to no more than ``max_attempts`` runners that are listed; to the
-        same one it may go again. That a runner was blamed is no proof of its end.
-        """
-        registry = self._parts.registry
-        living = {
-            head.id
-            for head in self._heads_by_id.values()
-            if _is_same_start(registry.get(head.id), head)
-        }
-        return None if len(living) < self._route.max_attempts else living
-
-    @property
-    def _run_has_begun(self) -> bool:
-        """Return whether the caller has a part of the answer."""
-        return self._first_event_ms is not None
-
     async def _wait_for_chain(self) -> Chain | None:
         """Return a chain with room, after a short wait if need be.
 
         Streams end all the time, so room that lacks now is often there soon; a caller
         that were sent away would come back later than that.
         """
-        if not self._sends and self._choose(set(), needs_room=False) is None:
+        if not self._attempts.sends and self._choose(set(), needs_room=False) is None:
             return None
         while True:
             if self._room.may_look(self._service):
@@ -245,9 +191,8 @@
 
     def _wait_left_ms(self) -> float:
         """Return how long the stream may wait until it would be too late to start."""
-        waited_ms = self._parts.clock.now() - self._last_event_at
         left_ms = self._deadline - self._parts.clock.now()
-        return min(self._abandoned_ms * WAIT_PART - waited_ms, left_ms)
+        return min(self._patience.room_ms - self._progress.paused_ms, left_ms)
 
     def _suspects(self) -> set[str]:
         """Return runners that failed lately, or may have left during an outage."""
@@ -265,8 +210,8 @@
             parts.registry.of_service(self._service),
             self._job,
             parts.vms(),
-            self._avoided | suspects,
-            heads=self._heads_left(),
+            self._attempts.avoided | suspects,
+            heads=self._attempts.heads_left(),
             needs_room=needs_room,
         )
 
@@ -279,7 +224,7 @@
             self._account,
             chain,
             self._route.rank,
-            self._last_id,
+            self._progress.last_id,
         )
         parts.ledger.add(chain, self._job.tokens)
         response = None
@@ -300,12 +245,12 @@
         finally:
             if response is None:
                 parts.ledger.remove(chain, self._job.tokens)
-        self._sends += 1
+        self._attempts.sends += 1
         if response is None:
             await self._on_send_failure(chain, outcome.err_value)
             return False
-        was_known = chain.head.id in self._heads_by_id
-        self._heads_by_id[chain.head.id] = chain.head
+        was_known = self._attempts.has_head(chain.head)
+        self._attempts.note_head(chain.head)
         head = parts.wire.reply_head(response)
         self._run = _Run(chain, self._job.tokens, response, head, EventSplitter())
         if head.status == SUCCESS and head.request_id == request.id:
@@ -323,7 +268,7 @@
         task = asyncio.ensure_future(sending)
         is_taken = False
         try:
-            timeout = self._first_patience_ms / 1000
+            timeout = self._patience.first_ms / 1000
             done, _ = await asyncio.wait({task}, timeout=timeout)
             faulty = None if done else await self._examine(chain)
             if faulty is not None and not task.done():
@@ -343,7 +288,7 @@
             "pause_examined",
             request=self._request.id,
             target=chain.head.id,
-            after=self._last_id,
+            after=self._progress.last_id,
             faulty=faulty.id if faulty else None,
         )
         return faulty
@@ -360,10 +305,10 @@
         if error.progress is Progress.NOT_SENT:
             self._avoid(chain.head)
             return
-        self._heads_by_id[chain.head.id] = chain.head
+        self._attempts.note_head(chain.head)
         self._may_have_run = True
         faulty = await self._parts.diagnosis.find_faulty(chain)
-        self._avoided.add((faulty or chain.head).id)
+        self._attempts.avoided.add((faulty or chain.head).id)
 
     async def _on_failure_reply(
         self,
@@ -376,7 +321,7 @@
             runner = chain.runner_at(head.faulty_address or "") or chain.head
             if runner.id != chain.head.id and not was_known:
                 # The first runner would have taken the request on another chain.
-                del self._heads_by_id[chain.head.id]
+                self._attempts.forget_head(chain.head)
             self._refusal_detail = f"runner {runner.id} rejected it: {head.status}"
             self._parts.events.emit(
                 "send_rejected",
@@ -404,7 +349,7 @@
     async def _first_events(self) -> list[StreamEvent] | None:
         """Return the first events of the run, ``None`` if it gave none."""
         try:
-            events = await self._next_events(self._first_patience_ms)
+            events = await self._next_events(self._patience.first_ms)
         except READ_ERRORS as error:
             await self._on_break(error)
             return None
@@ -413,14 +358,6 @@
             return None
         return events
 
-    @property
-    def _first_patience_ms(self) -> float:
-        return max(1, self._route.target_latency_ms) * SUSPECT_FIRST_FACTOR
-
-    @property
-    def _gap_patience_ms(self) -> float:
-        return max(1, self._route.target_gap_ms) * SUSPECT_GAP_FACTOR
-
     def _fail(self, is_timeout: bool) -> Response:
         self._parts.events.emit(
             "stream_refused", request=self._request.id, detail=self._refusal_detail
@@ -458,48 +395,32 @@
             "stream_ended",
             request=self._request.id,
             outcome=outcome,
-            after=self._last_id,
-            first_event_ms=self._first_event_ms,
-            longest_gap_ms=self._longest_gap_ms,
-            sends=self._sends,
+            after=self._progress.last_id,
+            first_event_ms=self._progress.first_event_ms,
+            longest_gap_ms=self._progress.longest_gap_ms,
+            sends=self._attempts.sends,
             replaced_chains=self._replaced_chains,
             chain=[part.runner.id for part in run.chain.parts] if run else [],
             domains=sorted({p.runner.domain for p in run.chain.parts}) if run else [],
         )
 
     def _write(self, sink: ResponseStream, events: list[StreamEvent]) -> None:
-        fresh = []
-        for event in events:
-            if event.id is not None:
-                if self._last_id is not None and event.id <= self._last_id:
-                    continue
-                self._last_id = event.id
-            fresh.append(event.data)
-        if fresh:
-            sink.write(b"".join(fresh))
-            self._note_gap()
-
-    def _note_gap(self) -> None:
-        now = self._parts.clock.now()
-        gap_ms = now - self._last_event_at
-        self._last_event_at = now
-        if self._first_event_ms is None:
-            self._first_event_ms = gap_ms
+        data = self._progress.take(events)
+        if not data:
             return
-        self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
-        run = self._run
-        if run and gap_ms > self._route.target_gap_ms * SLOW_GAP_PART > 0:
-            self._parts.diagnosis.ask_for_paces(run.chain)
+        sink.write(data)
+        if self._run and self._progress.gap_ms > self._patience.slow_gap_ms:
+            self._parts.diagnosis.ask_for_paces(self._run.chain)
 
     async def _next_or_resumed(self) -> list[StreamEvent] | None:
         """Return the next events, from another run if need be; ``None`` at the end."""
         try:
-            return await self._next_events(self._gap_patience_ms)
+            return await self._next_events(self._patience.gap_ms)
         except READ_ERRORS as error:
             cause = error
         while True:
             await self._on_break(cause)
-            if not self._route.is_resumable or self._last_id is None:
+            if not self._route.is_resumable or self._progress.last_id is None:
                 raise StreamBrokenError(str(cause)) from cause
             outcome = await self._start()
             if isinstance(outcome, Response):
@@ -508,10 +429,12 @@
                 cause = StreamBrokenError(self._refusal_detail)
                 continue
             self._parts.events.emit(
-                "stream_resumed", request=self._request.id, after=self._last_id
+                "stream_resumed",
+                request=self._request.id,
+                after=self._progress.last_id,
             )
             try:
-                return await self._next_events(self._first_patience_ms)
+                return await self._next_events(self._patience.first_ms)
             except READ_ERRORS as error:
                 cause = error
 
@@ -544,21 +467,10 @@
         Another chain has to read all tokens again, so a slow one is left late, and only
         while the request may still go elsewhere.
         """
-        paused_ms = self._parts.clock.now() - self._last_event_at
-        heads = self._heads_left()
-        may_move = heads is None or bool(heads - {run.chain.head.id})
-        part = GIVE_UP_PART if may_move else 1.0
-        return max(1.0, self._abandoned_ms * part - paused_ms)
-
-    @property
-    def _abandoned_ms(self) -> float:
-        """Return the pause after which callers leave."""
-        route = self._route
-        return max(
-            LEAST_ABANDON_MS,
-            ABANDON_TARGETS * route.target_latency_ms,
-            ABANDON_GAPS * route.target_gap_ms,
-        )
+        patience = self._patience
+        may_leave = self._attempts.may_leave(run.chain.head)
+        limit_ms = patience.leave_ms if may_leave else patience.abandoned_ms
+        return max(1.0, limit_ms - self._progress.paused_ms)
 
     async def _read_within(self, run: _Run, patience_ms: float) -> bytes | None:
         left_ms = self._deadline - self._parts.clock.now()
@@ -608,20 +520,20 @@
             "stream_broken",
             request=self._request.id,
             target=run.chain.head.id,
-            after=self._last_id,
+            after=self._progress.last_id,
             detail=self._refusal_detail,
         )
         self._drop_run()
         if isinstance(error, TimeoutError):
-            self._avoided.add(run.chain.head.id)
+            self._attempts.avoided.add(run.chain.head.id)
             return
         # A chain also breaks off where a runner in its middle fails.
         faulty = await self._parts.diagnosis.find_faulty(run.chain)
         if faulty is not None:
-            self._avoided.add(faulty.id)
+            self._attempts.avoided.add(faulty.id)
 
     def _avoid(self, runner: Target) -> None:
-        self._avoided.add(runner.id)
+        self._attempts.avoided.add(runner.id)
         self._parts.suspects.blame(runner)
 
     def _drop_run(self) -> None:
@@ -635,11 +547,6 @@
         self._drop_run()
 
 
-def _is_same_start(known: Target | None, runner: Target) -> bool:
-    """Return whether a runner still is the one that a request was sent to."""
-    return known is not None and known.born == runner.born
-
-
 def _abandon(task: asyncio.Future) -> None:
     """Cancel a request; drop its connection if the reply has come after all."""
     if not task.done():
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -166,3 +166,27 @@
     await asyncio.sleep(0.05)
     writer.close()
     assert errors == []
+
+
+async def test_stream_is_closed_even_if_its_caller_left_before_the_head():
+    # Guards against a runner that works on for a caller that is gone: the body of such
+    # a stream is never asked for.
+    closed = []
+    is_handled = asyncio.Event()
+
+    async def handle(request):
+        await is_handled.wait()
+        return StreamResponse(200, {}, write_three, on_closed=lambda: closed.append(1))
+
+    server = HttpServer(handle)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    await asyncio.sleep(0.05)
+    for connection in server._connections:
+        connection.writer.transport.abort()
+    is_handled.set()
+    await asyncio.sleep(0.05)
+    writer.close()
+    await server.close()
+    assert closed == [1]
--- /dev/null
+++ b/tests/relay/test_attempts.py
@@ -0,0 +1,71 @@
+"""At how many runners one stream may run."""
+
+import pytest
+
+from heathershunt.discovery import TargetRegistry
+from heathershunt.relay.attempts import Attempts
+from tests.pipelines import engines
+
+
+@pytest.fixture
+def registry(clock):
+    return TargetRegistry(clock, lambda target_id: None)
+
+
+@pytest.fixture
+def attempts(registry):
+    return Attempts(registry, 2)
+
+
+@pytest.fixture
+def send_to(attempts, registry):
+    """Return a function that lists runners and counts them as first ones."""
+
+    def send(*runners):
+        for runner in runners:
+            registry.put(runner)
+            attempts.note_head(runner)
+
+    return send
+
+
+def test_any_runner_may_come_first_while_attempts_are_left(attempts, send_to):
+    first = engines.runner(1)
+    send_to(first)
+    assert attempts.heads_left() is None
+    assert attempts.may_leave(first)
+
+
+def test_runner_that_changed_its_layers_still_counts(attempts, send_to, registry):
+    # Guards against a third run after a runner's entry changed while it lived.
+    first, second = engines.runner(1, held=(0, 8)), engines.runner(2)
+    send_to(first, second)
+    registry.put(engines.runner(1, held=(0, 9)))
+    assert attempts.heads_left() == {first.id, second.id}
+
+
+def test_runner_that_is_gone_or_has_restarted_does_not_count(
+    attempts, send_to, registry
+):
+    first, second = engines.runner(1, born=5), engines.runner(2)
+    send_to(first, second)
+    registry.put(engines.runner(1, born=6))
+    assert attempts.heads_left() is None
+    registry.remove(second.id)
+    assert attempts.heads_left() is None
+
+
+def test_runner_that_rejected_for_a_later_one_does_not_count(attempts, send_to):
+    first, second = engines.runner(1), engines.runner(2)
+    send_to(first, second)
+    attempts.forget_head(second)
+    assert attempts.heads_left() is None
+
+
+def test_one_runner_may_not_be_left_when_it_is_the_only_attempt(registry, clock):
+    attempts = Attempts(registry, 1)
+    only = engines.runner(1)
+    registry.put(only)
+    attempts.note_head(only)
+    assert attempts.heads_left() == {only.id}
+    assert not attempts.may_leave(only)
--- a/tests/relay/test_streams.py
+++ b/tests/relay/test_streams.py
@@ -1,4 +1,4 @@
-"""At how many runners one stream may run."""
+"""How long a stream waits for a chain, and which runners it avoids."""
 
 from types import SimpleNamespace
 
@@ -7,7 +7,8 @@
 from heathershunt.catalog import Repeatability, Route
 from heathershunt.discovery import TargetRegistry
 from heathershunt.relay import CallerRequest, SuspectList
-from heathershunt.relay.streams import ROOM_POLL_MS, RoomGate, _Session
+from heathershunt.relay.room import ROOM_POLL_MS, RoomGate
+from heathershunt.relay.streams import _Session
 from tests.pipelines import engines
 
 ROUTE = Route("r", "h", "/r/", Repeatability.STREAM, (), 5000, 500, max_attempts=2)
@@ -27,41 +28,6 @@
     return _Session(parts, room, REQUEST, ROUTE, "s", engines.engine(), None, 5000)
 
 
-def send_to(session, *runners):
-    for runner in runners:
-        session._parts.registry.put(runner)
-        session._heads_by_id[runner.id] = runner
-
-
-def test_any_runner_may_come_first_while_attempts_are_left(session):
-    send_to(session, engines.runner(1))
-    assert session._heads_left() is None
-
-
-def test_blamed_runner_still_counts_as_an_attempt(session, parts):
-    # Guards against a third run after a report of a living runner came too late.
-    first, second = engines.runner(1), engines.runner(2)
-    send_to(session, first, second)
-    parts.suspects.blame(first)
-    assert session._heads_left() == {first.id, second.id}
-
-
-def test_runner_that_changed_its_layers_still_counts_as_an_attempt(session, parts):
-    first, second = engines.runner(1, held=(0, 8)), engines.runner(2)
-    send_to(session, first, second)
-    parts.registry.put(engines.runner(1, held=(0, 9)))
-    assert session._heads_left() == {first.id, second.id}
-
-
-def test_runner_that_is_gone_or_has_restarted_does_not_count(session, parts):
-    first, second = engines.runner(1, born=5), engines.runner(2)
-    send_to(session, first, second)
-    parts.registry.put(engines.runner(1, born=6))
-    assert session._heads_left() is None
-    parts.registry.remove(second.id)
-    assert session._heads_left() is None
-
-
 class FullChooser:
     """Has room for a chain only after some questions.
 
@@ -118,7 +84,7 @@
 
 
 async def test_stream_that_has_begun_goes_on_where_there_is_least_lack(session, ask):
-    session._sends = 1
+    session._attempts.sends = 1
     chain, _ = await ask(FullChooser(full_for=None))
     assert chain == "chain"
 
@@ -145,3 +111,13 @@
     parts.registry.store_returned()
     parts.registry.remove(missing.id)
     assert session._suspects() == {missing.id}
+
+
+def test_blamed_runner_still_counts_as_an_attempt(session, parts):
+    # Guards against a third run after a report of a living runner came too late.
+    first, second = engines.runner(1), engines.runner(2)
+    for runner in (first, second):
+        parts.registry.put(runner)
+        session._attempts.note_head(runner)
+    parts.suspects.blame(first)
+    assert session._attempts.heads_left() == {first.id, second.id}
