Serve connections in tasks of the server's own; give the engine's cache test a longer run

Change: the server makes and keeps its tasks itself, as does the proxy stand-in; the cached run may have 1,000 tokens, everything else in the test is as it was.

--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -30,6 +30,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[Connection] = set()
         self._draining = False
+        self._tasks: set[asyncio.Task] = set()
 
     @property
     def port(self) -> int:
@@ -41,9 +42,19 @@
     ) -> None:
         """Bind and start to accept connections."""
         self._server = await asyncio.start_server(
-            self._serve, host, port, ssl=tls, limit=READ_BYTES, backlog=1024
+            self._accept, host, port, ssl=tls, limit=READ_BYTES, backlog=1024
         )
 
+    def _accept(self, reader, writer) -> None:
+        """Serve a connection in a task of its own.
+
+        A coroutine given to asyncio would be reported as failed where the end of the
+        process cancels it.
+        """
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _serve(self, reader, writer) -> None:
         connection = Connection(
             reader,
@@ -60,10 +71,6 @@
         self._connections.add(connection)
         try:
             await connection.serve(lambda: self._draining)
-        except asyncio.CancelledError:
-            # The end of the process cancels this task. The stream protocol of asyncio
-            # would report that as an error of its own.
-            connection.cut()
         finally:
             self._connections.discard(connection)
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -75,7 +75,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pump(source_reader, target_writer, TO_TARGET))
                 group.create_task(self._pump(target_reader, source_writer, TO_SOURCE))
-        except* ConnectionError:
+        except* OSError:
             if self.silent:
                 await asyncio.Event().wait()
             self.reset()
@@ -147,13 +147,14 @@
         self.counts: Counter[str] = Counter()
         self._random = random.Random(seed)
         self._relays: set[Relay] = set()
+        self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
         self.port = 0
 
     async def listen(self) -> None:
         """Bind the listener, on the same port as before if there was one."""
         self._server = await asyncio.start_server(
-            self._serve, HOST, self.port, limit=READ_BYTES, backlog=1024
+            self._accept, HOST, self.port, limit=READ_BYTES, backlog=1024
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -178,6 +179,11 @@
                 relay.reorder_ms = delay * self.faults.reorder_ms
                 self.counts["reordered_connections"] += 1
 
+    def _accept(self, reader, writer) -> None:
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _serve(self, reader, writer) -> None:
         self.counts["connections"] += 1
         try:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -150,18 +150,21 @@
     assert outcome.err_value.progress is Progress.NOT_SENT
 
 
-async def test_cancelled_connection_is_no_error_of_the_loop(server, address):
+@pytest.mark.parametrize("steps", range(6))
+async def test_cancelled_connection_is_no_error_of_the_loop(server, address, steps):
     # Guards against tracebacks in the log of every process that stops with open
-    # connections.
+    # connections, also with one that its task has not begun to serve.
     errors = []
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda loop, context: errors.append(context))
     before = asyncio.all_tasks()
     reader, writer = await asyncio.open_connection(address.host, address.port)
-    await asyncio.sleep(0.05)
-    serving = asyncio.all_tasks() - before
-    assert serving
-    for task in serving:
+    async with asyncio.timeout(1):
+        while not asyncio.all_tasks() - before:
+            await asyncio.sleep(0)
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    for task in asyncio.all_tasks() - before:
         task.cancel()
     await asyncio.sleep(0.05)
     writer.close()
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -34,7 +34,9 @@
     """A replacement that cannot import would recompute the whole prefix."""
     client = HttpClient()
     old, new = await start_engine("old"), await start_engine("new")
-    stream, _ = await open_run(client, old, epoch=1, position=0, tokens=[])
+    # A run that ends by itself drops its cache, so it must not end before it is cut.
+    begun = {"position": 0, "tokens": [], "max_tokens": 1000}
+    stream, _ = await open_run(client, old, epoch=1, **begun)
     await client.request_json(
         old, "POST", "/v1/runs/r/start", {"epoch": 1, "kv_positions": [0]}
     )
