Take test ports from below the range that the system hands out

Ports of that range also go to outgoing connections, of which three workers open thousands.

Ruled out: asking again after a failed bind; the gateway's entry names the port already.

Change: fixtures and the soak take ports from 20,000 to 32,000, each process from its own part.

--- a/soak/site.py
+++ b/soak/site.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -11,6 +10,7 @@
 from heathershunt.http import Address
 from standins.layer_runner import TargetStandIn
 from standins.metadata_store import MetadataStoreStandIn
+from standins.ports import free_port
 from standins.proxy import Pair
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -70,7 +70,7 @@
         self.name = name
         self.store = store
         names = ("front", "ready", "directory", "peers")
-        self.ports = {port: _free_port() for port in names}
+        self.ports = {port: free_port() for port in names}
         self._settings = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._settings.write_text(
@@ -183,9 +183,3 @@
             await target.stop()
         await self.store.stop()
         self._folder.cleanup()
-
-
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
--- /dev/null
+++ b/standins/ports.py
@@ -0,0 +1,28 @@
+"""Free TCP ports for processes that must know their port before they bind it."""
+
+import itertools
+import os
+import socket
+
+# Below the ports that the system hands out by itself (from 32,768 on Linux): a connection
+# may take one of those between the question and the bind.
+FIRST_PORT = 20_000
+PORTS_PER_PROCESS = 200
+PROCESSES = 60
+
+_offsets = itertools.count()
+
+
+def free_port() -> int:
+    """Return a port of this process's own part of the range that can be bound now."""
+    first = FIRST_PORT + os.getpid() % PROCESSES * PORTS_PER_PROCESS
+    for _ in range(PORTS_PER_PROCESS):
+        port = first + next(_offsets) % PORTS_PER_PROCESS
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
+    raise OSError(f"no free port from {first} on")
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import os
-import socket
 from dataclasses import replace
 
 from heathershunt.clock import SystemClock
@@ -17,6 +16,7 @@
 from heathershunt.platform.store import MetadataStore
 from standins.layer_runner import TargetStandIn
 from standins.metadata_store import MetadataStoreStandIn
+from standins.ports import free_port
 
 HOST = "site.example"
 KEY = "key-one"
@@ -133,7 +133,7 @@
                 "node": vm,
                 "zone": "a",
                 "ip": "127.0.0.1",
-                "internal_ports": [_free_port(), 0],
+                "internal_ports": [free_port(), 0],
                 "listen": {name: _free() for name in ("front", "ready", "directory")},
                 "platform": {"address": self._store_address},
                 "bounds": BOUNDS | bounds,
@@ -145,7 +145,7 @@
             exchange,
             PlatformDecoder(exchange),
         )
-        config = replace(config, metrics_port=_free_port())
+        config = replace(config, metrics_port=free_port())
         events = EventLog(os.open(os.devnull, os.O_WRONLY), vm, clock)
         gateway = Gateway(config, ports, http, clock, events)
         self.gateways[vm] = gateway
@@ -213,10 +213,4 @@
 
 
 def _free():
-    return str(Address("127.0.0.1", _free_port()))
-
-
-def _free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    return str(Address("127.0.0.1", free_port()))
