--- a/standins/ports.py
+++ b/standins/ports.py
@@ -4,8 +4,8 @@
 import os
 import socket
 
-# Below the ports that the system hands out by itself (from 32,768 on Linux): a connection
-# may take one of those between the question and the bind.
+# Below the ports that the system hands out by itself (from 32,768 on Linux), as a
+# connection may take one of those between the question and the bind.
 FIRST_PORT = 20_000
 PORTS_PER_PROCESS = 200
 PROCESSES = 60
