Do not take a slow runner for a dead one

Ruled out: load and noise; the log names the pause, the runner and the denied repeat of each.

Change: only a runner without a report, restarted, or waited for is at fault; a slow one costs more in the choice, as before.

The new test fails without the change.

--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -14,8 +14,6 @@
 # Time for which a runner is passed over that rejected its part of a chain: it may be
 # short of memory, or giving up its layers.
 REJECTED_MS = 300
-# A runner this much slower than usual is left by running streams too.
-BROKEN_PACE = 4.0
 # Time between two questions to a slow runner.
 WATCH_MS = 1000
 
@@ -59,9 +57,6 @@
             if runner is not None:
                 self._suspects.blame(runner)
                 return runner
-        for part, report in zip(chain.parts, reports, strict=True):
-            if report.pace >= BROKEN_PACE:
-                return part.runner
         return None
 
     def ask_for_paces(self, chain: Chain) -> None:
--- /dev/null
+++ b/tests/relay/test_diagnosis.py
@@ -0,0 +1,60 @@
+"""What counts as a fault of a runner."""
+
+import pytest
+
+from heathershunt.pipelines import Chain, ChainPart, PaceBook, RunnerReport
+from heathershunt.relay import Diagnosis, SuspectList
+from tests.pipelines import engines
+
+SLOW = 12.0
+
+
+class Runners:
+    """Gives the reports that a test sets; none for a runner without one."""
+
+    def __init__(self):
+        self.pace_by_id = {}
+
+    async def report(self, runner, timeout_ms):
+        pace = self.pace_by_id.get(runner.id)
+        if pace is None:
+            return None
+        return RunnerReport(0, 0, False, None, 0, 0, 0.0, 0.0, pace)
+
+
+@pytest.fixture
+def chain():
+    first, second = engines.runner(1, held=(0, 40)), engines.runner(2, held=(40, 80))
+    return Chain((ChainPart(first, 0, 40), ChainPart(second, 40, 80)))
+
+
+@pytest.fixture
+def runners(chain):
+    runners = Runners()
+    runners.pace_by_id = {part.runner.id: 1.0 for part in chain.parts}
+    return runners
+
+
+@pytest.fixture
+def paces(clock):
+    return PaceBook(clock)
+
+
+@pytest.fixture
+def diagnosis(clock, runners, paces):
+    return Diagnosis(clock, runners, SuspectList(clock), paces)
+
+
+async def test_slow_runner_is_no_dead_one(diagnosis, runners, chain, paces):
+    # The load: two fifths of the runners are twelve times slower. Streams that left
+    # them used up the repeats, and most requests ended with 502.
+    slow = chain.parts[1].runner
+    runners.pace_by_id[slow.id] = SLOW
+    assert await diagnosis.find_faulty(chain) is None
+    assert paces.pace(slow.id) == SLOW
+
+
+async def test_runner_without_a_report_is_at_fault(diagnosis, runners, chain):
+    dead = chain.parts[1].runner
+    del runners.pace_by_id[dead.id]
+    assert await diagnosis.find_faulty(chain) == dead
