Send to full runners before those that failed, and not where one has just rejected

One of two holders of the last layers died during a burst. The other one had no room by the estimate, so after the wait for room streams were sent without regard to failed runners, and the chooser took the dead one because it had no load.

Ruled out: that reports were wrong (all four VMs had no report from the runner 0.3 to 1.0 s after its death); that the budget is too strict (it is shared, and the bound is the platform's).

Change: after the wait a chain that seems full goes before one with failed runners, and a runner that has just rejected is not tried again until its pause is over; a stream that has begun waits for that.

--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -184,15 +184,43 @@
                 if chain is not None:
                     return chain
                 self._room.note_full(self._service)
-            if self._wait_left_ms() <= 0:
-                # The loads are estimates; the runners themselves know better.
-                return self._choose(set(), needs_room=False)
+            if self._wait_left_ms(self._patience.room_ms) <= 0:
+                chain = self._choose_without_room()
+                if chain is not None or not self._may_wait_on():
+                    return chain
             await asyncio.sleep(ROOM_POLL_MS / 1000)
 
-    def _wait_left_ms(self) -> float:
-        """Return how long the stream may wait until it would be too late to start."""
+    def _choose_without_room(self) -> Chain | None:
+        """Return a chain that seems full, or one with runners that failed lately.
+
+        The loads are estimates, and the runners themselves know better. A runner that
+        has just rejected a request would reject this one too, and each rejection is
+        taken from the budget of repeats.
+        """
+        chain = self._choose(self._suspects(), needs_room=False)
+        if chain is not None:
+            return chain
+        return self._choose(self._rejecting(), needs_room=False)
+
+    def _wait_left_ms(self, patience_ms: float) -> float:
+        """Return what is left of a wait, counted from the last event."""
         left_ms = self._deadline - self._parts.clock.now()
-        return min(self._patience.room_ms - self._progress.paused_ms, left_ms)
+        return min(patience_ms - self._progress.paused_ms, left_ms)
+
+    def _may_wait_on(self) -> bool:
+        """Return whether a stream that has begun may wait for runners to recover."""
+        if not self._progress.has_begun:
+            return False
+        return self._wait_left_ms(self._patience.leave_ms) > 0
+
+    def _rejecting(self) -> set[str]:
+        """Return runners that have just rejected a request."""
+        registry, suspects = self._parts.registry, self._parts.suspects
+        return {
+            runner.id
+            for runner in registry.of_service(self._service)
+            if suspects.is_paused(runner)
+        }
 
     def _suspects(self) -> set[str]:
         """Return runners that failed lately, or may have left during an outage."""
--- a/src/heathershunt/relay/suspects.py
+++ b/src/heathershunt/relay/suspects.py
@@ -70,10 +70,12 @@
 
     def is_suspect(self, target: Target) -> bool:
         """Return whether a target is to be avoided now."""
+        return self.is_paused(target) or self.is_blamed(target)
+
+    def is_paused(self, target: Target) -> bool:
+        """Return whether a target is avoided without having been blamed."""
         paused_until = self._paused_until.get(target.id)
-        if paused_until is not None and self._clock.now() < paused_until:
-            return True
-        return self.is_blamed(target)
+        return paused_until is not None and self._clock.now() < paused_until
 
     def is_blamed(self, target: Target) -> bool:
         """Return whether a target failed lately."""
--- a/tests/relay/test_streams.py
+++ b/tests/relay/test_streams.py
@@ -7,6 +7,7 @@
 from heathershunt.catalog import Repeatability, Route
 from heathershunt.discovery import TargetRegistry
 from heathershunt.relay import CallerRequest, SuspectList
+from heathershunt.relay.events import StreamEvent
 from heathershunt.relay.room import ROOM_POLL_MS, RoomGate
 from heathershunt.relay.streams import _Session
 from tests.pipelines import engines
@@ -89,6 +90,64 @@
     assert chain == "chain"
 
 
+class LastHolders:
+    """Holders of the last layers, all without room; the least loaded one is chosen."""
+
+    def __init__(self, *ids):
+        self.ids = ids
+
+    def choose(self, engine, runners, job, vms, avoided, heads=None, needs_room=False):
+        left = [name for name in self.ids if name not in avoided]
+        return left[0] if left and not needs_room else None
+
+
+@pytest.fixture
+def holders(session, parts):
+    """Put two runners that hold the last layers; the first one has no load."""
+    runners = engines.runner(1), engines.runner(2)
+    for runner in runners:
+        parts.registry.put(runner)
+    return runners
+
+
+async def test_full_runner_goes_before_one_that_gives_no_report(ask, parts, holders):
+    # The load: one of two holders of the last layers dies during a burst, and the
+    # other has no room. Sent to the dead one, streams are rejected until the budget
+    # of repeats is gone.
+    dead, full = holders
+    parts.suspects.blame(dead)
+    chain, _ = await ask(LastHolders(dead.id, full.id))
+    assert chain == full.id
+
+
+async def test_blamed_runner_is_tried_where_there_is_no_other(ask, parts, holders):
+    # Guards against refusals because of a report that came too late.
+    dead, _ = holders
+    parts.suspects.blame(dead)
+    chain, _ = await ask(LastHolders(dead.id))
+    assert chain == dead.id
+
+
+async def test_stream_is_not_sent_where_one_was_just_rejected(ask, parts, holders):
+    # Guards against eight sends within a tenth of a second to a dead runner.
+    rejecting, _ = holders
+    parts.suspects.pause(rejecting, 10_000)
+    chain, now = await ask(LastHolders(rejecting.id))
+    assert chain is None
+    assert now <= 500
+
+
+async def test_stream_that_has_begun_waits_out_a_rejection(
+    session, ask, parts, holders
+):
+    rejecting, _ = holders
+    session._progress.take([StreamEvent(1, b"id: 1\n\n")])
+    parts.suspects.pause(rejecting, 700)
+    chain, now = await ask(LastHolders(rejecting.id))
+    assert chain == rejecting.id
+    assert 700 <= now <= 800
+
+
 def test_many_waiting_streams_cost_one_search_at_a_time(clock):
     # The load: one VM is left and a hundred streams wait; each search takes some
     # milliseconds of its processor.
