Leave a slow chain only while a repeat is left, and split the relay of streams

With half of the last layers' holders dead all chains were slow; streams without a first event left theirs after 1.2 s. In one log 83 streams were given up with the budget used up; 60 of them had left a chain without a runner at fault, and got 502 though they might have been served late.

Ruled out: waiting longer before leaving (those that may go elsewhere are better served there); a larger share of the budget for each VM (restarted VMs use theirs again).

Change: a chain without a runner at fault is left only while less than 0.3 of the VM's share of repeats is used; else the stream stays and its chain is examined again and again. The old code left after 1.2 s in any case, without asking the budget, so the test of the kept chain has no counterpart there.

--- a/src/heathershunt/gateway/entry.py
+++ b/src/heathershunt/gateway/entry.py
@@ -9,7 +9,14 @@
 from heathershunt.gateway.config import Bounds
 from heathershunt.http import Response, StreamResponse
 from heathershunt.logs.request_events import Admitted, CallerLeft, Refused
-from heathershunt.relay import CallerRequest, CallRelay, RelayParts, StreamRelay, refuse
+from heathershunt.relay import (
+    CallerRequest,
+    CallRelay,
+    RelayParts,
+    StreamRelay,
+    StreamSpec,
+    refuse,
+)
 from heathershunt.verdict import Refusal, not_run
 
 # Keys are refused this long before the revocation bound has passed without contact.
@@ -127,7 +134,7 @@
             if service.engine is None:
                 return await self._calls.relay(request, route, name, owner, deadline)
             return await self._streams.relay(
-                request, route, name, service.engine, owner, deadline
+                StreamSpec(request, route, name, service.engine, owner, deadline)
             )
         except asyncio.CancelledError:
             elapsed_ms = self._parts.clock.now() - request.received_at
--- a/src/heathershunt/relay/__init__.py
+++ b/src/heathershunt/relay/__init__.py
@@ -11,6 +11,7 @@
     refuse,
 )
 from heathershunt.relay.parts import RelayParts
+from heathershunt.relay.spec import StreamSpec
 from heathershunt.relay.streams import StreamRelay
 from heathershunt.relay.suspects import SuspectList
 
@@ -23,6 +24,7 @@
     "RelayParts",
     "ReplyHead",
     "StreamRelay",
+    "StreamSpec",
     "SuspectList",
     "TargetWire",
     "WindowBudget",
--- a/src/heathershunt/relay/budget.py
+++ b/src/heathershunt/relay/budget.py
@@ -11,6 +11,9 @@
 # Part of a VM's share for requests that nothing was delivered of; the rest is kept for
 # streams that have begun.
 FRESH_PART = 0.6
+# Part of a VM's share for requests that leave a chain that is only slow; without a
+# repeat they may still be served where they are.
+LEAVE_PART = 0.3
 
 
 @dataclass(frozen=True)
@@ -69,6 +72,21 @@
         :param vms: VMs that share the budget.
         :param has_begun: whether a part of the answer was delivered already.
         """
+        part = 1.0 if has_begun else FRESH_PART
+        if not self._has_left(service, vms, part):
+            return False
+        self._repeats_by_service[service].add(self._clock.now())
+        return True
+
+    def may_leave(self, service: str, vms: int) -> bool:
+        """Return whether repeats are left for a request that runs somewhere slowly.
+
+        :param vms: VMs that share the budget.
+        """
+        return self._has_left(service, vms, LEAVE_PART)
+
+    def _has_left(self, service: str, vms: int, part: float) -> bool:
+        """Return whether a part of this VM's share has a repeat left."""
         now = self._clock.now()
         since = now - self._config.window_ms
         vms = self._note_vms(vms, now)
@@ -77,12 +95,7 @@
         config = self._config
         shared = config.slack / max(1, vms)
         allowed = USED_PART * (requests.count(since) * config.ratio + shared)
-        if not has_begun:
-            allowed *= FRESH_PART
-        if repeats.count(since) + 1 > allowed:
-            return False
-        repeats.add(now)
-        return True
+        return repeats.count(since) + 1 <= allowed * part
 
     def _note_vms(self, vms: int, now: Millis) -> int:
         """Return the most VMs of the last window; those that left used their share."""
--- a/src/heathershunt/relay/patience.py
+++ b/src/heathershunt/relay/patience.py
@@ -30,7 +30,6 @@
     :param slow_gap_ms: a pause after which runners are asked how slow they are.
     :param room_ms: wait for a chain with room.
     :param leave_ms: pause at a sound chain that is then left for another.
-    :param abandoned_ms: pause after which callers leave.
 
     .. versionadded:: 0.2
     """
@@ -40,7 +39,6 @@
     slow_gap_ms: float
     room_ms: float
     leave_ms: float
-    abandoned_ms: float
 
     @classmethod
     def from_route(cls, route: Route) -> "Patience":
@@ -57,5 +55,4 @@
             slow_gap_ms=gap_ms * SLOW_GAP_PART,
             room_ms=abandoned_ms * WAIT_PART,
             leave_ms=abandoned_ms * GIVE_UP_PART,
-            abandoned_ms=abandoned_ms,
         )
--- /dev/null
+++ b/src/heathershunt/relay/runs.py
@@ -0,0 +1,52 @@
+"""Runs of a stream at chains of runners."""
+
+import asyncio
+from dataclasses import dataclass
+
+from result import Err
+
+from heathershunt.http import ClientResponse
+from heathershunt.pipelines import Chain
+from heathershunt.relay.events import EventSplitter, StreamEvent
+from heathershunt.relay.messages import ReplyHead
+
+
+class StreamBrokenError(ConnectionError):
+    """A stream that ends before its last event.
+
+    .. versionadded:: 0.2
+    """
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a stream at a chain.
+
+    :param tokens: tokens reserved on the chain.
+
+    .. versionadded:: 0.3
+    """
+
+    chain: Chain
+    tokens: float
+    response: ClientResponse
+    head: ReplyHead
+    splitter: EventSplitter
+
+    def next_events(self, data: bytes | None) -> list[StreamEvent] | None:
+        """Take what was read; return the events that are whole, ``None`` at the end."""
+        if data is not None:
+            return self.splitter.feed(data)
+        if self.splitter.has_partial:
+            raise StreamBrokenError("the stream ends inside an event")
+        return None
+
+
+def abandon(task: asyncio.Future) -> None:
+    """Cancel a request; drop its connection if the reply has come after all."""
+    if not task.done():
+        task.cancel()
+    elif not task.cancelled() and task.exception() is None:
+        outcome = task.result()
+        if not isinstance(outcome, Err):
+            outcome.ok_value.close()
--- /dev/null
+++ b/src/heathershunt/relay/selection.py
@@ -0,0 +1,118 @@
+"""Which chain of runners a stream goes to, and how long it waits for one."""
+
+import asyncio
+from collections.abc import Callable
+
+from heathershunt.discovery import Target
+from heathershunt.pipelines import Chain
+from heathershunt.relay.attempts import Attempts
+from heathershunt.relay.parts import RelayParts
+from heathershunt.relay.progress import StreamProgress
+from heathershunt.relay.room import ROOM_POLL_MS, RoomGate
+from heathershunt.relay.spec import StreamSpec
+
+
+class ChainSelection:
+    """Chooses chains for one stream.
+
+    :param room: shared by the streams of this VM.
+    :param attempts: runners that the stream went to.
+    :param progress: what the caller has of the stream.
+
+    .. versionadded:: 0.3
+    """
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        room: RoomGate,
+        spec: StreamSpec,
+        attempts: Attempts,
+        progress: StreamProgress,
+    ) -> None:
+        self._parts = parts
+        self._room = room
+        self._spec = spec
+        self._attempts = attempts
+        self._progress = progress
+        self._patience = spec.patience
+        self._job = spec.job
+
+    async def wait(self) -> Chain | None:
+        """Return a chain with room, after a short wait if need be.
+
+        Streams end all the time, so room that lacks now is often there soon; a caller
+        that were sent away would come back later than that.
+        """
+        service = self._spec.service
+        if not self._attempts.sends and self._choose(set(), needs_room=False) is None:
+            return None
+        while True:
+            if self._room.may_look(service):
+                chain = self._choose(self._suspects(), needs_room=True)
+                if chain is not None:
+                    return chain
+                self._room.note_full(service)
+            if self._wait_left_ms(self._patience.room_ms) <= 0:
+                chain = self._choose_without_room()
+                if chain is not None or not self._may_wait_on():
+                    return chain
+            await asyncio.sleep(ROOM_POLL_MS / 1000)
+
+    def around(self, chain: Chain, faulty: Target) -> Chain | None:
+        """Return a chain with the same first part that does without a runner."""
+        return self._parts.chooser.choose(
+            self._spec.engine,
+            self._parts.registry.of_service(self._spec.service),
+            self._job,
+            self._parts.vms(),
+            self._suspects() | {faulty.id},
+            chain.parts[0],
+        )
+
+    def _choose_without_room(self) -> Chain | None:
+        """Return a chain that seems full, or one with runners that failed lately.
+
+        The loads are estimates, and the runners themselves know better. A runner that
+        has just rejected a request would reject this one too, and each rejection is
+        taken from the budget of repeats.
+        """
+        chain = self._choose(self._suspects(), needs_room=False)
+        if chain is not None:
+            return chain
+        rejecting = self._ids_of(self._parts.suspects.is_paused)
+        return self._choose(rejecting, needs_room=False)
+
+    def _choose(self, avoided: set[str], needs_room: bool) -> Chain | None:
+        parts = self._parts
+        return parts.chooser.choose(
+            self._spec.engine,
+            parts.registry.of_service(self._spec.service),
+            self._job,
+            parts.vms(),
+            self._attempts.avoided | avoided,
+            heads=self._attempts.heads_left(),
+            needs_room=needs_room,
+        )
+
+    def _wait_left_ms(self, patience_ms: float) -> float:
+        """Return what is left of a wait, counted from the last event."""
+        left_ms = self._spec.deadline - self._parts.clock.now()
+        return min(patience_ms - self._progress.paused_ms, left_ms)
+
+    def _may_wait_on(self) -> bool:
+        """Return whether a stream that has begun may wait for runners to recover."""
+        if not self._progress.has_begun:
+            return False
+        return self._wait_left_ms(self._patience.leave_ms) > 0
+
+    def _suspects(self) -> set[str]:
+        """Return runners that failed lately, or may have left during an outage."""
+        suspects, registry = self._parts.suspects, self._parts.registry
+        return self._ids_of(
+            lambda runner: suspects.is_suspect(runner) or registry.is_missing(runner.id)
+        )
+
+    def _ids_of(self, condition: Callable[[Target], bool]) -> set[str]:
+        runners = self._parts.registry.of_service(self._spec.service)
+        return {runner.id for runner in runners if condition(runner)}
--- /dev/null
+++ b/src/heathershunt/relay/session.py
@@ -0,0 +1,418 @@
+"""One stream over chains of runners, with recovery inside one answer."""
+
+import asyncio
+from collections.abc import Coroutine
+from functools import partial
+
+import h11
+from result import Err, Result
+
+from heathershunt.discovery import Target
+from heathershunt.http import (
+    ClientResponse,
+    Response,
+    ResponseStream,
+    StreamResponse,
+    TransportError,
+)
+from heathershunt.logs.request_events import (
+    ChainNotReplaced,
+    ChainReplaced,
+    RetryDenied,
+    SendFailed,
+    SendRejected,
+    Sent,
+    StreamBroken,
+    StreamEnded,
+    StreamRefused,
+    StreamResumed,
+)
+from heathershunt.pipelines import Chain
+from heathershunt.pipelines.runners import OrderOutcome
+from heathershunt.relay.attempts import Attempts
+from heathershunt.relay.events import EventSplitter, StreamEvent
+from heathershunt.relay.messages import Dispatch, ReplyHead, refuse
+from heathershunt.relay.parts import RelayParts
+from heathershunt.relay.pauses import PauseWatch
+from heathershunt.relay.progress import StreamProgress
+from heathershunt.relay.room import RoomGate
+from heathershunt.relay.runs import Run, StreamBrokenError, abandon
+from heathershunt.relay.selection import ChainSelection
+from heathershunt.relay.spec import StreamSpec
+from heathershunt.verdict import Progress, may_have_run, not_run
+
+CONNECT_MS = 250
+# Sends of one request, whatever befell the runners.
+MAX_SENDS = 8
+RETRY_AFTER_MS = 500
+BACKLOG_BYTES = 65_536
+SUCCESS = 200
+SERVER_ERROR = 500
+READ_ERRORS = (OSError, TimeoutError, h11.RemoteProtocolError)
+
+
+class StreamSession:
+    """One stream of a caller, over as many runs as it takes.
+
+    .. versionadded:: 0.3
+    """
+
+    def __init__(self, parts: RelayParts, room: RoomGate, spec: StreamSpec) -> None:
+        self._parts = parts
+        self._spec = spec
+        self._request = spec.request
+        self._patience = spec.patience
+        self._attempts = Attempts(parts.registry, spec.route.max_attempts)
+        self._progress = StreamProgress(
+            parts.clock, spec.request.received_at, spec.request.last_event_id
+        )
+        self._selection = ChainSelection(
+            parts, room, spec, self._attempts, self._progress
+        )
+        self._pauses = PauseWatch(parts, spec, self._attempts, self._progress)
+        self._run: Run | None = None
+        self._may_have_run = False
+        self._replaced_chains = 0
+        self._refusal_detail = "no chain of runners holds all layers"
+        self._tokens = spec.job.tokens
+
+    # Opening
+
+    async def open(self) -> Response | StreamResponse:
+        """Return a response that begins with the first event."""
+        while True:
+            outcome = await self._start()
+            if isinstance(outcome, Response):
+                self.close()
+                return outcome
+            if not outcome:
+                continue
+            run = self._run
+            events = await self._first_events()
+            if events is None:
+                continue
+            relay = partial(self._relay, events=events)
+            return StreamResponse(
+                SUCCESS, run.head.headers, relay, on_closed=self.close
+            )
+
+    async def _start(self) -> Response | bool:
+        """Start a run; return whether there is one, or the final answer."""
+        parts = self._parts
+        left_ms = self._spec.deadline - parts.clock.now()
+        if left_ms <= 0:
+            return self._fail(True)
+        if self._attempts.sends >= MAX_SENDS:
+            return self._fail(False)
+        chain = await self._selection.wait()
+        if chain is None:
+            return self._fail(False)
+        left_ms = self._spec.deadline - parts.clock.now()
+        if self._attempts.sends and not parts.budget.take(
+            self._spec.service, parts.vms(), has_begun=self._progress.has_begun
+        ):
+            parts.events.emit(RetryDenied(self._request.id, self._spec.service))
+            return self._fail(False)
+        return await self._send(chain, left_ms)
+
+    async def _send(self, chain: Chain, left_ms: int) -> Response | bool:
+        parts = self._parts
+        request = self._request
+        dispatch = Dispatch(
+            chain.head,
+            left_ms,
+            self._spec.account,
+            chain,
+            self._spec.route.rank,
+            self._progress.last_id,
+        )
+        parts.events.emit(
+            Sent(
+                request.id,
+                target=chain.head.id,
+                chain=tuple(part.runner.id for part in chain.parts),
+                sends=self._attempts.sends,
+                waited_ms=parts.clock.now() - request.received_at,
+            )
+        )
+        parts.ledger.add(chain, self._tokens)
+        response = None
+        try:
+            sending = parts.http.request(
+                chain.head.address,
+                request.method,
+                request.target,
+                headers=parts.wire.fields(request, dispatch),
+                body=request.body,
+                timeout_ms=left_ms,
+                connect_ms=CONNECT_MS,
+                fresh=True,
+            )
+            outcome = await self._await_head(chain, sending)
+            if not isinstance(outcome, Err):
+                response = outcome.ok_value
+        finally:
+            if response is None:
+                parts.ledger.remove(chain, self._tokens)
+        self._attempts.sends += 1
+        if response is None:
+            await self._on_send_failure(chain, outcome.err_value)
+            return False
+        was_known = self._attempts.has_head(chain.head)
+        self._attempts.note_head(chain.head)
+        head = parts.wire.reply_head(response)
+        self._run = Run(chain, self._tokens, response, head, EventSplitter())
+        if head.status == SUCCESS and head.request_id == request.id:
+            self._may_have_run = True
+            return True
+        return await self._on_failure_reply(chain, head, response, was_known)
+
+    async def _await_head(
+        self, chain: Chain, sending: Coroutine
+    ) -> Result[ClientResponse, TransportError]:
+        """Return the head of the reply, which comes with the first event.
+
+        When it takes long, the runners are asked who is at fault.
+        """
+        task = asyncio.ensure_future(sending)
+        sent_at = self._parts.clock.now()
+        wait_ms = self._patience.first_ms
+        is_taken = False
+        try:
+            while not (await asyncio.wait({task}, timeout=wait_ms / 1000))[0]:
+                faulty = await self._pauses.examine(chain)
+                if task.done():
+                    break
+                paused_ms = self._parts.clock.now() - sent_at
+                detail = self._pauses.reason_to_leave(chain, faulty, paused_ms)
+                if detail is not None:
+                    return Err(TransportError(Progress.SENT, detail))
+                wait_ms = self._pauses.next_look_ms(paused_ms)
+            is_taken = True
+            return task.result()
+        finally:
+            if not is_taken:
+                abandon(task)
+
+    async def _on_send_failure(self, chain: Chain, error: TransportError) -> None:
+        self._refusal_detail = error.detail
+        event = SendFailed(
+            self._request.id, chain.head.id, error.progress.value, error.detail
+        )
+        self._parts.events.emit(event)
+        if error.progress is Progress.NOT_SENT:
+            self._avoid(chain.head)
+            return
+        self._attempts.note_head(chain.head)
+        self._may_have_run = True
+        faulty = await self._parts.diagnosis.find_faulty(chain)
+        self._attempts.avoided.add((faulty or chain.head).id)
+
+    async def _on_failure_reply(
+        self,
+        chain: Chain,
+        head: ReplyHead,
+        response: ClientResponse,
+        was_known: bool,
+    ) -> Response | bool:
+        if head.is_not_run:
+            runner = chain.runner_at(head.faulty_address or "") or chain.head
+            if runner.id != chain.head.id and not was_known:
+                # The first runner would have taken the request on another chain.
+                self._attempts.forget_head(chain.head)
+            self._refusal_detail = f"runner {runner.id} rejected it: {head.status}"
+            event = SendRejected(self._request.id, runner.id, head.status)
+            self._parts.events.emit(event)
+            self._drop_run()
+            await self._parts.diagnosis.judge_rejection(runner)
+            return False
+        self._may_have_run = True
+        if head.request_id == self._request.id and head.status < SERVER_ERROR:
+            try:
+                body = await response.read()
+            except READ_ERRORS:
+                body = None
+            self._drop_run()
+            if body is not None and not head.is_success:
+                return Response(head.status, head.headers, body)
+        self._refusal_detail = f"runner {chain.head.id}: status {head.status}"
+        self._avoid(chain.head)
+        self._drop_run()
+        return False
+
+    async def _first_events(self) -> list[StreamEvent] | None:
+        """Return the first events of the run, ``None`` if it gave none."""
+        try:
+            events = await self._next_events(self._patience.first_ms)
+        except READ_ERRORS as error:
+            await self._on_break(error)
+            return None
+        if not events:
+            await self._on_break(StreamBrokenError("the stream has no event"))
+            return None
+        return events
+
+    def _fail(self, is_timeout: bool) -> Response:
+        if self._may_have_run:
+            status, title = (504, "Timeout") if is_timeout else (502, "Runner failed")
+            refusal = may_have_run(status, title, self._refusal_detail)
+        else:
+            refusal = not_run(503, "No chain", self._refusal_detail, RETRY_AFTER_MS)
+        event = StreamRefused(self._request.id, refusal.status, self._refusal_detail)
+        self._parts.events.emit(event)
+        return refuse(self._parts.wire, refusal, self._request)
+
+    # Relaying
+
+    async def _relay(self, sink: ResponseStream, events: list[StreamEvent]) -> None:
+        """Write events until the stream ends; raise if it cannot be completed."""
+        try:
+            while events is not None:
+                self._write(sink, events)
+                if sink.backlog() > BACKLOG_BYTES:
+                    await sink.drain()
+                events = await self._next_or_resumed()
+            self._note_end("complete")
+        except asyncio.CancelledError:
+            self._note_end("caller_left")
+            raise
+        except ConnectionError:
+            self._note_end("broken")
+            raise
+        finally:
+            self.close()
+
+    def _note_end(self, outcome: str) -> None:
+        run = self._run
+        parts = run.chain.parts if run else ()
+        event = StreamEnded(
+            self._request.id,
+            outcome=outcome,
+            after=self._progress.last_id,
+            first_event_ms=self._progress.first_event_ms,
+            longest_gap_ms=self._progress.longest_gap_ms,
+            sends=self._attempts.sends,
+            replaced_chains=self._replaced_chains,
+            chain=tuple(part.runner.id for part in parts),
+            domains=tuple(sorted({part.runner.domain for part in parts})),
+        )
+        self._parts.events.emit(event)
+
+    def _write(self, sink: ResponseStream, events: list[StreamEvent]) -> None:
+        data = self._progress.take(events)
+        if not data:
+            return
+        sink.write(data)
+        if self._run and self._progress.gap_ms > self._patience.slow_gap_ms:
+            self._parts.diagnosis.ask_for_paces(self._run.chain)
+
+    async def _next_or_resumed(self) -> list[StreamEvent] | None:
+        """Return the next events, from another run if need be; ``None`` at the end."""
+        try:
+            return await self._next_events(self._patience.gap_ms)
+        except READ_ERRORS as error:
+            cause = error
+        while True:
+            await self._on_break(cause)
+            if not self._spec.route.is_resumable or self._progress.last_id is None:
+                raise StreamBrokenError(str(cause)) from cause
+            outcome = await self._start()
+            if isinstance(outcome, Response):
+                raise StreamBrokenError(self._refusal_detail)
+            if not outcome:
+                cause = StreamBrokenError(self._refusal_detail)
+                continue
+            event = StreamResumed(self._request.id, self._progress.last_id)
+            self._parts.events.emit(event)
+            try:
+                return await self._next_events(self._patience.first_ms)
+            except READ_ERRORS as error:
+                cause = error
+
+    async def _next_events(self, patience_ms: float) -> list[StreamEvent] | None:
+        """Return the next complete events; ``None`` at the end of the stream."""
+        run = self._run
+        while True:
+            data = await self._read(run, patience_ms)
+            events = run.next_events(data)
+            if events or events is None:
+                return events
+
+    async def _read(self, run: Run, patience_ms: float) -> bytes | None:
+        """Read bytes; after a pause, find the runner at fault and go round it."""
+        while True:
+            try:
+                return await self._read_within(run, patience_ms)
+            except TimeoutError:
+                faulty = await self._pauses.examine(run.chain)
+            if faulty is not None and await self._repath(run, faulty):
+                faulty = None
+            paused_ms = self._progress.paused_ms
+            detail = self._pauses.reason_to_leave(run.chain, faulty, paused_ms)
+            if detail is not None:
+                # A chain that is only slow is no reason to look for a dead runner.
+                error = StreamBrokenError if faulty is not None else TimeoutError
+                raise error(detail)
+            patience_ms = self._pauses.next_look_ms(paused_ms)
+
+    async def _read_within(self, run: Run, patience_ms: float) -> bytes | None:
+        left_ms = self._spec.deadline - self._parts.clock.now()
+        if left_ms <= 0:
+            raise StreamBrokenError("the time limit has passed")
+        async with asyncio.timeout(min(patience_ms, left_ms) / 1000):
+            return await run.response.read_some()
+
+    async def _repath(self, run: Run, faulty: Target) -> bool:
+        """Replace a runner of a running chain; return whether that was done."""
+        parts = self._parts
+        if faulty.id == run.chain.head.id:
+            return False
+        chain = self._selection.around(run.chain, faulty)
+        if chain is None:
+            return False
+        outcome = await parts.runners.repath(run.chain.head, self._request.id, chain)
+        is_done = outcome in (OrderOutcome.BEGUN, OrderOutcome.DONE)
+        event_type = ChainReplaced if is_done else ChainNotReplaced
+        parts.events.emit(event_type(self._request.id, faulty.id, outcome.value))
+        if is_done:
+            parts.ledger.remove(run.chain, run.tokens)
+            run.chain = chain
+            parts.ledger.add(chain, run.tokens)
+            self._replaced_chains += 1
+        return is_done
+
+    async def _on_break(self, error: BaseException) -> None:
+        """Take note of a run that ended early."""
+        run = self._run
+        if run is None:
+            return
+        self._refusal_detail = str(error) or type(error).__name__
+        event = StreamBroken(
+            self._request.id,
+            target=run.chain.head.id,
+            after=self._progress.last_id,
+            detail=self._refusal_detail,
+        )
+        self._parts.events.emit(event)
+        self._drop_run()
+        if isinstance(error, TimeoutError):
+            self._attempts.avoided.add(run.chain.head.id)
+            return
+        # A chain also breaks off where a runner in its middle fails.
+        faulty = await self._parts.diagnosis.find_faulty(run.chain)
+        if faulty is not None:
+            self._attempts.avoided.add(faulty.id)
+
+    def _avoid(self, runner: Target) -> None:
+        self._attempts.avoided.add(runner.id)
+        self._parts.suspects.blame(runner)
+
+    def _drop_run(self) -> None:
+        run, self._run = self._run, None
+        if run is not None:
+            self._parts.ledger.remove(run.chain, run.tokens)
+            run.response.close()
+
+    def close(self) -> None:
+        """Drop the connection to the runner, which ends its work."""
+        self._drop_run()
--- /dev/null
+++ b/tests/relay/conftest.py
@@ -0,0 +1,39 @@
+"""What the tests of streams share."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from heathershunt.catalog import Repeatability, Route
+from heathershunt.discovery import TargetRegistry
+from heathershunt.relay import CallerRequest, StreamSpec, SuspectList
+from heathershunt.relay.attempts import Attempts
+from heathershunt.relay.progress import StreamProgress
+from tests.pipelines import engines
+
+ROUTE = Route("r", "h", "/r/", Repeatability.STREAM, (), 5000, 500, max_attempts=2)
+REQUEST = CallerRequest("id", "POST", "h", "/r/x", (), b"", 0)
+
+
+@pytest.fixture
+def parts(clock):
+    registry = TargetRegistry(clock, lambda target_id: None)
+    suspects = SuspectList(clock, print)
+    return SimpleNamespace(
+        clock=clock, registry=registry, suspects=suspects, vms=lambda: 1
+    )
+
+
+@pytest.fixture
+def spec():
+    return StreamSpec(REQUEST, ROUTE, "s", engines.engine(), None, 5000)
+
+
+@pytest.fixture
+def attempts(parts):
+    return Attempts(parts.registry, ROUTE.max_attempts)
+
+
+@pytest.fixture
+def progress(clock):
+    return StreamProgress(clock, clock.now(), None)
--- a/tests/relay/test_attempts.py
+++ b/tests/relay/test_attempts.py
@@ -3,6 +3,7 @@
 import pytest
 
 from heathershunt.discovery import TargetRegistry
+from heathershunt.relay import SuspectList
 from heathershunt.relay.attempts import Attempts
 from tests.pipelines import engines
 
@@ -69,3 +70,11 @@
     attempts.note_head(only)
     assert attempts.heads_left() == {only.id}
     assert not attempts.may_leave(only)
+
+
+def test_blamed_runner_still_counts_as_an_attempt(attempts, send_to, clock):
+    # Guards against a third run after a report of a living runner came too late.
+    first, second = engines.runner(1), engines.runner(2)
+    send_to(first, second)
+    SuspectList(clock, print).blame(first)
+    assert attempts.heads_left() == {first.id, second.id}
--- a/tests/relay/test_budget.py
+++ b/tests/relay/test_budget.py
@@ -1,5 +1,5 @@
 from heathershunt.relay import BudgetConfig, WindowBudget
-from heathershunt.relay.budget import FRESH_PART, USED_PART
+from heathershunt.relay.budget import FRESH_PART, LEAVE_PART, USED_PART
 
 CONFIG = BudgetConfig(window_ms=1000, ratio=0.5, slack=10)
 
@@ -48,6 +48,17 @@
     assert take_all(budget, vms=1) == int(USED_PART * 100) - fresh
 
 
+def test_slow_chains_are_left_with_a_part_of_the_repeats_only(clock):
+    # Guards against repeats that are used up by slow chains when a runner dies.
+    budget = WindowBudget(clock, BudgetConfig(window_ms=1000, ratio=0.5, slack=100))
+    left = 0
+    while budget.may_leave("s", 1):
+        budget.take("s", 1)
+        left += 1
+    assert left == int(USED_PART * 100 * LEAVE_PART)
+    assert take_all(budget, vms=1, has_begun=False) > 0
+
+
 def test_vms_that_left_are_counted_for_a_window(clock):
     # Guards the shared bound while VMs stop one after the other: those that left have
     # used their shares.
