Replace a dead runner also before the first event of a stream

Cause: a stream whose runner in the middle of the chain died while the prompt was read left the chain and was sent anew: a repeat of the budget, a first runner of the two that the route allows, and all tokens read again. The running chain was replaced only after the first event.

Ruled out: that a runner's order refuses a request that has no event yet (it knows the request from its acceptance; 404 is handled as before).

Change: a run exists from its send on, so the wait for its head examines and replaces like the wait for a further event. The stand-in of runners can take time to read. The test failed first: two runs instead of one.

--- a/src/heathershunt/relay/runs.py
+++ b/src/heathershunt/relay/runs.py
@@ -1,7 +1,7 @@
 """Runs of a stream at chains of runners."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from result import Err
 
@@ -23,15 +23,17 @@
     """One run of a stream at a chain.
 
     :param tokens: tokens reserved on the chain.
+    :param response: reply, ``None`` until it begins.
+    :param head: head of the reply.
 
     .. versionadded:: 0.3
     """
 
     chain: Chain
     tokens: float
-    response: ClientResponse
-    head: ReplyHead
-    splitter: EventSplitter
+    response: ClientResponse | None = None
+    head: ReplyHead | None = None
+    splitter: EventSplitter = field(default_factory=EventSplitter)
 
     def next_events(self, data: bytes | None) -> list[StreamEvent] | None:
         """Take what was read; return the events that are whole, ``None`` at the end."""
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -30,8 +30,8 @@
 from heathershunt.pipelines import Chain
 from heathershunt.pipelines.runners import OrderOutcome
 from heathershunt.relay.attempts import Attempts
-from heathershunt.relay.events import EventSplitter, StreamEvent
-from heathershunt.relay.messages import Dispatch, ReplyHead, refuse
+from heathershunt.relay.events import StreamEvent
+from heathershunt.relay.messages import Dispatch, refuse
 from heathershunt.relay.parts import RelayParts
 from heathershunt.relay.pauses import PauseWatch
 from heathershunt.relay.progress import StreamProgress
@@ -135,44 +135,40 @@
                 waited_ms=parts.clock.now() - request.received_at,
             )
         )
-        parts.ledger.add(chain, self._tokens)
-        response = None
-        try:
-            sending = parts.http.request(
-                chain.head.address,
-                request.method,
-                request.target,
-                headers=parts.wire.fields(request, dispatch),
-                body=request.body,
-                timeout_ms=left_ms,
-                connect_ms=CONNECT_MS,
-                fresh=True,
-            )
-            outcome = await self._await_head(chain, sending)
-            if not isinstance(outcome, Err):
-                response = outcome.ok_value
-        finally:
-            if response is None:
-                parts.ledger.remove(chain, self._tokens)
         self._attempts.sends += 1
-        if response is None:
-            await self._on_send_failure(chain, outcome.err_value)
+        run = self._run = Run(chain, self._tokens)
+        parts.ledger.add(chain, self._tokens)
+        sending = parts.http.request(
+            chain.head.address,
+            request.method,
+            request.target,
+            headers=parts.wire.fields(request, dispatch),
+            body=request.body,
+            timeout_ms=left_ms,
+            connect_ms=CONNECT_MS,
+            fresh=True,
+        )
+        outcome = await self._await_head(run, sending)
+        if isinstance(outcome, Err):
+            self._drop_run()
+            await self._on_send_failure(run.chain, outcome.err_value)
             return False
         was_known = self._attempts.has_head(chain.head)
         self._attempts.note_head(chain.head)
-        head = parts.wire.reply_head(response)
-        self._run = Run(chain, self._tokens, response, head, EventSplitter())
-        if head.status == SUCCESS and head.request_id == request.id:
+        run.response = outcome.ok_value
+        run.head = parts.wire.reply_head(run.response)
+        if run.head.status == SUCCESS and run.head.request_id == request.id:
             self._may_have_run = True
             return True
-        return await self._on_failure_reply(chain, head, response, was_known)
+        return await self._on_failure_reply(run, was_known)
 
     async def _await_head(
-        self, chain: Chain, sending: Coroutine
+        self, run: Run, sending: Coroutine
     ) -> Result[ClientResponse, TransportError]:
         """Return the head of the reply, which comes with the first event.
 
-        When it takes long, the runners are asked who is at fault.
+        When it takes long, the runners are asked who is at fault, and that one is
+        replaced; the others keep what they have read.
         """
         task = asyncio.ensure_future(sending)
         sent_at = self._parts.clock.now()
@@ -180,11 +176,14 @@
         is_taken = False
         try:
             while not (await asyncio.wait({task}, timeout=wait_ms / 1000))[0]:
-                faulty = await self._pauses.examine(chain)
+                faulty = await self._pauses.examine(run.chain)
                 if task.done():
                     break
+                if faulty is not None and await self._repath(run, faulty):
+                    wait_ms = self._patience.first_ms
+                    continue
                 paused_ms = self._parts.clock.now() - sent_at
-                detail = self._pauses.reason_to_leave(chain, faulty, paused_ms)
+                detail = self._pauses.reason_to_leave(run.chain, faulty, paused_ms)
                 if detail is not None:
                     return Err(TransportError(Progress.SENT, detail))
                 wait_ms = self._pauses.next_look_ms(paused_ms)
@@ -208,13 +207,8 @@
         faulty = await self._parts.diagnosis.find_faulty(chain)
         self._attempts.avoided.add((faulty or chain.head).id)
 
-    async def _on_failure_reply(
-        self,
-        chain: Chain,
-        head: ReplyHead,
-        response: ClientResponse,
-        was_known: bool,
-    ) -> Response | bool:
+    async def _on_failure_reply(self, run: Run, was_known: bool) -> Response | bool:
+        chain, head = run.chain, run.head
         if head.is_not_run:
             runner = chain.runner_at(head.faulty_address or "") or chain.head
             if runner.id != chain.head.id and not was_known:
@@ -229,7 +223,7 @@
         self._may_have_run = True
         if head.request_id == self._request.id and head.status < SERVER_ERROR:
             try:
-                body = await response.read()
+                body = await run.response.read()
             except READ_ERRORS:
                 body = None
             self._drop_run()
@@ -411,7 +405,8 @@
         run, self._run = self._run, None
         if run is not None:
             self._parts.ledger.remove(run.chain, run.tokens)
-            run.response.close()
+            if run.response is not None:
+                run.response.close()
 
     def close(self) -> None:
         """Drop the connection to the runner, which ends its work."""
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -43,6 +43,7 @@
     :param fleet: all targets by address, as chains name them.
     :param kind: accelerator of a runner, ``None`` for a plain service.
     :ivar is_dark: accept connections but answer nothing.
+    :ivar read_ms: time before the first event, in which the prompt is read.
     :ivar answer: makes the answer to a plain call.
     """
 
@@ -61,6 +62,7 @@
         self.kind = kind
         self.layers: tuple[int, int] | None = None
         self.is_dark = False
+        self.read_ms = 0
         self.is_draining = False
         self.orders = 0
         self.order_bodies: list[dict] = []
@@ -182,6 +184,8 @@
         self._chain_by_request[request_id] = chain
         last = int(request.headers["heathershunt-token-counts"].split(",")[1]) // 2
         first = int(request.headers.get("last-event-id", "0")) + 1
+        await asyncio.sleep(self.read_ms / 1000)
+        await self._wait_for_chain(request_id)
 
         async def write(sink: ResponseStream) -> None:
             for number in range(first, last + 1):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -57,6 +57,22 @@
     assert later not in site.runs()[0].chains[-1]
 
 
+async def test_runner_that_dies_while_the_prompt_is_read_is_replaced(site):
+    # Guards against prompts that are read again from the start, at the cost of a
+    # repeat, when one of many runners dies.
+    for target in site.targets.values():
+        target.read_ms = 400
+    opening = asyncio.create_task(site.open_stream(events=5))
+    await site.until(lambda: bool(site.runs()))
+    chain = site.runs()[0].headers["heathershunt-hop-count"]
+    later = chain.split(",")[1].partition("=")[0]
+    site.fleet[later].is_dark = True
+    response = await opening
+    assert ids(await response.read()) == [1, 2, 3, 4, 5]
+    assert len(site.runs()) == 1
+    assert later not in site.runs()[0].chains[0]
+
+
 async def test_stream_goes_on_at_another_runner_after_the_first_one_dies(site):
     response = await site.open_stream(events=100)
     first = await response.read_some()
