Derive the longest watch from the bounds of the deployment, and drop what is unused

Cause: a watch waited 1.8 s whatever the bounds. On a deployment where removed keys end within 2 s or less, the view would be older than the age at which a VM leaves the directory while the store answers all the time; with a shorter time for configurations, unknown routes would get 503. The same figure stood in two places.

Ruled out: a fixed shorter wait (each watch is a priced call of the store).

Also: REAPPEAR_MS stands once; Bounds.drain_ms, GatewayConfig.region and TargetRegistry.all_of_service are gone, none of them was used but by one test, which now reads the same from get().

--- a/src/heathershunt/discovery/members.py
+++ b/src/heathershunt/discovery/members.py
@@ -4,11 +4,9 @@
 from dataclasses import dataclass
 
 from heathershunt.clock import Clock, Millis
+from heathershunt.discovery.outage import REAPPEAR_MS
 from heathershunt.http import Address
 
-# As for targets: VMs that live write their entries again after an outage.
-REAPPEAR_MS = 2500
-
 
 @dataclass(frozen=True, slots=True)
 class Member:
--- a/src/heathershunt/discovery/registry.py
+++ b/src/heathershunt/discovery/registry.py
@@ -3,11 +3,9 @@
 from collections.abc import Callable, Iterable
 
 from heathershunt.clock import Clock, Millis
+from heathershunt.discovery.outage import REAPPEAR_MS
 from heathershunt.discovery.target import Target
 
-# Entries that lapsed with the store are written again within about two seconds.
-REAPPEAR_MS = 2500
-
 
 class TargetRegistry:
     """Targets as the store lists them.
@@ -39,10 +37,6 @@
         targets = (self._by_id[target_id] for target_id in ids)
         return [target for target in targets if not target.is_draining]
 
-    def all_of_service(self, service: str) -> list[Target]:
-        """Return all listed targets of a service, leaving ones too."""
-        return [self._by_id[item] for item in self._ids_by_service.get(service, ())]
-
     def __len__(self) -> int:
         return len(self._by_id)
 
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -152,11 +152,11 @@
         own = str(config.listeners.callers)
         ttl_s = min(ANSWER_TTL_S, bounds.directory_ttl_most_s)
         self.directory = Directory(self.members, own, ttl_s)
-        self._upstream = Upstream(self.members, config.vm)
+        self._upstream = Upstream(self.members, config.vm, bounds.watch_wait_ms)
         self.view = StoreView(
             FollowingStore(ports.store, http, clock.now, self._upstream.addresses),
             clock,
-            ViewConfig(),
+            ViewConfig(wait_ms=bounds.watch_wait_ms),
             "",
             self._on_snapshot,
             self._on_changes,
--- a/src/heathershunt/gateway/config.py
+++ b/src/heathershunt/gateway/config.py
@@ -25,11 +25,17 @@
     peers: Address
 
 
+MOST_WATCH_WAIT_MS = 1800
+# Parts of the time for a configuration, and of the time for removed keys, that the age
+# of the view may reach between two answers of the store.
+CURRENT_PART = 0.9
+REVOKE_PART = 0.36
+
+
 @dataclass(frozen=True)
 class Bounds:
     """Promises of the deployment.
 
-    :param drain_ms: time until a leaving target receives nothing new.
     :param grace_ms: time from the stop signal to the kill.
     :param config_apply_ms: time until a new configuration is in force everywhere.
     :param revoke_ms: time until a removed API key no longer works anywhere.
@@ -42,7 +48,6 @@
     .. versionadded:: 0.2
     """
 
-    drain_ms: int = 2000
     grace_ms: int = 8000
     config_apply_ms: int = 2000
     revoke_ms: int = 5000
@@ -52,6 +57,18 @@
     retry_slack: float = 0.0
     directory_ttl_most_s: float = 5.0
 
+    @property
+    def watch_wait_ms(self) -> int:
+        """Return the longest wait of one watch, which the age of the view follows.
+
+        An older view could not tell an unknown route from a new one, and the VM would
+        take no callers.
+        """
+        limits_ms = [MOST_WATCH_WAIT_MS, self.config_apply_ms * CURRENT_PART]
+        if self.is_revocation_strict:
+            limits_ms.append(self.revoke_ms * REVOKE_PART)
+        return int(min(limits_ms))
+
 
 @dataclass(frozen=True)
 class GatewayConfig:
@@ -66,7 +83,6 @@
 
     vm: str
     domain: str
-    region: str
     listeners: Listeners
     store: Address
     least_lease_ms: int = 1000
--- a/src/heathershunt/gateway/upstream.py
+++ b/src/heathershunt/gateway/upstream.py
@@ -6,9 +6,8 @@
 # In a smaller fleet every VM watches the store.
 LEAST_FLEET = 8
 WATCHING_VMS = 3
-# Longest wait of a watch at the store. Where others follow, it is short: the age of the
-# view adds to theirs, and theirs must stay well within the time for a configuration.
-WAIT_MS = 1800
+# Longest wait of a watch at the store where others follow: the age of the view adds to
+# theirs, and theirs must stay well within the time for a configuration.
 WAIT_WITH_FOLLOWERS_MS = 500
 
 
@@ -17,12 +16,15 @@
 
     The first VMs by name watch the store, so that all agree without asking.
 
+    :param watch_wait_ms: longest wait of a watch that nobody follows.
+
     .. versionadded:: 0.2
     """
 
-    def __init__(self, members: MemberList, vm: str) -> None:
+    def __init__(self, members: MemberList, vm: str, watch_wait_ms: int) -> None:
         self._members = members
         self._vm = vm
+        self._watch_wait_ms = watch_wait_ms
 
     def addresses(self) -> list[Address]:
         """Return the VMs to follow; none if this VM watches the store itself."""
@@ -40,7 +42,9 @@
 
     def wait_ms(self) -> int:
         """Return the longest wait of one watch at the store."""
-        return WAIT_WITH_FOLLOWERS_MS if self._watching() else WAIT_MS
+        if not self._watching():
+            return self._watch_wait_ms
+        return min(WAIT_WITH_FOLLOWERS_MS, self._watch_wait_ms)
 
     def _watching(self) -> list[str]:
         names = self._members.names()
--- a/src/heathershunt/platform/settings.py
+++ b/src/heathershunt/platform/settings.py
@@ -25,7 +25,6 @@
 
 
 class _Bounds(msgspec.Struct):
-    drain_ms: float = 2000
     grace_s: float = 8
     config_apply_ms: float = 2000
     revoke_ms: float = 5000
@@ -55,7 +54,6 @@
     ip: str
     # First and last port that are free for traffic between VMs.
     internal_ports: tuple[int, int]
-    region: str = ""
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -82,7 +80,6 @@
     return GatewayConfig(
         vm=settings.node,
         domain=settings.zone,
-        region=settings.region,
         listeners=Listeners(
             callers=Address.from_text(settings.listen.front),
             readiness=Address.from_text(settings.listen.ready),
@@ -93,7 +90,6 @@
         least_lease_ms=int(settings.platform.min_ttl_ms),
         max_descriptors=settings.limits.max_fds,
         bounds=Bounds(
-            drain_ms=int(bounds.drain_ms),
             grace_ms=int(bounds.grace_s * 1000),
             config_apply_ms=int(bounds.config_apply_ms),
             revoke_ms=int(bounds.revoke_ms),
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -1,7 +1,7 @@
 import pytest
 
 from heathershunt.discovery import Target, TargetRegistry
-from heathershunt.discovery.registry import REAPPEAR_MS
+from heathershunt.discovery.outage import REAPPEAR_MS
 from heathershunt.http import Address
 
 
@@ -61,7 +61,8 @@
     registry.put(target("t1"))
     registry.put(target("t1", is_draining=True))
     assert ids(registry) == set()
-    assert [item.id for item in registry.all_of_service("s")] == ["t1"]
+    assert len(registry) == 1
+    assert registry.get("t1").is_draining
 
 
 def test_target_that_changes_its_service_leaves_the_old_one(registry):
