Blame all runners of a chain that give no report

Cause: when several runners died at once, the examination of a pause blamed the first one of the chain only. The chain was then replaced round that one, could lead through the next dead one, and was examined again 0.25 s to 1 s later.

Ruled out: asking again at once after a replacement (two orders where one does).

Change: all runners of the chain that are not blamed yet are asked, all without a report are blamed, and the replacement avoids them all.

--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -44,20 +44,26 @@
         A runner is at fault if it gives no report, or if the first runner of the chain
         says that work waits for it.
         """
-        for part in chain.parts:
-            if self._suspects.is_blamed(part.runner):
-                return part.runner
-        reports = await asyncio.gather(*(self._ask(p.runner) for p in chain.parts))
-        for part, report in zip(chain.parts, reports, strict=True):
-            if report is None or self._is_restarted(part.runner, report):
-                self._suspects.blame(part.runner)
-                return part.runner
-        for job in reports[0].stalled:
+        runners = [part.runner for part in chain.parts]
+        asked = [item for item in runners if not self._suspects.is_blamed(item)]
+        reports = await asyncio.gather(*map(self._ask, asked))
+        for runner, report in zip(asked, reports, strict=True):
+            if report is None or self._is_restarted(runner, report):
+                self._suspects.blame(runner)
+        self._blame_stalled(chain, dict(zip(asked, reports, strict=True)))
+        return next(filter(self._suspects.is_blamed, runners), None)
+
+    def _blame_stalled(
+        self, chain: Chain, report_by_runner: dict[Target, RunnerReport | None]
+    ) -> None:
+        """Blame the runners that the first one of the chain waits for."""
+        report = report_by_runner.get(chain.head)
+        if report is None:
+            return
+        for job in report.stalled:
             runner = chain.runner_at(job.address)
             if runner is not None:
                 self._suspects.blame(runner)
-                return runner
-        return None
 
     def ask_for_paces(self, chain: Chain) -> None:
         """Ask the runners of a chain in the background how slow they are."""
--- a/tests/relay/test_diagnosis.py
+++ b/tests/relay/test_diagnosis.py
@@ -41,8 +41,13 @@
 
 
 @pytest.fixture
-def diagnosis(clock, runners, paces):
-    return Diagnosis(clock, runners, SuspectList(clock, print), paces)
+def suspects(clock):
+    return SuspectList(clock, print)
+
+
+@pytest.fixture
+def diagnosis(clock, runners, suspects, paces):
+    return Diagnosis(clock, runners, suspects, paces)
 
 
 async def test_slow_runner_is_no_dead_one(diagnosis, runners, chain, paces):
@@ -54,6 +59,16 @@
     assert paces.pace(slow.id) == SLOW
 
 
+async def test_all_runners_without_a_report_are_blamed(
+    diagnosis, suspects, runners, chain
+):
+    # Guards against a chain that is led round one dead runner and into the next, when
+    # several die at once.
+    runners.pace_by_id.clear()
+    assert await diagnosis.find_faulty(chain) == chain.parts[0].runner
+    assert all(suspects.is_blamed(part.runner) for part in chain.parts)
+
+
 async def test_runner_without_a_report_is_at_fault(diagnosis, runners, chain):
     dead = chain.parts[1].runner
     del runners.pace_by_id[dead.id]
