Separate what a gateway knows of the site from its composition

Cause: gateway/app.py (about 500 lines) decoded the store's entries, held configuration and leader, and composed the process. The adapter's port types stood in it too.

Change: gateway/state.py keeps configuration, targets, entry VMs and leader; gateway/ports.py has the ports; app.py composes.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -2,35 +2,35 @@
 
 import asyncio
 from collections.abc import Coroutine
-from dataclasses import dataclass
-from typing import Protocol
 
 import logbook
-import msgspec
 
-from heathershunt.catalog import Catalog, Engine
+from heathershunt.catalog import Catalog
 from heathershunt.clock import Clock
 from heathershunt.coordination import (
     Changes,
-    Entry as StoreEntry,
     FollowingStore,
     Leadership,
     LeadershipConfig,
     LeaseKeeper,
     Snapshot,
-    Store,
     StoreView,
     ViewConfig,
     ViewMirror,
 )
-from heathershunt.discovery import Member, MemberList, Target, TargetRegistry
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory, only_get
 from heathershunt.gateway.entry import Entry
 from heathershunt.gateway.metrics import GatewayMetrics
+from heathershunt.gateway.ports import Ports
+from heathershunt.gateway.state import (
+    LEADER_KEY,
+    MEMBER_PREFIX,
+    SiteState,
+    encode_member,
+)
 from heathershunt.gateway.upstream import Upstream
 from heathershunt.http import (
-    Address,
     HttpClient,
     HttpLimits,
     HttpServer,
@@ -40,16 +40,11 @@
 )
 from heathershunt.logs import EventLog
 from heathershunt.logs.events import (
-    ConfigurationInForce,
-    MemberChanged,
     Readiness,
     Started,
     Stopped,
     Stopping,
     StoreLost,
-    StoreRegained,
-    TargetGone,
-    TargetListed,
 )
 from heathershunt.pipelines import (
     LOAD_PATH,
@@ -59,22 +54,17 @@
     LoadSharing,
     PaceBook,
     Placer,
-    RunnerApi,
 )
 from heathershunt.relay import (
     BudgetConfig,
-    CallerRequest,
     Diagnosis,
     RelayParts,
     SuspectList,
-    TargetWire,
     WindowBudget,
 )
 
 log = logbook.Logger("heathershunt.gateway")
 
-MEMBER_PREFIX = "vm/"
-LEADER_KEY = "leader/placement"
 LEASE_TTL_MS = 2500
 TICK_MS = 100
 # After the stop signal, new connections are still taken for this long: callers use
@@ -89,40 +79,6 @@
 RESERVED_DESCRIPTORS = 300
 
 
-class Decoder(Protocol):
-    """Decodes what others write into the store, and callers' requests.
-
-    .. versionadded:: 0.2
-    """
-
-    configuration_key: str
-    target_prefix: str
-    ready_path: str
-    resolve_path: str
-
-    def configuration(self, raw: bytes) -> Catalog:
-        """Decode a configuration; raise ``ValueError`` if it is malformed."""
-
-    def target(self, target_id: str, raw: bytes) -> Target:
-        """Decode a target's entry; raise ``ValueError`` if it is malformed."""
-
-    def request(self, request: Request) -> CallerRequest:
-        """Decode a caller's request; raise ``ValueError`` if it is malformed."""
-
-
-@dataclass(frozen=True)
-class Ports:
-    """The ways to the outside that a platform's adapter provides.
-
-    .. versionadded:: 0.2
-    """
-
-    store: Store
-    runners: RunnerApi
-    wire: TargetWire
-    decoder: Decoder
-
-
 class Gateway:
     """One gateway process.
 
@@ -141,18 +97,22 @@
         self._ports = ports
         self._clock = clock
         self._events = events
-        self.catalog: Catalog | None = None
         self.is_leaving = False
-        self._leader: tuple[bytes, int] | None = None
         self._tasks: list[asyncio.Task] = []
         bounds = config.bounds
         self.suspects = SuspectList(clock, events.emit)
-        self.registry = TargetRegistry(clock, self._on_target)
-        self.members = MemberList(clock)
+        state = self.state = SiteState(
+            ports.decoder,
+            clock,
+            self.suspects,
+            events,
+            self._on_catalog,
+            self._on_member_removal,
+        )
         own = str(config.listeners.callers)
         ttl_s = min(ANSWER_TTL_S, bounds.directory_ttl_most_s)
-        self.directory = Directory(self.members, own, ttl_s)
-        self._upstream = Upstream(self.members, config.vm, bounds.watch_wait_ms)
+        self.directory = Directory(state.members, own, ttl_s)
+        self._upstream = Upstream(state.members, config.vm, bounds.watch_wait_ms)
         self.view = StoreView(
             FollowingStore(ports.store, http, clock.now, self._upstream.addresses),
             clock,
@@ -160,7 +120,7 @@
             "",
             self._on_snapshot,
             self._on_changes,
-            self._on_store_return,
+            state.on_return,
             self._upstream.wait_ms,
             self._on_store_loss,
         )
@@ -176,7 +136,7 @@
             self.keeper,
             LeadershipConfig(LEADER_KEY),
             config.vm,
-            lambda: self._leader,
+            lambda: state.leader,
             events.emit,
         )
         ledger = LoadLedger(clock)
@@ -192,7 +152,7 @@
             clock=clock,
             http=http,
             wire=ports.wire,
-            registry=self.registry,
+            registry=state.registry,
             suspects=self.suspects,
             budget=WindowBudget(clock, budget),
             ledger=ledger,
@@ -200,17 +160,17 @@
             runners=ports.runners,
             diagnosis=Diagnosis(clock, ports.runners, self.suspects, paces),
             events=events,
-            vms=lambda: max(1, len(self.members)),
+            vms=lambda: max(1, len(state.members)),
             domain=config.domain,
         )
         self.entry = Entry(
-            self.parts, bounds, lambda: self.catalog, lambda: self.view.age
+            self.parts, bounds, lambda: state.catalog, lambda: self.view.age
         )
         self.placer = Placer(
             ports.runners,
             clock,
-            self._engines,
-            self._placeable,
+            state.engines,
+            state.placeable,
             lambda: self.leadership.is_leader and not self.is_leaving,
             lambda: self.leadership.fencing_token,
             self.suspects.is_blamed,
@@ -242,7 +202,7 @@
             self.leadership.run(),
             self.placer.run(),
             self.sharing.run(),
-            self.parts.diagnosis.watch_slow(self.registry.get),
+            self.parts.diagnosis.watch_slow(self.state.registry.get),
             self._tick(),
         ):
             self._spawn(work)
@@ -257,15 +217,16 @@
             log.warning("no metrics: cannot listen on {}: {}", host, error)
 
     def _add_gauges(self) -> None:
+        state = self.state
         gauges = (
             ("view_age_ms", "age of the view of the store", lambda: self.view.age),
-            ("members", "VMs that take callers", lambda: len(self.members)),
-            ("targets", "listed targets", lambda: len(self.registry)),
+            ("members", "VMs that take callers", lambda: len(state.members)),
+            ("targets", "listed targets", lambda: len(state.registry)),
             ("running", "requests being served", lambda: self._callers.busy),
             (
                 "configuration_version",
                 "configuration in force",
-                lambda: self.catalog.version if self.catalog else None,
+                lambda: state.catalog.version if state.catalog else None,
             ),
             (
                 "is_leader",
@@ -318,8 +279,7 @@
     async def _tick(self) -> None:
         """Keep what depends on time alone up to date."""
         while True:
-            self.registry.expire()
-            self.members.expire()
+            self.state.expire()
             is_fit = self._is_fit()
             if is_fit != self.directory.takes_callers:
                 self.directory.takes_callers = is_fit
@@ -329,84 +289,24 @@
 
     def _is_fit(self) -> bool:
         """Return whether callers are better served here than turned away."""
-        if self.is_leaving or self.catalog is None:
+        if self.is_leaving or self.state.catalog is None:
             return False
         return self.entry.is_fit()
 
     # The view of the store
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
-        self._events.revision = snapshot.revision
         self.mirror.on_snapshot(snapshot)
-        targets, members = [], []
-        self._leader = None
-        for entry in snapshot.entries:
-            if entry.key.startswith(self._ports.decoder.target_prefix):
-                target = self._decode_target(entry)
-                if target is not None:
-                    targets.append(target)
-            elif entry.key.startswith(MEMBER_PREFIX):
-                member = _decode_member(entry)
-                if member is not None:
-                    members.append(member)
-            else:
-                self._on_entry(entry.key, entry)
-        self.registry.replace_all(targets)
-        self.members.replace_all(members)
+        self.state.on_snapshot(snapshot)
 
     def _on_changes(self, changes: Changes) -> None:
-        self._events.revision = changes.revision
         self.mirror.on_changes(changes)
-        for key, entry in changes.entries:
-            self._on_entry(key, entry)
-
-    def _on_entry(self, key: str, entry: StoreEntry | None) -> None:
-        decoder = self._ports.decoder
-        if key.startswith(decoder.target_prefix):
-            self._on_target_entry(key.removeprefix(decoder.target_prefix), entry)
-        elif key.startswith(MEMBER_PREFIX):
-            self._on_member_entry(key.removeprefix(MEMBER_PREFIX), entry)
-        elif key == decoder.configuration_key and entry is not None:
-            self._on_configuration(entry)
-        elif key == LEADER_KEY:
-            self._leader = None if entry is None else (entry.value, entry.revision)
-
-    def _on_target_entry(self, target_id: str, entry: StoreEntry | None) -> None:
-        if entry is None:
-            self.registry.remove(target_id)
-            return
-        target = self._decode_target(entry)
-        if target is not None:
-            self.registry.put(target)
-
-    def _decode_target(self, entry: StoreEntry) -> Target | None:
-        decoder = self._ports.decoder
-        try:
-            target_id = entry.key.removeprefix(decoder.target_prefix)
-            return decoder.target(target_id, entry.value)
-        except ValueError as error:
-            log.warning("skipped an entry: {}", error)
-            return None
+        self.state.on_changes(changes)
 
-    def _on_member_entry(self, vm: str, entry: StoreEntry | None) -> None:
-        member = None if entry is None else _decode_member(entry)
-        if member is not None:
-            self.members.put(member)
-        else:
-            self.members.remove(vm)
-            if vm == self.config.vm and self.directory.takes_callers:
-                self.keeper.publish()
-        self._events.emit(MemberChanged(vm, member is not None))
+    def _on_store_loss(self, detail: str) -> None:
+        self._events.emit(StoreLost(detail, self.view.age))
 
-    def _on_configuration(self, entry: StoreEntry) -> None:
-        try:
-            catalog = self._ports.decoder.configuration(entry.value)
-        except ValueError as error:
-            log.error("skipped a malformed configuration: {}", error)
-            return
-        if self.catalog is not None and catalog.version <= self.catalog.version:
-            return
-        self.catalog = catalog
+    def _on_catalog(self, catalog: Catalog) -> None:
         limits = catalog.limits
         descriptors = self.config.max_descriptors - RESERVED_DESCRIPTORS
         self._callers.limits = HttpLimits(
@@ -417,49 +317,19 @@
             idle_ms=limits.idle_timeout_ms,
             head_ms=limits.header_timeout_ms,
         )
-        self._events.emit(ConfigurationInForce(catalog.version, entry.revision))
-
-    def _on_store_loss(self, detail: str) -> None:
-        self._events.emit(StoreLost(detail, self.view.age))
 
-    def _on_store_return(self, away_ms: int) -> None:
-        self.registry.store_returned()
-        self._events.emit(StoreRegained(away_ms))
-
-    def _on_target(self, target_id: str) -> None:
-        target = self.registry.get(target_id)
-        if target is None:
-            self.suspects.forget(target_id)
-            self._events.emit(TargetGone(target_id))
-            return
-        layers = None if target.held is None else str(target.held)
-        self._events.emit(
-            TargetListed(target_id, target.service, layers, target.is_draining)
-        )
-
-    # Duties
+    def _on_member_removal(self, vm: str) -> None:
+        """Write the own entry again if it is gone."""
+        if vm == self.config.vm and self.directory.takes_callers:
+            self.keeper.publish()
 
     def _member_value(self) -> tuple[str, bytes] | None:
         if not self.directory.takes_callers:
             return None
         config = self.config
-        value = _MemberValue(
-            str(config.listeners.callers), config.domain, str(config.listeners.peers)
-        )
-        return MEMBER_PREFIX + config.vm, msgspec.json.encode(value)
-
-    def _engines(self) -> dict[str, Engine]:
-        if self.catalog is None:
-            return {}
-        return {
-            name: service.engine
-            for name, service in self.catalog.services_by_name.items()
-            if service.engine is not None
-        }
-
-    def _placeable(self, service: str) -> list[Target]:
-        runners = self.registry.of_service(service)
-        return [r for r in runners if not self.registry.is_missing(r.id)]
+        listeners = config.listeners
+        value = encode_member(listeners.callers, config.domain, listeners.peers)
+        return MEMBER_PREFIX + config.vm, value
 
     # Listeners
 
@@ -483,20 +353,3 @@
     async def _handle_directory(self, request: Request) -> Response:
         refusal = only_get(request, self._ports.decoder.resolve_path)
         return refusal or self.directory.answer()
-
-
-class _MemberValue(msgspec.Struct):
-    callers: str
-    domain: str = ""
-    peers: str | None = None
-
-
-def _decode_member(entry: StoreEntry) -> Member | None:
-    vm = entry.key.removeprefix(MEMBER_PREFIX)
-    try:
-        value = msgspec.json.decode(entry.value, type=_MemberValue)
-        peers = None if value.peers is None else Address.from_text(value.peers)
-    except ValueError as error:
-        log.warning("skipped the entry of VM {!r}: {}", vm, error)
-        return None
-    return Member(vm, value.callers, value.domain, peers)
--- /dev/null
+++ b/src/heathershunt/gateway/ports.py
@@ -0,0 +1,45 @@
+"""The ways to the outside that a platform's adapter provides."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from heathershunt.catalog import Catalog
+from heathershunt.coordination import Store
+from heathershunt.discovery import Target
+from heathershunt.http import Request
+from heathershunt.pipelines import RunnerApi
+from heathershunt.relay import CallerRequest, TargetWire
+
+
+class Decoder(Protocol):
+    """Decodes what others write into the store, and callers' requests.
+
+    .. versionadded:: 0.2
+    """
+
+    configuration_key: str
+    target_prefix: str
+    ready_path: str
+    resolve_path: str
+
+    def configuration(self, raw: bytes) -> Catalog:
+        """Decode a configuration; raise ``ValueError`` if it is malformed."""
+
+    def target(self, target_id: str, raw: bytes) -> Target:
+        """Decode a target's entry; raise ``ValueError`` if it is malformed."""
+
+    def request(self, request: Request) -> CallerRequest:
+        """Decode a caller's request; raise ``ValueError`` if it is malformed."""
+
+
+@dataclass(frozen=True)
+class Ports:
+    """The ways to the outside that a platform's adapter provides.
+
+    .. versionadded:: 0.2
+    """
+
+    store: Store
+    runners: RunnerApi
+    wire: TargetWire
+    decoder: Decoder
--- /dev/null
+++ b/src/heathershunt/gateway/state.py
@@ -0,0 +1,191 @@
+"""What a gateway knows of the site, from the entries of the store."""
+
+from collections.abc import Callable
+
+import logbook
+import msgspec
+
+from heathershunt.catalog import Catalog, Engine
+from heathershunt.clock import Clock
+from heathershunt.coordination import Changes, Entry, Snapshot
+from heathershunt.discovery import Member, MemberList, Target, TargetRegistry
+from heathershunt.gateway.ports import Decoder
+from heathershunt.http import Address
+from heathershunt.logs import EventLog
+from heathershunt.logs.events import (
+    ConfigurationInForce,
+    MemberChanged,
+    StoreRegained,
+    TargetGone,
+    TargetListed,
+)
+from heathershunt.relay import SuspectList
+
+MEMBER_PREFIX = "vm/"
+LEADER_KEY = "leader/placement"
+
+log = logbook.Logger("heathershunt.gateway")
+
+
+class SiteState:
+    """Configuration, targets, entry VMs and leader, kept up to date by the view.
+
+    :param suspects: forgets targets that are gone.
+    :param on_catalog: called with each configuration that is taken.
+    :param on_member_removal: called with the name of each VM whose entry is gone.
+    :ivar catalog: configuration in force; ``None`` before the first.
+    :ivar leader: value and revision of the leader's key; ``None`` if it is free.
+
+    .. versionadded:: 0.3
+    """
+
+    def __init__(
+        self,
+        decoder: Decoder,
+        clock: Clock,
+        suspects: SuspectList,
+        events: EventLog,
+        on_catalog: Callable[[Catalog], None],
+        on_member_removal: Callable[[str], None],
+    ) -> None:
+        self._decoder = decoder
+        self._suspects = suspects
+        self._events = events
+        self._on_catalog = on_catalog
+        self._on_member_removal = on_member_removal
+        self.catalog: Catalog | None = None
+        self.leader: tuple[bytes, int] | None = None
+        self.registry = TargetRegistry(clock, self._on_target)
+        self.members = MemberList(clock)
+
+    def expire(self) -> None:
+        """Drop what did not come back in time after an outage of the store."""
+        self.registry.expire()
+        self.members.expire()
+
+    def engines(self) -> dict[str, Engine]:
+        """Return the engines by service."""
+        if self.catalog is None:
+            return {}
+        return {
+            name: service.engine
+            for name, service in self.catalog.services_by_name.items()
+            if service.engine is not None
+        }
+
+    def placeable(self, service: str) -> list[Target]:
+        """Return the runners of a service that stay."""
+        runners = self.registry.of_service(service)
+        return [r for r in runners if not self.registry.is_missing(r.id)]
+
+    def on_return(self, away_ms: int) -> None:
+        """Take note that the store answers again after an outage."""
+        self.registry.store_returned()
+        self._events.emit(StoreRegained(away_ms))
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Take a complete list of the entries."""
+        self._events.revision = snapshot.revision
+        targets, members = [], []
+        self.leader = None
+        for entry in snapshot.entries:
+            if entry.key.startswith(self._decoder.target_prefix):
+                target = self._decode_target(entry)
+                if target is not None:
+                    targets.append(target)
+            elif entry.key.startswith(MEMBER_PREFIX):
+                member = _decode_member(entry)
+                if member is not None:
+                    members.append(member)
+            else:
+                self._on_entry(entry.key, entry)
+        self.registry.replace_all(targets)
+        self.members.replace_all(members)
+
+    def on_changes(self, changes: Changes) -> None:
+        """Take changes in order."""
+        self._events.revision = changes.revision
+        for key, entry in changes.entries:
+            self._on_entry(key, entry)
+
+    def _on_entry(self, key: str, entry: Entry | None) -> None:
+        decoder = self._decoder
+        if key.startswith(decoder.target_prefix):
+            self._on_target_entry(key.removeprefix(decoder.target_prefix), entry)
+        elif key.startswith(MEMBER_PREFIX):
+            self._on_member_entry(key.removeprefix(MEMBER_PREFIX), entry)
+        elif key == decoder.configuration_key and entry is not None:
+            self._on_configuration(entry)
+        elif key == LEADER_KEY:
+            self.leader = None if entry is None else (entry.value, entry.revision)
+
+    def _on_target_entry(self, target_id: str, entry: Entry | None) -> None:
+        if entry is None:
+            self.registry.remove(target_id)
+            return
+        target = self._decode_target(entry)
+        if target is not None:
+            self.registry.put(target)
+
+    def _decode_target(self, entry: Entry) -> Target | None:
+        decoder = self._decoder
+        try:
+            target_id = entry.key.removeprefix(decoder.target_prefix)
+            return decoder.target(target_id, entry.value)
+        except ValueError as error:
+            log.warning("skipped an entry: {}", error)
+            return None
+
+    def _on_member_entry(self, vm: str, entry: Entry | None) -> None:
+        member = None if entry is None else _decode_member(entry)
+        if member is not None:
+            self.members.put(member)
+        else:
+            self.members.remove(vm)
+            self._on_member_removal(vm)
+        self._events.emit(MemberChanged(vm, member is not None))
+
+    def _on_configuration(self, entry: Entry) -> None:
+        try:
+            catalog = self._decoder.configuration(entry.value)
+        except ValueError as error:
+            log.error("skipped a malformed configuration: {}", error)
+            return
+        if self.catalog is not None and catalog.version <= self.catalog.version:
+            return
+        self.catalog = catalog
+        self._on_catalog(catalog)
+        self._events.emit(ConfigurationInForce(catalog.version, entry.revision))
+
+    def _on_target(self, target_id: str) -> None:
+        target = self.registry.get(target_id)
+        if target is None:
+            self._suspects.forget(target_id)
+            self._events.emit(TargetGone(target_id))
+            return
+        layers = None if target.held is None else str(target.held)
+        self._events.emit(
+            TargetListed(target_id, target.service, layers, target.is_draining)
+        )
+
+
+class _MemberValue(msgspec.Struct):
+    callers: str
+    domain: str = ""
+    peers: str | None = None
+
+
+def encode_member(callers: Address, domain: str, peers: Address) -> bytes:
+    """Return the value of the entry of a VM that takes callers."""
+    return msgspec.json.encode(_MemberValue(str(callers), domain, str(peers)))
+
+
+def _decode_member(entry: Entry) -> Member | None:
+    vm = entry.key.removeprefix(MEMBER_PREFIX)
+    try:
+        value = msgspec.json.decode(entry.value, type=_MemberValue)
+        peers = None if value.peers is None else Address.from_text(value.peers)
+    except ValueError as error:
+        log.warning("skipped the entry of VM {!r}: {}", vm, error)
+        return None
+    return Member(vm, value.callers, value.domain, peers)
--- a/src/heathershunt/platform/main.py
+++ b/src/heathershunt/platform/main.py
@@ -8,7 +8,8 @@
 
 from heathershunt.clock import SystemClock
 from heathershunt.gateway import GatewayConfig
-from heathershunt.gateway.app import Gateway, Ports
+from heathershunt.gateway.app import Gateway
+from heathershunt.gateway.ports import Ports
 from heathershunt.http import HttpClient
 from heathershunt.logs import EventLog, JsonHandler
 from heathershunt.logs.events import ReloadIgnored
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -6,7 +6,8 @@
 from dataclasses import replace
 
 from heathershunt.clock import SystemClock
-from heathershunt.gateway.app import Gateway, Ports
+from heathershunt.gateway.app import Gateway
+from heathershunt.gateway.ports import Ports
 from heathershunt.http import Address, HttpClient
 from heathershunt.logs import EventLog
 from heathershunt.platform.decoder import PlatformDecoder
@@ -115,7 +116,7 @@
                 await self.add_target(name, "engine", domain, "large", layers)
             await self.add_target(f"desk-{domain}", "desk", domain)
         await self.add_gateway("vm-1")
-        await self.until(lambda: len(self.gateways["vm-1"].registry) == 8)
+        await self.until(lambda: len(self.gateways["vm-1"].state.registry) == 8)
 
     async def add_target(self, name, service, domain, kind=None, layers=None):
         target = TargetStandIn(name, service, domain, self.store, self.fleet, kind)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -24,31 +24,31 @@
 async def test_configuration_never_goes_back_to_an_older_version(site):
     gateway = site.gateways["vm-1"]
     site.store.put("op/config", configuration(7))
-    await site.until(lambda: gateway.catalog.version == 7)
+    await site.until(lambda: gateway.state.catalog.version == 7)
     site.store.put("op/config", configuration(6, routes=[]))
     site.store.put("vm/mark", {"callers": "127.0.0.1:1"})
-    await site.until(lambda: len(gateway.members) == 2)
-    assert gateway.catalog.version == 7
+    await site.until(lambda: len(gateway.state.members) == 2)
+    assert gateway.state.catalog.version == 7
 
 
 async def test_malformed_entries_change_nothing(site):
     gateway = site.gateways["vm-1"]
-    known = len(gateway.registry)
+    known = len(gateway.state.registry)
     site.store.put("servers/odd-1", b"\xff\x00 no text")
     site.store.put("servers/odd-2", {"service": 5})
     site.store.put("servers/odd-3", {"service": "desk", "state": "resting"})
     site.store.put("op/config", b"{")
     site.store.put("vm/mark", {"callers": "127.0.0.1:1"})
-    await site.until(lambda: len(gateway.members) == 2)
-    assert len(gateway.registry) == known
-    assert gateway.catalog.version == 1
+    await site.until(lambda: len(gateway.state.members) == 2)
+    assert len(gateway.state.registry) == known
+    assert gateway.state.catalog.version == 1
 
 
 async def test_removed_key_is_refused(site):
     gateway = site.gateways["vm-1"]
     tenants = [{"name": "owner", "api_keys": ["key-two"]}]
     site.store.put("op/config", configuration(2, tenants=tenants))
-    await site.until(lambda: gateway.catalog.version == 2)
+    await site.until(lambda: gateway.state.catalog.version == 2)
     assert (await site.call("POST", "/orders/7"))[0] == 401
     status, _, _ = await site.call("POST", "/orders/7", authorization="Token key-two")
     assert status == 200
@@ -73,14 +73,14 @@
     gateway = site.gateways["vm-1"]
     site.store.forget_history()
     site.store.put("op/config", configuration(9))
-    await site.until(lambda: gateway.catalog.version == 9)
+    await site.until(lambda: gateway.state.catalog.version == 9)
 
 
 async def test_directory_lists_the_vms_that_take_callers(site):
     await site.add_gateway("vm-2")
     own = str(site.gateways["vm-1"].config.listeners.callers)
     other = str(site.gateways["vm-2"].config.listeners.callers)
-    await site.until(lambda: len(site.gateways["vm-1"].members) == 2)
+    await site.until(lambda: len(site.gateways["vm-1"].state.members) == 2)
     status, answer = await resolve(site)
     assert status == 200
     assert set(answer["addresses"]) == {own, other}
@@ -90,13 +90,13 @@
 async def test_stopping_vm_leaves_the_directory_and_finishes_its_streams(site):
     await site.add_gateway("vm-2")
     first, second = site.gateways["vm-1"], site.gateways["vm-2"]
-    await site.until(lambda: len(second.members) == 2)
+    await site.until(lambda: len(second.state.members) == 2)
     response = await site.open_stream(events=200)
     await response.read_some()
     stopping = asyncio.create_task(first.shut_down())
     await site.until(lambda: not first.directory.takes_callers)
     assert await readiness(site) == 503
-    await site.until(lambda: len(second.members) == 1)
+    await site.until(lambda: len(second.state.members) == 1)
     body = await response.read()
     assert body.endswith(b"id: 200\ndata: event 200\n\n")
     await stopping
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -91,7 +91,7 @@
     changed = configuration(2)
     changed["routes"][0]["resumable"] = False
     site.store.put("op/config", changed)
-    await site.until(lambda: site.gateways["vm-1"].catalog.version == 2)
+    await site.until(lambda: site.gateways["vm-1"].state.catalog.version == 2)
     response = await site.open_stream(events=100)
     await response.read_some()
     await site.targets[site.runs()[0].runner].stop()
@@ -116,7 +116,7 @@
         target = site.targets[name]
         target.is_draining = True
         target.register()
-    registry = site.gateways["vm-1"].registry
+    registry = site.gateways["vm-1"].state.registry
     await site.until(lambda: len(registry.of_service("engine")) == 4)
     status, headers, _ = await site.call(
         "POST", "/drafts/x", b"p", heathershunt_token_counts="700,20"
