Take no repeat from the budget for a send that reached nobody

Cause: after many runners died, streams spent a repeat for the send that followed a refused connection, though no runner had received anything. Plain calls counted such sends apart already.

Ruled out: leaving MAX_SENDS out too (a request would go round all dead runners).

Change: Attempts counts sends that may have arrived; only a send after one of those takes a repeat. The test failed first: 503 with an empty budget.

--- a/src/heathershunt/relay/attempts.py
+++ b/src/heathershunt/relay/attempts.py
@@ -8,6 +8,7 @@
 
     :param most: runners that the request may go to.
     :ivar sends: sends so far, whatever befell the runners.
+    :ivar arrivals: sends of which a runner may have received something.
     :ivar avoided: ids of runners that failed this request.
 
     .. versionadded:: 0.2
@@ -18,6 +19,7 @@
         self._most = most
         self._heads_by_id: dict[str, Target] = {}
         self.sends = 0
+        self.arrivals = 0
         self.avoided: set[str] = set()
 
     def has_head(self, runner: Target) -> bool:
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -108,7 +108,7 @@
         if chain is None:
             return self._fail(False)
         left_ms = self._spec.deadline - parts.clock.now()
-        if self._attempts.sends and not parts.budget.take(
+        if self._attempts.arrivals and not parts.budget.take(
             self._spec.service, parts.vms(), has_begun=self._progress.has_begun
         ):
             parts.events.emit(RetryDenied(self._request.id, self._spec.service))
@@ -153,6 +153,7 @@
             self._drop_run()
             await self._on_send_failure(run.chain, outcome.err_value)
             return False
+        self._attempts.arrivals += 1
         was_known = self._attempts.has_head(chain.head)
         self._attempts.note_head(chain.head)
         run.response = outcome.ok_value
@@ -202,6 +203,7 @@
         if error.progress is Progress.NOT_SENT:
             self._avoid(chain.head)
             return
+        self._attempts.arrivals += 1
         self._attempts.note_head(chain.head)
         self._may_have_run = True
         faulty = await self._parts.diagnosis.find_faulty(chain)
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from functools import partial
 
 import pytest
 
@@ -87,6 +88,25 @@
     assert again[0].request_id == run.request_id
 
 
+async def test_runner_that_cannot_be_reached_costs_no_repeat(site):
+    # Guards against a budget that is used up by sends that reached nobody, after many
+    # runners died at once.
+    await site.add_gateway("vm-2", retry_budget_slack=0, retry_budget_ratio=0)
+    draft = partial(
+        site.call,
+        "POST",
+        "/drafts/x",
+        b"prompt",
+        vm="vm-2",
+        heathershunt_token_counts="700,20",
+    )
+    await draft()
+    await site.targets[site.runs()[0].runner].stop()
+    status, _, body = await draft()
+    assert status == 200
+    assert ids(body) == list(range(1, 11))
+
+
 async def test_stream_without_resumption_is_cut_and_never_looks_complete(site):
     changed = configuration(2)
     changed["routes"][0]["resumable"] = False
