Order another chain when a replacement is refused

Ruled out: asking all runners of the new chain for reports first (a round trip for each replacement, also where the view is right).

The tests of the next chain and of the named runner are new; the old code took no reply apart.

--- a/src/heathershunt/pipelines/__init__.py
+++ b/src/heathershunt/pipelines/__init__.py
@@ -6,7 +6,13 @@
 from heathershunt.pipelines.load import LoadLedger
 from heathershunt.pipelines.pace import PaceBook
 from heathershunt.pipelines.placer import Placer, PlacerConfig
-from heathershunt.pipelines.runners import RunnerApi, RunnerReport, StalledJob
+from heathershunt.pipelines.runners import (
+    OrderOutcome,
+    OrderReply,
+    RunnerApi,
+    RunnerReport,
+    StalledJob,
+)
 from heathershunt.pipelines.sharing import LOAD_PATH, LoadBoard, LoadSharing
 
 __all__ = [
@@ -23,6 +29,8 @@
     "Placement",
     "Placer",
     "PlacerConfig",
+    "OrderOutcome",
+    "OrderReply",
     "RunnerApi",
     "RunnerReport",
     "StalledJob",
--- a/src/heathershunt/pipelines/placer.py
+++ b/src/heathershunt/pipelines/placer.py
@@ -167,9 +167,10 @@
             return
         if not self._leads():
             return
-        outcome = await self._api.place(
+        reply = await self._api.place(
             runner, placement.layers, report.orders, self._fence()
         )
+        outcome = reply.outcome
         layers = str(placement.layers)
         token = self._fence()
         self._emit(OrderAnswered(runner.id, layers, outcome.value, token))
--- a/src/heathershunt/pipelines/runners.py
+++ b/src/heathershunt/pipelines/runners.py
@@ -58,6 +58,20 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class OrderReply:
+    """What is known of an order.
+
+    :param faulty_address: runner that does not do its part of an ordered chain, as
+        ``ip:port``; ``None`` if none was named.
+
+    .. versionadded:: 0.3
+    """
+
+    outcome: OrderOutcome
+    faulty_address: str | None = None
+
+
 class RunnerApi(Protocol):
     """Calls of a runner, beside requests.
 
@@ -69,14 +83,12 @@
 
     async def place(
         self, runner: Target, layers: LayerRange, orders: int | None, fence: int
-    ) -> OrderOutcome:
+    ) -> OrderReply:
         """Order a runner to hold layers.
 
         :param orders: orders begun so far that the runner must have.
         :param fence: fencing token of the leader.
         """
 
-    async def repath(
-        self, runner: Target, request_id: str, chain: Chain
-    ) -> OrderOutcome:
+    async def repath(self, runner: Target, request_id: str, chain: Chain) -> OrderReply:
         """Replace the later runners of a running request's chain."""
--- a/src/heathershunt/platform/runners.py
+++ b/src/heathershunt/platform/runners.py
@@ -8,8 +8,13 @@
 
 from heathershunt.discovery import LayerRange, Target
 from heathershunt.http import HttpClient
-from heathershunt.pipelines import Chain, RunnerReport, StalledJob
-from heathershunt.pipelines.runners import OrderOutcome
+from heathershunt.pipelines import (
+    Chain,
+    OrderOutcome,
+    OrderReply,
+    RunnerReport,
+    StalledJob,
+)
 from heathershunt.platform.names import EXPECTED_TARGET, ORDER_PATH, REPORT_PATH
 from heathershunt.platform.targets import LayersEntry, decode_layers
 
@@ -45,6 +50,11 @@
     stalled: list[_Stalled] = []
 
 
+class _Conflict(msgspec.Struct):
+    # Runner of an ordered chain that lacks its layers or the room.
+    address: str | None = None
+
+
 _decoder = msgspec.json.Decoder(_Report)
 
 
@@ -82,7 +92,7 @@
 
     async def place(
         self, runner: Target, layers: LayerRange, orders: int | None, fence: int
-    ) -> OrderOutcome:
+    ) -> OrderReply:
         """Order a runner to hold layers."""
         payload = {
             "operation": "place",
@@ -95,9 +105,7 @@
             payload["expected"] = orders
         return await self._order(runner, payload)
 
-    async def repath(
-        self, runner: Target, request_id: str, chain: Chain
-    ) -> OrderOutcome:
+    async def repath(self, runner: Target, request_id: str, chain: Chain) -> OrderReply:
         """Replace the later runners of a running request's chain."""
         payload = {
             "operation": "repath",
@@ -106,7 +114,7 @@
         }
         return await self._order(runner, payload)
 
-    async def _order(self, runner: Target, payload: dict[str, Any]) -> OrderOutcome:
+    async def _order(self, runner: Target, payload: dict[str, Any]) -> OrderReply:
         outcome = await self._http.exchange(
             runner.address,
             "POST",
@@ -123,11 +131,22 @@
         if isinstance(outcome, Err):
             detail = outcome.err_value.detail
             log.warning("order to {} without answer: {}", runner.id, detail)
-            return OrderOutcome.UNKNOWN
+            return OrderReply(OrderOutcome.UNKNOWN)
         status, raw = outcome.ok_value
         if status not in OUTCOME_BY_STATUS:
             log.warning("order to {}: status {}: {}", runner.id, status, raw[:200])
-        return OUTCOME_BY_STATUS.get(status, OrderOutcome.REJECTED)
+        known = OUTCOME_BY_STATUS.get(status, OrderOutcome.REJECTED)
+        address = _faulty_address(raw) if known is OrderOutcome.CONFLICT else None
+        return OrderReply(known, address)
+
+
+def _faulty_address(raw: bytes) -> str | None:
+    """Return the runner that a refused chain failed on, if the reply names one."""
+    try:
+        return msgspec.json.decode(raw, type=_Conflict).address
+    except (ValueError, RecursionError) as error:
+        log.info("a conflict that names no runner: {}", error)
+        return None
 
 
 def encode_chain(chain: Chain) -> str:
--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -85,12 +85,15 @@
             runners = [runner for runner in found if runner is not None]
             await asyncio.gather(*map(self._ask, runners))
 
+    def note_rejection(self, runner: Target) -> None:
+        """Keep requests that follow at once from the same rejection."""
+        self._suspects.pause(runner, REJECTED_MS)
+
     async def judge_rejection(self, runner: Target) -> None:
         """Find out whether a runner that was named in a rejection works at all."""
         if self._suspects.is_suspect(runner):
             return
-        # Requests that follow at once shall not run into the same rejection.
-        self._suspects.pause(runner, REJECTED_MS)
+        self.note_rejection(runner)
         report = await self._ask(runner)
         if report is None or self._is_restarted(runner, report):
             self._suspects.blame(runner)
--- /dev/null
+++ b/src/heathershunt/relay/repair.py
@@ -0,0 +1,68 @@
+"""Replacement of runners in a chain while the stream runs on."""
+
+from heathershunt.discovery import Target
+from heathershunt.logs.request_events import ChainNotReplaced, ChainReplaced
+from heathershunt.pipelines import Chain, OrderOutcome
+from heathershunt.relay.parts import RelayParts
+from heathershunt.relay.runs import Run
+from heathershunt.relay.selection import ChainSelection
+from heathershunt.relay.spec import StreamSpec
+
+# Chains that are tried for one replacement; a refused order names the runner that lacks
+# the layers or the room.
+MAX_ORDERS = 3
+
+
+class ChainRepair:
+    """Leads a running stream round runners that are at fault.
+
+    The runners that stay keep what they have read, and no repeat is spent.
+
+    :ivar count: replacements so far.
+
+    .. versionadded:: 0.3
+    """
+
+    def __init__(
+        self, parts: RelayParts, spec: StreamSpec, selection: ChainSelection
+    ) -> None:
+        self._parts = parts
+        self._spec = spec
+        self._selection = selection
+        self.count = 0
+
+    async def replace(self, run: Run, faulty: Target) -> bool:
+        """Replace a runner of a running chain; return whether that was done."""
+        if faulty.id == run.chain.head.id:
+            return False
+        avoided = {faulty.id}
+        for _ in range(MAX_ORDERS):
+            chain = self._selection.around(run.chain, avoided)
+            if chain is None:
+                return False
+            refusing = await self._order(run, chain, faulty)
+            if run.chain is chain:
+                return True
+            if refusing is None:
+                return False
+            avoided.add(refusing.id)
+        return False
+
+    async def _order(self, run: Run, chain: Chain, faulty: Target) -> Target | None:
+        """Order a chain; return the runner on account of which it was refused."""
+        parts = self._parts
+        request = self._spec.request.id
+        reply = await parts.runners.repath(run.chain.head, request, chain)
+        is_done = reply.outcome in (OrderOutcome.BEGUN, OrderOutcome.DONE)
+        event_type = ChainReplaced if is_done else ChainNotReplaced
+        parts.events.emit(event_type(request, faulty.id, reply.outcome.value))
+        if is_done:
+            parts.ledger.remove(run.chain, run.tokens)
+            run.chain = chain
+            parts.ledger.add(chain, run.tokens)
+            self.count += 1
+            return None
+        refusing = chain.runner_at(reply.faulty_address or "")
+        if refusing is not None:
+            parts.diagnosis.note_rejection(refusing)
+        return refusing
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -59,14 +59,17 @@
                     return chain
             await asyncio.sleep(ROOM_POLL_MS / 1000)
 
-    def around(self, chain: Chain, faulty: Target) -> Chain | None:
-        """Return a chain with the same first part that does without a runner."""
+    def around(self, chain: Chain, avoided: set[str]) -> Chain | None:
+        """Return a chain with the same first part that does without some runners.
+
+        :param avoided: ids of these runners.
+        """
         return self._parts.chooser.choose(
             self._spec.engine,
             self._parts.registry.of_service(self._spec.service),
             self._job,
             self._parts.vms(),
-            self._suspects() | {faulty.id},
+            self._suspects() | avoided,
             chain.parts[0],
         )
 
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -16,8 +16,6 @@
     TransportError,
 )
 from heathershunt.logs.request_events import (
-    ChainNotReplaced,
-    ChainReplaced,
     RetryDenied,
     SendFailed,
     SendRejected,
@@ -28,13 +26,13 @@
     StreamResumed,
 )
 from heathershunt.pipelines import Chain
-from heathershunt.pipelines.runners import OrderOutcome
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.events import StreamEvent
 from heathershunt.relay.messages import Dispatch, refuse
 from heathershunt.relay.parts import RelayParts
 from heathershunt.relay.pauses import PauseWatch
 from heathershunt.relay.progress import StreamProgress
+from heathershunt.relay.repair import ChainRepair
 from heathershunt.relay.room import RoomGate
 from heathershunt.relay.runs import Run, StreamBrokenError, abandon
 from heathershunt.relay.selection import ChainSelection
@@ -69,10 +67,10 @@
         self._selection = ChainSelection(
             parts, room, spec, self._attempts, self._progress
         )
+        self._repair = ChainRepair(parts, spec, self._selection)
         self._pauses = PauseWatch(parts, spec, self._attempts, self._progress)
         self._run: Run | None = None
         self._may_have_run = False
-        self._replaced_chains = 0
         self._refusal_detail = "no chain of runners holds all layers"
         self._tokens = spec.job.tokens
 
@@ -180,7 +178,7 @@
                 faulty = await self._pauses.examine(run.chain)
                 if task.done():
                     break
-                if faulty is not None and await self._repath(run, faulty):
+                if faulty is not None and await self._repair.replace(run, faulty):
                     wait_ms = self._patience.first_ms
                     continue
                 paused_ms = self._parts.clock.now() - sent_at
@@ -288,7 +286,7 @@
             first_event_ms=self._progress.first_event_ms,
             longest_gap_ms=self._progress.longest_gap_ms,
             sends=self._attempts.sends,
-            replaced_chains=self._replaced_chains,
+            replaced_chains=self._repair.count,
             chain=tuple(part.runner.id for part in parts),
             domains=tuple(sorted({part.runner.domain for part in parts})),
         )
@@ -341,7 +339,7 @@
                 return await self._read_within(run, patience_ms)
             except TimeoutError:
                 faulty = await self._pauses.examine(run.chain)
-            if faulty is not None and await self._repath(run, faulty):
+            if faulty is not None and await self._repair.replace(run, faulty):
                 faulty = None
             paused_ms = self._progress.paused_ms
             detail = self._pauses.reason_to_leave(run.chain, faulty, paused_ms)
@@ -358,25 +356,6 @@
         async with asyncio.timeout(min(patience_ms, left_ms) / 1000):
             return await run.response.read_some()
 
-    async def _repath(self, run: Run, faulty: Target) -> bool:
-        """Replace a runner of a running chain; return whether that was done."""
-        parts = self._parts
-        if faulty.id == run.chain.head.id:
-            return False
-        chain = self._selection.around(run.chain, faulty)
-        if chain is None:
-            return False
-        outcome = await parts.runners.repath(run.chain.head, self._request.id, chain)
-        is_done = outcome in (OrderOutcome.BEGUN, OrderOutcome.DONE)
-        event_type = ChainReplaced if is_done else ChainNotReplaced
-        parts.events.emit(event_type(self._request.id, faulty.id, outcome.value))
-        if is_done:
-            parts.ledger.remove(run.chain, run.tokens)
-            run.chain = chain
-            parts.ledger.add(chain, run.tokens)
-            self._replaced_chains += 1
-        return is_done
-
     async def _on_break(self, error: BaseException) -> None:
         """Take note of a run that ended early."""
         run = self._run
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -143,6 +143,10 @@
         if body["operation"] == "repath":
             if body["id"] not in self._chain_by_request:
                 return Response(404)
+            faulty = self._missing(body["path"])
+            if faulty is not None:
+                named = msgspec.json.encode({"address": faulty})
+                return Response(409, JSON_TYPE, named)
             self._chain_by_request[body["id"]] = body["path"]
             return Response(200)
         if body.get("expected", self.orders) != self.orders:
--- a/tests/pipelines/engines.py
+++ b/tests/pipelines/engines.py
@@ -28,11 +28,11 @@
     )
 
 
-def runner(number, kind="small", domain="a", held=None, **options):
+def runner(number, kind="small", domain="a", held=None, address=None, **options):
     return Target(
         id=f"r{number:02}",
         service="s",
-        address=Address("10.0.0.1", number),
+        address=address or Address("10.0.0.1", number),
         domain=domain,
         slots=96,
         kind=kind,
--- /dev/null
+++ b/tests/platform/test_runners.py
@@ -0,0 +1,44 @@
+import pytest
+
+from heathershunt.http import Address, HttpClient, HttpServer, Response
+from heathershunt.pipelines import Chain, ChainPart, OrderOutcome, OrderReply
+from heathershunt.platform.runners import EngineRunners
+from tests.pipelines import engines
+
+
+@pytest.fixture
+async def order():
+    """Return a coroutine function that orders a chain and gets a set reply."""
+    replies = []
+    server = HttpServer(lambda request: answer(replies))
+    await server.start("127.0.0.1", 0)
+    client = HttpClient()
+    head = engines.runner(1, address=Address("127.0.0.1", server.port))
+    chain = Chain.from_parts([ChainPart(head, 0, 80)])
+
+    async def order(status, body=b""):
+        replies.append(Response(status, {}, body))
+        return await EngineRunners(client).repath(head, "r", chain)
+
+    yield order
+    client.close()
+    await server.close()
+
+
+async def answer(replies):
+    return replies.pop()
+
+
+async def test_conflict_names_the_runner_at_fault(order):
+    reply = await order(409, b'{"address": "10.0.0.1:7"}')
+    assert reply == OrderReply(OrderOutcome.CONFLICT, "10.0.0.1:7")
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[1]", b'{"address": 7}', b"{}"])
+async def test_conflict_that_names_no_runner_is_a_conflict(order, body):
+    # Guards against a stream that ends because of a malformed reply to an order.
+    assert await order(409, body) == OrderReply(OrderOutcome.CONFLICT)
+
+
+async def test_order_that_was_taken_names_nobody(order):
+    assert await order(200, b'{"address": "x"}') == OrderReply(OrderOutcome.DONE)
--- /dev/null
+++ b/tests/relay/test_repair.py
@@ -0,0 +1,88 @@
+"""Replacement of a runner where the view of the others is out of date."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from heathershunt.pipelines import Chain, ChainPart, OrderOutcome, OrderReply
+from heathershunt.relay.repair import MAX_ORDERS, ChainRepair
+from heathershunt.relay.runs import Run
+from tests.pipelines import engines
+
+HEAD, DEAD = engines.runner(1), engines.runner(2)
+
+
+class Selection:
+    """Offers one spare runner after the other, as far as they are not avoided."""
+
+    def __init__(self, spares):
+        self.spares = spares
+
+    def around(self, chain, avoided):
+        left = [spare for spare in self.spares if spare.id not in avoided]
+        return chain_with(left[0]) if left else None
+
+
+class Runners:
+    """Refuses chains with some runners, and names those."""
+
+    def __init__(self):
+        self.refused = set()
+        self.orders = 0
+
+    async def repath(self, head, request_id, chain):
+        self.orders += 1
+        last = chain.parts[-1].runner
+        if last.id in self.refused:
+            return OrderReply(OrderOutcome.CONFLICT, str(last.address))
+        return OrderReply(OrderOutcome.DONE)
+
+
+def chain_with(last):
+    return Chain.from_parts([ChainPart(HEAD, 0, 40), ChainPart(last, 40, 80)])
+
+
+@pytest.fixture
+def runners():
+    return Runners()
+
+
+@pytest.fixture
+def paused():
+    return []
+
+
+@pytest.fixture
+def repair(parts, spec, runners, paused):
+    parts.runners = runners
+    parts.events = SimpleNamespace(emit=print)
+    parts.diagnosis = SimpleNamespace(note_rejection=paused.append)
+    parts.ledger = SimpleNamespace(add=print, remove=print)
+    selection = Selection([engines.runner(number) for number in range(3, 9)])
+    return ChainRepair(parts, spec, selection)
+
+
+async def test_other_chain_is_ordered_when_a_spare_runner_has_no_room(
+    repair, runners, paused
+):
+    # Guards against streams that are sent anew, for a repeat of the budget, since the
+    # first spare runner had given up its layers.
+    runners.refused = {"r03"}
+    run = Run(chain_with(DEAD), 100)
+    assert await repair.replace(run, DEAD)
+    assert run.chain == chain_with(engines.runner(4))
+    assert [runner.id for runner in paused] == ["r03"]
+    assert repair.count == 1
+
+
+async def test_orders_for_one_replacement_are_bounded(repair, runners):
+    runners.refused = {f"r{number:02}" for number in range(3, 9)}
+    run = Run(chain_with(DEAD), 100)
+    assert not await repair.replace(run, DEAD)
+    assert runners.orders == MAX_ORDERS
+    assert run.chain == chain_with(DEAD)
+
+
+async def test_first_runner_is_not_replaced(repair, runners):
+    assert not await repair.replace(Run(chain_with(DEAD), 100), HEAD)
+    assert runners.orders == 0
--- a/tests/relay/test_selection.py
+++ b/tests/relay/test_selection.py
@@ -144,6 +144,5 @@
     parts.registry.remove(missing.id)
     avoided = []
     parts.chooser = SimpleNamespace(choose=lambda *args: avoided.append(args[4]))
-    faulty = engines.runner(3)
-    selection.around(Chain.from_parts([ChainPart(kept, 0, 80)]), faulty)
-    assert avoided == [{missing.id, faulty.id}]
+    selection.around(Chain.from_parts([ChainPart(kept, 0, 80)]), {"faulty"})
+    assert avoided == [{missing.id, "faulty"}]
