Follow another mirror when one cannot be followed

Cause: a VM that could not follow one of the three watching VMs turned to the store itself for 2 s, with short watches. When a watching VM was stopped or killed, a third of the fleet did.

Ruled out: more watching VMs (each costs two calls a second for good).

Change: the mirror that failed is passed over for 2 s; the store is asked only while all of them are. The test failed first: 20 of 20 calls went to the store.

--- a/src/heathershunt/coordination/mirror.py
+++ b/src/heathershunt/coordination/mirror.py
@@ -39,8 +39,8 @@
 REPLY_SLACK_MS = 300
 # An older view is not followed: its VM may have lost the store.
 MOST_AGE_MS = 1000
-# Time for which the store itself is watched after a VM could not be followed.
-DIRECT_MS = 2000
+# Time for which a VM that could not be followed is passed over.
+AVOID_MS = 2000
 
 
 class _Change(msgspec.Struct, array_like=True):
@@ -149,7 +149,8 @@
 class FollowingStore:
     """The store, read through another VM's mirror where that is up to date.
 
-    Everything but reading goes to the store itself.
+    Everything but reading goes to the store itself, and so does reading while none of
+    the mirrors can be followed.
 
     :param upstreams: called for the mirrors to follow; empty to watch the store.
 
@@ -167,7 +168,7 @@
         self._http = http
         self._now_ms = now_ms
         self._upstreams = upstreams
-        self._direct_until = 0
+        self._avoided_until: dict[Address, int] = {}
         # A list that is older than what was seen would bring back what is gone.
         self._newest_revision = 0
 
@@ -209,10 +210,13 @@
         return Ok(Changes(entries, newest, found.age_ms, wait_ms))
 
     def _pick(self) -> Address | None:
-        if self._now_ms() < self._direct_until:
-            return None
-        upstreams = self._upstreams()
-        return random.choice(upstreams) if upstreams else None
+        now = self._now_ms()
+        left = [
+            address
+            for address in self._upstreams()
+            if self._avoided_until.get(address, 0) <= now
+        ]
+        return random.choice(left) if left else None
 
     async def _ask(
         self, upstream: Address, path: str, wait_ms: int
@@ -247,8 +251,10 @@
     def _leave(
         self, upstream: Address, failure: StoreFailure, detail: str
     ) -> Err[StoreError]:
-        """Watch the store itself for a while."""
-        self._direct_until = self._now_ms() + DIRECT_MS
+        """Pass over a mirror for a while."""
+        now = self._now_ms()
+        self._avoided_until = {a: t for a, t in self._avoided_until.items() if t > now}
+        self._avoided_until[upstream] = now + AVOID_MS
         log.info("does not follow {}: {}", upstream, detail)
         return Err(StoreError(failure, f"{upstream}: {detail}"))
 
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -11,7 +11,7 @@
     StoreFailure,
     ViewMirror,
 )
-from heathershunt.coordination.mirror import DIRECT_MS, MOST_AGE_MS
+from heathershunt.coordination.mirror import AVOID_MS, MOST_AGE_MS
 from heathershunt.http import Address, HttpClient, HttpServer
 
 
@@ -98,7 +98,7 @@
     pair.age_ms = 0
     await pair.follower.watch("", 9, 10)
     assert pair.store.watches == 1
-    clock.advance(DIRECT_MS)
+    clock.advance(AVOID_MS)
     await pair.follower.watch("", 9, 10)
     assert pair.store.watches == 1
 
@@ -116,3 +116,18 @@
     await pair.follower.watch("", 20, 10)
     assert (await pair.follower.read_all("")).is_err()
     assert (await pair.follower.read_all("")).ok_value.revision == 50
+
+
+async def test_other_mirror_is_followed_when_one_is_gone(pair, clock):
+    # The load: one of three watching VMs is lost, and a third of a large fleet turns to
+    # the store at the same moment.
+    pair.mirror.on_snapshot(Snapshot((), 9))
+    gone = HttpServer(pair.mirror.handle)
+    await gone.start("127.0.0.1", 0)
+    pair.addresses = [Address("127.0.0.1", gone.port), *pair.addresses]
+    await gone.close()
+    failures = 0
+    for _ in range(20):
+        failures += (await pair.follower.watch("", 9, 10)).is_err()
+    assert failures <= 1
+    assert pair.store.watches == 0
