Bound the calls of a large fleet while the store is away

Ruled out: longer pauses for small fleets (they have no mirrors that tell of the store's return); no probes of a follower's own (it may be that only the mirrors have lost the store).

Change: renewals back off from 0.1 s to 0.8 s; a VM with mirrors probes the store at most every 0.7 s to 1 s after a failed call, and asks mirrors with an old view again every 0.4 s, as they learn of the end first. A lost history is no failed call. The view and the lease share one backoff.

--- a/src/heathershunt/coordination/lease.py
+++ b/src/heathershunt/coordination/lease.py
@@ -8,12 +8,16 @@
 from result import Err
 
 from heathershunt.clock import Clock, Millis
+from heathershunt.coordination.backoff import Backoff
 from heathershunt.coordination.store import LeasedValue, Store, StoreFailure
 
 log = logbook.Logger("heathershunt.coordination")
 
 RENEWALS_PER_TTL = 3
-RETRY_MS = 150
+# Pauses after failed calls. The longest one leaves time to write the entry again soon
+# after an outage, and bounds the priced calls during one.
+RETRY_LEAST_MS = 100
+RETRY_MOST_MS = 800
 
 
 class LeaseKeeper:
@@ -39,6 +43,7 @@
         self._published: tuple[str, bytes] | None = None
         self._wake = asyncio.Event()
         self._is_ended = False
+        self._backoff = Backoff(RETRY_LEAST_MS, RETRY_MOST_MS)
         self.lease: int | None = None
         self._valid_until: Millis = Millis(0)
 
@@ -58,15 +63,20 @@
             is_kept = await self._renew()
             if is_kept and self._published != self._value():
                 is_kept = await self._write()
-            pause_ms = self._ttl_ms / RENEWALS_PER_TTL if is_kept else RETRY_MS
             self._wake.clear()
             try:
-                # Jitter spreads the calls of VMs that were started together.
-                async with asyncio.timeout(pause_ms * random.uniform(0.8, 1.0) / 1000):
+                async with asyncio.timeout(self._pause_ms(is_kept) / 1000):
                     await self._wake.wait()
             except TimeoutError:
                 pass
 
+    def _pause_ms(self, is_kept: bool) -> float:
+        if not is_kept:
+            return self._backoff.next_ms()
+        self._backoff.reset()
+        # Jitter spreads the calls of VMs that were started together.
+        return self._ttl_ms / RENEWALS_PER_TTL * random.uniform(0.8, 1.0)
+
     async def end(self) -> None:
         """End the lease; its keys are removed at once."""
         self._is_ended = True
--- a/src/heathershunt/coordination/mirror.py
+++ b/src/heathershunt/coordination/mirror.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
 
 import logbook
 import msgspec
@@ -25,6 +26,8 @@
 from heathershunt.http import Address, HttpClient, Request, Response
 from heathershunt.verdict import Progress
 
+_T = TypeVar("_T")
+
 log = logbook.Logger("heathershunt.coordination")
 
 SNAPSHOT_PATH = "/view"
@@ -41,6 +44,12 @@
 MOST_AGE_MS = 1000
 # Time for which a VM that could not be followed is passed over.
 AVOID_MS = 2000
+# The same for a VM that has lost the store: it answers, so asking it costs little.
+STALE_AVOID_MS = 400
+# Least time between two calls of the store that fail while no mirror can be followed.
+# It bounds the calls of a whole fleet during an outage; the mirrors tell of its end.
+PROBE_MS = 1000
+PROBE_JITTER = 0.7
 
 
 class _Change(msgspec.Struct, array_like=True):
@@ -169,6 +178,7 @@
         self._now_ms = now_ms
         self._upstreams = upstreams
         self._avoided_until: dict[Address, int] = {}
+        self._next_probe_at = 0
         # A list that is older than what was seen would bring back what is gone.
         self._newest_revision = 0
 
@@ -176,7 +186,7 @@
         """Return all entries, from a mirror if there is one."""
         upstream = self._pick()
         if upstream is None:
-            return await self._store.read_all(prefix)
+            return await self._probe(lambda: self._store.read_all(prefix))
         reply = await self._ask(upstream, SNAPSHOT_PATH, 0)
         if isinstance(reply, Err):
             return reply
@@ -195,7 +205,9 @@
         self._newest_revision = max(self._newest_revision, revision)
         upstream = self._pick()
         if upstream is None:
-            return await self._store.watch(prefix, revision, wait_ms)
+            return await self._probe(
+                lambda: self._store.watch(prefix, revision, wait_ms)
+            )
         wait_ms = min(wait_ms, FOLLOWER_WAIT_MS)
         path = f"{CHANGES_PATH}?after={revision}&wait_ms={wait_ms}"
         reply = await self._ask(upstream, path, wait_ms)
@@ -218,6 +230,22 @@
         ]
         return random.choice(left) if left else None
 
+    async def _probe(
+        self, call: Callable[[], Awaitable[Result[_T, StoreError]]]
+    ) -> Result[_T, StoreError]:
+        """Call the store, unless a call has just failed and there are mirrors."""
+        now = self._now_ms()
+        if now < self._next_probe_at and self._upstreams():
+            return Err(StoreError(StoreFailure.REJECTED, "no mirror can be followed"))
+        outcome = await call()
+        if (
+            isinstance(outcome, Err)
+            and outcome.err_value.failure is not StoreFailure.HISTORY_LOST
+        ):
+            pause_ms = PROBE_MS * random.uniform(PROBE_JITTER, 1.0)
+            self._next_probe_at = int(self._now_ms() + pause_ms)
+        return outcome
+
     async def _ask(
         self, upstream: Address, path: str, wait_ms: int
     ) -> Result[_Reply, StoreError]:
@@ -245,16 +273,20 @@
             return self._leave(upstream, StoreFailure.UNKNOWN, detail)
         if reply.age_ms > MOST_AGE_MS:
             detail = f"mirror: view of {reply.age_ms} ms is too old"
-            return self._leave(upstream, StoreFailure.REJECTED, detail)
+            return self._leave(upstream, StoreFailure.REJECTED, detail, STALE_AVOID_MS)
         return Ok(reply)
 
     def _leave(
-        self, upstream: Address, failure: StoreFailure, detail: str
+        self,
+        upstream: Address,
+        failure: StoreFailure,
+        detail: str,
+        avoid_ms: int = AVOID_MS,
     ) -> Err[StoreError]:
         """Pass over a mirror for a while."""
         now = self._now_ms()
         self._avoided_until = {a: t for a, t in self._avoided_until.items() if t > now}
-        self._avoided_until[upstream] = now + AVOID_MS
+        self._avoided_until[upstream] = now + avoid_ms
         log.info("does not follow {}: {}", upstream, detail)
         return Err(StoreError(failure, f"{upstream}: {detail}"))
 
--- a/src/heathershunt/coordination/view.py
+++ b/src/heathershunt/coordination/view.py
@@ -1,7 +1,6 @@
 """A view of the store that is kept by watching it, and how fresh it is."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -9,6 +8,7 @@
 from result import Err
 
 from heathershunt.clock import Clock, Millis
+from heathershunt.coordination.backoff import Backoff
 from heathershunt.coordination.store import (
     Changes,
     Snapshot,
@@ -75,7 +75,7 @@
         self._on_return = on_return
         self._on_loss = on_loss
         self._wait_ms = wait_ms or (lambda: config.wait_ms)
-        self._failures = 0
+        self._backoff = Backoff(config.retry_least_ms, config.retry_most_ms)
         self._answered_at: Millis | None = None
         self.revision: int | None = None
         self.confirmed_at: Millis | None = None
@@ -133,7 +133,7 @@
             self._on_return(away_ms)
         self._answered_at = now
         self.confirmed_at = Millis(min(now, max(confirmed_at, self.confirmed_at or 0)))
-        self._failures = 0
+        self._backoff.reset()
 
     def _note_failure(self, error: StoreError) -> float:
         """Return how long to wait before the next call, in milliseconds."""
@@ -141,12 +141,9 @@
             log.notice("history of the store is gone; reading all entries again")
             self.revision = None
             return 0
-        self._failures += 1
-        if self._failures == 1:
+        pause_ms = self._backoff.next_ms()
+        if self._backoff.failures == 1:
             log.warning("store call failed: {}", error.detail)
             if self._on_loss is not None:
                 self._on_loss(error.detail)
-        config = self._config
-        bound = min(config.retry_most_ms, config.retry_least_ms * 2**self._failures)
-        # Jitter keeps the VMs from asking in step after an outage.
-        return random.uniform(config.retry_least_ms, bound)
+        return pause_ms
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -1,26 +1,39 @@
 """Views that VMs pass on, so that the store is not asked by a whole fleet."""
 
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from heathershunt.coordination import (
     Changes,
     Entry,
     FollowingStore,
     Snapshot,
+    StoreError,
     StoreFailure,
     ViewMirror,
 )
-from heathershunt.coordination.mirror import AVOID_MS, MOST_AGE_MS
+from heathershunt.coordination.mirror import (
+    AVOID_MS,
+    MOST_AGE_MS,
+    PROBE_JITTER,
+    PROBE_MS,
+    STALE_AVOID_MS,
+)
 from heathershunt.http import Address, HttpClient, HttpServer
 
 
 class CountingStore:
     def __init__(self):
         self.watches = 0
+        self.is_away = False
+        self.has_history = True
 
     async def watch(self, prefix, revision, wait_ms):
         self.watches += 1
+        if self.is_away:
+            return Err(StoreError(StoreFailure.UNKNOWN, "away"))
+        if not self.has_history:
+            return Err(StoreError(StoreFailure.HISTORY_LOST, "history is lost"))
         return Ok(Changes((), revision))
 
     async def read_all(self, prefix):
@@ -131,3 +144,46 @@
         failures += (await pair.follower.watch("", 9, 10)).is_err()
     assert failures <= 1
     assert pair.store.watches == 0
+
+
+async def test_outage_of_the_store_costs_few_calls_in_a_large_fleet(pair, clock):
+    # The load: the store is away for eight seconds and every VM of a large fleet asks
+    # it again and again, each call at a price.
+    pair.mirror.on_snapshot(Snapshot((), 9))
+    pair.age_ms = MOST_AGE_MS + 1
+    pair.store.is_away = True
+    for _ in range(80):
+        assert (await pair.follower.watch("", 9, 10)).is_err()
+        clock.advance(100)
+    assert pair.store.watches <= 8000 // (PROBE_MS * PROBE_JITTER) + 1
+
+
+async def test_end_of_an_outage_is_learned_from_the_mirrors(pair, clock):
+    pair.mirror.on_snapshot(Snapshot((), 9))
+    pair.age_ms = MOST_AGE_MS + 1
+    pair.store.is_away = True
+    await pair.follower.watch("", 9, 10)
+    await pair.follower.watch("", 9, 10)
+    pair.age_ms = 0
+    clock.advance(STALE_AVOID_MS)
+    assert (await pair.follower.watch("", 9, 10)).is_ok()
+    assert pair.store.watches == 1
+
+
+async def test_vm_without_mirrors_asks_the_store_each_time(pair):
+    # Guards small fleets, where every VM watches the store itself, against a view that
+    # is older than need be after a failed call.
+    pair.addresses = []
+    pair.store.is_away = True
+    await pair.follower.watch("", 9, 10)
+    pair.store.is_away = False
+    assert (await pair.follower.watch("", 9, 10)).is_ok()
+
+
+async def test_entries_are_read_at_once_when_the_history_is_lost(pair):
+    # Guards against a probe that is held back though the store has just answered.
+    pair.addresses = [Address("127.0.0.1", 9)]
+    pair.store.has_history = False
+    for _ in range(2):
+        await pair.follower.watch("", 9, 10)
+    assert (await pair.follower.read_all("")).ok_value.revision == 50
