Do not give up a stream because all runners were silent for a moment

Ruled out: a longer time limit of reports alone (detection is slower for every dead runner).

Change: where none of several runners answers, all are asked once more before they are blamed; a stream that was sent and has no other chain left waits, and goes back to runners that failed it.

--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -46,13 +46,35 @@
         """
         runners = [part.runner for part in chain.parts]
         asked = [item for item in runners if not self._suspects.is_blamed(item)]
-        reports = await asyncio.gather(*map(self._ask, asked))
-        for runner, report in zip(asked, reports, strict=True):
+        report_by_runner = await self._ask_all_of(asked)
+        for runner, report in report_by_runner.items():
             if report is None or self._is_restarted(runner, report):
                 self._suspects.blame(runner)
-        self._blame_stalled(chain, dict(zip(asked, reports, strict=True)))
+        self._blame_stalled(chain, report_by_runner)
         return next(filter(self._suspects.is_blamed, runners), None)
 
+    async def _ask_all_of(
+        self, runners: list[Target]
+    ) -> dict[Target, RunnerReport | None]:
+        """Return the reports of some runners.
+
+        Where none answers, the fault may be with this VM or its links, so all are asked
+        once more.
+        """
+        asked_at = self._clock.now()
+        reports = await asyncio.gather(*map(self._ask, runners))
+        if len(runners) > 1 and not any(reports):
+            for runner in runners:
+                self._forget_question(runner, asked_at)
+            reports = await asyncio.gather(*map(self._ask, runners))
+        return dict(zip(runners, reports, strict=True))
+
+    def _forget_question(self, runner: Target, limit: Millis) -> None:
+        """Have a runner asked again unless that was done after ``limit``."""
+        asked = self._asked_by_id.get(runner.id)
+        if asked is not None and asked[0] <= limit:
+            del self._asked_by_id[runner.id]
+
     def _blame_stalled(
         self, chain: Chain, report_by_runner: dict[Target, RunnerReport | None]
     ) -> None:
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -55,8 +55,10 @@
                 self._room.note_full(service)
             if self._wait_left_ms(self._patience.room_ms) <= 0:
                 chain = self._choose_without_room()
-                if chain is not None or not self._may_wait_on():
+                if chain is not None:
                     return chain
+                if not self._may_wait_on():
+                    return self._choose_again()
             await asyncio.sleep(ROOM_POLL_MS / 1000)
 
     def around(self, chain: Chain, avoided: set[str]) -> Chain | None:
@@ -86,14 +88,31 @@
         rejecting = self._ids_of(self._parts.suspects.is_paused)
         return self._choose(rejecting, needs_room=False)
 
+    def _choose_again(self) -> Chain | None:
+        """Return a chain with runners that failed this request, if it was sent.
+
+        A pause that seemed a failure may be over, and the alternative is to fail.
+        """
+        if not self._was_sent:
+            return None
+        rejecting = self._ids_of(self._parts.suspects.is_paused)
+        return self._choose_but(rejecting, needs_room=False)
+
+    @property
+    def _was_sent(self) -> bool:
+        return self._progress.has_begun or self._attempts.arrivals > 0
+
     def _choose(self, avoided: set[str], needs_room: bool) -> Chain | None:
+        return self._choose_but(self._attempts.avoided | avoided, needs_room)
+
+    def _choose_but(self, avoided: set[str], needs_room: bool) -> Chain | None:
         parts = self._parts
         return parts.chooser.choose(
             self._spec.engine,
             parts.registry.of_service(self._spec.service),
             self._job,
             parts.vms(),
-            self._attempts.avoided | avoided,
+            avoided,
             heads=self._attempts.heads_left(),
             needs_room=needs_room,
         )
@@ -104,8 +123,8 @@
         return min(patience_ms - self._progress.paused_ms, left_ms)
 
     def _may_wait_on(self) -> bool:
-        """Return whether a stream that has begun may wait for runners to recover."""
-        if not self._progress.has_begun:
+        """Return whether a stream that was sent may wait for runners to recover."""
+        if not self._was_sent:
             return False
         return self._wait_left_ms(self._patience.leave_ms) > 0
 
--- a/tests/relay/test_diagnosis.py
+++ b/tests/relay/test_diagnosis.py
@@ -14,8 +14,12 @@
 
     def __init__(self):
         self.pace_by_id = {}
+        self.silent_questions = 0
 
     async def report(self, runner, timeout_ms):
+        if self.silent_questions:
+            self.silent_questions -= 1
+            return None
         pace = self.pace_by_id.get(runner.id)
         if pace is None:
             return None
@@ -69,6 +73,16 @@
     assert all(suspects.is_blamed(part.runner) for part in chain.parts)
 
 
+async def test_moment_in_which_no_runner_answers_is_no_fault_of_theirs(
+    diagnosis, suspects, runners, chain
+):
+    # Guards against a VM that takes all runners for dead when it has lost its links
+    # for a moment.
+    runners.silent_questions = len(chain.parts)
+    assert await diagnosis.find_faulty(chain) is None
+    assert not any(suspects.is_blamed(part.runner) for part in chain.parts)
+
+
 async def test_runner_without_a_report_is_at_fault(diagnosis, runners, chain):
     dead = chain.parts[1].runner
     del runners.pace_by_id[dead.id]
--- a/tests/relay/test_selection.py
+++ b/tests/relay/test_selection.py
@@ -135,6 +135,28 @@
     assert 700 <= now <= 800
 
 
+async def test_stream_that_was_sent_goes_back_where_no_other_runner_is_left(
+    attempts, ask, holders
+):
+    # Guards against streams that end after all runners were silent for a moment, as
+    # they are when this VM has lost its links.
+    first, second = holders
+    attempts.sends = attempts.arrivals = 1
+    attempts.avoided |= {first.id, second.id}
+    chain, now = await ask(LastHolders(first.id, second.id))
+    assert chain == first.id
+    assert now >= 1000, "the runners get some time to recover"
+
+
+async def test_stream_that_was_not_sent_is_refused_then(attempts, ask, holders):
+    # Guards against requests that are held though they may be sent elsewhere at once.
+    first, second = holders
+    attempts.avoided |= {first.id, second.id}
+    chain, now = await ask(LastHolders(first.id, second.id))
+    assert chain is None
+    assert now <= 500
+
+
 def test_runner_that_may_have_left_during_an_outage_is_avoided(selection, parts):
     # Guards against rejections that use up the repeats right after an outage.
     kept, missing = engines.runner(1), engines.runner(2)
