Divide a large fleet into groups that share views and loads

The busiest of 300 VMs carried 3.9 MB and 1,135 wake-ups a second: three VMs passed their view on to all others, and one added up the loads of all and returned every runner's to each, four times a second.

Ruled out: a longer period alone (loads would be seconds old on fleets of 40 too); spreading loads by runner (each VM would ask many others).

Change: a fleet of more than 40 VMs is divided by name into groups of at most 40. The first three VMs of a group follow the ones that watch the store, the rest follow those; loads are shared within a group, once a second, and stand for the whole fleet. Smaller fleets work as before.

--- a/src/heathershunt/coordination/mirror.py
+++ b/src/heathershunt/coordination/mirror.py
@@ -40,8 +40,6 @@
 # Waits of a follower are short, as the age of what it gets adds to its own.
 FOLLOWER_WAIT_MS = 400
 REPLY_SLACK_MS = 300
-# An older view is not followed: its VM may have lost the store.
-MOST_AGE_MS = 1000
 # Time for which a VM that could not be followed is passed over.
 AVOID_MS = 2000
 # The same for a VM that has lost the store: it answers, so asking it costs little.
@@ -162,6 +160,7 @@
     the mirrors can be followed.
 
     :param upstreams: called for the mirrors to follow; empty to watch the store.
+    :param most_age_ms: called for the age up to which a mirror's view is taken.
 
     .. versionadded:: 0.2
     """
@@ -172,11 +171,13 @@
         http: HttpClient,
         now_ms: Callable[[], int],
         upstreams: Callable[[], Sequence[Address]],
+        most_age_ms: Callable[[], int],
     ) -> None:
         self._store = store
         self._http = http
         self._now_ms = now_ms
         self._upstreams = upstreams
+        self._most_age_ms = most_age_ms
         self._avoided_until: dict[Address, int] = {}
         self._next_probe_at = 0
         # A list that is older than what was seen would bring back what is gone.
@@ -271,7 +272,7 @@
         except ValueError as error:
             detail = f"mirror: malformed reply: {error}"
             return self._leave(upstream, StoreFailure.UNKNOWN, detail)
-        if reply.age_ms > MOST_AGE_MS:
+        if reply.age_ms > self._most_age_ms():
             detail = f"mirror: view of {reply.age_ms} ms is too old"
             return self._leave(upstream, StoreFailure.REJECTED, detail, STALE_AVOID_MS)
         return Ok(reply)
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -114,7 +114,13 @@
         self.directory = Directory(state.members, own, ttl_s)
         self._upstream = Upstream(state.members, config.vm, bounds.watch_wait_ms)
         self.view = StoreView(
-            FollowingStore(ports.store, http, clock.now, self._upstream.addresses),
+            FollowingStore(
+                ports.store,
+                http,
+                clock.now,
+                self._upstream.addresses,
+                self._upstream.most_age_ms,
+            ),
             clock,
             ViewConfig(wait_ms=bounds.watch_wait_ms),
             "",
@@ -141,9 +147,14 @@
         )
         ledger = LoadLedger(clock)
         paces = PaceBook(clock, events.emit)
-        self.board = LoadBoard(clock)
+        self.board = LoadBoard(clock, self._upstream.fleet_factor)
         self.sharing = LoadSharing(
-            http, ledger, self.board, config.vm, self._upstream.boards
+            http,
+            ledger,
+            self.board,
+            config.vm,
+            self._upstream.boards,
+            self._upstream.fleet_factor,
         )
         budget = BudgetConfig(
             bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
--- a/src/heathershunt/pipelines/load.py
+++ b/src/heathershunt/pipelines/load.py
@@ -24,6 +24,12 @@
     received: int = 0
     kv: float = 0.0
 
+    def times(self, factor: float) -> "RunnerLoad":
+        """Return a multiple of this load."""
+        requests = round(self.requests * factor)
+        received = round(self.received * factor)
+        return RunnerLoad(requests, received, self.kv * factor)
+
 
 class LoadLedger:
     """Counts what this VM has running at each runner, and keeps what others told.
--- a/src/heathershunt/pipelines/sharing.py
+++ b/src/heathershunt/pipelines/sharing.py
@@ -21,8 +21,11 @@
 LOAD_PATH = "/load/"
 PERIOD_MS = 250
 TIMEOUT_MS = 200
-# Load of a VM that no longer tells it is dropped after this.
-KEPT_MS = 800
+# Period in a fleet of several groups, where a VM's own requests are few and the replies
+# name many runners.
+LARGE_PERIOD_MS = 1000
+# Load of a VM that no longer tells it is dropped after this many periods.
+KEPT_PERIODS = 3.2
 MAX_REPLY_BYTES = 1_048_576
 
 
@@ -36,11 +39,14 @@
 class LoadBoard:
     """Adds up the loads that VMs send.
 
+    :param fleet_factor: see :class:`LoadSharing`.
+
     .. versionadded:: 0.2
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, fleet_factor: Callable[[], float]) -> None:
         self._clock = clock
+        self._fleet_factor = fleet_factor
         self._rows_by_vm: dict[str, tuple[Millis, list[_Row]]] = {}
 
     def put(self, vm: str, rows: list[_Row]) -> None:
@@ -49,7 +55,7 @@
 
     def others(self, vm: str) -> dict[str, RunnerLoad]:
         """Return the load of all VMs but one."""
-        limit = self._clock.now() - KEPT_MS
+        limit = self._clock.now() - KEPT_PERIODS * _period_ms(self._fleet_factor())
         total: dict[str, RunnerLoad] = {}
         for name, (told_at, rows) in list(self._rows_by_vm.items()):
             if told_at < limit:
@@ -75,6 +81,8 @@
 
     :param boards: called for the VMs that add up, the first one to be used if it works;
         ``None`` stands for this VM itself.
+    :param fleet_factor: called for the load of all other VMs, as a multiple of what the
+        board knows.
 
     .. versionadded:: 0.2
     """
@@ -86,18 +94,21 @@
         board: LoadBoard,
         vm: str,
         boards: Callable[[], Sequence[Address | None]],
+        fleet_factor: Callable[[], float],
     ) -> None:
         self._http = http
         self._ledger = ledger
         self._board = board
         self._vm = vm
         self._boards = boards
+        self._fleet_factor = fleet_factor
 
     async def run(self) -> None:
         """Exchange loads until cancelled."""
         while True:
             await self.exchange()
-            await asyncio.sleep(PERIOD_MS * random.uniform(0.8, 1.2) / 1000)
+            period_ms = _period_ms(self._fleet_factor())
+            await asyncio.sleep(period_ms * random.uniform(0.8, 1.2) / 1000)
 
     async def exchange(self) -> bool:
         """Exchange loads once; return whether that worked."""
@@ -105,14 +116,20 @@
         self._board.put(self._vm, rows)
         for address in self._boards():
             if address is None:
-                self._ledger.set_others(self._board.others(self._vm))
+                self._take(self._board.others(self._vm))
                 return True
             others = await self._send(address, rows)
             if others is not None:
-                self._ledger.set_others(others)
+                self._take(others)
                 return True
         return False
 
+    def _take(self, others: dict[str, RunnerLoad]) -> None:
+        factor = self._fleet_factor()
+        if factor > 1:
+            others = {name: load.times(factor) for name, load in others.items()}
+        self._ledger.set_others(others)
+
     async def _send(
         self, address: Address, rows: list[_Row]
     ) -> dict[str, RunnerLoad] | None:
@@ -140,6 +157,10 @@
             return None
 
 
+def _period_ms(fleet_factor: float) -> int:
+    return PERIOD_MS if fleet_factor <= 1 else LARGE_PERIOD_MS
+
+
 def _rows(by_runner: Mapping[str, RunnerLoad]) -> list[_Row]:
     return [
         _Row(runner, load.requests, load.received, load.kv)
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -14,11 +14,11 @@
 )
 from heathershunt.coordination.mirror import (
     AVOID_MS,
-    MOST_AGE_MS,
     PROBE_JITTER,
     PROBE_MS,
     STALE_AVOID_MS,
 )
+from heathershunt.gateway.upstream import MOST_AGE_MS
 from heathershunt.http import Address, HttpClient, HttpServer
 
 
@@ -51,7 +51,11 @@
         self.addresses = []
         self.client = HttpClient()
         self.follower = FollowingStore(
-            self.store, self.client, clock.now, lambda: self.addresses
+            self.store,
+            self.client,
+            clock.now,
+            lambda: self.addresses,
+            lambda: MOST_AGE_MS,
         )
 
     async def start(self):
--- a/tests/pipelines/test_sharing.py
+++ b/tests/pipelines/test_sharing.py
@@ -17,7 +17,7 @@
     PaceBook,
 )
 from heathershunt.pipelines.load import FRESH_MS
-from heathershunt.pipelines.sharing import KEPT_MS
+from heathershunt.pipelines.sharing import KEPT_PERIODS, PERIOD_MS
 
 JOB = Job(760, 167)
 
@@ -29,8 +29,9 @@
         self.clock = ManualClock()
         self.http = HttpClient()
         self.ledgers = [LoadLedger(self.clock) for _ in range(size)]
-        self.boards = [LoadBoard(self.clock) for _ in range(size)]
+        self.boards = [LoadBoard(self.clock, self.fleet_factor) for _ in range(size)]
         self.servers = [HttpServer(board.handle) for board in self.boards]
+        self.factor = 1.0
         self.addresses = []
         self.sharings = []
 
@@ -45,12 +46,16 @@
                 self.boards[number],
                 f"vm-{number}",
                 lambda number=number: self.boards_of(number),
+                self.fleet_factor,
             )
             self.sharings.append(sharing)
 
     def boards_of(self, number):
         return [None if n == number else self.addresses[n] for n in (0, 1)]
 
+    def fleet_factor(self):
+        return self.factor
+
     async def exchange(self):
         for sharing in [*self.sharings, *self.sharings]:
             await sharing.exchange()
@@ -83,6 +88,17 @@
     assert [(t.requests, t.received, t.kv) for t in totals] == 4 * [(6, 6, 6 * 72_000)]
 
 
+async def test_load_of_a_group_stands_for_a_large_fleet(fleet, runner):
+    # The load: 300 VMs; loads of all at every VM would take megabytes a second.
+    fleet.factor = 9.0
+    item = runner(held=(0, 80))
+    for ledger in fleet.ledgers[:3]:
+        ledger.add(chain_over(item), 900)
+    await fleet.exchange()
+    total = fleet.ledgers[0].total(item.id, 4)
+    assert (total.requests, total.kv) == (1 + 9 * 2, 72_000 * (1 + 9 * 2))
+
+
 async def test_second_vm_adds_up_when_the_first_is_gone(fleet, runner):
     item = runner(held=(0, 80))
     fleet.ledgers[3].add(chain_over(item), 900)
@@ -97,7 +113,7 @@
     item = runner(held=(0, 80))
     fleet.ledgers[3].add(chain_over(item), 900)
     await fleet.exchange()
-    fleet.clock.advance(KEPT_MS + 1)
+    fleet.clock.advance(int(KEPT_PERIODS * PERIOD_MS) + 1)
     for sharing in fleet.sharings[:3]:
         await sharing.exchange()
     assert fleet.ledgers[1].total(item.id, 4).requests == 0
