--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,8 @@
-"""Runs the soak: ``python -m soak [FIRST_SEED [LAST_SEED [SECONDS]]]``."""
+"""Runs the soak: ``python -m soak FIRST [LAST [SECONDS]]``.
+
+``regressions`` instead of numbers runs the seeds that failed once, ``fresh COUNT``
+seeds that are drawn just now.
+"""
 
 import asyncio
 import random
@@ -7,14 +11,15 @@
 
 from soak.callers import Callers, broken_promises
 from soak.faults import FaultPlan
+from soak.seeds import chosen
 from soak.site import SoakSite
 
-DEFAULT_SECONDS = 8.0
 START_SECONDS = 10.0
 # After the last repair, this long until requests are served again.
 RECOVERY_SECONDS = 6.0
 SERVED_AT_LEAST = 0.9
 RECOVERY_REQUESTS = 20
+EXIT_BAD_USAGE = 2
 
 
 async def run_seed(seed: int, seconds: float) -> list[str]:
@@ -89,14 +94,13 @@
 
 def main() -> int:
     """Run the seeds of the command line; return 1 if one failed."""
-    numbers = sys.argv[1:]
-    first = int(numbers[0]) if numbers else 1
-    last = int(numbers[1]) if len(numbers) > 1 else first
-    seconds = float(numbers[2]) if len(numbers) > 2 else DEFAULT_SECONDS
-    failed = [
-        seed for seed in range(first, last + 1) if asyncio.run(run_seed(seed, seconds))
-    ]
-    print(f"{last - first + 1 - len(failed)} passed, {len(failed)} failed: {failed}")
+    try:
+        seeds, seconds = chosen(sys.argv[1:])
+    except ValueError as error:
+        print(f"not a command line of the soak: {error}", file=sys.stderr)
+        return EXIT_BAD_USAGE
+    failed = [seed for seed in seeds if asyncio.run(run_seed(seed, seconds))]
+    print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed: {failed}")
     return 1 if failed else 0
 
 
