--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -10,9 +10,9 @@
 # every run, as processes take their own time.
 CAUSE_BY_SEED = {
     2: "17 of 20 requests served after the faults; not traced, its log was not kept",
-    11: "all runners were silent for a moment, and all were taken for dead",
-    12: "as seed 11, before the first fault",
-    13: "as seed 11",
+    11: "not traced; failed just before seed 12, on a busy machine",
+    12: "all runners were silent for a moment, and all were taken for dead",
+    13: "not traced; failed just after seed 12, on a busy machine",
 }
 
 
