Take no bytes that nobody asked for as an answer, and bound what is read

Cause: a kept connection was used again although a second copy of its last answer was in the buffer of the parser, of the reader or of the kernel, and the next request got that copy. Bodies were read without a limit where the caller named none, and interim answers were counted by nobody.

Ruled out: h11's bounds; they hold for heads (16 KB) and were never exceeded.

Change: a connection with unread bytes is not used again (reader, parser, and a poll of the socket for what the loop has not seen). Every body has a bound, 4 MB where none is named, and at most 16 interim answers are passed over. What goes beyond is an error of the connection, so the send counts as one that may have run.

Not covered: a copy that arrives after the next request was written; sends to runners and services of the gateway use a connection each, and their answers bear the id.

--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -13,7 +13,12 @@
 from result import Err, Ok, Result
 
 from heathershunt.http.chunked import ChunkedDecoder
-from heathershunt.http.transports import limit_reads
+from heathershunt.http.transports import (
+    CountingReader,
+    connect,
+    is_quiet,
+    limit_reads,
+)
 from heathershunt.verdict import Progress
 
 READ_BYTES = 65536
@@ -32,6 +37,10 @@
 # Values of the store have up to 1 MB; the longest replies are lists of VMs and the
 # history of the bundle's root.
 MAX_JSON_BYTES = 16_777_216
+# Body of a reply where the caller of the client names no other limit.
+MAX_BODY_BYTES = 4_194_304
+# Interim answers (1xx) before the final one.
+MAX_INTERIM_ANSWERS = 16
 
 HeaderFields = Mapping[str, str] | Sequence[tuple[bytes, bytes]]
 
@@ -72,6 +81,13 @@
     detail: str
 
 
+class ReplyTooLargeError(ConnectionError):
+    """A reply that goes on beyond its bound.
+
+    .. versionadded:: 0.4
+    """
+
+
 class ClientResponse:
     """Response head and a body that is read once.
 
@@ -107,19 +123,21 @@
             self._client.release(self._connection)
         return data
 
-    async def read(self, limit: int | None = None) -> bytes:
+    async def read(self, limit: int = MAX_BODY_BYTES) -> bytes:
         """Return the rest of the body.
 
         :param limit: largest size in bytes.
-        :raises ValueError: if the body is larger; the connection is then closed.
+        :raises ReplyTooLargeError: if the body is larger; the connection is then
+            closed.
+        :raises ConnectionError: if the connection ends before the body does.
         """
         pieces, size = [], 0
         async for piece in self.chunks():
             pieces.append(piece)
             size += len(piece)
-            if limit is not None and size > limit:
+            if size > limit:
                 self.close()
-                raise ValueError(f"the reply is larger than {limit} bytes")
+                raise ReplyTooLargeError(f"the reply is larger than {limit} bytes")
         return b"".join(pieces)
 
     async def read_json(self) -> Any:
@@ -250,8 +268,8 @@
                 return connection
             connection.close()
         async with asyncio.timeout(connect_ms / 1000):
-            reader, writer = await asyncio.open_connection(
-                address.host, address.port, ssl=self._tls, limit=READ_BYTES
+            reader, writer = await connect(
+                address.host, address.port, self._tls, READ_BYTES
             )
         return _Connection(address, reader, writer)
 
@@ -277,7 +295,9 @@
 class _Connection:
     """One connection to a target."""
 
-    def __init__(self, address: Address, reader, writer) -> None:
+    def __init__(
+        self, address: Address, reader: CountingReader, writer: asyncio.StreamWriter
+    ) -> None:
         self.address = address
         self._reader = reader
         self._writer = writer
@@ -290,7 +310,15 @@
         self._chunked: ChunkedDecoder | None = None
 
     def is_usable(self) -> bool:
-        return not (self._reader.at_eof() or self._writer.transport.is_closing())
+        """Return whether a request may be sent.
+
+        Bytes that nobody asked for, such as a second copy of the last answer, would
+        pass for the next answer.
+        """
+        transport = self._writer.transport
+        if self._reader.at_eof() or transport.is_closing():
+            return False
+        return not self._reader.has_unread and is_quiet(transport)
 
     def send_request(
         self, method: str, target: str, headers: HeaderFields, body: bytes
@@ -316,6 +344,7 @@
             self._h11.receive_data(await self._reader.read(READ_BYTES))
 
     async def read_head(self) -> None:
+        interim_answers = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
@@ -324,6 +353,9 @@
                 return
             if isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("closed before the response")
+            interim_answers += 1
+            if interim_answers > MAX_INTERIM_ANSWERS:
+                raise ReplyTooLargeError("too many interim answers")
 
     def _decode_chunks_here(self) -> None:
         """Take a chunked body out of the hands of h11."""
@@ -393,6 +425,8 @@
             return True
         if (self._h11.our_state, self._h11.their_state) != (h11.DONE, h11.DONE):
             return False
+        if self._h11.trailing_data[0]:
+            return False
         self._h11.start_next_cycle()
         return True
 
--- a/src/heathershunt/http/transports.py
+++ b/src/heathershunt/http/transports.py
@@ -1,6 +1,8 @@
-"""Settings of asyncio transports."""
+"""Connections of asyncio, with what the client needs to know of them."""
 
 import asyncio
+import select
+import ssl
 
 RECEIVE_BYTES = 16_384
 
@@ -15,3 +17,59 @@
     """
     if hasattr(transport, "max_size"):
         transport.max_size = RECEIVE_BYTES
+
+
+class CountingReader(asyncio.StreamReader):
+    """Stream reader that knows whether bytes wait to be read.
+
+    .. versionadded:: 0.4
+    """
+
+    _waiting_bytes = 0
+
+    def feed_data(self, data: bytes) -> None:
+        """Take bytes that the transport received."""
+        self._waiting_bytes += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return at most ``n`` bytes as soon as there are any."""
+        data = await super().read(n)
+        self._waiting_bytes -= len(data)
+        return data
+
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes were received that nobody has read."""
+        return self._waiting_bytes > 0
+
+
+async def connect(
+    host: str, port: int, tls: ssl.SSLContext | None, limit: int
+) -> tuple[CountingReader, asyncio.StreamWriter]:
+    """Open a connection, as ``asyncio.open_connection`` does.
+
+    :param limit: buffer size of the reader in bytes.
+
+    .. versionadded:: 0.4
+    """
+    loop = asyncio.get_running_loop()
+    reader = CountingReader(limit=limit, loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port, ssl=tls)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
+def is_quiet(transport: asyncio.Transport) -> bool:
+    """Return whether the kernel has neither bytes nor the end of a connection for it.
+
+    The event loop sees those only when it waits the next time.
+
+    .. versionadded:: 0.4
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return not poll.poll(0)
--- /dev/null
+++ b/tests/http/test_client.py
@@ -0,0 +1,283 @@
+"""The client against targets that send what is no answer."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from heathershunt.http import Address, HttpClient
+from heathershunt.http.client import MAX_BODY_BYTES, MAX_INTERIM_ANSWERS
+from heathershunt.verdict import Progress
+
+FLOOD_PIECE = b"x" * 65_536
+TIMEOUT_MS = 5000
+
+
+def answer(body, head=b""):
+    return b"HTTP/1.1 200 OK\r\n%bcontent-length: %d\r\n\r\n%b" % (
+        head,
+        len(body),
+        body,
+    )
+
+
+class ScriptedTarget:
+    """Answers each request with what its script writes.
+
+    :ivar connections: connections so far.
+    """
+
+    def __init__(self, script):
+        self._script = script
+        self.connections = 0
+        self.sent_bytes = 0
+        self._tasks = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return Address(*self._server.sockets[0].getsockname())
+
+    def _accept(self, reader, writer):
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                await self._script(self, head.split()[1].decode(), writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def send(self, writer, data):
+        writer.write(data)
+        await writer.drain()
+        self.sent_bytes += len(data)
+
+    def stop(self):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+
+@pytest.fixture
+async def client():
+    client = HttpClient()
+    yield client
+    client.close()
+
+
+@pytest.fixture
+async def start():
+    """Return a function that starts a target with a script."""
+    targets = []
+
+    async def start(script):
+        target = ScriptedTarget(script)
+        targets.append(target)
+        return target, await target.start()
+
+    yield start
+    for target in targets:
+        target.stop()
+
+
+async def get(client, address, path):
+    outcome = await client.exchange(address, "GET", path, timeout_ms=TIMEOUT_MS)
+    return outcome.unwrap()[1]
+
+
+def echo_twice(delay):
+    """Answer each request, and once more after a delay."""
+
+    async def script(target, path, writer):
+        await target.send(writer, answer(path.encode()))
+        if delay is None:
+            await target.send(writer, answer(path.encode()))
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, writer.write, answer(path.encode()))
+
+    return script
+
+
+@pytest.mark.parametrize("delay", [None, 0.0, 0.03])
+async def test_second_copy_of_an_answer_reaches_nobody(client, start, delay):
+    # Guards against a caller that gets the answer to the request before its own.
+    target, address = await start(echo_twice(delay))
+    for number in range(4):
+        path = f"/{number}"
+        assert await get(client, address, path) == path.encode()
+        await asyncio.sleep(0.06)
+    assert target.connections == 4
+
+
+async def test_second_copy_that_only_the_kernel_has_reaches_nobody(client, start):
+    # Guards against bytes that arrived while the process was busy or paused: its loop
+    # has not read them when the connection is used again.
+    written = asyncio.Event()
+
+    async def script(target, path, writer):
+        await target.send(writer, answer(path.encode()))
+        await asyncio.sleep(0.02)
+        writer.write(answer(b"late copy"))
+        written.set()
+
+    target, address = await start(script)
+    assert await get(client, address, "/a") == b"/a"
+    await written.wait()
+    assert await get(client, address, "/b") == b"/b"
+    assert target.connections == 2
+
+
+async def test_connection_without_surplus_bytes_is_kept(client, start):
+    async def script(target, path, writer):
+        await target.send(writer, answer(path.encode()))
+
+    target, address = await start(script)
+    for path in ("/a", "/b", "/c"):
+        assert await get(client, address, path) == path.encode()
+        await asyncio.sleep(0.01)
+    assert target.connections == 1
+
+
+async def flood_body(target, path, writer):
+    await target.send(writer, b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    piece = b"%x\r\n%b\r\n" % (len(FLOOD_PIECE), FLOOD_PIECE)
+    while True:
+        await target.send(writer, piece)
+
+
+async def flood_unframed_body(target, path, writer):
+    await target.send(writer, b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n")
+    while True:
+        await target.send(writer, FLOOD_PIECE)
+
+
+async def flood_head(target, path, writer):
+    await target.send(writer, b"HTTP/1.1 200 OK\r\nx-flood: ")
+    while True:
+        await target.send(writer, FLOOD_PIECE)
+
+
+async def flood_fields(target, path, writer):
+    await target.send(writer, b"HTTP/1.1 200 OK\r\n")
+    while True:
+        await target.send(writer, b"x-flood: some text\r\n" * 1000)
+
+
+async def flood_garbage(target, path, writer):
+    while True:
+        await target.send(writer, FLOOD_PIECE)
+
+
+async def flood_size_line(target, path, writer):
+    await target.send(writer, b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    while True:
+        await target.send(writer, b"1;" + FLOOD_PIECE)
+
+
+async def flood_trailer(target, path, writer):
+    await target.send(writer, b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    await target.send(writer, b"0\r\n")
+    while True:
+        await target.send(writer, b"x-flood: some text\r\n" * 1000)
+
+
+FLOODS = [
+    flood_body,
+    flood_unframed_body,
+    flood_head,
+    flood_fields,
+    flood_garbage,
+    flood_size_line,
+    flood_trailer,
+]
+
+
+@pytest.mark.parametrize("script", FLOODS)
+async def test_bytes_without_end_are_given_up(client, start, script):
+    # Guards against a target whose answer fills the memory of the VM.
+    target, address = await start(script)
+    outcome = await client.exchange(
+        address, "GET", "/", timeout_ms=TIMEOUT_MS, limit=MAX_BODY_BYTES
+    )
+    assert outcome.err_value.progress is Progress.SENT
+    assert target.sent_bytes < 4 * MAX_BODY_BYTES
+
+
+async def test_body_is_bounded_where_no_limit_is_named(client, start):
+    target, address = await start(flood_body)
+    response = (await client.request(address, "GET", "/")).ok_value
+    with pytest.raises(ConnectionError):
+        await response.read()
+    assert target.sent_bytes < 4 * MAX_BODY_BYTES
+
+
+async def test_interim_answers_without_end_are_given_up(client, start):
+    async def script(target, path, writer):
+        while True:
+            await target.send(writer, b"HTTP/1.1 100 Continue\r\n\r\n")
+            await asyncio.sleep(0)
+
+    _, address = await start(script)
+    outcome = await client.exchange(address, "GET", "/", timeout_ms=TIMEOUT_MS)
+    assert "interim" in outcome.err_value.detail
+    assert outcome.err_value.progress is Progress.SENT
+
+
+async def test_some_interim_answers_are_passed_over(client, start):
+    async def script(target, path, writer):
+        for _ in range(MAX_INTERIM_ANSWERS):
+            await target.send(writer, b"HTTP/1.1 102 Processing\r\n\r\n")
+        await target.send(writer, answer(b"done"))
+
+    _, address = await start(script)
+    assert await get(client, address, "/") == b"done"
+
+
+BROKEN = {
+    "length short": b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf",
+    "last chunk missing": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+    ),
+    "chunk cut": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n8\r\nhalf",
+    "head cut": b"HTTP/1.1 200 OK\r\ncontent-le",
+    "compressed and cut": (
+        b"HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\ncontent-length: 10\r\n\r\n\x1f"
+    ),
+}
+
+
+@pytest.mark.parametrize("is_reset", [False, True], ids=["fin", "rst"])
+@pytest.mark.parametrize("data", BROKEN.values(), ids=BROKEN)
+async def test_answer_that_breaks_off_is_never_complete(client, start, data, is_reset):
+    async def script(target, path, writer):
+        await target.send(writer, data)
+        await asyncio.sleep(0.02)
+        if is_reset:
+            writer.transport.abort()
+        raise ConnectionResetError
+
+    _, address = await start(script)
+    outcome = await client.exchange(address, "GET", "/", timeout_ms=TIMEOUT_MS)
+    assert outcome.err_value.progress is Progress.SENT
+
+
+async def test_body_without_length_that_is_reset_is_not_complete(client, start):
+    # The end of the connection is the end of such a body, but only an orderly one.
+    async def script(target, path, writer):
+        await target.send(writer, b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf")
+        await asyncio.sleep(0.02)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        raise ConnectionResetError
+
+    _, address = await start(script)
+    outcome = await client.exchange(address, "GET", "/", timeout_ms=TIMEOUT_MS)
+    assert outcome.is_err()
