Measure the pause of a stream in events, not in bytes

Cause: each read began a new wait, so a stalled runner that sent half an event or a comment now and then was never examined, and a comment counted as an event. The body of a failure was read without a time limit.

Change: a pause lasts until an event is complete; blocks without id and data come with the event that follows them, within the bound of an event; the body of a failure is read within the deadline.

--- a/src/heathershunt/relay/events.py
+++ b/src/heathershunt/relay/events.py
@@ -5,6 +5,7 @@
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 ID_LINE = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
+DATA_LINE = re.compile(rb"^data[:\r\n]", re.MULTILINE)
 MAX_EVENT_BYTES = 1_048_576
 
 
@@ -29,11 +30,15 @@
 class EventSplitter:
     """Takes bytes of a stream and gives its complete events.
 
+    Comments and other blocks that carry no event are given with the event that follows
+    them, so that a runner that sends nothing else is seen to pause.
+
     .. versionadded:: 0.2
     """
 
     def __init__(self) -> None:
         self._rest = b""
+        self._comments = b""
 
     @property
     def has_partial(self) -> bool:
@@ -49,8 +54,17 @@
             block = data[at : match.end()]
             at = match.end()
             found = ID_LINE.search(block)
-            events.append(StreamEvent(int(found[1]) if found else None, block))
+            if found is None and DATA_LINE.search(block) is None:
+                self._comments += block
+                continue
+            data_of_event, self._comments = self._comments + block, b""
+            events.append(StreamEvent(int(found[1]) if found else None, data_of_event))
         self._rest = data[at:]
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise EventTooLongError("an event of the stream does not end")
+        if len(self._comments) + len(self._rest) > MAX_EVENT_BYTES:
+            raise EventTooLongError("the next event of the stream does not end")
         return events
+
+    def end(self) -> list[StreamEvent]:
+        """Return what follows the last event, now that the stream has ended."""
+        comments, self._comments = self._comments, b""
+        return [StreamEvent(None, comments)] if comments else []
--- a/src/heathershunt/relay/runs.py
+++ b/src/heathershunt/relay/runs.py
@@ -41,7 +41,7 @@
             return self.splitter.feed(data)
         if self.splitter.has_partial:
             raise StreamBrokenError("the stream ends inside an event")
-        return None
+        return self.splitter.end() or None
 
 
 def abandon(task: asyncio.Future) -> None:
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import h11
+import logbook
 from result import Err, Result
 
 from heathershunt.discovery import Target
@@ -48,6 +49,8 @@
 SERVER_ERROR = 500
 READ_ERRORS = (OSError, TimeoutError, h11.RemoteProtocolError)
 
+log = logbook.Logger("heathershunt.relay")
+
 
 class StreamSession:
     """One stream of a caller, over as many runs as it takes.
@@ -222,10 +225,7 @@
             return False
         self._may_have_run = True
         if head.request_id == self._request.id and head.status < SERVER_ERROR:
-            try:
-                body = await run.response.read()
-            except READ_ERRORS:
-                body = None
+            body = await self._read_failure(run)
             self._drop_run()
             if body is not None and not head.is_success:
                 return Response(head.status, head.headers, body)
@@ -234,6 +234,17 @@
         self._drop_run()
         return False
 
+    async def _read_failure(self, run: Run) -> bytes | None:
+        """Return the body of a failure, ``None`` if it does not come whole in time."""
+        left_ms = max(0, self._spec.deadline - self._parts.clock.now())
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                return await run.response.read()
+        except READ_ERRORS as error:
+            head = run.chain.head.id
+            log.info("the body of a failure of {} is not whole: {!r}", head, error)
+            return None
+
     async def _first_events(self) -> list[StreamEvent] | None:
         """Return the first events of the run, ``None`` if it gave none."""
         try:
@@ -324,36 +335,46 @@
                 cause = error
 
     async def _next_events(self, patience_ms: float) -> list[StreamEvent] | None:
-        """Return the next complete events; ``None`` at the end of the stream."""
+        """Return the next complete events; ``None`` at the end of the stream.
+
+        A pause lasts until an event is complete, whatever other bytes arrive.
+        """
         run = self._run
+        now = self._parts.clock.now
+        look_at = now() + patience_ms
         while True:
-            data = await self._read(run, patience_ms)
+            try:
+                data = await self._read_until(run, look_at)
+            except TimeoutError:
+                look_at = now() + await self._look_into_pause(run)
+                continue
             events = run.next_events(data)
             if events or events is None:
                 return events
 
-    async def _read(self, run: Run, patience_ms: float) -> bytes | None:
-        """Read bytes; after a pause, find the runner at fault and go round it."""
-        while True:
-            try:
-                return await self._read_within(run, patience_ms)
-            except TimeoutError:
-                faulty = await self._pauses.examine(run.chain)
-            if faulty is not None and await self._repair.replace(run, faulty):
-                faulty = None
-            paused_ms = self._progress.paused_ms
-            detail = self._pauses.reason_to_leave(run.chain, faulty, paused_ms)
-            if detail is not None:
-                # A chain that is only slow is no reason to look for a dead runner.
-                error = StreamBrokenError if faulty is not None else TimeoutError
-                raise error(detail)
-            patience_ms = self._pauses.next_look_ms(paused_ms)
-
-    async def _read_within(self, run: Run, patience_ms: float) -> bytes | None:
-        left_ms = self._spec.deadline - self._parts.clock.now()
-        if left_ms <= 0:
+    async def _look_into_pause(self, run: Run) -> float:
+        """Find the runner at fault for a pause and go round it.
+
+        :return: time until the next look, if the chain is kept.
+        """
+        faulty = await self._pauses.examine(run.chain)
+        if faulty is not None and await self._repair.replace(run, faulty):
+            faulty = None
+        paused_ms = self._progress.paused_ms
+        detail = self._pauses.reason_to_leave(run.chain, faulty, paused_ms)
+        if detail is not None:
+            # A chain that is only slow is no reason to look for a dead runner.
+            error = StreamBrokenError if faulty is not None else TimeoutError
+            raise error(detail)
+        return self._pauses.next_look_ms(paused_ms)
+
+    async def _read_until(self, run: Run, look_at: float) -> bytes | None:
+        """Read bytes; raise ``TimeoutError`` if none are there by ``look_at``."""
+        now = self._parts.clock.now()
+        if now >= self._spec.deadline:
             raise StreamBrokenError("the time limit has passed")
-        async with asyncio.timeout(min(patience_ms, left_ms) / 1000):
+        left_ms = max(0, min(look_at, self._spec.deadline) - now)
+        async with asyncio.timeout(left_ms / 1000):
             return await run.response.read_some()
 
     async def _on_break(self, error: BaseException) -> None:
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -45,6 +45,8 @@
     :ivar is_dark: accept connections but answer nothing.
     :ivar read_ms: time before the first event, in which the prompt is read.
     :ivar answer: makes the answer to a plain call.
+    :ivar stalls_after: event after which streams make no further one.
+    :ivar trickle: bytes that a stalled stream sends again and again.
     """
 
     def __init__(
@@ -69,6 +71,8 @@
         self.runs: list[Run] = []
         self.address = ""
         self.answer: Callable[[Request], Response] | None = None
+        self.stalls_after: int | None = None
+        self.trickle = b""
         self._store = store
         self._fleet = fleet
         self._chain_by_request: dict[str, str] = {}
@@ -198,6 +202,9 @@
                 run.chains.append(self._chain_by_request[request_id])
                 sink.write(b"id: %d\ndata: event %d\n\n" % (number, number))
                 await asyncio.sleep(EVENT_MS / 1000)
+                while number == self.stalls_after:
+                    sink.write(self.trickle)
+                    await asyncio.sleep(EVENT_MS / 1000)
 
         headers = {
             "content-type": "text/event-stream",
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -157,3 +157,29 @@
     assert (order["operation"], order["from"]) == ("place", 40)
     assert order["expected"] == 0
     assert order["fencing_token"] > 0
+
+
+@pytest.mark.parametrize("trickle", [b": still here\n\n", b"d", b""])
+async def test_stalled_stream_that_sends_bytes_goes_on_elsewhere(site, trickle):
+    # Guards against a stall that never ends because bytes without an event arrive.
+    response = await site.open_stream(events=30)
+    first = await response.read_some()
+    run = site.runs()[0]
+    stalling = site.targets[run.runner]
+    stalling.trickle = trickle
+    stalling.stalls_after = run.events[-1] + 1
+    async with asyncio.timeout(4):
+        body = first + await response.read()
+    found = ids(body.replace(b": still here\n\n", b""))
+    assert found == list(range(1, 31))
+    again = [run for run in site.runs() if run.headers.get("last-event-id")]
+    assert len(again) == 1
+    assert again[0].runner != run.runner
+
+
+async def test_slow_but_sound_stream_is_not_cut(site, monkeypatch):
+    # The pauses are longer than those in time, but the events keep coming.
+    monkeypatch.setattr("standins.layer_runner.EVENT_MS", 300)
+    response = await site.open_stream(events=6)
+    assert ids(await response.read()) == [1, 2, 3, 4, 5, 6]
+    assert len(site.runs()) == 1
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -1,6 +1,10 @@
 import pytest
 
-from heathershunt.relay.events import EventSplitter
+from heathershunt.relay.events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventTooLongError,
+)
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nversion: 3\nid: 3\ndata: c\n\n"
 
@@ -26,3 +30,27 @@
 def test_event_without_id_is_passed_on():
     events = EventSplitter().feed(b"data: a\n\n")
     assert [(event.id, event.data) for event in events] == [(None, b"data: a\n\n")]
+
+
+def test_comments_are_no_events_and_come_with_the_next_one():
+    # Guards against a stalled runner whose keep-alives pass for progress.
+    splitter = EventSplitter()
+    assert splitter.feed(b": still here\n\n: still here\n\n") == []
+    (event,) = splitter.feed(b"id: 1\ndata: a\n\n")
+    assert event.id == 1
+    assert event.data == b": still here\n\n: still here\n\nid: 1\ndata: a\n\n"
+
+
+def test_comments_after_the_last_event_are_kept():
+    splitter = EventSplitter()
+    assert len(splitter.feed(b"id: 1\ndata: a\n\n: bye\n\n")) == 1
+    assert [event.data for event in splitter.end()] == [b": bye\n\n"]
+    assert splitter.end() == []
+
+
+@pytest.mark.parametrize("piece", [b": still here\n\n", b"data: more\n", b"x"])
+def test_bytes_without_an_event_are_bounded(piece):
+    splitter = EventSplitter()
+    with pytest.raises(EventTooLongError):
+        for _ in range(MAX_EVENT_BYTES):
+            assert splitter.feed(piece * 1000) == []
