Cut no request that has arrived when a process stops

Cause: a stop counted only requests that were read to their end. A request of which a part had arrived, one that waited in the reader or the kernel, and a connection in the queue of the listener were closed without an answer; behind an answer with connection: close, pipelined requests that had arrived were dropped.

Ruled out: streams and calls that run; they were finished before too.

Change: a connection is owed an answer while a request is served, has begun, or may come first on a new connection (300 ms). Connections that the kernel has accepted are taken before the listener closes.

--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -16,7 +16,7 @@
     StreamResponse,
     problem_response,
 )
-from heathershunt.http.transports import limit_reads
+from heathershunt.http.transports import CountingReader, is_quiet, limit_reads
 from heathershunt.verdict import not_run
 
 log = logbook.Logger("heathershunt.http")
@@ -24,6 +24,8 @@
 READ_BYTES = 65536
 BACKLOG_HIGH_WATER_BYTES = 262_144
 LINGER_MS = 2000
+# In a drain, a connection that has sent nothing is owed an answer for this long.
+FIRST_REQUEST_MS = 300
 # Beyond this much pipelined data the connection is no longer read while it is busy.
 MAX_EARLY_BYTES = 262_144
 
@@ -89,8 +91,8 @@
 
     def __init__(
         self,
-        reader,
-        writer,
+        reader: CountingReader,
+        writer: asyncio.StreamWriter,
         handler: Handler,
         limits: Callable[[], HttpLimits],
         cancels_handlers: bool = False,
@@ -103,6 +105,7 @@
         self._task: asyncio.Task | None = None
         self.is_busy = False
         self._served_any = False
+        self._opened_at = asyncio.get_running_loop().time()
         self._on_confirmed: Callable[[], None] | None = None
         self._frames_chunks = False
         self._closed = asyncio.Event()
@@ -117,6 +120,22 @@
         """Return the limits in force now, which may change under a connection."""
         return self._get_limits()
 
+    @property
+    def is_owed_answer(self) -> bool:
+        """Return whether a request is served here, has begun, or may come first."""
+        if self.is_busy or self._has_begun():
+            return True
+        age = asyncio.get_running_loop().time() - self._opened_at
+        return not self._served_any and age < FIRST_REQUEST_MS / 1000
+
+    def _has_begun(self) -> bool:
+        """Return whether bytes of a further request have arrived."""
+        if self.reader.has_unread or self._h11.trailing_data[0]:
+            return True
+        if self._h11.their_state is h11.SEND_BODY:
+            return True
+        return not is_quiet(self.writer.transport)
+
     async def serve(self, draining: Callable[[], bool]) -> None:
         """Serve requests one after the other until the connection ends."""
         self._task = asyncio.current_task()
@@ -152,7 +171,7 @@
         self._on_confirmed = getattr(response, "on_confirmed", None)
         self._served_any = True
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        if done and not draining():
+        if done and (not draining() or self._has_begun()):
             return True
         await self._linger()
         return False
@@ -186,7 +205,7 @@
         if not self._h11.trailing_data[0]:
             # A new connection gets an answer to its first request even in a drain,
             # so that a late caller learns where to go.
-            if draining() and self._served_any:
+            if draining() and self._served_any and not self._has_begun():
                 return None
             if not await self._wait_first_byte():
                 return None
@@ -280,7 +299,8 @@
         self, response: Response | StreamResponse, closing: Callable[[], bool]
     ) -> None:
         headers = list(response.headers.items())
-        if closing():
+        # Requests that follow on the connection are answered before it is closed.
+        if closing() and not self._has_begun():
             headers.append(("connection", "close"))
         if isinstance(response, Response):
             headers.append(("content-length", str(len(response.body))))
@@ -392,9 +412,9 @@
         A half-close lets the waiting read see the caller's end, which confirms the
         last response.
         """
-        if self.is_busy or self._h11.their_state is not h11.IDLE:
+        if self.is_owed_answer or not self._served_any:
             return
-        if not self._served_any:
+        if self._h11.their_state is not h11.IDLE:
             return
         if self._on_confirmed and self.writer.can_write_eof():
             self.writer.write_eof()
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -1,9 +1,19 @@
 """HTTP/1.1 server: bounded, one task per connection."""
 
 import asyncio
+import socket
 import ssl
+from functools import partial
+
+import logbook
 
 from heathershunt.http.connection import READ_BYTES, Connection, Handler, HttpLimits
+from heathershunt.http.transports import accepting_protocol, has_input
+
+log = logbook.Logger("heathershunt.http")
+
+# Connections that the kernel keeps for the listener.
+BACKLOG = 1024
 
 
 class HttpServer:
@@ -28,9 +38,12 @@
         self.limits = limits or HttpLimits()
         self._cancels_handlers = cancels_handlers
         self._server: asyncio.Server | None = None
+        self._listening: socket.socket | None = None
+        self._tls: ssl.SSLContext | None = None
         self._connections: set[Connection] = set()
         self._draining = False
         self._tasks: set[asyncio.Task] = set()
+        self._accepting: set[asyncio.Task] = set()
 
     @property
     def port(self) -> int:
@@ -41,10 +54,16 @@
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> None:
         """Bind and start to accept connections."""
-        self._server = await asyncio.start_server(
-            self._accept, host, port, ssl=tls, limit=READ_BYTES, backlog=1024
+        self._tls = tls
+        self._listening = socket.create_server((host, port), backlog=BACKLOG)
+        self._listening.setblocking(False)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._protocol, sock=self._listening, ssl=tls, backlog=BACKLOG
         )
 
+    def _protocol(self) -> asyncio.StreamReaderProtocol:
+        return accepting_protocol(self._accept, READ_BYTES)
+
     def _accept(self, reader, writer) -> None:
         """Serve a connection in a task of its own.
 
@@ -79,6 +98,16 @@
         """Return the number of requests being served."""
         return sum(connection.is_busy for connection in self._connections)
 
+    @property
+    def unanswered(self) -> int:
+        """Return the number of connections that are owed an answer in a drain.
+
+        Beside requests being served, these are requests of which some bytes have
+        arrived, and new connections that may still send their first one.
+        """
+        connections = sum(item.is_owed_answer for item in self._connections)
+        return connections + len(self._accepting)
+
     def drain(self) -> None:
         """Close idle connections and end busy ones after their response.
 
@@ -89,9 +118,34 @@
             connection.close_if_idle()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket; open connections stay."""
+        """Close the listening socket; open connections stay.
+
+        Closing it would cut the connections that the kernel has accepted for it, so
+        those are taken first.
+        """
+        while has_input(self._listening.fileno()):
+            try:
+                sock, _ = self._listening.accept()
+            except OSError as error:
+                log.warning("a waiting connection was not accepted: {}", error)
+                break
+            self._accept_now(sock)
         self._server.close()
 
+    def _accept_now(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        accepting = loop.create_task(
+            loop.connect_accepted_socket(self._protocol, sock, ssl=self._tls)
+        )
+        self._accepting.add(accepting)
+        accepting.add_done_callback(partial(self._end_accepting, sock))
+
+    def _end_accepting(self, sock: socket.socket, accepting: asyncio.Task) -> None:
+        self._accepting.discard(accepting)
+        if not accepting.cancelled() and accepting.exception() is not None:
+            log.warning("a waiting connection failed: {}", accepting.exception())
+            sock.close()
+
     async def close(self) -> None:
         """Stop to accept connections and cut the remaining ones."""
         self.close_now()
--- a/src/heathershunt/http/transports.py
+++ b/src/heathershunt/http/transports.py
@@ -3,6 +3,7 @@
 import asyncio
 import select
 import ssl
+from collections.abc import Callable
 
 RECEIVE_BYTES = 16_384
 
@@ -44,6 +45,21 @@
         return self._waiting_bytes > 0
 
 
+def accepting_protocol(
+    accept: Callable[[CountingReader, asyncio.StreamWriter], None], limit: int
+) -> asyncio.StreamReaderProtocol:
+    """Return the protocol of one accepted connection.
+
+    :param accept: called with the streams of the connection.
+    :param limit: buffer size of the reader in bytes.
+
+    .. versionadded:: 0.4
+    """
+    loop = asyncio.get_running_loop()
+    reader = CountingReader(limit=limit, loop=loop)
+    return asyncio.StreamReaderProtocol(reader, accept, loop=loop)
+
+
 async def connect(
     host: str, port: int, tls: ssl.SSLContext | None, limit: int
 ) -> tuple[CountingReader, asyncio.StreamWriter]:
@@ -68,8 +84,14 @@
     .. versionadded:: 0.4
     """
     sock = transport.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
-        return False
+    return sock is not None and sock.fileno() >= 0 and not has_input(sock.fileno())
+
+
+def has_input(descriptor: int) -> bool:
+    """Return whether a socket can be read, or accepted from, without a wait.
+
+    .. versionadded:: 0.4
+    """
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return not poll.poll(0)
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/tests/http/test_drain.py
@@ -0,0 +1,144 @@
+"""A planned stop while requests are on their way.
+
+Each of these was cut without an answer before: the bytes had arrived, but the request
+was not counted as one that is being served.
+"""
+
+import asyncio
+import socket
+
+import pytest
+
+from heathershunt.http import HttpServer, Response, StreamResponse
+
+HEAD = b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n"
+REQUEST = HEAD + b"body"
+
+
+@pytest.fixture
+async def server():
+    server = HttpServer(answer, cancels_handlers=True)
+    await server.start("127.0.0.1", 0)
+    yield server
+    server.close_now()
+
+
+async def answer(request):
+    if request.path == "/stream":
+        return StreamResponse(200, {}, write_slowly)
+    return Response(200, {}, request.path.encode())
+
+
+async def write_slowly(stream):
+    for _ in range(3):
+        stream.write(b"piece;")
+        await asyncio.sleep(0.02)
+
+
+async def stop(server):
+    """Stop as a process does: nothing is cut that was received."""
+    server.drain()
+    server.stop_accepting()
+    async with asyncio.timeout(2):
+        while server.unanswered:
+            await asyncio.sleep(0.01)
+    server.close_now()
+
+
+async def open_connection(server):
+    return await asyncio.open_connection("127.0.0.1", server.port)
+
+
+async def read_answer(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    size = int(head.lower().partition(b"content-length:")[2].split()[0])
+    assert head.startswith(b"HTTP/1.1 200")
+    return head, await reader.readexactly(size)
+
+
+async def test_connection_that_only_the_kernel_has_accepted_is_served(server):
+    # The loop has not run since the caller connected.
+    with socket.create_connection(("127.0.0.1", server.port)) as caller:
+        caller.sendall(REQUEST)
+        stopping = asyncio.create_task(stop(server))
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        received = await loop.sock_recv(caller, 1000)
+        assert received.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in received.lower()
+        await stopping
+
+
+async def test_connection_is_given_time_for_its_first_request(server):
+    reader, writer = await open_connection(server)
+    await asyncio.sleep(0.02)
+    stopping = asyncio.create_task(stop(server))
+    await asyncio.sleep(0.05)
+    writer.write(REQUEST)
+    assert (await read_answer(reader))[1] == b"/a"
+    await stopping
+    writer.close()
+
+
+@pytest.mark.parametrize("cut", [5, len(HEAD) - 2, len(HEAD), len(REQUEST) - 1])
+async def test_request_that_is_half_read_is_served(server, cut):
+    reader, writer = await open_connection(server)
+    writer.write(REQUEST)
+    await read_answer(reader)
+    writer.write(REQUEST[:cut])
+    await asyncio.sleep(0.02)
+    stopping = asyncio.create_task(stop(server))
+    await asyncio.sleep(0.05)
+    writer.write(REQUEST[cut:])
+    assert (await read_answer(reader))[1] == b"/a"
+    await stopping
+    writer.close()
+
+
+async def test_request_that_nobody_has_read_yet_is_served(server):
+    # The bytes are in the kernel or in the reader when the stop begins.
+    reader, writer = await open_connection(server)
+    writer.write(REQUEST)
+    await read_answer(reader)
+    writer.get_extra_info("socket")._sock.send(REQUEST)
+    stopping = asyncio.create_task(stop(server))
+    assert (await read_answer(reader))[1] == b"/a"
+    await stopping
+    writer.close()
+
+
+async def test_pipelined_requests_are_all_served(server):
+    reader, writer = await open_connection(server)
+    writer.write(REQUEST * 3)
+    await asyncio.sleep(0)
+    stopping = asyncio.create_task(stop(server))
+    heads = [(await read_answer(reader))[0] for _ in range(3)]
+    assert [b"connection: close" in head.lower() for head in heads] == [
+        False,
+        False,
+        True,
+    ]
+    await stopping
+    writer.close()
+
+
+async def test_stream_that_runs_is_finished(server):
+    reader, writer = await open_connection(server)
+    writer.write(b"GET /stream HTTP/1.1\r\nhost: a\r\n\r\n")
+    await reader.readuntil(b"piece;")
+    stopping = asyncio.create_task(stop(server))
+    rest = await reader.read()
+    assert rest.count(b"piece;") == 2
+    assert rest.endswith(b"0\r\n\r\n")
+    await stopping
+    writer.close()
+
+
+async def test_idle_connection_does_not_hold_up_the_stop(server):
+    reader, writer = await open_connection(server)
+    writer.write(REQUEST)
+    await read_answer(reader)
+    await asyncio.sleep(0.02)
+    await stop(server)
+    assert await reader.read() == b""
+    writer.close()
