Read the store when the VMs that pass it on have lost it

A stale one is passed over for 400 ms only, so of three there was always one left to ask, and the store itself, which this VM could reach, was not read for 11.5 s. Two thirds of the fleet left the directory and served by configuration 3 while 17 was in force.

Ruled out: the age that is passed on; it was right on every hop (1,669 ms, 2,164 ms and so on in the log of front-lima-c-5). Probes of an outage; none was sent.

Change: after two mirrors that fail in a row, or one that does not answer in time, the store is read for 2 s before a mirror is tried again. While the store is away from this VM, probes are limited as before.

--- a/src/heathershunt/coordination/mirror.py
+++ b/src/heathershunt/coordination/mirror.py
@@ -48,6 +48,11 @@
 # It bounds the calls of a whole fleet during an outage; the mirrors tell of its end.
 PROBE_MS = 1000
 PROBE_JITTER = 0.7
+# Mirrors that fail in a row before the store itself is read. The others that are left
+# have most likely lost it too, while this VM may still reach it.
+MOST_FAILED_MIRRORS = 2
+# Time for which the store is then read before a mirror is tried again.
+DIRECT_MS = 2000
 
 
 class _Change(msgspec.Struct, array_like=True):
@@ -157,7 +162,7 @@
     """The store, read through another VM's mirror where that is up to date.
 
     Everything but reading goes to the store itself, and so does reading while none of
-    the mirrors can be followed.
+    the mirrors can be followed, or after some have failed in a row.
 
     :param upstreams: called for the mirrors to follow; empty to watch the store.
     :param most_age_ms: called for the age up to which a mirror's view is taken.
@@ -180,6 +185,8 @@
         self._most_age_ms = most_age_ms
         self._avoided_until: dict[Address, int] = {}
         self._next_probe_at = 0
+        self._failed_mirrors = 0
+        self._direct_until = 0
         # A list that is older than what was seen would bring back what is gone.
         self._newest_revision = 0
 
@@ -223,7 +230,10 @@
         return Ok(Changes(entries, newest, found.age_ms, wait_ms))
 
     def _pick(self) -> Address | None:
+        """Return a mirror to ask, ``None`` to ask the store."""
         now = self._now_ms()
+        if self._next_probe_at <= now < self._direct_until:
+            return None
         left = [
             address
             for address in self._upstreams()
@@ -245,6 +255,7 @@
         ):
             pause_ms = PROBE_MS * random.uniform(PROBE_JITTER, 1.0)
             self._next_probe_at = int(self._now_ms() + pause_ms)
+            self._direct_until = 0
         return outcome
 
     async def _ask(
@@ -260,6 +271,8 @@
         if isinstance(outcome, Err):
             is_sent = outcome.err_value.progress is not Progress.NOT_SENT
             failure = StoreFailure.UNKNOWN if is_sent else StoreFailure.REJECTED
+            # A mirror that kept this VM waiting leaves no time to ask another one.
+            self._failed_mirrors += is_sent
             return self._leave(upstream, failure, outcome.err_value.detail)
         status, raw = outcome.ok_value
         if status == GONE:
@@ -275,6 +288,7 @@
         if reply.age_ms > self._most_age_ms():
             detail = f"mirror: view of {reply.age_ms} ms is too old"
             return self._leave(upstream, StoreFailure.REJECTED, detail, STALE_AVOID_MS)
+        self._failed_mirrors = 0
         return Ok(reply)
 
     def _leave(
@@ -288,6 +302,10 @@
         now = self._now_ms()
         self._avoided_until = {a: t for a, t in self._avoided_until.items() if t > now}
         self._avoided_until[upstream] = now + avoid_ms
+        self._failed_mirrors += 1
+        if self._failed_mirrors >= MOST_FAILED_MIRRORS:
+            self._failed_mirrors = 0
+            self._direct_until = now + DIRECT_MS
         log.info("does not follow {}: {}", upstream, detail)
         return Err(StoreError(failure, f"{upstream}: {detail}"))
 
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -14,6 +14,7 @@
 )
 from heathershunt.coordination.mirror import (
     AVOID_MS,
+    DIRECT_MS,
     PROBE_JITTER,
     PROBE_MS,
     STALE_AVOID_MS,
@@ -174,6 +175,58 @@
     assert pair.store.watches == 1
 
 
+@pytest.fixture
+async def stale_mirrors(pair, clock):
+    """Three mirrors that answer, but have lost the store."""
+    pair.mirror.on_snapshot(Snapshot((), 9))
+    pair.age_ms = MOST_AGE_MS + 1
+    servers = [HttpServer(pair.mirror.handle) for _ in range(2)]
+    for server in servers:
+        await server.start("127.0.0.1", 0)
+        pair.addresses.append(Address("127.0.0.1", server.port))
+    yield servers
+    for server in servers:
+        await server.close()
+
+
+async def test_store_is_read_when_the_mirrors_have_lost_it(pair, clock, stale_mirrors):
+    # The load: a third of a large fleet is cut off from the store, the watching VMs
+    # among them. The others asked one mirror after the other for as long as that
+    # lasted, and served by an old configuration.
+    outcomes = []
+    for _ in range(10):
+        outcomes.append(await pair.follower.watch("", 9, 10))
+        clock.advance(60)
+    assert all(outcome.is_ok() for outcome in outcomes[2:])
+    assert pair.store.watches == 8
+
+
+async def test_mirrors_are_followed_again_when_they_have_the_store(
+    pair, clock, stale_mirrors
+):
+    # Guards the store against a fleet that goes on reading it after such a cut.
+    for _ in range(5):
+        await pair.follower.watch("", 9, 10)
+    pair.age_ms = 0
+    clock.advance(DIRECT_MS)
+    pair.store.watches = 0
+    assert (await pair.follower.watch("", 9, 10)).is_ok()
+    assert pair.store.watches == 0
+
+
+async def test_mirrors_are_asked_while_the_store_is_away_here(
+    pair, clock, stale_mirrors
+):
+    # Guards a VM that is cut off from the store against asking nobody else.
+    pair.store.is_away = True
+    for _ in range(4):
+        await pair.follower.watch("", 9, 10)
+    pair.age_ms = 0
+    clock.advance(STALE_AVOID_MS)
+    assert (await pair.follower.watch("", 9, 10)).is_ok()
+    assert pair.store.watches == 1
+
+
 async def test_vm_without_mirrors_asks_the_store_each_time(pair):
     # Guards small fleets, where every VM watches the store itself, against a view that
     # is older than need be after a failed call.
