Replace only the dead runner of a chain, and look for it before the stream is late

Cause: a stream that paused was examined after 1.25 times the longest pause in time, so it was always late. A rejected stream waited for the report of the runner that rejected it.

Change: the first look follows the 99th centile of the stream's own pauses (bounds 0.3 and 1.25 of the longest in time), a second comes at 1.25. A report is asked for twice within 100 ms. Stand-ins are chosen for the layers of dead runners only, with some chance, and are counted before the order is answered; the other parts keep what they have read. The gap estimator moves from drafts to clock, and both routers use it.

--- a/src/heathershunt/drafts/epoch.py
+++ b/src/heathershunt/drafts/epoch.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from heathershunt.clock import Clock
+from heathershunt.clock import Clock, GapEstimator
 from heathershunt.drafts.engine import (
     EngineClient,
     RunOrder,
@@ -18,7 +18,6 @@
 from heathershunt.drafts.journal import Draft
 from heathershunt.drafts.progress import (
     FIRST_TOKEN_LIMIT_MS,
-    GapEstimator,
     ProgressMonitor,
     Watched,
 )
--- a/src/heathershunt/drafts/execution.py
+++ b/src/heathershunt/drafts/execution.py
@@ -7,12 +7,12 @@
 import logbook
 from result import Err, Ok, Result
 
-from heathershunt.clock import Clock, Millis
+from heathershunt.clock import Clock, GapEstimator, Millis
 from heathershunt.drafts.engine import EngineClient, RunOrder
 from heathershunt.drafts.epoch import Epoch, EpochFailure
 from heathershunt.drafts.journal import Draft
 from heathershunt.drafts.observer import DraftObserver
-from heathershunt.drafts.progress import GapEstimator, ProgressMonitor
+from heathershunt.drafts.progress import ProgressMonitor
 from heathershunt.retries import EjectionPolicy
 from heathershunt.routing import Chain, NoChain, Router
 from heathershunt.runners import RunnerBoard, prefix_hashes
--- a/src/heathershunt/drafts/progress.py
+++ b/src/heathershunt/drafts/progress.py
@@ -6,34 +6,7 @@
 from heathershunt.clock import Clock, Millis
 
 TICK_MS = 25
-GAP_FACTOR = 4
 FIRST_TOKEN_LIMIT_MS = 2000
-MEAN_WEIGHT = 1 / 64
-DEVIATION_WEIGHT = 1 / 32
-DEVIATIONS_TO_P99 = 3.0
-
-
-class GapEstimator:
-    """Estimates the 99th centile of a gap from its mean and mean deviation.
-
-    .. versionadded:: 0.1
-    """
-
-    def __init__(self, floor_ms: float, initial_ms: float) -> None:
-        self._floor_ms = floor_ms
-        self._mean = initial_ms
-        self._deviation = 0.0
-
-    def observe(self, gap_ms: float) -> None:
-        """Take one gap into account."""
-        error = gap_ms - self._mean
-        self._mean += MEAN_WEIGHT * error
-        self._deviation += DEVIATION_WEIGHT * (abs(error) - self._deviation)
-
-    def deadline_ms(self) -> float:
-        """Return the longest gap that is not yet a stall."""
-        p99 = self._mean + DEVIATIONS_TO_P99 * self._deviation
-        return max(self._floor_ms, GAP_FACTOR * p99)
 
 
 class Watched:
--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from itertools import groupby
 
 from heathershunt.catalog import Engine
 from heathershunt.discovery import Target
@@ -23,6 +24,8 @@
 # for a link that all chains share and that prompts block.
 CROSS_DOMAIN_MS = 25.0
 MIN_FREE_KV_PART = 0.05
+# Most by which the cost of a runner that stands in for a dead one is raised by chance.
+STAND_IN_SPREAD = 1.5
 # Runners of a domain among which a chain is looked for. More would hardly give a better
 # chain, and the time of the search grows with them.
 MOST_RUNNERS = 64
@@ -95,13 +98,7 @@
             heads = {head.runner.id}
         if heads is not None and all(runner.id not in heads for runner in usable):
             return None
-        terms = SearchTerms(
-            engine.layers,
-            HOP_MS * job.answer_tokens,
-            (HOP_MS + CROSS_DOMAIN_MS) * job.answer_tokens,
-            head,
-            needs_room,
-        )
+        terms = SearchTerms(engine.layers, *_hop_costs(job), head, needs_room)
         some = _sample_each_domain(usable, set(heads or ()))
         found = self._search(engine, some, job, vms, heads, terms)
         is_short = found is None or found[0] >= FULL_MS
@@ -109,6 +106,81 @@
             found = self._search(engine, usable, job, vms, heads, terms)
         return None if found is None else found[1]
 
+    def bridge(
+        self,
+        engine: Engine,
+        runners: Iterable[Target],
+        job: Job,
+        vms: int,
+        chain: Chain,
+        dead: Collection[str],
+        avoided: Collection[str] = (),
+    ) -> Chain | None:
+        """Return a chain in which other runners stand in for dead later ones.
+
+        All other parts stay as they are and keep what they have read; a new part reads
+        all tokens again before the next one is made.
+
+        :param dead: ids of the runners to replace.
+        :param avoided: ids of runners that may stay, but are not to be added.
+        """
+        if chain.head.id in dead:
+            return None
+        in_chain = {part.runner.id for part in chain.parts}
+        usable = [
+            runner
+            for runner in _of_newest_version(runners, in_chain | set(avoided))
+            if runner.held.version == chain.head.held.version
+        ]
+        parts: list[ChainPart] = []
+        for is_dead, run in groupby(chain.parts, lambda part: part.runner.id in dead):
+            if not is_dead:
+                parts.extend(run)
+                continue
+            lost = tuple(run)
+            added = self._stand_ins(engine, usable, job, vms, lost)
+            if added is None:
+                return None
+            parts.extend(added)
+            ids = {part.runner.id for part in added}
+            usable = [runner for runner in usable if runner.id not in ids]
+        return Chain(tuple(parts))
+
+    def _stand_ins(
+        self,
+        engine: Engine,
+        usable: list[Target],
+        job: Job,
+        vms: int,
+        lost: tuple[ChainPart, ...],
+    ) -> list[ChainPart] | None:
+        """Return parts that take the layers of some parts in a row."""
+        start, end = lost[0].first, lost[-1].end
+        candidates = []
+        for runner in usable:
+            first, last = max(start, runner.held.first), min(end, runner.held.end)
+            if first >= last:
+                continue
+            item = self._candidate(engine, runner, job, vms, None)
+            # All streams of the dead runner look for another one at the same moment,
+            # here and at other VMs, and shall not all find the same.
+            item.layer_ms *= random.uniform(1.0, STAND_IN_SPREAD)
+            item.first, item.end = first - start, last - start
+            item.has_slot = True
+            candidates.append(item)
+        terms = SearchTerms(end - start, *_hop_costs(job))
+        domain = lost[0].runner.domain
+        inside = [item for item in candidates if item.runner.domain == domain]
+        found = find_cheapest(inside, terms)
+        if found is None or found[0] >= FULL_MS:
+            found = find_cheapest(candidates, terms)
+        if found is None:
+            return None
+        return [
+            ChainPart(part.runner, part.first + start, part.end + start)
+            for part in found[1].parts
+        ]
+
     def _search(
         self,
         engine: Engine,
@@ -181,6 +253,12 @@
         return usual_ms * self._paces.pace(runner.id)
 
 
+def _hop_costs(job: Job) -> tuple[float, float]:
+    """Return the time of all tokens over a hop inside a domain, and to another one."""
+    tokens = job.answer_tokens
+    return HOP_MS * tokens, (HOP_MS + CROSS_DOMAIN_MS) * tokens
+
+
 def _of_newest_version(
     runners: Iterable[Target], avoided: Collection[str]
 ) -> list[Target]:
--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -1,14 +1,17 @@
 """Which runner of a chain is at fault, found by asking them."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.discovery import Target
 from heathershunt.pipelines import Chain, PaceBook, RunnerApi, RunnerReport
 from heathershunt.relay.suspects import SuspectList
 
-REPORT_TIMEOUT_MS = 150
+REPORT_TIMEOUT_MS = 100
+# Time without a report after which it is asked for once more: a lost packet must not
+# pass for a dead runner.
+SECOND_QUESTION_MS = 40
 # Many streams pause at once when a runner fails; they share their questions.
 SHARED_MS = 600
 # Time for which a runner is passed over that rejected its part of a chain: it may be
@@ -89,7 +92,10 @@
 
     def ask_for_paces(self, chain: Chain) -> None:
         """Ask the runners of a chain in the background how slow they are."""
-        task = asyncio.create_task(self._ask_all(chain))
+        self._spawn(self._ask_all(chain))
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
         self._asking.add(task)
         task.add_done_callback(self._asking.discard)
 
@@ -111,11 +117,17 @@
         """Keep requests that follow at once from the same rejection."""
         self._suspects.pause(runner, REJECTED_MS)
 
-    async def judge_rejection(self, runner: Target) -> None:
-        """Find out whether a runner that was named in a rejection works at all."""
+    def judge_rejection(self, runner: Target) -> None:
+        """Pass over a runner that was named in a rejection.
+
+        Whether it works at all is found out in the background.
+        """
         if self._suspects.is_suspect(runner):
             return
         self.note_rejection(runner)
+        self._spawn(self._blame_if_dead(runner))
+
+    async def _blame_if_dead(self, runner: Target) -> None:
         report = await self._ask(runner)
         if report is None or self._is_restarted(runner, report):
             self._suspects.blame(runner)
@@ -129,8 +141,7 @@
         asked = self._asked_by_id.get(runner.id)
         if asked is None or now - asked[0] > SHARED_MS:
             self._forget_before(now - SHARED_MS)
-            question = self._runners.report(runner, REPORT_TIMEOUT_MS)
-            asked = (now, asyncio.create_task(question))
+            asked = (now, asyncio.create_task(self._question(runner)))
             self._asked_by_id[runner.id] = asked
         # One stream that ends must not cancel the question of the others.
         report = await asyncio.shield(asked[1])
@@ -138,6 +149,24 @@
             self._paces.note(runner.id, report)
         return report
 
+    async def _question(self, runner: Target) -> RunnerReport | None:
+        """Return the report of a runner, asked twice if need be."""
+        first = asyncio.create_task(self._runners.report(runner, REPORT_TIMEOUT_MS))
+        await asyncio.wait({first}, timeout=SECOND_QUESTION_MS / 1000)
+        if first.done():
+            return first.result()
+        left_ms = REPORT_TIMEOUT_MS - SECOND_QUESTION_MS
+        second = asyncio.create_task(self._runners.report(runner, left_ms))
+        try:
+            for answer in asyncio.as_completed((first, second)):
+                report = await answer
+                if report is not None:
+                    return report
+            return None
+        finally:
+            first.cancel()
+            second.cancel()
+
     def _forget_before(self, limit: int) -> None:
         for runner_id, (asked_at, task) in list(self._asked_by_id.items()):
             if asked_at < limit and task.done():
--- a/src/heathershunt/relay/pauses.py
+++ b/src/heathershunt/relay/pauses.py
@@ -26,7 +26,7 @@
         self._spec = spec
         self._attempts = attempts
         self._progress = progress
-        self._leave_ms = spec.patience.leave_ms
+        self._patience = spec.patience
 
     async def examine(self, chain: Chain) -> Target | None:
         """Return the runner that is at fault for a pause, if one is found."""
@@ -51,14 +51,26 @@
         if faulty is not None:
             return f"runner {faulty.id} does not answer"
         parts = self._parts
-        if paused_ms < self._leave_ms or not self._attempts.may_leave(chain.head):
+        if paused_ms < self._patience.leave_ms or not self._attempts.may_leave(
+            chain.head
+        ):
             return None
         if not parts.budget.may_leave(self._spec.service, parts.vms()):
             return None
         return f"no event for {paused_ms:.0f} ms"
 
+    def first_look_ms(self) -> float:
+        """Return the pause after which a running chain is examined."""
+        return self._patience.gap_ms(self._progress.usual_gap_ms)
+
     def next_look_ms(self, paused_ms: float) -> float:
-        """Return when a chain that was not left is examined again."""
-        if paused_ms < self._leave_ms:
-            return self._leave_ms - paused_ms
-        return self._leave_ms
+        """Return when a chain that was not left is examined again.
+
+        Reports are some hundred milliseconds old, so an early look may have missed a
+        runner that waits for another one.
+        """
+        patience = self._patience
+        for look_ms in (patience.second_look_ms, patience.leave_ms):
+            if paused_ms < look_ms:
+                return look_ms - paused_ms
+        return patience.leave_ms
--- a/src/heathershunt/relay/progress.py
+++ b/src/heathershunt/relay/progress.py
@@ -1,6 +1,6 @@
 """What a caller has of a stream, and how evenly it came."""
 
-from heathershunt.clock import Clock, Millis
+from heathershunt.clock import Clock, GapEstimator, Millis
 from heathershunt.relay.events import StreamEvent
 
 
@@ -22,6 +22,12 @@
         self.first_event_ms: int | None = None
         self.gap_ms = 0
         self.longest_gap_ms = 0
+        self._gaps: GapEstimator | None = None
+
+    @property
+    def usual_gap_ms(self) -> float | None:
+        """Return the 99th centile of the pauses; ``None`` before the first one."""
+        return None if self._gaps is None else self._gaps.p99_ms
 
     @property
     def has_begun(self) -> bool:
@@ -54,3 +60,7 @@
             return
         self.gap_ms = pause_ms
         self.longest_gap_ms = max(self.longest_gap_ms, pause_ms)
+        if self._gaps is None:
+            self._gaps = GapEstimator.from_first_gap(pause_ms)
+        else:
+            self._gaps.observe(pause_ms)
--- a/src/heathershunt/relay/repair.py
+++ b/src/heathershunt/relay/repair.py
@@ -52,16 +52,22 @@
         """Order a chain; return the runner on account of which it was refused."""
         parts = self._parts
         request = self._spec.request.id
-        reply = await parts.runners.repath(run.chain.head, request, chain)
+        # Counted before the answer: other streams look for a chain at this moment too.
+        parts.ledger.add(chain, run.tokens)
+        try:
+            reply = await parts.runners.repath(run.chain.head, request, chain)
+        except BaseException:
+            parts.ledger.remove(chain, run.tokens)
+            raise
         is_done = reply.outcome in (OrderOutcome.BEGUN, OrderOutcome.DONE)
         event_type = ChainReplaced if is_done else ChainNotReplaced
         parts.events.emit(event_type(request, faulty.id, reply.outcome.value))
         if is_done:
             parts.ledger.remove(run.chain, run.tokens)
             run.chain = chain
-            parts.ledger.add(chain, run.tokens)
             self.count += 1
             return None
+        parts.ledger.remove(chain, run.tokens)
         refusing = chain.runner_at(reply.faulty_address or "")
         if refusing is not None:
             parts.diagnosis.note_rejection(refusing)
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -61,17 +61,24 @@
                     return self._choose_again()
             await asyncio.sleep(ROOM_POLL_MS / 1000)
 
-    def around(self, chain: Chain, avoided: set[str]) -> Chain | None:
+    def around(self, chain: Chain, dead: set[str]) -> Chain | None:
         """Return a chain with the same first part that does without some runners.
 
-        :param avoided: ids of these runners.
+        :param dead: ids of these runners.
         """
-        return self._parts.chooser.choose(
+        parts = self._parts
+        runners = parts.registry.of_service(self._spec.service)
+        dead = dead | self._ids_of(parts.suspects.is_blamed)
+        avoided = self._suspects() | dead
+        bridged = parts.chooser.bridge(
+            self._spec.engine, runners, self._job, parts.vms(), chain, dead, avoided
+        )
+        return bridged or parts.chooser.choose(
             self._spec.engine,
-            self._parts.registry.of_service(self._spec.service),
+            runners,
             self._job,
-            self._parts.vms(),
-            self._suspects() | avoided,
+            parts.vms(),
+            avoided,
             chain.parts[0],
         )
 
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -221,7 +221,7 @@
             event = SendRejected(self._request.id, runner.id, head.status)
             self._parts.events.emit(event)
             self._drop_run()
-            await self._parts.diagnosis.judge_rejection(runner)
+            self._parts.diagnosis.judge_rejection(runner)
             return False
         self._may_have_run = True
         if head.request_id == self._request.id and head.status < SERVER_ERROR:
@@ -314,7 +314,7 @@
     async def _next_or_resumed(self) -> list[StreamEvent] | None:
         """Return the next events, from another run if need be; ``None`` at the end."""
         try:
-            return await self._next_events(self._patience.gap_ms)
+            return await self._next_events(self._pauses.first_look_ms())
         except READ_ERRORS as error:
             cause = error
         while True:
@@ -359,7 +359,8 @@
         """
         faulty = await self._pauses.examine(run.chain)
         if faulty is not None and await self._repair.replace(run, faulty):
-            faulty = None
+            # The new chain may have a dead runner too.
+            return self._pauses.first_look_ms()
         paused_ms = self._progress.paused_ms
         detail = self._pauses.reason_to_leave(run.chain, faulty, paused_ms)
         if detail is not None:
--- a/tests/pipelines/test_chooser.py
+++ b/tests/pipelines/test_chooser.py
@@ -243,3 +243,66 @@
     head = fleet[10]
     chain = chooser.choose(engine, fleet, JOB, 1, heads={head.id})
     assert chain.head == head
+
+
+@pytest.fixture
+def site(runner):
+    """Two domains of small runners; three copies of each range in the first."""
+    ranges = [(at, at + 8) for at in range(0, 80, 8)]
+    first = [runner(domain="a", held=held) for held in ranges for _ in range(3)]
+    return first + [runner(domain="b", held=held) for held in ranges]
+
+
+def test_other_parts_stay_when_a_dead_runner_is_replaced(engine, chooser, site):
+    # The load: every stream through a dead runner was led to another chain, whose
+    # runners read all their tokens again at the same moment, for over half a second.
+    chain = chooser.choose(engine, site, JOB, 4)
+    dead = chain.parts[4].runner.id
+    bridged = chooser.bridge(engine, site, JOB, 4, chain, {dead}, {dead})
+    assert bridged.covers(80)
+    assert dead not in {part.runner.id for part in bridged.parts}
+    changed = [new for new in bridged.parts if new not in chain.parts]
+    assert [(part.first, part.end) for part in changed] == [(32, 40)]
+    assert changed[0].runner.domain == chain.parts[4].runner.domain
+
+
+def test_streams_of_a_dead_runner_spread_over_those_that_stand_in(
+    engine, chooser, site
+):
+    # Each VM chooses without knowing what the others choose at the same moment.
+    chain = chooser.choose(engine, site, JOB, 4)
+    dead = chain.parts[4].runner.id
+    bridges = [
+        chooser.bridge(engine, site, JOB, 4, chain, {dead}, {dead}) for _ in range(40)
+    ]
+    assert len({item.parts[4].runner.id for item in bridges}) == 2
+
+
+def test_several_dead_runners_are_replaced_at_once(engine, chooser, site):
+    chain = chooser.choose(engine, site, JOB, 4)
+    dead = {chain.parts[at].runner.id for at in (2, 3, 7)}
+    bridged = chooser.bridge(engine, site, JOB, 4, chain, dead, dead)
+    assert bridged.covers(80)
+    assert not dead & {part.runner.id for part in bridged.parts}
+    kept = [part for part in chain.parts if part.runner.id not in dead]
+    assert [part for part in bridged.parts if part in kept] == kept
+
+
+def test_runner_that_rejects_requests_keeps_its_part_but_gets_no_new_one(
+    engine, chooser, site
+):
+    chain = chooser.choose(engine, site, JOB, 4)
+    busy, dead = chain.parts[1].runner.id, chain.parts[4].runner.id
+    bridged = chooser.bridge(engine, site, JOB, 4, chain, {dead}, {dead, busy})
+    assert bridged.parts[1] == chain.parts[1]
+
+
+def test_another_domain_stands_in_where_the_own_one_cannot(engine, chooser, site):
+    chain = chooser.choose(engine, site, JOB, 4)
+    at = chain.parts[4]
+    holders = {r.id for r in site if r.domain == "a" and r.held.first == at.first}
+    assert at.runner.domain == "a"
+    bridged = chooser.bridge(engine, site, JOB, 4, chain, {at.runner.id}, holders)
+    assert bridged.parts[4].runner.domain == "b"
+    everyone = {r.id for r in site if r.held.first == at.first}
+    assert chooser.bridge(engine, site, JOB, 4, chain, {at.runner.id}, everyone) is None
--- a/tests/relay/test_diagnosis.py
+++ b/tests/relay/test_diagnosis.py
@@ -1,9 +1,13 @@
 """What counts as a fault of a runner."""
 
+import asyncio
+from collections import Counter
+
 import pytest
 
 from heathershunt.pipelines import Chain, ChainPart, PaceBook, RunnerReport
 from heathershunt.relay import Diagnosis, SuspectList
+from heathershunt.relay.diagnosis import REPORT_TIMEOUT_MS
 from tests.pipelines import engines
 
 SLOW = 12.0
@@ -15,8 +19,13 @@
     def __init__(self):
         self.pace_by_id = {}
         self.silent_questions = 0
+        self.lost_by_id = Counter()
 
     async def report(self, runner, timeout_ms):
+        if self.lost_by_id[runner.id]:
+            self.lost_by_id[runner.id] -= 1
+            await asyncio.sleep(timeout_ms / 1000)
+            return None
         if self.silent_questions:
             self.silent_questions -= 1
             return None
@@ -87,3 +96,32 @@
     dead = chain.parts[1].runner
     del runners.pace_by_id[dead.id]
     assert await diagnosis.find_faulty(chain) == dead
+
+
+async def test_lost_question_is_asked_again(diagnosis, runners, chain, suspects):
+    # Guards against sound runners that are blamed while links lose packets.
+    sound = chain.parts[1].runner
+    runners.lost_by_id[sound.id] = 1
+    assert await diagnosis.find_faulty(chain) is None
+    assert not suspects.is_blamed(sound)
+
+
+async def test_silent_runner_is_found_within_one_time_limit(diagnosis, runners, chain):
+    dark = chain.parts[1].runner
+    runners.lost_by_id[dark.id] = 2
+    async with asyncio.timeout(5 * REPORT_TIMEOUT_MS / 1000):
+        assert await diagnosis.find_faulty(chain) == dark
+
+
+async def test_rejection_is_judged_without_keeping_the_request(
+    diagnosis, runners, chain, suspects
+):
+    # Guards against streams that wait for the report of a dead runner before they are
+    # sent elsewhere.
+    dead = chain.parts[1].runner
+    del runners.pace_by_id[dead.id]
+    diagnosis.judge_rejection(dead)
+    assert suspects.is_paused(dead)
+    assert not suspects.is_blamed(dead)
+    await asyncio.sleep(0.01)
+    assert suspects.is_blamed(dead)
--- a/tests/relay/test_selection.py
+++ b/tests/relay/test_selection.py
@@ -171,6 +171,9 @@
     parts.registry.store_returned()
     parts.registry.remove(missing.id)
     avoided = []
-    parts.chooser = SimpleNamespace(choose=lambda *args: avoided.append(args[4]))
+    parts.chooser = SimpleNamespace(
+        bridge=lambda *args: avoided.append(args[6]),
+        choose=lambda *args: avoided.append(args[4]),
+    )
     selection.around(Chain.from_parts([ChainPart(kept, 0, 80)]), {"faulty"})
-    assert avoided == [{missing.id, "faulty"}]
+    assert avoided == [{missing.id, "faulty"}] * 2
