Move no runner on the strength of a copy that is still loading

Change: a runner is redundant only if others hold all its layers now, and one whose move leaves a layer with a single holder in all domains comes last.

--- a/src/heathershunt/pipelines/layout.py
+++ b/src/heathershunt/pipelines/layout.py
@@ -66,20 +66,39 @@
     """
     pending = {placement.runner.id: placement.layers for placement in ordered}
     by_domain: dict[str, list[Target]] = {}
+    holders = [0] * engine.layers
     for runner in runners:
         by_domain.setdefault(runner.domain, []).append(runner)
+        _count(holders, _kept(runner, pending), 1)
     plan: list[Placement] = []
     for domain in sorted(by_domain):
-        plan += _plan_domain(engine, by_domain[domain], config, pending)
+        plan += _plan_domain(engine, by_domain[domain], config, pending, holders)
     return plan
 
 
+def _kept(runner: Target, pending: dict[str, LayerRange]) -> LayerRange | None:
+    """Return the layers that a runner holds and does not give up.
+
+    Layers that it is still to load are held by nobody yet.
+    """
+    held, ordered = runner.held, pending.get(runner.id)
+    if held is None or ordered is None:
+        return held
+    first, end = max(held.first, ordered.first), min(held.end, ordered.end)
+    return LayerRange(first, end) if first < end else None
+
+
 def _plan_domain(
     engine: Engine,
     runners: list[Target],
     config: LayoutConfig,
     pending: dict[str, LayerRange],
+    holders: list[int],
 ) -> list[Placement]:
+    """Plan one domain.
+
+    :param holders: runners of all domains that hold each layer now.
+    """
     held = {runner.id: pending.get(runner.id, runner.held) for runner in runners}
     copies = [0] * engine.layers
     for layers in held.values():
@@ -95,22 +114,39 @@
         layers = _thinnest(copies, size)
         _count(copies, layers, 1)
         plan.append(Placement(runner, layers))
-    return plan + _fill_gaps(engine, runners, config, pending, held, copies)
+    return plan + _fill_gaps(engine, runners, config, pending, held, copies, holders)
 
 
-def _fill_gaps(engine, runners, config, pending, held, copies) -> list[Placement]:
-    """Move redundant runners to layers that nobody in the domain holds."""
+def _fill_gaps(
+    engine, runners, config, pending, held, copies, holders
+) -> list[Placement]:
+    """Move redundant runners to layers that nobody in the domain holds.
+
+    A runner whose move would leave a layer with one holder in all domains comes last:
+    that holder may be about to leave.
+    """
     plan = []
     movable = [r for r in runners if r.held is not None and r.id not in pending]
+    present = [0] * engine.layers
+    for runner in runners:
+        _count(present, _kept(runner, pending), 1)
     while 0 in copies:
-        spare = [r for r in movable if _is_redundant(copies, held[r.id])]
+        spare = [r for r in movable if _is_redundant(present, held[r.id])]
         if not spare:
             break
         gap = _first_gap(copies)
-        runner = min(spare, key=lambda r: _move_cost(engine, r, config, gap.size))
+        runner = min(
+            spare,
+            key=lambda r: (
+                _singles_after_move(holders, held[r.id]),
+                _move_cost(engine, r, config, gap.size),
+            ),
+        )
         movable.remove(runner)
         size = layers_for(engine, runner, config)
         _count(copies, held[runner.id], -1)
+        _count(present, held[runner.id], -1)
+        _count(holders, held[runner.id], -1)
         layers = _thinnest(copies, size)
         _count(copies, layers, 1)
         held[runner.id] = layers
@@ -142,6 +178,11 @@
     return list(plan.values())
 
 
+def _singles_after_move(holders: list[int], layers: LayerRange) -> int:
+    """Return how many layers would have one holder left if one of theirs moved."""
+    return sum(count <= 2 for count in holders[layers.first : layers.end])
+
+
 def _move_cost(engine, runner: Target, config: LayoutConfig, gap: int):
     """Return a key that is least for the runner to move.
 
--- a/tests/pipelines/test_layout.py
+++ b/tests/pipelines/test_layout.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from heathershunt.pipelines import LayoutConfig, plan_layout
+from heathershunt.discovery import LayerRange
+from heathershunt.pipelines import LayoutConfig, Placement, plan_layout
 from heathershunt.pipelines.layout import layers_for
 
 CONFIG = LayoutConfig()
@@ -72,6 +73,33 @@
     assert min(copies(engine, apply([*whole, spare_small, *last], plan))) >= 1
 
 
+def test_runner_whose_layers_have_three_holders_is_moved_first(engine, runner):
+    # The load: a redundant runner moved in the moment in which the other holder of its
+    # layers began to leave, and nobody held them until they were loaded again.
+    whole = [runner("large", held=(at, at + 20)) for at in (0, 20, 40)]
+    pair = runner("small", held=(0, 8))
+    trio = [runner("small", held=(20, 28)) for _ in range(2)]
+    last = [runner("small", held=(60, 68)), runner("small", held=(74, 80))]
+    plan = plan_layout(engine, [*whole, pair, *trio, *last], CONFIG)
+    assert [item.runner.id in {r.id for r in trio} for item in plan] == [True]
+
+
+def test_copy_that_is_still_loading_makes_no_other_redundant(engine, runner):
+    # Guards against layers that nobody holds while the stand-in loads them.
+    whole = [runner("large", held=(at, at + 20)) for at in (20, 40)]
+    holder = runner("small", held=(0, 20))
+    loading = runner("large")
+    ordered = [Placement(loading, LayerRange(0, 20))]
+    last = [runner("small", held=(60, 68)), runner("small", held=(74, 80))]
+    runners = [*whole, holder, loading, *last]
+    plan = plan_layout(engine, runners, CONFIG, ordered)
+    assert holder.id not in {
+        item.runner.id
+        for item in plan
+        if not item.layers.first <= 0 < 20 <= item.layers.end
+    }
+
+
 def test_gap_without_a_spare_is_closed_by_the_runners_beside_it(engine, runner):
     # Guards against a domain that stays without a chain although its memory suffices.
     left = [runner("small", held=(at, at + 8)) for at in range(0, 40, 8)]
