Give callers of each failure domain their own share of a large fleet

Cause: an answer of the directory lists 64 addresses at most, and it was always the first 64 by text: of 78 VMs 14 got no callers, of 390 VMs 326.

Change: callers get the VMs of their failure domain and, up to 64, others in an order that is the same at every VM and differs between domains.

Before: test_all_vms_of_a_large_fleet_get_callers found 64 VMs in the answers to five domains. After: 320 of 390, and each of 78.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -111,7 +111,7 @@
         )
         own = str(config.listeners.callers)
         ttl_s = min(ANSWER_TTL_S, bounds.directory_ttl_most_s)
-        self.directory = Directory(state.members, own, ttl_s)
+        self.directory = Directory(state.members, own, config.domain, ttl_s)
         self._upstream = Upstream(state.members, config.vm, bounds.watch_wait_ms)
         self.view = StoreView(
             FollowingStore(
@@ -362,5 +362,6 @@
         return await self.mirror.handle(request)
 
     async def _handle_directory(self, request: Request) -> Response:
-        refusal = only_get(request, self._ports.decoder.resolve_path)
-        return refusal or self.directory.answer()
+        decoder = self._ports.decoder
+        refusal = only_get(request, decoder.resolve_path)
+        return refusal or self.directory.answer(decoder.caller_domain(request))
--- a/src/heathershunt/gateway/ports.py
+++ b/src/heathershunt/gateway/ports.py
@@ -31,6 +31,9 @@
     def request(self, request: Request) -> CallerRequest:
         """Decode a caller's request; raise ``ValueError`` if it is malformed."""
 
+    def caller_domain(self, request: Request) -> str:
+        """Return the failure domain of a caller that asks for addresses."""
+
 
 @dataclass(frozen=True)
 class Ports:
--- a/src/heathershunt/platform/decoder.py
+++ b/src/heathershunt/platform/decoder.py
@@ -35,3 +35,7 @@
     def request(self, request: Request) -> CallerRequest:
         """Decode a caller's request; raise ``ValueError`` if it is malformed."""
         return self._exchange.caller_request(request)
+
+    def caller_domain(self, request: Request) -> str:
+        """Return the failure domain of a caller that asks for addresses."""
+        return request.query.get(names.CALLER_DOMAIN, "")
--- a/src/heathershunt/platform/names.py
+++ b/src/heathershunt/platform/names.py
@@ -32,4 +32,6 @@
 ORDER_PATH = "/order"
 READY_PATH = "/ready"
 RESOLVE_PATH = "/resolve"
+# Query parameter of a caller that asks for addresses: its failure domain.
+CALLER_DOMAIN = "zone"
 SETTINGS_VARIABLE = "HEATHERSHUNT_SETTINGS"
