Let VMs tell each other of slow and failed runners

Cause: in a large fleet a VM uses a sixth of the runners at a time. It learned of each slow or dead one from streams of its own that were late already.

Change: the exchange of loads carries notes: slow paces from reports, and runners that failed. A pace is taken from one VM, a failure from two, since one may have lost its own links. Notes replace those before; what was told is not told again. A runner that others found failing gets no new streams, but is not blamed for a pause here without a question.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -52,8 +52,10 @@
     LoadBoard,
     LoadLedger,
     LoadSharing,
+    NoteBook,
     PaceBook,
     Placer,
+    RunnerNote,
 )
 from heathershunt.relay import (
     BudgetConfig,
@@ -100,7 +102,8 @@
         self.is_leaving = False
         self._tasks: list[asyncio.Task] = []
         bounds = config.bounds
-        self.suspects = SuspectList(clock, events.emit)
+        notes = NoteBook(clock, self._own_notes, events.emit)
+        self.suspects = SuspectList(clock, events.emit, notes)
         state = self.state = SiteState(
             ports.decoder,
             clock,
@@ -146,7 +149,7 @@
             events.emit,
         )
         ledger = LoadLedger(clock)
-        paces = PaceBook(clock, events.emit)
+        self._paces = paces = PaceBook(clock, events.emit, notes)
         self.board = LoadBoard(clock, self._upstream.fleet_factor)
         self.sharing = LoadSharing(
             http,
@@ -155,6 +158,7 @@
             config.vm,
             self._upstream.boards,
             self._upstream.fleet_factor,
+            notes,
         )
         budget = BudgetConfig(
             bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
@@ -334,6 +338,10 @@
         if vm == self.config.vm and self.directory.takes_callers:
             self.keeper.publish()
 
+    def _own_notes(self) -> list[RunnerNote]:
+        """Return what this VM tells the others of runners."""
+        return self._paces.notes() + self.suspects.notes()
+
     def _member_value(self) -> tuple[str, bytes] | None:
         if not self.directory.takes_callers:
             return None
--- a/src/heathershunt/logs/events.py
+++ b/src/heathershunt/logs/events.py
@@ -215,6 +215,23 @@
     pace: float
 
 
+@dataclass(frozen=True)
+class NoteTaken(Event):
+    """Other VMs told that a runner is slow or failed.
+
+    :param pace: time of its work relative to what is usual.
+    :param is_failed: whether several of them found it failing.
+    """
+
+    name: ClassVar[str] = "note_taken"
+    sentence: ClassVar[str] = (
+        "other VMs tell of runner {target}: pace {pace}, failed: {is_failed}"
+    )
+    target: str
+    pace: float
+    is_failed: bool
+
+
 @dataclass(frozen=True)
 class LeadershipTaken(Event):
     """The VM may order placements.
--- a/src/heathershunt/pipelines/__init__.py
+++ b/src/heathershunt/pipelines/__init__.py
@@ -4,6 +4,7 @@
 from heathershunt.pipelines.chooser import ChainChooser, Job
 from heathershunt.pipelines.layout import LayoutConfig, Placement, plan_layout
 from heathershunt.pipelines.load import LoadLedger
+from heathershunt.pipelines.notes import NoteBook, RunnerNote
 from heathershunt.pipelines.pace import PaceBook
 from heathershunt.pipelines.placer import Placer, PlacerConfig
 from heathershunt.pipelines.runners import (
@@ -25,6 +26,7 @@
     "LoadBoard",
     "LoadLedger",
     "LoadSharing",
+    "NoteBook",
     "PaceBook",
     "Placement",
     "Placer",
@@ -32,6 +34,7 @@
     "OrderOutcome",
     "OrderReply",
     "RunnerApi",
+    "RunnerNote",
     "RunnerReport",
     "StalledJob",
     "plan_layout",
--- a/src/heathershunt/pipelines/pace.py
+++ b/src/heathershunt/pipelines/pace.py
@@ -5,9 +5,9 @@
 from heathershunt.clock import Clock, Millis
 from heathershunt.logs import Event
 from heathershunt.logs.events import PaceChanged
+from heathershunt.pipelines.notes import USUAL_PACE, NoteBook, RunnerNote
 from heathershunt.pipelines.runners import RunnerReport
 
-USUAL_PACE = 1.0
 # Below this a runner counts as usual; its reports vary a little.
 SLOW_PACE = 1.3
 # What a report told is used for this long.
@@ -18,13 +18,20 @@
     """Paces of slow runners; 1.0 for all others.
 
     :param emit: called when a runner becomes slow, much slower, or usual again.
+    :param others: paces that other VMs told, for runners that this one did not ask.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, clock: Clock, emit: Callable[[Event], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        emit: Callable[[Event], None],
+        others: NoteBook | None = None,
+    ) -> None:
         self._clock = clock
         self._emit = emit
+        self._others = others
         self._told_by_id: dict[str, tuple[Millis, float]] = {}
 
     def note(self, runner_id: str, report: RunnerReport) -> None:
@@ -48,9 +55,16 @@
     def pace(self, runner_id: str) -> float:
         """Return the time of a runner's work relative to what is usual."""
         told = self._told_by_id.get(runner_id)
-        if told is None or self._clock.now() - told[0] > FRESH_MS:
-            return USUAL_PACE
-        return told[1]
+        if told is not None and self._clock.now() - told[0] <= FRESH_MS:
+            return told[1]
+        return USUAL_PACE if self._others is None else self._others.pace(runner_id)
+
+    def notes(self) -> list[RunnerNote]:
+        """Return the slow runners that this VM has asked itself."""
+        return [
+            RunnerNote(runner_id, pace=self._told_by_id[runner_id][1])
+            for runner_id in self.slow()
+        ]
 
     def slow(self) -> list[str]:
         """Return the ids of the runners that were slow lately."""
--- a/src/heathershunt/pipelines/sharing.py
+++ b/src/heathershunt/pipelines/sharing.py
@@ -1,4 +1,4 @@
-"""How VMs tell each other their load: one of them adds it up for all.
+"""How VMs tell each other their load and notes: one of them collects them for all.
 
 Every VM sends its own load to the same VM and gets back the sum of the others. Messages
 grow with the number of VMs, not with its square.
@@ -15,6 +15,7 @@
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import Address, HttpClient, Request, Response
 from heathershunt.pipelines.load import LoadLedger, RunnerLoad
+from heathershunt.pipelines.notes import NoteBook, RunnerNote, merge_notes
 
 log = logbook.Logger("heathershunt.pipelines")
 
@@ -36,8 +37,15 @@
     kv: float
 
 
+class _Told(msgspec.Struct, array_like=True):
+    """What a VM tells, and what it is told of the others."""
+
+    rows: list[_Row]
+    notes: list[RunnerNote]
+
+
 class LoadBoard:
-    """Adds up the loads that VMs send.
+    """Adds up the loads that VMs send, and collects their notes.
 
     :param fleet_factor: see :class:`LoadSharing`.
 
@@ -47,37 +55,41 @@
     def __init__(self, clock: Clock, fleet_factor: Callable[[], float]) -> None:
         self._clock = clock
         self._fleet_factor = fleet_factor
-        self._rows_by_vm: dict[str, tuple[Millis, list[_Row]]] = {}
+        self._told_by_vm: dict[str, tuple[Millis, _Told]] = {}
 
-    def put(self, vm: str, rows: list[_Row]) -> None:
-        """Take the newest load of a VM."""
-        self._rows_by_vm[vm] = (self._clock.now(), rows)
+    def put(self, vm: str, told: _Told) -> None:
+        """Take the newest load and notes of a VM."""
+        self._told_by_vm[vm] = (self._clock.now(), told)
 
-    def others(self, vm: str) -> dict[str, RunnerLoad]:
-        """Return the load of all VMs but one."""
+    def others(self, vm: str) -> _Told:
+        """Return the load of all VMs but one, and what they found out."""
         limit = self._clock.now() - KEPT_PERIODS * _period_ms(self._fleet_factor())
         total: dict[str, RunnerLoad] = {}
-        for name, (told_at, rows) in list(self._rows_by_vm.items()):
+        notes = []
+        for name, (told_at, told) in list(self._told_by_vm.items()):
             if told_at < limit:
-                del self._rows_by_vm[name]
+                del self._told_by_vm[name]
             elif name != vm:
-                _add(total, rows)
-        return total
+                _add(total, told.rows)
+                notes.append(told.notes)
+        return _Told(_rows(total), merge_notes(notes))
 
     async def handle(self, request: Request) -> Response:
         """Answer a VM that sends its load."""
         vm = request.path.removeprefix(LOAD_PATH)
         try:
-            rows = msgspec.msgpack.decode(request.body, type=list[_Row])
+            told = msgspec.msgpack.decode(request.body, type=_Told)
         except ValueError as error:
             log.warning("malformed load of {!r}: {}", vm, error)
             return Response(400)
-        self.put(vm, rows)
-        return Response(200, {}, msgspec.msgpack.encode(_rows(self.others(vm))))
+        self.put(vm, told)
+        return Response(200, {}, msgspec.msgpack.encode(self.others(vm)))
 
 
 class LoadSharing:
-    """Sends the load of this VM and takes that of the others.
+    """Sends the load and the notes of this VM and takes those of the others.
+
+    :param notes: of this VM; takes those of the others.
 
     :param boards: called for the VMs that add up, the first one to be used if it works;
         ``None`` stands for this VM itself.
@@ -95,8 +107,10 @@
         vm: str,
         boards: Callable[[], Sequence[Address | None]],
         fleet_factor: Callable[[], float],
+        notes: NoteBook,
     ) -> None:
         self._http = http
+        self._notes = notes
         self._ledger = ledger
         self._board = board
         self._vm = vm
@@ -112,32 +126,33 @@
 
     async def exchange(self) -> bool:
         """Exchange loads once; return whether that worked."""
-        rows = _rows(self._ledger.own())
-        self._board.put(self._vm, rows)
+        told = _Told(_rows(self._ledger.own()), self._notes.own())
+        self._board.put(self._vm, told)
         for address in self._boards():
             if address is None:
                 self._take(self._board.others(self._vm))
                 return True
-            others = await self._send(address, rows)
+            others = await self._send(address, told)
             if others is not None:
                 self._take(others)
                 return True
         return False
 
-    def _take(self, others: dict[str, RunnerLoad]) -> None:
+    def _take(self, others: _Told) -> None:
+        loads: dict[str, RunnerLoad] = {}
+        _add(loads, others.rows)
         factor = self._fleet_factor()
         if factor > 1:
-            others = {name: load.times(factor) for name, load in others.items()}
-        self._ledger.set_others(others)
+            loads = {name: load.times(factor) for name, load in loads.items()}
+        self._ledger.set_others(loads)
+        self._notes.set_others(others.notes)
 
-    async def _send(
-        self, address: Address, rows: list[_Row]
-    ) -> dict[str, RunnerLoad] | None:
+    async def _send(self, address: Address, told: _Told) -> _Told | None:
         outcome = await self._http.exchange(
             address,
             "POST",
             LOAD_PATH + self._vm,
-            body=msgspec.msgpack.encode(rows),
+            body=msgspec.msgpack.encode(told),
             timeout_ms=TIMEOUT_MS,
             limit=MAX_REPLY_BYTES,
         )
@@ -149,9 +164,7 @@
             log.warning("no load from {}: status {}", address, status)
             return None
         try:
-            total: dict[str, RunnerLoad] = {}
-            _add(total, msgspec.msgpack.decode(raw, type=list[_Row]))
-            return total
+            return msgspec.msgpack.decode(raw, type=_Told)
         except ValueError as error:
             log.warning("malformed load from {}: {}", address, error)
             return None
--- a/src/heathershunt/relay/suspects.py
+++ b/src/heathershunt/relay/suspects.py
@@ -7,6 +7,7 @@
 from heathershunt.discovery import Target
 from heathershunt.logs import Event
 from heathershunt.logs.events import TargetEjected, TargetReadmitted
+from heathershunt.pipelines import NoteBook, RunnerNote
 
 BASE_MS = 2000
 MOST_MS = 16_000
@@ -31,13 +32,20 @@
     a success.
 
     :param emit: called when a target is ejected or readmitted.
+    :param others: runners that other VMs found failing; they are avoided too.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, clock: Clock, emit: Callable[[Event], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        emit: Callable[[Event], None],
+        others: NoteBook | None = None,
+    ) -> None:
         self._clock = clock
         self._emit = emit
+        self._others = others
         self._by_id: dict[str, _Record] = {}
         self._timeouts_by_id: dict[str, int] = {}
         self._paused_until: dict[str, Millis] = {}
@@ -79,7 +87,19 @@
 
     def is_suspect(self, target: Target) -> bool:
         """Return whether a target is to be avoided now."""
-        return self.is_paused(target) or self.is_blamed(target)
+        if self.is_paused(target) or self.is_blamed(target):
+            return True
+        others = self._others
+        return others is not None and others.is_failed(target.id, target.born)
+
+    def notes(self) -> list[RunnerNote]:
+        """Return the targets that this VM has found failing itself."""
+        now = self._clock.now()
+        return [
+            RunnerNote(target_id, record.born, is_failed=True)
+            for target_id, record in self._by_id.items()
+            if now < record.until
+        ]
 
     def is_paused(self, target: Target) -> bool:
         """Return whether a target is avoided without having been blamed."""
--- a/tests/pipelines/test_sharing.py
+++ b/tests/pipelines/test_sharing.py
@@ -14,9 +14,12 @@
     LoadBoard,
     LoadLedger,
     LoadSharing,
+    NoteBook,
     PaceBook,
+    RunnerNote,
 )
 from heathershunt.pipelines.load import FRESH_MS
+from heathershunt.pipelines.notes import NOTES_FRESH_MS
 from heathershunt.pipelines.sharing import KEPT_PERIODS, PERIOD_MS
 
 JOB = Job(760, 167)
@@ -31,6 +34,11 @@
         self.ledgers = [LoadLedger(self.clock) for _ in range(size)]
         self.boards = [LoadBoard(self.clock, self.fleet_factor) for _ in range(size)]
         self.servers = [HttpServer(board.handle) for board in self.boards]
+        self.notes = [[] for _ in range(size)]
+        self.books = [
+            NoteBook(self.clock, lambda number=number: self.notes[number], print)
+            for number in range(size)
+        ]
         self.factor = 1.0
         self.addresses = []
         self.sharings = []
@@ -47,6 +55,7 @@
                 f"vm-{number}",
                 lambda number=number: self.boards_of(number),
                 self.fleet_factor,
+                self.books[number],
             )
             self.sharings.append(sharing)
 
@@ -130,8 +139,9 @@
 async def test_idle_vm_does_not_send_work_where_a_busy_one_has_filled_up(
     fleet, engine, runner
 ):
-    # A VM that has just started knows nothing of its own that fills the fast chain.
+    # An idle VM has nothing of its own that fills the fast chain.
     engine = replace(engine, layer_mb=100)
+    await fleet.exchange()
     fast, slow = runner("large", "a", (0, 80)), runner("small", "b", (0, 80))
     fresh = ChainChooser(fleet.ledgers[3], PaceBook(fleet.clock, print))
     assert fresh.choose(engine, [fast, slow], JOB, 4).head == fast
@@ -140,3 +150,37 @@
     await fleet.exchange()
     chooser = ChainChooser(fleet.ledgers[3], PaceBook(fleet.clock, print))
     assert chooser.choose(engine, [fast, slow], JOB, 4).head.id == slow.id
+
+
+async def test_slow_runner_is_known_to_vms_that_did_not_use_it(fleet, runner):
+    # The load: 78 VMs before 216 runners, some of them slow. Each VM learned of each
+    # slow runner from late streams of its own.
+    item = runner(held=(0, 80))
+    fleet.notes[2] = [RunnerNote(item.id, pace=5.0)]
+    await fleet.exchange()
+    assert [book.pace(item.id) for book in fleet.books] == [5.0, 5.0, 1.0, 5.0]
+    fleet.notes[2] = []
+    await fleet.exchange()
+    assert {book.pace(item.id) for book in fleet.books} == {1.0}
+
+
+async def test_failure_that_two_vms_found_is_known_to_all(fleet):
+    failed = RunnerNote("r1", 7, is_failed=True)
+    fleet.notes[0] = fleet.notes[1] = [failed]
+    await fleet.exchange()
+    assert fleet.books[3].is_failed("r1", 7)
+    assert not fleet.books[3].is_failed("r1", 8), "another start of the runner"
+
+
+async def test_failure_that_one_vm_found_is_its_own_affair(fleet):
+    # Guards the fleet against a VM that lost its links and takes all runners for dead.
+    fleet.notes[0] = [RunnerNote("r1", 7, is_failed=True)]
+    await fleet.exchange()
+    assert not any(book.is_failed("r1", 7) for book in fleet.books)
+
+
+async def test_notes_are_forgotten_when_nobody_tells_them_any_more(fleet):
+    fleet.notes[0] = [RunnerNote("r1", pace=5.0)]
+    await fleet.exchange()
+    fleet.clock.advance(NOTES_FRESH_MS + 1)
+    assert fleet.books[3].pace("r1") == 1.0
--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -3,6 +3,7 @@
 from heathershunt.discovery import Target
 from heathershunt.http import Address
 from heathershunt.logs.events import TargetEjected, TargetReadmitted
+from heathershunt.pipelines import NoteBook, RunnerNote
 from heathershunt.relay import SuspectList
 from heathershunt.relay.suspects import BASE_MS, MOST_MS, TIMEOUTS_IN_A_ROW
 
@@ -68,3 +69,21 @@
     suspects.clear(target())
     suspects.clear(target())
     assert emitted == [TargetEjected("t1", 1, BASE_MS), TargetReadmitted("t1")]
+
+
+def test_runner_that_other_vms_found_failing_is_avoided_but_not_blamed(clock):
+    # A pause of a stream through it is still examined here.
+    others = NoteBook(clock, list, print)
+    others.set_others([RunnerNote("t1", 1, is_failed=True)])
+    suspects = SuspectList(clock, print, others)
+    assert suspects.is_suspect(target(born=1))
+    assert not suspects.is_blamed(target(born=1))
+    assert not suspects.is_suspect(target(born=2))
+    assert suspects.notes() == []
+
+
+def test_only_own_findings_are_told(suspects, clock):
+    suspects.blame(target())
+    assert suspects.notes() == [RunnerNote("t1", 1, is_failed=True)]
+    clock.advance(BASE_MS)
+    assert suspects.notes() == []
