--- a/src/heathershunt/http/__init__.py
+++ b/src/heathershunt/http/__init__.py
@@ -1,11 +1,7 @@
 """HTTP/1.1 server and client on h11."""
 
-from heathershunt.http.client import (
-    Address,
-    ClientResponse,
-    HttpClient,
-    TransportError,
-)
+from heathershunt.http.addresses import Address
+from heathershunt.http.client import ClientResponse, HttpClient, TransportError
 from heathershunt.http.connection import HttpLimits
 from heathershunt.http.messages import (
     Request,
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -7,7 +7,8 @@
 import pytest
 
 from heathershunt.http import Address, HttpClient
-from heathershunt.http.client import MAX_BODY_BYTES, MAX_INTERIM_ANSWERS
+from heathershunt.http.client import MAX_BODY_BYTES
+from heathershunt.http.client_connection import MAX_INTERIM_ANSWERS
 from heathershunt.verdict import Progress
 
 FLOOD_PIECE = b"x" * 65_536
--- a/tests/tls/test_contexts.py
+++ b/tests/tls/test_contexts.py
@@ -7,7 +7,7 @@
 import pytest
 
 from heathershunt.http import HttpClient, HttpServer, StreamResponse
-from heathershunt.http.client import Address
+from heathershunt.http.addresses import Address
 from heathershunt.settings import TlsSettings
 from heathershunt.tls import TlsContexts, TlsError
 from standins.certificates import Authority
--- a/tests/tls/test_daemon.py
+++ b/tests/tls/test_daemon.py
@@ -7,7 +7,7 @@
 import pytest
 
 from heathershunt.http import HttpClient
-from heathershunt.http.client import Address
+from heathershunt.http.addresses import Address
 from standins.bundles import token_sha256
 from standins.ports import free_port
 
