--- /dev/null
+++ b/src/heathershunt/relay/reading.py
@@ -0,0 +1,82 @@
+"""Reading the events of a run, and what is done while none come."""
+
+import asyncio
+
+from heathershunt.clock import Clock, Millis
+from heathershunt.relay.events import StreamEvent
+from heathershunt.relay.pauses import PauseWatch
+from heathershunt.relay.progress import StreamProgress
+from heathershunt.relay.repair import ChainRepair
+from heathershunt.relay.runs import Run, StreamBrokenError
+
+
+class RunReader:
+    """Reads the runs of one stream, and leads them round runners at fault.
+
+    :param deadline: time limit of the stream.
+
+    .. versionadded:: 0.4
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        deadline: Millis,
+        pauses: PauseWatch,
+        repair: ChainRepair,
+        progress: StreamProgress,
+    ) -> None:
+        self._clock = clock
+        self._deadline = deadline
+        self._pauses = pauses
+        self._repair = repair
+        self._progress = progress
+
+    async def next_events(
+        self, run: Run, patience_ms: float
+    ) -> list[StreamEvent] | None:
+        """Return the next complete events; ``None`` at the end of the stream.
+
+        A pause lasts until an event is complete, whatever other bytes arrive.
+
+        :param patience_ms: pause after which the chain is examined first.
+        :raises TimeoutError: if the chain is to be left although no runner is at fault.
+        :raises ConnectionError: if the run broke off, or a runner of it is at fault.
+        """
+        now = self._clock.now
+        look_at = now() + patience_ms
+        while True:
+            try:
+                data = await self._read_until(run, look_at)
+            except TimeoutError:
+                look_at = now() + await self._look_into_pause(run)
+                continue
+            events = run.next_events(data)
+            if events or events is None:
+                return events
+
+    async def _look_into_pause(self, run: Run) -> float:
+        """Find the runner at fault for a pause and go round it.
+
+        :return: time until the next look, if the chain is kept.
+        """
+        faulty = await self._pauses.examine(run.chain)
+        if faulty is not None and await self._repair.replace(run, faulty):
+            # The new chain may have a dead runner too.
+            return self._pauses.first_look_ms()
+        paused_ms = self._progress.paused_ms
+        detail = self._pauses.reason_to_leave(run.chain, faulty, paused_ms)
+        if detail is not None:
+            # A chain that is only slow is no reason to look for a dead runner.
+            error = StreamBrokenError if faulty is not None else TimeoutError
+            raise error(detail)
+        return self._pauses.next_look_ms(paused_ms)
+
+    async def _read_until(self, run: Run, look_at: float) -> bytes | None:
+        """Read bytes; raise ``TimeoutError`` if none are there by ``look_at``."""
+        now = self._clock.now()
+        if now >= self._deadline:
+            raise StreamBrokenError("the time limit has passed")
+        left_ms = max(0, min(look_at, self._deadline) - now)
+        async with asyncio.timeout(left_ms / 1000):
+            return await run.response.read_some()
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -33,6 +33,7 @@
 from heathershunt.relay.parts import RelayParts
 from heathershunt.relay.pauses import PauseWatch
 from heathershunt.relay.progress import StreamProgress
+from heathershunt.relay.reading import RunReader
 from heathershunt.relay.repair import ChainRepair
 from heathershunt.relay.room import RoomGate
 from heathershunt.relay.runs import Run, StreamBrokenError, abandon
@@ -72,6 +73,9 @@
         )
         self._repair = ChainRepair(parts, spec, self._selection)
         self._pauses = PauseWatch(parts, spec, self._attempts, self._progress)
+        self._reader = RunReader(
+            parts.clock, spec.deadline, self._pauses, self._repair, self._progress
+        )
         self._run: Run | None = None
         self._may_have_run = False
         self._refusal_detail = "no chain of runners holds all layers"
@@ -248,7 +252,7 @@
     async def _first_events(self) -> list[StreamEvent] | None:
         """Return the first events of the run, ``None`` if it gave none."""
         try:
-            events = await self._next_events(self._patience.first_ms)
+            events = await self._reader.next_events(self._run, self._patience.first_ms)
         except READ_ERRORS as error:
             await self._on_break(error)
             return None
@@ -314,7 +318,9 @@
     async def _next_or_resumed(self) -> list[StreamEvent] | None:
         """Return the next events, from another run if need be; ``None`` at the end."""
         try:
-            return await self._next_events(self._pauses.first_look_ms())
+            return await self._reader.next_events(
+                self._run, self._pauses.first_look_ms()
+            )
         except READ_ERRORS as error:
             cause = error
         while True:
@@ -330,54 +336,12 @@
             event = StreamResumed(self._request.id, self._progress.last_id)
             self._parts.events.emit(event)
             try:
-                return await self._next_events(self._patience.first_ms)
+                return await self._reader.next_events(
+                    self._run, self._patience.first_ms
+                )
             except READ_ERRORS as error:
                 cause = error
 
-    async def _next_events(self, patience_ms: float) -> list[StreamEvent] | None:
-        """Return the next complete events; ``None`` at the end of the stream.
-
-        A pause lasts until an event is complete, whatever other bytes arrive.
-        """
-        run = self._run
-        now = self._parts.clock.now
-        look_at = now() + patience_ms
-        while True:
-            try:
-                data = await self._read_until(run, look_at)
-            except TimeoutError:
-                look_at = now() + await self._look_into_pause(run)
-                continue
-            events = run.next_events(data)
-            if events or events is None:
-                return events
-
-    async def _look_into_pause(self, run: Run) -> float:
-        """Find the runner at fault for a pause and go round it.
-
-        :return: time until the next look, if the chain is kept.
-        """
-        faulty = await self._pauses.examine(run.chain)
-        if faulty is not None and await self._repair.replace(run, faulty):
-            # The new chain may have a dead runner too.
-            return self._pauses.first_look_ms()
-        paused_ms = self._progress.paused_ms
-        detail = self._pauses.reason_to_leave(run.chain, faulty, paused_ms)
-        if detail is not None:
-            # A chain that is only slow is no reason to look for a dead runner.
-            error = StreamBrokenError if faulty is not None else TimeoutError
-            raise error(detail)
-        return self._pauses.next_look_ms(paused_ms)
-
-    async def _read_until(self, run: Run, look_at: float) -> bytes | None:
-        """Read bytes; raise ``TimeoutError`` if none are there by ``look_at``."""
-        now = self._parts.clock.now()
-        if now >= self._spec.deadline:
-            raise StreamBrokenError("the time limit has passed")
-        left_ms = max(0, min(look_at, self._spec.deadline) - now)
-        async with asyncio.timeout(left_ms / 1000):
-            return await run.response.read_some()
-
     async def _on_break(self, error: BaseException) -> None:
         """Take note of a run that ended early."""
         run = self._run
