--- a/src/heathershunt/logs/request_events.py
+++ b/src/heathershunt/logs/request_events.py
@@ -145,12 +145,16 @@
     """A runner of a running chain was replaced.
 
     :param target: runner that was at fault.
+    :param added: runners that were not in the chain before.
+    :param domains: failure domains of the new chain.
     """
 
     name: ClassVar[str] = "chain_replaced"
-    sentence: ClassVar[str] = "{target} was replaced in the running chain"
+    sentence: ClassVar[str] = "{target} was replaced by {added} in the running chain"
     target: str
     outcome: str
+    added: tuple[str, ...]
+    domains: tuple[str, ...]
 
 
 @dataclass(frozen=True)
--- a/src/heathershunt/relay/repair.py
+++ b/src/heathershunt/relay/repair.py
@@ -60,9 +60,11 @@
             parts.ledger.remove(chain, run.tokens)
             raise
         is_done = reply.outcome in (OrderOutcome.BEGUN, OrderOutcome.DONE)
-        event_type = ChainReplaced if is_done else ChainNotReplaced
-        parts.events.emit(event_type(request, faulty.id, reply.outcome.value))
-        if is_done:
+        if not is_done:
+            event = ChainNotReplaced(request, faulty.id, reply.outcome.value)
+            parts.events.emit(event)
+        else:
+            parts.events.emit(_replaced(request, faulty, reply.outcome, run, chain))
             parts.ledger.remove(run.chain, run.tokens)
             run.chain = chain
             self.count += 1
@@ -72,3 +74,17 @@
         if refusing is not None:
             parts.diagnosis.note_rejection(refusing)
         return refusing
+
+
+def _replaced(
+    request: str, faulty: Target, outcome: OrderOutcome, run: Run, chain: Chain
+) -> ChainReplaced:
+    before = {part.runner.id for part in run.chain.parts}
+    after = [part.runner for part in chain.parts]
+    return ChainReplaced(
+        request,
+        faulty.id,
+        outcome.value,
+        added=tuple(runner.id for runner in after if runner.id not in before),
+        domains=tuple(sorted({runner.domain for runner in after})),
+    )
