--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 
 from soak.callers import Callers, broken_promises
 from soak.faults import FaultPlan
-from soak.seeds import chosen
+from soak.seeds import MISBEHAVING_FROM_SEED, chosen
 from soak.site import SoakSite
 
 START_SECONDS = 10.0
@@ -27,7 +27,11 @@
     site = SoakSite(seed)
     await site.start()
     callers = Callers(site, random.Random(f"{seed}-callers"))
-    plan = FaultPlan(site, random.Random(f"{seed}-faults"))
+    plan = FaultPlan(
+        site,
+        random.Random(f"{seed}-faults"),
+        misbehaves=seed >= MISBEHAVING_FROM_SEED,
+    )
     try:
         found = await _until_served(callers, START_SECONDS)
         calling = asyncio.create_task(callers.run())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,24 +3,34 @@
 import asyncio
 import random
 
+from heathershunt.http import Response
 from soak.site import RESTART_SECONDS, SoakSite, configuration
 from standins.proxy import Faults
 
 LEAST_PAUSE_SECONDS = 0.1
 MOST_PAUSE_SECONDS = 0.8
 MOST_FAULT_SECONDS = 2.5
+# What a stalled stream sends now and then: a comment, and a part of an event.
+TRICKLES = (b": still here\n\n", b"d")
+STALLS_AFTER_EVENTS = 5
+# More than the router reads of one answer.
+FLOOD_BYTES = 6_000_000
 
 
 class FaultPlan:
     """Injects faults until told to stop; then repairs what is left.
 
+    :param misbehaves: whether targets also send what is no answer.
     :ivar removed_at: loop time at which each key was removed.
     :ivar told: what was done, for the report of a failure.
     """
 
-    def __init__(self, site: SoakSite, draw: random.Random) -> None:
+    def __init__(
+        self, site: SoakSite, draw: random.Random, *, misbehaves: bool = False
+    ) -> None:
         self._site = site
         self._draw = draw
+        self._misbehaves = misbehaves
         self._busy: set[str] = set()
         self._running: set[asyncio.Task] = set()
         self.removed_at: dict[str, float] = {}
@@ -44,6 +54,8 @@
             self._remove_key,
             self._forget_history,
         )
+        if self._misbehaves:
+            kinds += (self._stall, self._flood)
         while loop.time() < until:
             fault = self._draw.choice(kinds)
             task = asyncio.create_task(fault())
@@ -153,6 +165,33 @@
         target.register()
         self._busy.discard(name)
 
+    async def _stall(self) -> None:
+        name = self._take(self._targets_of("engine"))
+        if name is None:
+            return
+        target = self._site.targets[name]
+        target.trickle = self._draw.choice(TRICKLES)
+        target.stalls_after = STALLS_AFTER_EVENTS
+        self._tell(f"streams of {name} stall and send {target.trickle!r}")
+        await self._last()
+        target.stalls_after = None
+        self._busy.discard(name)
+
+    async def _flood(self) -> None:
+        name = self._take(self._targets_of("desk"))
+        if name is None:
+            return
+        target = self._site.targets[name]
+        self._tell(f"answers of {name} are too long")
+        target.answer = lambda request: Response(200, {}, bytes(FLOOD_BYTES))
+        await self._last()
+        target.answer = None
+        self._busy.discard(name)
+
+    def _targets_of(self, service: str) -> list[str]:
+        targets = self._site.targets.items()
+        return [name for name, target in targets if target.service == service]
+
     async def _remove_key(self) -> None:
         site = self._site
         if len(site.keys) < 2:
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -6,6 +6,8 @@
 DEFAULT_SECONDS = 8.0
 FRESH_SEEDS = 10
 FRESH_BITS = 32
+# Earlier seeds keep the faults that they always drew.
+MISBEHAVING_FROM_SEED = 51
 # Seeds that failed once, each with the cause; their order of faults is not the same in
 # every run, as processes take their own time.
 CAUSE_BY_SEED = {
