Give up the shared use of the retry budget

A failed try.

Cause: a stream that is rejected while memory is short is sent again and rejected again, and takes room for tries from others. Refused at once with Retry-After, its caller comes back to another VM half a second later and is served.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -151,10 +151,6 @@
         ledger = LoadLedger(clock)
         self._paces = paces = PaceBook(clock, events.emit, notes)
         self.board = LoadBoard(clock, self._upstream.fleet_factor)
-        limits = BudgetConfig(
-            bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
-        )
-        budget = WindowBudget(clock, limits)
         self.sharing = LoadSharing(
             http,
             ledger,
@@ -163,7 +159,9 @@
             self._upstream.boards,
             self._upstream.fleet_factor,
             notes,
-            budget,
+        )
+        budget = BudgetConfig(
+            bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
         )
         self.parts = RelayParts(
             clock=clock,
@@ -171,7 +169,7 @@
             wire=ports.wire,
             registry=state.registry,
             suspects=self.suspects,
-            budget=budget,
+            budget=WindowBudget(clock, budget),
             ledger=ledger,
             chooser=ChainChooser(ledger, paces),
             runners=ports.runners,
--- a/src/heathershunt/pipelines/__init__.py
+++ b/src/heathershunt/pipelines/__init__.py
@@ -4,7 +4,7 @@
 from heathershunt.pipelines.chooser import ChainChooser, Job
 from heathershunt.pipelines.layout import LayoutConfig, Placement, plan_layout
 from heathershunt.pipelines.load import LoadLedger
-from heathershunt.pipelines.notes import NoteBook, RunnerNote, ServiceUsage
+from heathershunt.pipelines.notes import NoteBook, RunnerNote
 from heathershunt.pipelines.pace import PaceBook
 from heathershunt.pipelines.placer import Placer, PlacerConfig
 from heathershunt.pipelines.runners import (
@@ -36,7 +36,6 @@
     "RunnerApi",
     "RunnerNote",
     "RunnerReport",
-    "ServiceUsage",
     "StalledJob",
     "plan_layout",
 ]
--- a/src/heathershunt/pipelines/notes.py
+++ b/src/heathershunt/pipelines/notes.py
@@ -1,4 +1,4 @@
-"""What VMs tell each other of runners that are slow or failed, and of repeats.
+"""What VMs tell each other of runners that are slow or have failed.
 
 In a large fleet a VM uses few of the runners at a time, so it would learn of each one
 from streams of its own that are late already.
@@ -6,7 +6,6 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
-from typing import Protocol
 
 import msgspec
 
@@ -37,34 +36,6 @@
     is_failed: bool = False
 
 
-class ServiceUsage(msgspec.Struct, array_like=True, frozen=True):
-    """Requests for a service and their repeats in the window of the retry budget.
-
-    .. versionadded:: 0.4
-    """
-
-    service: str
-    requests: float = 0.0
-    repeats: float = 0.0
-
-    def times(self, factor: float) -> "ServiceUsage":
-        """Return a multiple of this usage."""
-        return ServiceUsage(self.service, self.requests * factor, self.repeats * factor)
-
-
-class UsageBook(Protocol):
-    """Keeps what a VM has used of a budget that all share, and what the others have.
-
-    .. versionadded:: 0.4
-    """
-
-    def own_usage(self) -> list[ServiceUsage]:
-        """Return what this VM has used."""
-
-    def set_others_usage(self, usages: Iterable[ServiceUsage]) -> None:
-        """Take what all other VMs have used."""
-
-
 class NoteBook:
     """Notes of this VM for the others, and theirs for this one.
 
@@ -139,14 +110,3 @@
         if count >= FAILURE_QUORUM
     ]
     return merged
-
-
-def add_usages(usages_by_vm: Iterable[Sequence[ServiceUsage]]) -> list[ServiceUsage]:
-    """Return what several VMs have used, by service."""
-    requests: Counter[str] = Counter()
-    repeats: Counter[str] = Counter()
-    for usages in usages_by_vm:
-        for usage in usages:
-            requests[usage.service] += usage.requests
-            repeats[usage.service] += usage.repeats
-    return [ServiceUsage(name, requests[name], repeats[name]) for name in requests]
--- a/src/heathershunt/pipelines/sharing.py
+++ b/src/heathershunt/pipelines/sharing.py
@@ -15,14 +15,7 @@
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import Address, HttpClient, Request, Response
 from heathershunt.pipelines.load import LoadLedger, RunnerLoad
-from heathershunt.pipelines.notes import (
-    NoteBook,
-    RunnerNote,
-    ServiceUsage,
-    UsageBook,
-    add_usages,
-    merge_notes,
-)
+from heathershunt.pipelines.notes import NoteBook, RunnerNote, merge_notes
 
 log = logbook.Logger("heathershunt.pipelines")
 
@@ -49,7 +42,6 @@
 
     rows: list[_Row]
     notes: list[RunnerNote]
-    usages: list[ServiceUsage]
 
 
 class LoadBoard:
@@ -73,15 +65,14 @@
         """Return the load of all VMs but one, and what they found out."""
         limit = self._clock.now() - KEPT_PERIODS * _period_ms(self._fleet_factor())
         total: dict[str, RunnerLoad] = {}
-        notes, usages = [], []
+        notes = []
         for name, (told_at, told) in list(self._told_by_vm.items()):
             if told_at < limit:
                 del self._told_by_vm[name]
             elif name != vm:
                 _add(total, told.rows)
                 notes.append(told.notes)
-                usages.append(told.usages)
-        return _Told(_rows(total), merge_notes(notes), add_usages(usages))
+        return _Told(_rows(total), merge_notes(notes))
 
     async def handle(self, request: Request) -> Response:
         """Answer a VM that sends its load."""
@@ -99,7 +90,6 @@
     """Sends the load and the notes of this VM and takes those of the others.
 
     :param notes: of this VM; takes those of the others.
-    :param usages: the same for the retry budget.
 
     :param boards: called for the VMs that add up, the first one to be used if it works;
         ``None`` stands for this VM itself.
@@ -118,11 +108,9 @@
         boards: Callable[[], Sequence[Address | None]],
         fleet_factor: Callable[[], float],
         notes: NoteBook,
-        usages: UsageBook,
     ) -> None:
         self._http = http
         self._notes = notes
-        self._usages = usages
         self._ledger = ledger
         self._board = board
         self._vm = vm
@@ -138,8 +126,7 @@
 
     async def exchange(self) -> bool:
         """Exchange loads once; return whether that worked."""
-        rows = _rows(self._ledger.own())
-        told = _Told(rows, self._notes.own(), self._usages.own_usage())
+        told = _Told(_rows(self._ledger.own()), self._notes.own())
         self._board.put(self._vm, told)
         for address in self._boards():
             if address is None:
@@ -159,7 +146,6 @@
             loads = {name: load.times(factor) for name, load in loads.items()}
         self._ledger.set_others(loads)
         self._notes.set_others(others.notes)
-        self._usages.set_others_usage(usage.times(factor) for usage in others.usages)
 
     async def _send(self, address: Address, told: _Told) -> _Told | None:
         outcome = await self._http.exchange(
