--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -26,8 +26,8 @@
 MIN_FREE_KV_PART = 0.05
 # Most by which the cost of a runner that stands in for a dead one is raised by chance.
 STAND_IN_SPREAD = 1.5
-# VMs from which on a chain is looked for in some domains first, drawn for each request:
-# that many VMs, told the same loads, would all choose the same domain until they are told
+# VMs from which on a chain is looked for in some domains first, drawn for each request.
+# So many VMs, told the same loads, would all choose the same domain until they are told
 # again. A small fleet sends few requests between two exchanges of loads.
 LARGE_FLEET_VMS = 16
 DOMAINS_TRIED = 2
