Send a stream anew where the stand-ins for a dead runner are in another domain

Ruled out: a dead runner in the new chain (asked four times, none found), the reading at the stand-in (about 100 ms for 18 streams).

Change: where the new chain would span more domains than before, a domain holds all layers with room, and the route allows another first runner, the stream is sent anew. Its repeat is taken at that moment, so that streams that decide together do not leave without one.

Two gateway tests get a second holder in each domain, so that they test replacement as before; a new one tests the new way.

--- a/src/heathershunt/pipelines/chain.py
+++ b/src/heathershunt/pipelines/chain.py
@@ -56,6 +56,11 @@
         """Return the runner that the request is sent to."""
         return self.parts[0].runner
 
+    @property
+    def domains(self) -> frozenset[str]:
+        """Return the failure domains of the runners."""
+        return frozenset(part.runner.domain for part in self.parts)
+
     def covers(self, layers: int) -> bool:
         """Return whether all ``layers`` are there, once and in order."""
         at = 0
--- a/src/heathershunt/relay/attempts.py
+++ b/src/heathershunt/relay/attempts.py
@@ -21,6 +21,16 @@
         self.sends = 0
         self.arrivals = 0
         self.avoided: set[str] = set()
+        self._has_reserved_repeat = False
+
+    def reserve_repeat(self) -> None:
+        """Note that the next send has its repeat taken from the budget already."""
+        self._has_reserved_repeat = True
+
+    def use_reserved_repeat(self) -> bool:
+        """Return whether a repeat was reserved, and use it."""
+        is_reserved, self._has_reserved_repeat = self._has_reserved_repeat, False
+        return is_reserved
 
     def has_head(self, runner: Target) -> bool:
         """Return whether the request went to this runner before."""
--- a/src/heathershunt/relay/repair.py
+++ b/src/heathershunt/relay/repair.py
@@ -3,7 +3,9 @@
 from heathershunt.discovery import Target
 from heathershunt.logs.request_events import ChainNotReplaced, ChainReplaced
 from heathershunt.pipelines import Chain, OrderOutcome
+from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.parts import RelayParts
+from heathershunt.relay.progress import StreamProgress
 from heathershunt.relay.runs import Run
 from heathershunt.relay.selection import ChainSelection
 from heathershunt.relay.spec import StreamSpec
@@ -24,11 +26,18 @@
     """
 
     def __init__(
-        self, parts: RelayParts, spec: StreamSpec, selection: ChainSelection
+        self,
+        parts: RelayParts,
+        spec: StreamSpec,
+        selection: ChainSelection,
+        attempts: Attempts,
+        progress: StreamProgress,
     ) -> None:
         self._parts = parts
         self._spec = spec
         self._selection = selection
+        self._attempts = attempts
+        self._progress = progress
         self.count = 0
 
     async def replace(self, run: Run, faulty: Target) -> bool:
@@ -38,7 +47,7 @@
         avoided = {faulty.id}
         for _ in range(MAX_ORDERS):
             chain = self._selection.around(run.chain, avoided)
-            if chain is None:
+            if chain is None or self._goes_elsewhere(run, chain):
                 return False
             refusing = await self._order(run, chain, faulty)
             if run.chain is chain:
@@ -48,6 +57,21 @@
             avoided.add(refusing.id)
         return False
 
+    def _goes_elsewhere(self, run: Run, chain: Chain) -> bool:
+        """Return whether the stream is to be sent anew rather than led over a chain.
+
+        Its repeat is taken here: many streams decide at the same moment, and one that
+        leaves its chain without a repeat fails.
+        """
+        if not self._selection.is_faster_elsewhere(chain, run.chain):
+            return False
+        parts = self._parts
+        has_begun = self._progress.has_begun
+        if not parts.budget.take(self._spec.service, parts.vms(), has_begun=has_begun):
+            return False
+        self._attempts.reserve_repeat()
+        return True
+
     async def _order(self, run: Run, chain: Chain, faulty: Target) -> Target | None:
         """Order a chain; return the runner on account of which it was refused."""
         parts = self._parts
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -82,6 +82,22 @@
             chain.parts[0],
         )
 
+    def is_faster_elsewhere(self, bridged: Chain, before: Chain) -> bool:
+        """Return whether a new run would go on sooner than a bridged chain.
+
+        All tokens of a bridged chain pass twice through the pipe to another domain,
+        one stream after the other, before the next token is made.
+
+        :param bridged: chain with stand-ins.
+        :param before: chain with the dead runner.
+        """
+        if bridged.domains <= before.domains:
+            return False
+        if not self._attempts.may_leave(before.head):
+            return False
+        elsewhere = self._choose(self._suspects(), needs_room=True)
+        return elsewhere is not None and len(elsewhere.domains) < len(bridged.domains)
+
     def _has_layers(self) -> bool:
         parts = self._parts
         runners = parts.registry.of_service(self._spec.service)
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -71,7 +71,9 @@
         self._selection = ChainSelection(
             parts, room, spec, self._attempts, self._progress
         )
-        self._repair = ChainRepair(parts, spec, self._selection)
+        self._repair = ChainRepair(
+            parts, spec, self._selection, self._attempts, self._progress
+        )
         self._pauses = PauseWatch(parts, spec, self._attempts, self._progress)
         self._reader = RunReader(
             parts.clock, spec.deadline, self._pauses, self._repair, self._progress
@@ -113,13 +115,19 @@
         if chain is None:
             return self._fail(False)
         left_ms = self._spec.deadline - parts.clock.now()
-        if self._attempts.arrivals and not parts.budget.take(
-            self._spec.service, parts.vms(), has_begun=self._progress.has_begun
-        ):
+        if self._attempts.arrivals and not self._take_repeat():
             parts.events.emit(RetryDenied(self._request.id, self._spec.service))
             return self._fail(False)
         return await self._send(chain, left_ms)
 
+    def _take_repeat(self) -> bool:
+        if self._attempts.use_reserved_repeat():
+            return True
+        parts = self._parts
+        return parts.budget.take(
+            self._spec.service, parts.vms(), has_begun=self._progress.has_begun
+        )
+
     async def _send(self, chain: Chain, left_ms: int) -> Response | bool:
         parts = self._parts
         request = self._request
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -45,8 +45,17 @@
     assert int(run.headers["heathershunt-deadline-ms"]) <= 5000
 
 
+async def add_spares(site):
+    """Add a second holder of the middle layers to each domain."""
+    for domain in ("a", "b"):
+        await site.add_target(f"spare-{domain}", "engine", domain, "large", (30, 60))
+    registry = site.gateways["vm-1"].state.registry
+    await site.until(lambda: len(registry.of_service("engine")) == 8)
+
+
 async def test_stream_goes_on_without_a_gap_after_a_later_runner_dies(site):
     # Guards against a piece that is missing or comes twice after the chain is replaced.
+    await add_spares(site)
     response = await site.open_stream(events=100)
     first = await response.read_some()
     chain = site.runs()[0].chains[0]
@@ -61,6 +70,7 @@
 async def test_runner_that_dies_while_the_prompt_is_read_is_replaced(site):
     # Guards against prompts that are read again from the start, at the cost of a
     # repeat, when one of many runners dies.
+    await add_spares(site)
     for target in site.targets.values():
         target.read_ms = 400
     opening = asyncio.create_task(site.open_stream(events=5))
@@ -74,6 +84,19 @@
     assert later not in site.runs()[0].chains[0]
 
 
+async def test_stream_goes_on_in_another_domain_where_its_own_has_no_stand_in(site):
+    response = await site.open_stream(events=100)
+    first = await response.read_some()
+    later = site.runs()[0].chains[0].split(",")[1].partition("=")[0]
+    site.fleet[later].is_dark = True
+    body = first + await response.read()
+    assert ids(body) == list(range(1, 101))
+    again = [run for run in site.runs() if run.headers.get("last-event-id")]
+    assert len(again) == 1
+    domains = {site.targets[run.runner].domain for run in site.runs()}
+    assert domains == {"a", "b"}
+
+
 async def test_stream_goes_on_at_another_runner_after_the_first_one_dies(site):
     response = await site.open_stream(events=100)
     first = await response.read_some()
--- a/tests/relay/test_repair.py
+++ b/tests/relay/test_repair.py
@@ -17,6 +17,10 @@
 
     def __init__(self, spares):
         self.spares = spares
+        self.is_faster = False
+
+    def is_faster_elsewhere(self, bridged, before):
+        return self.is_faster
 
     def around(self, chain, avoided):
         left = [spare for spare in self.spares if spare.id not in avoided]
@@ -53,13 +57,29 @@
 
 
 @pytest.fixture
-def repair(parts, spec, runners, paused):
+def selection():
+    return Selection([engines.runner(number) for number in range(3, 9)])
+
+
+class Budget:
+    """Has some repeats left."""
+
+    def __init__(self, left):
+        self.left = left
+
+    def take(self, service, vms, has_begun):
+        self.left -= 1
+        return self.left >= 0
+
+
+@pytest.fixture
+def repair(parts, spec, runners, paused, selection, attempts, progress):
     parts.runners = runners
     parts.events = SimpleNamespace(emit=print)
     parts.diagnosis = SimpleNamespace(note_rejection=paused.append)
     parts.ledger = SimpleNamespace(add=print, remove=print)
-    selection = Selection([engines.runner(number) for number in range(3, 9)])
-    return ChainRepair(parts, spec, selection)
+    parts.budget = Budget(left=1)
+    return ChainRepair(parts, spec, selection, attempts, progress)
 
 
 async def test_other_chain_is_ordered_when_a_spare_runner_has_no_room(
@@ -86,3 +106,25 @@
 async def test_first_runner_is_not_replaced(repair, runners):
     assert not await repair.replace(Run(chain_with(DEAD), 100), HEAD)
     assert runners.orders == 0
+
+
+async def test_stream_is_sent_anew_where_stand_ins_are_in_another_domain(
+    repair, runners, selection, attempts
+):
+    # The load: 18 streams lost a runner whose layers nobody else in the domain held.
+    # All their tokens went through one pipe twice, and no event came for 1.2 s; streams
+    # that were sent to another domain went on after 50 ms.
+    selection.is_faster = True
+    assert not await repair.replace(Run(chain_with(DEAD), 100), DEAD)
+    assert runners.orders == 0
+    assert attempts.use_reserved_repeat()
+    assert not attempts.use_reserved_repeat()
+
+
+async def test_stream_without_a_repeat_keeps_its_run(repair, parts, runners, selection):
+    # Guards against streams that all leave and find too few repeats.
+    selection.is_faster = True
+    parts.budget.left = 0
+    run = Run(chain_with(DEAD), 100)
+    assert await repair.replace(run, DEAD)
+    assert runners.orders == 1
--- a/tests/relay/test_selection.py
+++ b/tests/relay/test_selection.py
@@ -177,3 +177,27 @@
     )
     selection.around(Chain.from_parts([ChainPart(kept, 0, 80)]), {"faulty"})
     assert avoided == [{missing.id, "faulty"}] * 2
+
+
+def chain_in(*domains):
+    size = 80 // len(domains)
+    return Chain.from_parts(
+        ChainPart(engines.runner(n, domain=domain), n * size, (n + 1) * size)
+        for n, domain in enumerate(domains)
+    )
+
+
+@pytest.mark.parametrize(
+    "bridged, elsewhere, is_faster",
+    [
+        (chain_in("a", "b", "a"), chain_in("c"), True),
+        (chain_in("a", "b", "a"), chain_in("c", "b"), False),
+        (chain_in("a", "b", "a"), None, False),
+        (chain_in("a", "a"), chain_in("c"), False),
+    ],
+)
+def test_new_run_in_one_domain_is_faster_than_stand_ins_in_another(
+    selection, parts, bridged, elsewhere, is_faster
+):
+    parts.chooser = SimpleNamespace(choose=lambda *args, **options: elsewhere)
+    assert selection.is_faster_elsewhere(bridged, chain_in("a", "a")) == is_faster
