Ask for a lease until its holder has the reply to its write

The test reads the holder from the store's key, which is there before the holder has the reply to its write, so the status could be asked in between. It waits for the lease now and checks the same of it. Not reproduced by a run on its own.

--- a/tests/integration/test_placement.py
+++ b/tests/integration/test_placement.py
@@ -123,14 +123,19 @@
 
 async def test_operators_see_who_holds_a_lease(placed):
     """A stuck placement is traced to its holder by the status."""
-    name, token = await holder(placed)
-    outcome = await placed.http.request_json(
-        placed.ports_by_daemon[name].operators,
-        "GET",
-        "/v1/operator/status",
-        headers={"authorization": f"Bearer {placed.operator_key}"},
-    )
-    (lease,) = outcome.unwrap()[1]["leases"]
+    leases = []
+    async with asyncio.timeout(WAIT_SECONDS):
+        # The key is in the store before its holder has the reply to its write.
+        while not leases:
+            name, token = await holder(placed)
+            outcome = await placed.http.request_json(
+                placed.ports_by_daemon[name].operators,
+                "GET",
+                "/v1/operator/status",
+                headers={"authorization": f"Bearer {placed.operator_key}"},
+            )
+            leases = outcome.unwrap()[1]["leases"]
+    (lease,) = leases
     assert lease["model"] == "m"
     assert lease["holder"].startswith(f"{name}.")
     assert lease["fence"] == token
