--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -55,7 +55,10 @@
     ) -> None:
         """Bind and start to accept connections."""
         self._tls = tls
-        self._listening = socket.create_server((host, port), backlog=BACKLOG)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._listening = socket.create_server(
+            (host, port), family=family, backlog=BACKLOG
+        )
         self._listening.setblocking(False)
         self._server = await asyncio.get_running_loop().create_server(
             self._protocol, sock=self._listening, ssl=tls, backlog=BACKLOG
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -53,6 +53,16 @@
     client.close()
 
 
+async def test_listener_takes_an_ipv6_address():
+    server = HttpServer(echo)
+    await server.start("::1", 0)
+    reader, writer = await asyncio.open_connection("::1", server.port)
+    writer.write(b"GET /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+    assert (await reader.read()).startswith(b"HTTP/1.1 200")
+    writer.close()
+    await server.close()
+
+
 async def test_streamed_body_ends_explicitly(address):
     client = HttpClient()
     response = (await client.request(address, "GET", "/stream")).ok_value
