Check the freshness of views against an oracle, over drawn faults in virtual time

Nine VMs, of which three watch the store, under cuts, refusals, lost answers, silent peers and pauses. No view may claim to be fresher than the changes that it holds, and a VM whose way to the store has been sound for 3 s must hold a view of at most 2 s.

--- /dev/null
+++ b/tests/coordination/test_freshness.py
@@ -0,0 +1,264 @@
+"""No view claims to be fresher than it is, and each that can be fresh is.
+
+Nine VMs: three watch the store, three follow those, three follow the followers. Faults
+are drawn, overlap and end; a writer changes the store all the while. The oracle knows
+when each change was acknowledged.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from hypothesis import given, settings, strategies
+from result import Err, Ok
+
+from heathershunt.coordination import (
+    Changes,
+    Entry,
+    FollowingStore,
+    Snapshot,
+    StoreError,
+    StoreFailure,
+    StoreView,
+    ViewConfig,
+    ViewMirror,
+)
+from heathershunt.gateway.upstream import (
+    MOST_AGE_MS,
+    MOST_AGE_OF_LEAD_MS,
+    WAIT_WITH_FOLLOWERS_MS,
+)
+from heathershunt.http import Address, Request, TransportError
+from heathershunt.verdict import Progress
+from tests.coordination import virtual_time
+
+VMS = 9
+RUN_MS = 20_000
+WRITE_MS = 170
+CHECK_MS = 50
+HOP_MS = 2
+CALL_TIMEOUT_MS = 700
+# The shortest time for a configuration that the deployments name is 2,000 ms.
+FRESH_MS = 2000
+# Time without a fault on a VM's way to the store after which it must be fresh.
+CALM_MS = 3000
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Something that is wrong with some VMs for a while."""
+
+    kind: str
+    vms: frozenset[int]
+    from_ms: int
+    for_ms: int
+
+    def strikes(self, kinds, vm, now):
+        is_now = self.from_ms <= now < self.from_ms + self.for_ms
+        return is_now and self.kind in kinds and vm in self.vms
+
+
+faults = strategies.lists(
+    strategies.builds(
+        Fault,
+        strategies.sampled_from(
+            ["store silent", "store refuses", "answers lost", "peers silent", "paused"]
+        ),
+        strategies.frozensets(strategies.integers(0, VMS - 1), min_size=1),
+        strategies.integers(1000, 14_000),
+        strategies.integers(200, 6000),
+    ),
+    max_size=6,
+)
+
+
+class Site:
+    """The store, the VMs' views and what is wrong with them."""
+
+    def __init__(self, drawn):
+        self.faults = drawn
+        self.started = asyncio.get_running_loop().time()
+        self.revision = 1
+        self.acknowledged_at = {1: 0}
+        self.written = asyncio.Event()
+        self.vms = [Vm(self, number) for number in range(VMS)]
+
+    def now(self):
+        return int((asyncio.get_running_loop().time() - self.started) * 1000)
+
+    def struck(self, vm, *kinds):
+        return any(f.strikes(kinds, vm, self.now()) for f in self.faults)
+
+    def is_calm(self, vm):
+        """Return whether nothing was wrong on the VM's way to the store lately."""
+        now = self.now()
+        on_way = ("store silent", "store refuses", "answers lost", "paused")
+        return not any(
+            vm in f.vms
+            and f.kind in on_way
+            and f.from_ms < now
+            and f.from_ms + f.for_ms > now - CALM_MS
+            for f in self.faults
+        )
+
+    async def write(self):
+        while True:
+            await asyncio.sleep(WRITE_MS / 1000)
+            self.revision += 1
+            self.acknowledged_at[self.revision] = self.now()
+            self.written.set()
+            self.written = asyncio.Event()
+
+    async def until_not_paused(self, vm):
+        while self.struck(vm, "paused"):
+            await asyncio.sleep(0.01)
+
+    async def exchange(self, address, method, path, *, timeout_ms, limit):
+        """Stand for the HTTP client between two VMs; the host names both."""
+        asking, asked = (int(part) for part in address.host.split("-"))
+        query = dict(
+            pair.split("=") for pair in path.partition("?")[2].split("&") if pair
+        )
+        request = Request("GET", path.partition("?")[0], query, {}, b"")
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                if self.struck(asking, "peers silent"):
+                    await asyncio.sleep(3600)
+                if self.struck(asked, "peers silent"):
+                    await asyncio.sleep(3600)
+                await asyncio.sleep(HOP_MS / 1000)
+                await self.until_not_paused(asked)
+                response = await self.vms[asked].mirror.handle(request)
+                await self.until_not_paused(asked)
+                await asyncio.sleep(HOP_MS / 1000)
+        except TimeoutError:
+            return Err(TransportError(Progress.SENT, "timed out"))
+        return Ok((response.status, response.body))
+
+
+class StoreOf:
+    """The store as one VM reaches it."""
+
+    def __init__(self, site, vm):
+        self.site = site
+        self.vm = vm
+
+    async def _call(self, call, timeout_ms):
+        site, vm = self.site, self.vm
+        if site.struck(vm, "store refuses"):
+            return Err(StoreError(StoreFailure.REJECTED, "refused"))
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                if site.struck(vm, "store silent"):
+                    await asyncio.sleep(3600)
+                await asyncio.sleep(HOP_MS / 1000)
+                found = await call()
+                if site.struck(vm, "answers lost", "store silent"):
+                    await asyncio.sleep(3600)
+                await asyncio.sleep(HOP_MS / 1000)
+                return Ok(found)
+        except TimeoutError:
+            return Err(StoreError(StoreFailure.UNKNOWN, "timed out"))
+
+    async def read_all(self, prefix):
+        async def read():
+            revision = self.site.revision
+            return Snapshot((Entry("c", b"%d" % revision, revision),), revision)
+
+        return await self._call(read, CALL_TIMEOUT_MS)
+
+    async def watch(self, prefix, revision, wait_ms):
+        async def wait():
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    while self.site.revision <= revision:
+                        await self.site.written.wait()
+            except TimeoutError:
+                return Changes((), revision)
+            newest = self.site.revision
+            return Changes((("c", Entry("c", b"%d" % newest, newest)),), newest)
+
+        return await self._call(wait, wait_ms + 500)
+
+
+class Vm:
+    """One VM: its view, and the mirror for those that follow it."""
+
+    def __init__(self, site, number):
+        self.site = site
+        self.number = number
+        self.seen = 0
+        first = None if number < 3 else 0 if number < 6 else 3
+        followed = [] if first is None else range(first, first + 3)
+        addresses = [Address(f"{number}-{other}", 1) for other in followed]
+        most_age_ms = MOST_AGE_MS if number < 6 else MOST_AGE_OF_LEAD_MS
+        self.view = StoreView(
+            FollowingStore(
+                StoreOf(site, number),
+                site,
+                site.now,
+                lambda: addresses,
+                lambda: most_age_ms,
+            ),
+            self,
+            ViewConfig(wait_ms=1800),
+            "",
+            self._on_snapshot,
+            self._on_changes,
+            lambda away_ms: None,
+            lambda: WAIT_WITH_FOLLOWERS_MS,
+        )
+        self.mirror = ViewMirror(lambda: self.view.age)
+
+    def now(self):
+        return self.site.now()
+
+    def _on_snapshot(self, snapshot):
+        self.mirror.on_snapshot(snapshot)
+        self.seen = max(int(entry.value) for entry in snapshot.entries)
+
+    def _on_changes(self, changes):
+        self.mirror.on_changes(changes)
+        self.seen = max(self.seen, *(int(e.value) for _, e in changes.entries))
+
+    def check(self):
+        """Compare the view with what the oracle knows."""
+        age = self.view.age
+        if age is not None:
+            confirmed_at = self.now() - age
+            newest = max(
+                revision
+                for revision, at in self.site.acknowledged_at.items()
+                if at < confirmed_at or revision == 1
+            )
+            assert self.seen >= newest, f"VM {self.number} claims an age of {age} ms"
+        if self.now() > CALM_MS and self.site.is_calm(self.number):
+            assert age is not None, f"VM {self.number} has no view"
+            assert age <= FRESH_MS, f"the view of VM {self.number} is {age} ms old"
+
+
+async def play(drawn):
+    site = Site(drawn)
+    tasks = [asyncio.create_task(vm.view.run()) for vm in site.vms]
+    tasks.append(asyncio.create_task(site.write()))
+    try:
+        while site.now() < RUN_MS:
+            await asyncio.sleep(CHECK_MS / 1000)
+            for vm in site.vms:
+                vm.check()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@given(faults)
+@settings(max_examples=40)
+def test_views_are_as_fresh_as_they_say_and_as_they_can_be(drawn):
+    virtual_time.run(play(drawn))
+
+
+def test_watching_vms_that_lose_the_store_make_nobody_blind():
+    # The load: the VMs that watch are cut off, and the others served an old
+    # configuration for as long as that lasted.
+    cut = Fault("store silent", frozenset({0, 1, 2}), 2000, 12_000)
+    virtual_time.run(play([cut]))
