--- a/tests/http/test_drain.py
+++ b/tests/http/test_drain.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import socket
 
 import pytest
@@ -100,7 +101,7 @@
     reader, writer = await open_connection(server)
     writer.write(REQUEST)
     await read_answer(reader)
-    writer.get_extra_info("socket")._sock.send(REQUEST)
+    os.write(writer.get_extra_info("socket").fileno(), REQUEST)
     stopping = asyncio.create_task(stop(server))
     assert (await read_answer(reader))[1] == b"/a"
     await stopping
