Call runners that replace dead ones replacements

A newcomer met "stand-in" in two senses: the test doubles of the repository, and runners that take the layers of a dead one. Names and texts only; no behaviour changes.

--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -24,8 +24,8 @@
 # for a link that all chains share and that prompts block.
 CROSS_DOMAIN_MS = 25.0
 MIN_FREE_KV_PART = 0.05
-# Most by which the cost of a runner that stands in for a dead one is raised by chance.
-STAND_IN_SPREAD = 1.5
+# Most by which the cost of a runner that replaces a dead one is raised by chance.
+REPLACEMENT_SPREAD = 1.5
 # VMs from which on a chain is looked for in some domains first, drawn for each request.
 # So many VMs, told the same loads, would all choose the same domain until they are told
 # again. A small fleet sends few requests between two exchanges of loads.
@@ -116,7 +116,7 @@
             found = self._search(engine, usable, job, vms, heads, terms)
         return None if found is None else found[1]
 
-    def bridge(
+    def repair(
         self,
         engine: Engine,
         runners: Iterable[Target],
@@ -126,7 +126,7 @@
         dead: Collection[str],
         avoided: Collection[str] = (),
     ) -> Chain | None:
-        """Return a chain in which other runners stand in for dead later ones.
+        """Return a chain in which other runners replace dead later ones.
 
         All other parts stay as they are and keep what they have read; a new part reads
         all tokens again before the next one is made.
@@ -148,7 +148,7 @@
                 parts.extend(run)
                 continue
             lost = tuple(run)
-            added = self._stand_ins(engine, usable, job, vms, lost)
+            added = self._replacements(engine, usable, job, vms, lost)
             if added is None:
                 return None
             parts.extend(added)
@@ -156,7 +156,7 @@
             usable = [runner for runner in usable if runner.id not in ids]
         return Chain(tuple(parts))
 
-    def _stand_ins(
+    def _replacements(
         self,
         engine: Engine,
         usable: list[Target],
@@ -174,7 +174,7 @@
             item = self._candidate(engine, runner, job, vms, None)
             # All streams of the dead runner look for another one at the same moment,
             # here and at other VMs, and shall not all find the same.
-            item.layer_ms *= random.uniform(1.0, STAND_IN_SPREAD)
+            item.layer_ms *= random.uniform(1.0, REPLACEMENT_SPREAD)
             item.first, item.end = first - start, last - start
             item.has_slot = True
             candidates.append(item)
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -70,10 +70,10 @@
         runners = parts.registry.of_service(self._spec.service)
         dead = dead | self._ids_of(parts.suspects.is_blamed)
         avoided = self._suspects() | dead
-        bridged = parts.chooser.bridge(
+        repaired = parts.chooser.repair(
             self._spec.engine, runners, self._job, parts.vms(), chain, dead, avoided
         )
-        return bridged or parts.chooser.choose(
+        return repaired or parts.chooser.choose(
             self._spec.engine,
             runners,
             self._job,
@@ -82,21 +82,21 @@
             chain.parts[0],
         )
 
-    def is_faster_elsewhere(self, bridged: Chain, before: Chain) -> bool:
-        """Return whether a new run would go on sooner than a bridged chain.
+    def is_faster_elsewhere(self, repaired: Chain, before: Chain) -> bool:
+        """Return whether a new run would go on sooner than a repaired chain.
 
-        All tokens of a bridged chain pass twice through the pipe to another domain,
+        All tokens of a repaired chain pass twice through the pipe to another domain,
         one stream after the other, before the next token is made.
 
-        :param bridged: chain with stand-ins.
+        :param repaired: chain with replacements.
         :param before: chain with the dead runner.
         """
-        if bridged.domains <= before.domains:
+        if repaired.domains <= before.domains:
             return False
         if not self._attempts.may_leave(before.head):
             return False
         elsewhere = self._choose(self._suspects(), needs_room=True)
-        return elsewhere is not None and len(elsewhere.domains) < len(bridged.domains)
+        return elsewhere is not None and len(elsewhere.domains) < len(repaired.domains)
 
     def _has_layers(self) -> bool:
         parts = self._parts
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -84,7 +84,7 @@
     assert later not in site.runs()[0].chains[0]
 
 
-async def test_stream_goes_on_in_another_domain_where_its_own_has_no_stand_in(site):
+async def test_stream_goes_on_in_another_domain_where_its_own_has_no_replacement(site):
     response = await site.open_stream(events=100)
     first = await response.read_some()
     later = site.runs()[0].chains[0].split(",")[1].partition("=")[0]
--- a/tests/pipelines/test_chooser.py
+++ b/tests/pipelines/test_chooser.py
@@ -271,34 +271,32 @@
     # runners read all their tokens again at the same moment, for over half a second.
     chain = choose_in("a", engine, chooser, site)
     dead = chain.parts[4].runner.id
-    bridged = chooser.bridge(engine, site, JOB, 4, chain, {dead}, {dead})
-    assert bridged.covers(80)
-    assert dead not in {part.runner.id for part in bridged.parts}
-    changed = [new for new in bridged.parts if new not in chain.parts]
+    repaired = chooser.repair(engine, site, JOB, 4, chain, {dead}, {dead})
+    assert repaired.covers(80)
+    assert dead not in {part.runner.id for part in repaired.parts}
+    changed = [new for new in repaired.parts if new not in chain.parts]
     assert [(part.first, part.end) for part in changed] == [(32, 40)]
     assert changed[0].runner.domain == chain.parts[4].runner.domain
 
 
-def test_streams_of_a_dead_runner_spread_over_those_that_stand_in(
-    engine, chooser, site
-):
+def test_streams_of_a_dead_runner_spread_over_its_replacements(engine, chooser, site):
     # Each VM chooses without knowing what the others choose at the same moment.
     chain = choose_in("a", engine, chooser, site)
     dead = chain.parts[4].runner.id
-    bridges = [
-        chooser.bridge(engine, site, JOB, 4, chain, {dead}, {dead}) for _ in range(40)
+    repairs = [
+        chooser.repair(engine, site, JOB, 4, chain, {dead}, {dead}) for _ in range(40)
     ]
-    assert len({item.parts[4].runner.id for item in bridges}) == 2
+    assert len({item.parts[4].runner.id for item in repairs}) == 2
 
 
 def test_several_dead_runners_are_replaced_at_once(engine, chooser, site):
     chain = choose_in("a", engine, chooser, site)
     dead = {chain.parts[at].runner.id for at in (2, 3, 7)}
-    bridged = chooser.bridge(engine, site, JOB, 4, chain, dead, dead)
-    assert bridged.covers(80)
-    assert not dead & {part.runner.id for part in bridged.parts}
+    repaired = chooser.repair(engine, site, JOB, 4, chain, dead, dead)
+    assert repaired.covers(80)
+    assert not dead & {part.runner.id for part in repaired.parts}
     kept = [part for part in chain.parts if part.runner.id not in dead]
-    assert [part for part in bridged.parts if part in kept] == kept
+    assert [part for part in repaired.parts if part in kept] == kept
 
 
 def test_runner_that_rejects_requests_keeps_its_part_but_gets_no_new_one(
@@ -306,18 +304,18 @@
 ):
     chain = choose_in("a", engine, chooser, site)
     busy, dead = chain.parts[1].runner.id, chain.parts[4].runner.id
-    bridged = chooser.bridge(engine, site, JOB, 4, chain, {dead}, {dead, busy})
-    assert bridged.parts[1] == chain.parts[1]
+    repaired = chooser.repair(engine, site, JOB, 4, chain, {dead}, {dead, busy})
+    assert repaired.parts[1] == chain.parts[1]
 
 
 def test_another_domain_stands_in_where_the_own_one_cannot(engine, chooser, site):
     chain = choose_in("a", engine, chooser, site)
     at = chain.parts[4]
     holders = {r.id for r in site if r.domain == "a" and r.held.first == at.first}
-    bridged = chooser.bridge(engine, site, JOB, 4, chain, {at.runner.id}, holders)
-    assert bridged.parts[4].runner.domain == "b"
+    repaired = chooser.repair(engine, site, JOB, 4, chain, {at.runner.id}, holders)
+    assert repaired.parts[4].runner.domain == "b"
     everyone = {r.id for r in site if r.held.first == at.first}
-    assert chooser.bridge(engine, site, JOB, 4, chain, {at.runner.id}, everyone) is None
+    assert chooser.repair(engine, site, JOB, 4, chain, {at.runner.id}, everyone) is None
 
 
 STREAMS = 160
--- a/tests/pipelines/test_layout.py
+++ b/tests/pipelines/test_layout.py
@@ -85,7 +85,7 @@
 
 
 def test_copy_that_is_still_loading_makes_no_other_redundant(engine, runner):
-    # Guards against layers that nobody holds while the stand-in loads them.
+    # Guards against layers that nobody holds while the replacement loads them.
     whole = [runner("large", held=(at, at + 20)) for at in (20, 40)]
     holder = runner("small", held=(0, 20))
     loading = runner("large")
--- a/tests/relay/test_repair.py
+++ b/tests/relay/test_repair.py
@@ -19,7 +19,7 @@
         self.spares = spares
         self.is_faster = False
 
-    def is_faster_elsewhere(self, bridged, before):
+    def is_faster_elsewhere(self, repaired, before):
         return self.is_faster
 
     def around(self, chain, avoided):
@@ -108,7 +108,7 @@
     assert runners.orders == 0
 
 
-async def test_stream_is_sent_anew_where_stand_ins_are_in_another_domain(
+async def test_stream_is_sent_anew_where_replacements_are_in_another_domain(
     repair, runners, selection, attempts
 ):
     # The load: 18 streams lost a runner whose layers nobody else in the domain held.
--- a/tests/relay/test_selection.py
+++ b/tests/relay/test_selection.py
@@ -172,7 +172,7 @@
     parts.registry.remove(missing.id)
     avoided = []
     parts.chooser = SimpleNamespace(
-        bridge=lambda *args: avoided.append(args[6]),
+        repair=lambda *args: avoided.append(args[6]),
         choose=lambda *args: avoided.append(args[4]),
     )
     selection.around(Chain.from_parts([ChainPart(kept, 0, 80)]), {"faulty"})
@@ -188,7 +188,7 @@
 
 
 @pytest.mark.parametrize(
-    "bridged, elsewhere, is_faster",
+    "repaired, elsewhere, is_faster",
     [
         (chain_in("a", "b", "a"), chain_in("c"), True),
         (chain_in("a", "b", "a"), chain_in("c", "b"), False),
@@ -196,8 +196,8 @@
         (chain_in("a", "a"), chain_in("c"), False),
     ],
 )
-def test_new_run_in_one_domain_is_faster_than_stand_ins_in_another(
-    selection, parts, bridged, elsewhere, is_faster
+def test_new_run_in_one_domain_is_faster_than_replacements_in_another(
+    selection, parts, repaired, elsewhere, is_faster
 ):
     parts.chooser = SimpleNamespace(choose=lambda *args, **options: elsewhere)
-    assert selection.is_faster_elsewhere(bridged, chain_in("a", "a")) == is_faster
+    assert selection.is_faster_elsewhere(repaired, chain_in("a", "a")) == is_faster
