Keep a request to write an entry that comes during a call

LeaseKeeper set the value as published when the reply to its write arrived, and cleared its wake-up after the calls. A removal that the watch reported before that reply was therefore forgotten, and the VM stayed out of the directory for as long as its lease was renewed. A value that changed during a call waited for the next renewal, a third of the lease.

Ruled out: the watch missing the removal (a removal is handed on whether or not the entry was known), and a slow machine (nothing would have written the entry again within any time).

Change: the wake-up is cleared before the calls, and the value counts as published from the start of its write, until that fails.

--- a/src/heathershunt/coordination/lease.py
+++ b/src/heathershunt/coordination/lease.py
@@ -60,10 +60,11 @@
     async def run(self) -> None:
         """Keep the lease and its key until cancelled."""
         while not self._is_ended:
+            # Cleared before the calls, so that a request made during one is not lost.
+            self._wake.clear()
             is_kept = await self._renew()
             if is_kept and self._published != self._value():
                 is_kept = await self._write()
-            self._wake.clear()
             try:
                 async with asyncio.timeout(self._pause_ms(is_kept) / 1000):
                     await self._wake.wait()
@@ -111,10 +112,12 @@
         if value is None:
             return True
         leased = LeasedValue(*value, self.lease)
+        # The watch can tell of a removal before the reply to this write arrives.
+        self._published = value
         outcome = await self._store.commit((), (leased,))
         if isinstance(outcome, Err):
+            self._published = None
             if outcome.err_value.failure is StoreFailure.NO_LEASE:
                 self.lease = None
             return False
-        self._published = value
         return True
