Leave out the slow runners of all domains at once

From 18 s to 28 s five runners worked twelve times slower, at least one in each domain. All VMs knew it from 19.7 s on (pace_changed), but a chain over several domains was looked for only where a domain lacked layers or room, so all streams went on through a slow runner: gaps of 180 to 320 ms against the 200 ms asked for, 300 pause_examined events a second.

Ruled out: late detection (1.5 s), missing layers (each domain had a whole chain), repeats (one denied before 27 s).

Change: chains over several domains are also compared where the best one inside a domain has a slow runner. The cost of leaving a domain is as before, so a small slowness does not send prompts over the shared links.

Tests: test_chain_leaves_out_the_slow_runners_of_all_domains failed before; test_chain_keeps_a_runner_that_costs_less_than_leaving_the_domain holds the other side. Pattern: slow cards in every domain at once.

--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -9,6 +9,7 @@
 from heathershunt.discovery import Target
 from heathershunt.pipelines.chain import Chain, ChainPart
 from heathershunt.pipelines.load import LoadLedger, RunnerLoad
+from heathershunt.pipelines.notes import USUAL_PACE
 from heathershunt.pipelines.pace import PaceBook
 from heathershunt.pipelines.search import (
     FULL_MS,
@@ -215,11 +216,20 @@
         found = _cheapest_of(whole[:tried], terms)
         if _is_short(found):
             found = _cheaper(found, _cheapest_of(whole[tried:], terms))
-        # Chains over several domains matter where one of them lacks layers or room.
-        if len(whole) < len(by_domain) or _is_short(found):
+        # Chains over several domains matter where one of them lacks layers or room, or
+        # where every domain has a slow runner that its chains cannot leave out.
+        is_narrow = len(whole) < len(by_domain) or _is_short(found)
+        if is_narrow or self._has_slow_runner(found):
             found = _cheaper(found, find_cheapest(candidates, terms))
         return found
 
+    def _has_slow_runner(self, found: Found) -> bool:
+        if found is None:
+            return False
+        return any(
+            self._paces.pace(part.runner.id) > USUAL_PACE for part in found[1].parts
+        )
+
     def _domains_tried(self, vms: int, domains: int) -> int:
         if vms < LARGE_FLEET_VMS:
             return domains
--- a/tests/pipelines/test_chooser.py
+++ b/tests/pipelines/test_chooser.py
@@ -108,6 +108,36 @@
     assert again.head.domain == first.head.domain
 
 
+QUARTERS = [(0, 20), (20, 40), (40, 60), (60, 80)]
+
+
+def test_chain_leaves_out_the_slow_runners_of_all_domains(
+    engine, runner, chooser, paces
+):
+    # Guards against late streams everywhere when some cards of each domain are slow:
+    # the sound ones of all domains together still make a chain.
+    left = [runner("medium", "a", held=held) for held in QUARTERS]
+    right = [runner("medium", "b", held=held) for held in QUARTERS]
+    for slow in (left[0], right[3]):
+        paces.note(slow.id, report(pace=40.0))
+    chain = chooser.choose(engine, left + right, JOB, 1)
+    used = {part.runner.id for part in chain.parts}
+    assert chain.covers(80)
+    assert not used & {left[0].id, right[3].id}
+
+
+def test_chain_keeps_a_runner_that_costs_less_than_leaving_the_domain(
+    engine, runner, chooser, paces
+):
+    # Guards against prompts that cross the shared links to avoid a small delay.
+    left = [runner("medium", "a", held=held) for held in QUARTERS]
+    right = [runner("medium", "b", held=held) for held in QUARTERS]
+    for slow in (left[0], right[3]):
+        paces.note(slow.id, report(pace=1.5))
+    chain = chooser.choose(engine, left + right, JOB, 1)
+    assert len({part.runner.domain for part in chain.parts}) == 1
+
+
 def test_runner_that_is_as_usual_again_is_used_again(paces):
     paces.note("r1", report(pace=5.0))
     assert paces.pace("r1") == 5.0
