Send small writes of the server at once

Cause: since the listening socket is created here and given to asyncio, which sets TCP_NODELAY only on sockets that have an explicit protocol number; accepted sockets inherit none. Each event of a stream, and each body after its head, could wait for the acknowledgement of what was sent before: up to 40 ms.

Ruled out: the client (its sockets are created by asyncio and have the option), the event loop (new connections were fast, as the kernel acknowledges at once there).

Change: send_at_once sets the option when a connection is accepted.

--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -8,7 +8,7 @@
 import logbook
 
 from heathershunt.http.connection import READ_BYTES, Connection, Handler, HttpLimits
-from heathershunt.http.transports import accepting_protocol, has_input
+from heathershunt.http.transports import accepting_protocol, has_input, send_at_once
 
 log = logbook.Logger("heathershunt.http")
 
@@ -73,6 +73,7 @@
         A coroutine given to asyncio would be reported as failed where the end of the
         process cancels it.
         """
+        send_at_once(writer.transport)
         task = asyncio.create_task(self._serve(reader, writer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/src/heathershunt/http/transports.py
+++ b/src/heathershunt/http/transports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import select
+import socket
 import ssl
 from collections.abc import Callable
 
@@ -20,6 +21,19 @@
         transport.max_size = RECEIVE_BYTES
 
 
+def send_at_once(transport: asyncio.Transport) -> None:
+    """Make the kernel send small writes without waiting for acknowledgements.
+
+    asyncio does so only for sockets that were created with an explicit protocol number,
+    which those of a listening socket given to it are not.
+
+    .. versionadded:: 0.5
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 class CountingReader(asyncio.StreamReader):
     """Stream reader that knows whether bytes wait to be read.
 
--- /dev/null
+++ b/tests/http/test_transports.py
@@ -0,0 +1,55 @@
+"""Options of the sockets under both ends of a connection."""
+
+import socket
+
+import pytest
+
+from heathershunt.http import (
+    Address,
+    HttpClient,
+    HttpServer,
+    Response,
+    client as client_module,
+    server,
+)
+from heathershunt.http.client_connection import ClientConnection
+from heathershunt.http.connection import Connection
+
+
+@pytest.fixture
+def transports(monkeypatch):
+    """Return the transports of both ends, as they are opened."""
+    opened = []
+
+    class RecordedConnection(Connection):
+        def __init__(self, reader, writer, *args):
+            super().__init__(reader, writer, *args)
+            opened.append(writer.transport)
+
+    class RecordedClientConnection(ClientConnection):
+        def __init__(self, address, reader, writer):
+            super().__init__(address, reader, writer)
+            opened.append(writer.transport)
+
+    monkeypatch.setattr(server, "Connection", RecordedConnection)
+    monkeypatch.setattr(client_module, "ClientConnection", RecordedClientConnection)
+    return opened
+
+
+@pytest.mark.parametrize("host", ["127.0.0.1", "::1"])
+async def test_small_writes_are_sent_at_once(transports, host):
+    # Guards against an event of a stream, or the body after a head, that waits for the
+    # peer's acknowledgement of what was sent before it: 40 ms for each.
+    async def handle(request):
+        return Response(200, {}, b"body")
+
+    listener = HttpServer(handle)
+    await listener.start(host, 0)
+    client = HttpClient()
+    await client.exchange(Address(host, listener.port), "GET", "/")
+    assert len(transports) == 2
+    for transport in transports:
+        sock = transport.get_extra_info("socket")
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    client.close()
+    await listener.close()
