--- a/src/heathershunt/http/__init__.py
+++ b/src/heathershunt/http/__init__.py
@@ -2,7 +2,6 @@
 
 from heathershunt.http.addresses import Address
 from heathershunt.http.client import ClientResponse, HttpClient, TransportError
-from heathershunt.http.connection import HttpLimits
 from heathershunt.http.messages import (
     Request,
     Response,
@@ -11,6 +10,7 @@
     json_response,
     problem_response,
 )
+from heathershunt.http.requests import HttpLimits
 from heathershunt.http.server import HttpServer
 
 __all__ = [
--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -3,9 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from http import HTTPStatus
-from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
 import logbook
@@ -16,6 +14,11 @@
     StreamResponse,
     problem_response,
 )
+from heathershunt.http.requests import (
+    HttpLimits,
+    RequestRejectedError,
+    build_request,
+)
 from heathershunt.http.transports import CountingReader, is_quiet, limit_reads
 from heathershunt.verdict import not_run
 
@@ -32,41 +35,6 @@
 Handler = Callable[[Request], Awaitable[Response | StreamResponse]]
 
 
-@dataclass(frozen=True)
-class HttpLimits:
-    """Bounds on what one listener accepts.
-
-    :param header_bytes: largest request line and header block.
-    :param body_bytes: largest request body.
-    :param connections: open connections at a time.
-    :param request_ms: longest time from the first byte of a request to its last.
-    :param idle_ms: longest time between two requests on a connection.
-    :param head_ms: longest time from the first byte of a request to the end of its
-        headers.
-
-    .. versionadded:: 0.1
-    """
-
-    header_bytes: int = 16_384
-    body_bytes: int = 1_048_576
-    connections: int = 4096
-    request_ms: int = 10_000
-    idle_ms: int = 75_000
-    head_ms: int = 10_000
-
-
-class RequestRejectedError(Exception):
-    """A request that breaks the protocol or a limit.
-
-    .. versionadded:: 0.1
-    """
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-        self.detail = detail
-
-
 class _Stream:
     """Writes the body of one streamed response."""
 
@@ -266,27 +234,8 @@
     def _build_request(self, head: h11.Request, body: bytes) -> Request:
         # h11 sends no chunks to HTTP/1.0 and no body in answer to HEAD.
         self._frames_chunks = head.http_version == b"1.1" and head.method != b"HEAD"
-        try:
-            target = urlsplit(head.target.decode("ascii"))
-        except ValueError as error:
-            detail = f"The request target is not valid: {error}."
-            raise RequestRejectedError(400, detail) from None
-        headers = {
-            name.decode("ascii"): value.decode("latin-1")
-            for name, value in head.headers
-        }
-        fields = tuple((name, value) for name, value in head.headers)
         peer = self.writer.get_extra_info("peername")
-        return Request(
-            head.method.decode("ascii"),
-            unquote(target.path),
-            dict(parse_qsl(target.query, keep_blank_values=True)),
-            headers,
-            body,
-            peer[0] if peer else "",
-            head.target.decode("ascii"),
-            fields,
-        )
+        return build_request(head, body, peer[0] if peer else "")
 
     async def _run_handler(self, request: Request) -> Response | StreamResponse:
         try:
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -7,7 +7,8 @@
 
 import logbook
 
-from heathershunt.http.connection import READ_BYTES, Connection, Handler, HttpLimits
+from heathershunt.http.connection import READ_BYTES, Connection, Handler
+from heathershunt.http.requests import HttpLimits
 from heathershunt.http.transports import accepting_protocol, has_input, send_at_once
 
 log = logbook.Logger("heathershunt.http")
