Take no second copy that comes after the next request

Cause: a connection with unread bytes is not used again, but a copy of an earlier answer that arrives when the next request has been written passed for its answer. Shown with a target that sends its last answer again before each new one: a service's answer and a draft's text reached the next caller; a copy of older changes of the store put a removed entry back, and counted as fresh; a write took the reply to another write.

Ruled out: requests to targets of the gateway (a connection each, and the id of the answer is checked); the daemon's orders (a connection each).

Change: services, runs of stages, and all calls of the stores but watches and renewals get a connection each. Own processes repeat an id of the request (http/correlation.py). A watch takes no reply from before the revision that it asked after, and one that ends early without changes confirms nothing of its wait.

--- a/src/heathershunt/coordination/mirror.py
+++ b/src/heathershunt/coordination/mirror.py
@@ -276,6 +276,7 @@
             path,
             timeout_ms=wait_ms + REPLY_SLACK_MS,
             limit=MAX_REPLY_BYTES,
+            correlated=True,
         )
         if isinstance(outcome, Err):
             is_sent = outcome.err_value.progress is not Progress.NOT_SENT
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -133,6 +133,9 @@
             headers={"content-type": "application/json"},
             body=json.dumps(_open_body(order, index)).encode(),
             timeout_ms=OPEN_TIMEOUT_MS,
+            # The lines of a stream name no run; a second copy of another run's stream
+            # could come on a kept connection.
+            fresh=True,
         )
         if isinstance(outcome, Err):
             return outcome
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -37,6 +37,7 @@
     Request,
     Response,
     StreamResponse,
+    correlated,
 )
 from heathershunt.logs import EventLog
 from heathershunt.logs.events import (
@@ -194,7 +195,7 @@
         self._callers = HttpServer(self._handle_caller, cancels_handlers=True)
         self._readiness = HttpServer(self._handle_readiness)
         self._directory = HttpServer(self._handle_directory)
-        self._peers = HttpServer(self._handle_peer)
+        self._peers = HttpServer(correlated(self._handle_peer))
         self.metrics = GatewayMetrics()
         events.add_observer(self.metrics.on_event)
         self._add_gauges()
--- a/src/heathershunt/http/__init__.py
+++ b/src/heathershunt/http/__init__.py
@@ -2,6 +2,7 @@
 
 from heathershunt.http.addresses import Address
 from heathershunt.http.client import ClientResponse, HttpClient, TransportError
+from heathershunt.http.correlation import correlated
 from heathershunt.http.messages import (
     Request,
     Response,
@@ -24,6 +25,7 @@
     "ResponseStream",
     "StreamResponse",
     "TransportError",
+    "correlated",
     "json_response",
     "problem_response",
 ]
--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -18,6 +18,11 @@
     HeaderFields,
     ReplyTooLargeError,
 )
+from heathershunt.http.correlation import (
+    CORRELATION_HEADER,
+    WrongAnswerError,
+    next_correlation_id,
+)
 from heathershunt.http.transports import connect
 from heathershunt.verdict import Progress
 
@@ -193,22 +198,34 @@
         method: str,
         target: str,
         *,
+        headers: HeaderFields | None = None,
         limit: int = MAX_JSON_BYTES,
+        correlated: bool = False,
         **options,
     ) -> Result[tuple[int, bytes], TransportError]:
         """Send a request and return the status and the whole body.
 
         :param limit: largest body in bytes.
+        :param correlated: take no answer that does not repeat the id of this request;
+            for own processes, whose handlers are
+            :func:`~heathershunt.http.correlation.correlated`.
         :param options: as for :meth:`request`; the time limit holds for the body too.
         """
         timeout_ms = options.get("timeout_ms", REQUEST_TIMEOUT_MS)
+        number = next_correlation_id() if correlated else None
+        if number is not None:
+            headers = {**dict(headers or {}), CORRELATION_HEADER: number}
         response = None
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                outcome = await self.request(address, method, target, **options)
+                outcome = await self.request(
+                    address, method, target, headers=headers, **options
+                )
                 if isinstance(outcome, Err):
                     return outcome
                 response = outcome.ok_value
+                if number not in (None, response.headers.get(CORRELATION_HEADER)):
+                    raise WrongAnswerError("the answer is to another request")
                 return Ok((response.status, await response.read(limit)))
         except EXCHANGE_ERRORS as error:
             reason = str(error) or type(error).__name__
--- a/src/heathershunt/pipelines/sharing.py
+++ b/src/heathershunt/pipelines/sharing.py
@@ -155,6 +155,7 @@
             body=msgspec.msgpack.encode(told),
             timeout_ms=TIMEOUT_MS,
             limit=MAX_REPLY_BYTES,
+            correlated=True,
         )
         if isinstance(outcome, Err):
             log.debug("no load from {}: {}", address, outcome.err_value.detail)
--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -1,7 +1,9 @@
 """Client of the platform's metadata store."""
 
+import asyncio
 import base64
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 from urllib.parse import urlencode
 
@@ -23,6 +25,8 @@
 CALL_TIMEOUT_MS = 700
 # Time for the answer to a watch beyond its wait.
 WATCH_SLACK_MS = 500
+# A watch without changes ends earlier than asked by no more than this.
+EARLY_MS = 20
 MAX_REPLY_BYTES = 4_194_304
 SUCCESS = 200
 FAILURE_BY_STATUS = {
@@ -84,7 +88,7 @@
         revision: int | None = None
         query = {"prefix": prefix}
         while True:
-            page = await self._call("GET", "/kv-range", _Range, query)
+            page = await self._call("GET", "/kv-range", _Range, query, fresh=True)
             if isinstance(page, Err):
                 return page
             items = page.ok_value.items
@@ -101,8 +105,24 @@
         """Return the changes after ``revision``."""
         query = {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
         timeout_ms = wait_ms + WATCH_SLACK_MS
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         reply = await self._call("GET", "/kv-watch", _Events, query, None, timeout_ms)
-        return reply.map(_changes)
+        if isinstance(reply, Err):
+            return reply
+        if not _follows(reply.ok_value, revision):
+            # A second copy of an earlier reply. The connection is one reply behind now.
+            self._http.forget(self._address)
+            detail = f"the reply to a watch after {revision} is an older one"
+            return Err(StoreError(StoreFailure.UNKNOWN, detail))
+        waited_ms = int((loop.time() - asked_at) * 1000)
+        changes = _changes(reply.ok_value)
+        if changes.entries or waited_ms >= wait_ms - EARLY_MS:
+            return Ok(changes)
+        # A watch that ends early without changes may be such a copy too: it tells
+        # nothing of the time after it was asked.
+        self._http.forget(self._address)
+        return Ok(replace(changes, waited_ms=0))
 
     async def commit(
         self,
@@ -118,13 +138,13 @@
             "puts": [_put(value) for value in values],
             "remove": list(removed),
         }
-        reply = await self._call("POST", "/kv-txn", _Committed, None, payload)
+        reply = await self._write("/kv-txn", _Committed, payload)
         return reply.map(lambda committed: committed.revision)
 
     async def grant_lease(self, ttl_ms: int) -> Result[tuple[int, int], StoreError]:
         """Return a new lease and the time to live that applies."""
         payload = {"ttl_ms": ttl_ms}
-        reply = await self._call("POST", "/kv-lease", _Granted, None, payload)
+        reply = await self._write("/kv-lease", _Granted, payload)
         return reply.map(lambda granted: (granted.lease, int(granted.ttl_ms)))
 
     async def keep_lease(self, lease: int) -> Result[int, StoreError]:
@@ -137,6 +157,16 @@
         reply = await self._call("DELETE", f"/kv-lease-end/{lease}", None)
         return reply.map(lambda _: None)
 
+    async def _write(
+        self, path: str, reply_type: type, payload: Any
+    ) -> Result[Any, StoreError]:
+        """Make a call that changes the store.
+
+        As the second copy of an earlier reply would tell of a write that did not
+        happen, it has a connection of its own.
+        """
+        return await self._call("POST", path, reply_type, None, payload, fresh=True)
+
     async def _call(
         self,
         method: str,
@@ -145,7 +175,13 @@
         query: Mapping[str, Any] | None = None,
         payload: Any = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
+        fresh: bool = False,
     ) -> Result[Any, StoreError]:
+        """Make a call and decode its reply.
+
+        :param fresh: use a new connection. Replies bear no id, so on a kept one the
+            second copy of an earlier reply could pass for the reply to this call.
+        """
         target = f"{path}?{urlencode(query)}" if query else path
         body = b"" if payload is None else msgspec.json.encode(payload)
         outcome = await self._http.exchange(
@@ -156,6 +192,7 @@
             body=body,
             timeout_ms=timeout_ms,
             limit=MAX_REPLY_BYTES,
+            fresh=fresh,
         )
         if isinstance(outcome, Err):
             error = outcome.err_value
@@ -175,6 +212,13 @@
             return Err(StoreError(StoreFailure.UNKNOWN, detail))
 
 
+def _follows(events: _Events, revision: int) -> bool:
+    """Return whether events can be the reply to a watch after a revision."""
+    if events.current_rev < revision:
+        return False
+    return all(item.revision > revision for item in events.events)
+
+
 def _entry(item: _Item) -> Entry:
     return Entry(item.key, _decode_value(item.value), item.revision)
 
--- a/src/heathershunt/services/dispatch.py
+++ b/src/heathershunt/services/dispatch.py
@@ -136,18 +136,18 @@
         self._chooser.start(address)
         healthy = None
         try:
-            result = await self._exchange(call, address, max(1, left), not idempotent)
+            result = await self._exchange(call, address, max(1, left))
             healthy = _is_healthy(result, left)
             return result
         finally:
             self._chooser.finish(address, healthy, self._clock.now())
 
     async def _exchange(
-        self, call: ServiceCall, address: Address, timeout_ms: int, fresh: bool
+        self, call: ServiceCall, address: Address, timeout_ms: int
     ) -> Result[Response, _Failure]:
         end = self._clock.now() + timeout_ms
-        # An idle connection may be dead without a sign; a call that must not be
-        # repeated would then end with an unknown outcome, so it gets a new one.
+        # An idle connection may be dead without a sign, so that the outcome would be
+        # unknown, or may still bring the second copy of the answer to another caller.
         outcome = await self._http.request(
             address,
             call.method,
@@ -155,7 +155,7 @@
             headers={n: v.encode("latin-1") for n, v in call.headers.items()},
             body=call.body,
             timeout_ms=timeout_ms,
-            fresh=fresh,
+            fresh=True,
             may_send=lambda: self._clock.now() < end,
         )
         if isinstance(outcome, Err):
--- a/src/heathershunt/store/client.py
+++ b/src/heathershunt/store/client.py
@@ -110,13 +110,18 @@
     ) -> Result[tuple[list[Stored], int], StoreError]:
         """Wait for changes after a revision; return them and the new revision."""
         target = f"/v1/watch?prefix={quote(prefix)}&after={after}&wait_ms={wait_ms}"
-        outcome = await self._call("GET", target, extra_ms=wait_ms)
+        outcome = await self._call("GET", target, wait_ms=wait_ms)
         if isinstance(outcome, Err):
             return outcome
         checked = _checked(outcome.ok_value, _Events)
         if isinstance(checked, Err):
             return checked
         reply = checked.ok_value[1]
+        if not _follows(reply, after):
+            # A second copy of an earlier reply. The connection is one reply behind now.
+            self._forget_connections()
+            detail = f"the reply to a watch after {after} is an older one"
+            return Err(StoreError(StoreFailure.UNAVAILABLE, detail))
         events = [event.stored(event.key) for event in reply.events]
         return Ok((events, reply.revision))
 
@@ -138,8 +143,15 @@
         return outcome.map(lambda _: None)
 
     async def _call(
-        self, method: str, target: str, body: Any = None, extra_ms: int = 0
+        self, method: str, target: str, body: Any = None, wait_ms: int | None = None
     ) -> Result[tuple[int, Any], StoreError]:
+        """Make a call at the first address that answers.
+
+        Replies bear no id, so the second copy of an earlier one could pass for the
+        reply to this call. Only watches, which can tell, use kept connections.
+
+        :param wait_ms: time that a watch waits; ``None`` for other calls.
+        """
         error = None
         for address in list(self._addresses):
             outcome = await self._http.request_json(
@@ -147,7 +159,8 @@
                 method,
                 target,
                 body,
-                timeout_ms=CALL_TIMEOUT_MS + extra_ms,
+                timeout_ms=CALL_TIMEOUT_MS + (wait_ms or 0),
+                fresh=wait_ms is None,
             )
             if isinstance(outcome, Ok):
                 return _check_status(*outcome.ok_value)
@@ -158,6 +171,17 @@
                 return Err(StoreError(StoreFailure.OUTCOME_UNKNOWN, error.detail))
         return Err(StoreError(StoreFailure.UNAVAILABLE, error.detail))
 
+    def _forget_connections(self) -> None:
+        for address in self._addresses:
+            self._http.forget(address)
+
+
+def _follows(events: "_Events", revision: int) -> bool:
+    """Return whether events can be the reply to a watch after a revision."""
+    if events.revision < revision:
+        return False
+    return all(event.revision > revision for event in events.events)
+
 
 def _check_status(status: int, reply: Any) -> Result[tuple[int, Any], StoreError]:
     if status == TOO_MANY_REQUESTS:
--- a/tests/coordination/test_freshness.py
+++ b/tests/coordination/test_freshness.py
@@ -61,7 +61,14 @@
     strategies.builds(
         Fault,
         strategies.sampled_from(
-            ["store silent", "store refuses", "answers lost", "peers silent", "paused"]
+            [
+                "store silent",
+                "store refuses",
+                "answers lost",
+                "peers silent",
+                "paused",
+                "restarted",
+            ]
         ),
         strategies.frozensets(strategies.integers(0, VMS - 1), min_size=1),
         strategies.integers(1000, 14_000),
@@ -81,6 +88,7 @@
         self.acknowledged_at = {1: 0}
         self.written = asyncio.Event()
         self.vms = [Vm(self, number) for number in range(VMS)]
+        self.runs = [asyncio.create_task(vm.view.run()) for vm in self.vms]
 
     def now(self):
         return int((asyncio.get_running_loop().time() - self.started) * 1000)
@@ -91,7 +99,13 @@
     def is_calm(self, vm):
         """Return whether nothing was wrong on the VM's way to the store lately."""
         now = self.now()
-        on_way = ("store silent", "store refuses", "answers lost", "paused")
+        on_way = (
+            "store silent",
+            "store refuses",
+            "answers lost",
+            "paused",
+            "restarted",
+        )
         return not any(
             vm in f.vms
             and f.kind in on_way
@@ -108,11 +122,22 @@
             self.written.set()
             self.written = asyncio.Event()
 
+    async def restart(self, fault):
+        """End the processes of some VMs, and start them with nothing in memory."""
+        await asyncio.sleep(fault.from_ms / 1000)
+        for vm in fault.vms:
+            self.runs[vm].cancel()
+            self.vms[vm] = Vm(self, vm)
+        await asyncio.sleep(fault.for_ms / 1000)
+        for vm in fault.vms:
+            self.runs[vm].cancel()
+            self.runs[vm] = asyncio.create_task(self.vms[vm].view.run())
+
     async def until_not_paused(self, vm):
         while self.struck(vm, "paused"):
             await asyncio.sleep(0.01)
 
-    async def exchange(self, address, method, path, *, timeout_ms, limit):
+    async def exchange(self, address, method, path, *, timeout_ms, limit, correlated):
         """Stand for the HTTP client between two VMs; the host names both."""
         asking, asked = (int(part) for part in address.host.split("-"))
         query = dict(
@@ -121,6 +146,8 @@
         request = Request("GET", path.partition("?")[0], query, {}, b"")
         try:
             async with asyncio.timeout(timeout_ms / 1000):
+                if self.struck(asked, "restarted"):
+                    return Err(TransportError(Progress.NOT_SENT, "refused"))
                 if self.struck(asking, "peers silent"):
                     await asyncio.sleep(3600)
                 if self.struck(asked, "peers silent"):
@@ -214,11 +241,11 @@
 
     def _on_snapshot(self, snapshot):
         self.mirror.on_snapshot(snapshot)
-        self.seen = max(int(entry.value) for entry in snapshot.entries)
+        self.seen = int(snapshot.entries[-1].value)
 
     def _on_changes(self, changes):
         self.mirror.on_changes(changes)
-        self.seen = max(self.seen, *(int(e.value) for _, e in changes.entries))
+        self.seen = int(changes.entries[-1][1].value)
 
     def check(self):
         """Compare the view with what the oracle knows."""
@@ -238,14 +265,19 @@
 
 async def play(drawn):
     site = Site(drawn)
-    tasks = [asyncio.create_task(vm.view.run()) for vm in site.vms]
-    tasks.append(asyncio.create_task(site.write()))
+    tasks = [asyncio.create_task(site.write())]
+    tasks += [
+        asyncio.create_task(site.restart(fault))
+        for fault in drawn
+        if fault.kind == "restarted"
+    ]
     try:
         while site.now() < RUN_MS:
             await asyncio.sleep(CHECK_MS / 1000)
             for vm in site.vms:
                 vm.check()
     finally:
+        tasks += site.runs
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -262,3 +294,12 @@
     # configuration for as long as that lasted.
     cut = Fault("store silent", frozenset({0, 1, 2}), 2000, 12_000)
     virtual_time.run(play([cut]))
+
+
+def test_vms_that_restart_with_their_mirrors_use_nothing_old():
+    # Guards against what was removed meanwhile in use again: the only view that is
+    # fresh may come over a VM that has restarted too.
+    leads = Fault("restarted", frozenset({3, 4, 5}), 3000, 800)
+    followers = Fault("restarted", frozenset({6, 7, 8}), 3100, 300)
+    stale = Fault("store silent", frozenset({0, 1}), 2000, 9000)
+    virtual_time.run(play([leads, followers, stale]))
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -20,7 +20,7 @@
     STALE_AVOID_MS,
 )
 from heathershunt.gateway.upstream import MOST_AGE_MS
-from heathershunt.http import Address, HttpClient, HttpServer
+from heathershunt.http import Address, HttpClient, HttpServer, correlated
 
 
 class CountingStore:
@@ -47,7 +47,7 @@
     def __init__(self, clock):
         self.age_ms = 100
         self.mirror = ViewMirror(lambda: self.age_ms)
-        self.server = HttpServer(self.mirror.handle)
+        self.server = HttpServer(correlated(self.mirror.handle))
         self.store = CountingStore()
         self.addresses = []
         self.client = HttpClient()
@@ -140,7 +140,7 @@
     # The load: one of three watching VMs is lost, and a third of a large fleet turns to
     # the store at the same moment.
     pair.mirror.on_snapshot(Snapshot((), 9))
-    gone = HttpServer(pair.mirror.handle)
+    gone = HttpServer(correlated(pair.mirror.handle))
     await gone.start("127.0.0.1", 0)
     pair.addresses = [Address("127.0.0.1", gone.port), *pair.addresses]
     await gone.close()
@@ -180,7 +180,7 @@
     """Three mirrors that answer, but have lost the store."""
     pair.mirror.on_snapshot(Snapshot((), 9))
     pair.age_ms = MOST_AGE_MS + 1
-    servers = [HttpServer(pair.mirror.handle) for _ in range(2)]
+    servers = [HttpServer(correlated(pair.mirror.handle)) for _ in range(2)]
     for server in servers:
         await server.start("127.0.0.1", 0)
         pair.addresses.append(Address("127.0.0.1", server.port))
--- a/tests/drafts/test_epoch.py
+++ b/tests/drafts/test_epoch.py
@@ -118,3 +118,85 @@
     draft, outcome = await run_epoch([token(0), token(2, last=True)])
     assert not draft.is_whole
     assert "too early" in outcome.err_value.detail
+
+
+class PacedStream(ScriptedStream):
+    """Stream that gives a line after each pause, the last one for ever."""
+
+    def __init__(self, stage, lines, pause_s):
+        super().__init__(stage, lines)
+        self._pause_s = pause_s
+
+    async def read_lines(self):
+        await asyncio.sleep(self._pause_s)
+        return [self._lines.pop(0) if len(self._lines) > 1 else self._lines[0]]
+
+
+class PacedEngine(ScriptedEngine):
+    """Engine whose last stage emits lines at a pace and answers all probes alike.
+
+    :param positions: what probes are answered, the last one for ever.
+    """
+
+    def __init__(self, lines, pause_s, positions):
+        super().__init__(lines)
+        self._pause_s = pause_s
+        self._positions = positions
+        self.probes = 0
+
+    async def open(self, order, index):
+        stream, opened = (await super().open(order, index)).ok_value
+        if index == len(STAGES) - 1:
+            stream = PacedStream(stream.stage, self._tokens, self._pause_s)
+        return Ok((stream, opened))
+
+    def forget_connections(self, stage):
+        pass
+
+    async def probe(self, stage, run, timeout_ms):
+        self.probes += 1
+        return self._positions
+
+
+async def run_paced(engine, least_ms):
+    chain = Chain(1, "m", "v1", None, STAGES)
+    order = RunOrder("run", 1, chain, "prompt", (), 0, 2, 0, 1, 0)
+    draft = Draft("vm1.1.1", REQUEST, Millis(0))
+    clock = SystemClock()
+    monitor = ProgressMonitor(clock)
+    watching = asyncio.create_task(monitor.run())
+    estimator = GapEstimator(least_ms, 34)
+    epoch = Epoch(draft, order, engine, monitor, estimator, clock)
+    try:
+        async with asyncio.timeout(10):
+            return draft, await epoch.run()
+    finally:
+        watching.cancel()
+
+
+@pytest.mark.parametrize("line", [token(0), StageLine("alive"), token(0, epoch=0)])
+async def test_stalled_stage_that_goes_on_sending_lines_is_given_up(line):
+    # Guards against a draft that never ends: only tokens that bring it further count.
+    engine = PacedEngine([token(0), line], pause_s=0.01, positions=0)
+    draft, outcome = await run_paced(engine, least_ms=100)
+    assert draft.tokens == ["t"]
+    assert outcome.is_err()
+
+
+async def test_slow_stage_that_brings_its_draft_further_is_not_cut():
+    # Guards against sound drafts that are run again because their stages are slow.
+    engine = PacedEngine([token(0), token(1, last=True)], pause_s=0.25, positions=1)
+    engine.probe = _moving_probe()
+    draft, outcome = await run_paced(engine, least_ms=100)
+    assert outcome.is_ok()
+    assert draft.is_whole
+
+
+def _moving_probe():
+    """Return a probe that finds each stage a little further on than before."""
+    steps = iter(range(-1000, 0))
+
+    async def probe(stage, run, timeout_ms):
+        return next(steps)
+
+    return probe
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -6,65 +6,16 @@
 
 import pytest
 
-from heathershunt.http import Address, HttpClient
+from heathershunt.http import HttpClient
 from heathershunt.http.client import MAX_BODY_BYTES
 from heathershunt.http.client_connection import MAX_INTERIM_ANSWERS
 from heathershunt.verdict import Progress
+from tests.scripted import ScriptedTarget, answer
 
 FLOOD_PIECE = b"x" * 65_536
 TIMEOUT_MS = 5000
 
 
-def answer(body, head=b""):
-    return b"HTTP/1.1 200 OK\r\n%bcontent-length: %d\r\n\r\n%b" % (
-        head,
-        len(body),
-        body,
-    )
-
-
-class ScriptedTarget:
-    """Answers each request with what its script writes.
-
-    :ivar connections: connections so far.
-    """
-
-    def __init__(self, script):
-        self._script = script
-        self.connections = 0
-        self.sent_bytes = 0
-        self._tasks = set()
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        return Address(*self._server.sockets[0].getsockname())
-
-    def _accept(self, reader, writer):
-        task = asyncio.create_task(self._serve(reader, writer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _serve(self, reader, writer):
-        self.connections += 1
-        try:
-            while head := await reader.readuntil(b"\r\n\r\n"):
-                await self._script(self, head.split()[1].decode(), writer)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
-    async def send(self, writer, data):
-        writer.write(data)
-        await writer.drain()
-        self.sent_bytes += len(data)
-
-    def stop(self):
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-
-
 @pytest.fixture
 async def client():
     client = HttpClient()
--- /dev/null
+++ b/tests/http/test_correlation.py
@@ -0,0 +1,83 @@
+"""Answers on kept connections that come when the next request is written already."""
+
+import pytest
+from result import Err
+
+from heathershunt.http import (
+    Address,
+    HttpClient,
+    HttpServer,
+    Response,
+    correlated,
+)
+from heathershunt.http.correlation import CORRELATION_HEADER
+from heathershunt.verdict import Progress
+from tests.scripted import ScriptedTarget, answer, field_of
+
+NAME = CORRELATION_HEADER.encode()
+
+
+def late_copies():
+    """Return a script that sends its last answer again before each new one."""
+    last = {}
+
+    async def script(target, path, writer):
+        if writer in last:
+            await target.send(writer, last[writer])
+        number = field_of(target.head, NAME)
+        last[writer] = answer(path.encode(), NAME + b": " + number + b"\r\n")
+        await target.send(writer, last[writer])
+
+    return script
+
+
+@pytest.fixture
+async def client():
+    client = HttpClient()
+    yield client
+    client.close()
+
+
+async def test_copy_that_comes_after_the_next_request_is_not_its_answer(client):
+    # Guards against an older view or load that is taken for the newest one.
+    target = ScriptedTarget(late_copies())
+    address = await target.start()
+    replies = []
+    for number in range(4):
+        outcome = await client.exchange(address, "GET", f"/{number}", correlated=True)
+        replies.append(outcome)
+    target.stop()
+    for number, outcome in enumerate(replies):
+        if isinstance(outcome, Err):
+            assert outcome.err_value.progress is Progress.SENT
+        else:
+            assert outcome.ok_value[1] == f"/{number}".encode()
+    # The connection that is one answer behind is dropped, not used until it times out.
+    assert [isinstance(outcome, Err) for outcome in replies] == [0, 1, 0, 1]
+
+
+async def test_own_servers_repeat_the_id(client):
+    async def handle(request):
+        return Response(200, {"content-type": "text/plain"}, request.path.encode())
+
+    server = HttpServer(correlated(handle))
+    await server.start("127.0.0.1", 0)
+    address = Address("127.0.0.1", server.port)
+    for path in ("/a", "/b"):
+        outcome = await client.exchange(address, "GET", path, correlated=True)
+        assert outcome.ok_value == (200, path.encode())
+    outcome = await client.exchange(address, "GET", "/c")
+    assert outcome.ok_value == (200, b"/c")
+    await server.close()
+
+
+async def test_answer_without_the_id_is_not_taken(client):
+    async def handle(request):
+        return Response(200, {}, b"anything")
+
+    server = HttpServer(handle)
+    await server.start("127.0.0.1", 0)
+    address = Address("127.0.0.1", server.port)
+    outcome = await client.exchange(address, "GET", "/a", correlated=True)
+    assert outcome.is_err()
+    await server.close()
--- a/tests/pipelines/test_sharing.py
+++ b/tests/pipelines/test_sharing.py
@@ -5,7 +5,7 @@
 import pytest
 
 from heathershunt.clock import ManualClock
-from heathershunt.http import Address, HttpClient, HttpServer
+from heathershunt.http import Address, HttpClient, HttpServer, correlated
 from heathershunt.pipelines import (
     Chain,
     ChainChooser,
@@ -33,7 +33,7 @@
         self.http = HttpClient()
         self.ledgers = [LoadLedger(self.clock) for _ in range(size)]
         self.boards = [LoadBoard(self.clock, self.fleet_factor) for _ in range(size)]
-        self.servers = [HttpServer(board.handle) for board in self.boards]
+        self.servers = [HttpServer(correlated(board.handle)) for board in self.boards]
         self.notes = [[] for _ in range(size)]
         self.books = [
             NoteBook(self.clock, lambda number=number: self.notes[number], print)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,116 @@
+"""The client of the store against replies that are not the ones to its calls."""
+
+import base64
+import json
+
+import pytest
+
+from heathershunt.coordination import LeasedValue
+from heathershunt.coordination.store import StoreFailure
+from heathershunt.http import HttpClient
+from heathershunt.platform.store import MetadataStore
+from tests.scripted import ScriptedTarget, answer
+
+
+def _events(revision, *rows):
+    events = [
+        {"key": key, "revision": number, "value": base64.b64encode(value).decode()}
+        for key, number, value in rows
+    ]
+    return json.dumps({"events": events, "current_rev": revision}).encode()
+
+
+@pytest.fixture
+async def start():
+    """Return a function that starts a store with the bodies it replies, in order.
+
+    Before each reply on a kept connection comes a second copy of the last one.
+    """
+    client = HttpClient()
+    targets = []
+
+    async def start(*bodies):
+        replies = iter(bodies)
+        last = {}
+
+        async def script(target, path, writer):
+            if writer in last:
+                await target.send(writer, last[writer])
+            last[writer] = answer(next(replies))
+            await target.send(writer, last[writer])
+
+        target = ScriptedTarget(script)
+        targets.append(target)
+        return MetadataStore(client, await target.start()), target
+
+    yield start
+    client.close()
+    for target in targets:
+        target.stop()
+
+
+async def test_second_copy_of_changes_is_not_taken_again(start):
+    # Guards against a target that left, or a key that was removed, in use again: the
+    # copy would put back what a later change had taken away.
+    store, _ = await start(
+        _events(5, ("targets/a", 5, b"one")),
+        _events(6, ("targets/a", 6, b"two")),
+        _events(6, ("targets/a", 6, b"two")),
+    )
+    first = (await store.watch("", 4, 100)).unwrap()
+    assert first.revision == 5
+    second = await store.watch("", 5, 100)
+    assert second.unwrap_err().failure is StoreFailure.UNKNOWN
+    third = (await store.watch("", 5, 100)).unwrap()
+    assert third.entries[0][1].value == b"two"
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [_events(3), _events(9, ("a", 4, b"")), _events(9, ("a", 9, b""), ("b", 2, b""))],
+)
+async def test_changes_from_before_the_asked_revision_are_no_reply(start, reply):
+    store, _ = await start(reply)
+    outcome = await store.watch("", 4, 100)
+    assert outcome.unwrap_err().failure is StoreFailure.UNKNOWN
+
+
+async def test_early_reply_without_changes_says_nothing_of_the_wait(start):
+    # Guards against a view that counts as fresh by a copy of an earlier reply.
+    store, target = await start(_events(4), _events(4))
+    first = (await store.watch("", 4, 200)).unwrap()
+    assert (first.entries, first.waited_ms) == ((), 0)
+    # The connection may be one reply behind.
+    await store.watch("", 4, 200)
+    assert target.connections == 2
+
+
+async def test_reply_without_changes_after_the_wait_covers_it(start):
+    store, target = await start(_events(4), _events(4))
+    for _ in range(2):
+        changes = (await store.watch("", 4, 0)).unwrap()
+        assert changes.waited_ms is None
+    assert target.connections == 1
+
+
+async def test_list_is_not_an_earlier_list(start):
+    # Guards against targets that left before and are listed again.
+    lists = [
+        json.dumps({"items": [], "has_more": False, "current_rev": number}).encode()
+        for number in (3, 4)
+    ]
+    store, _ = await start(*lists)
+    assert (await store.read_all("")).unwrap().revision == 3
+    assert (await store.read_all("")).unwrap().revision == 4
+
+
+async def test_writes_do_not_take_the_reply_to_an_earlier_write(start):
+    # Guards against a VM that believes in a lease or an entry that it has not got.
+    store, target = await start(
+        b'{"revision": 7}', b'{"revision": 8}', b'{"lease": 3, "ttl_ms": 100}'
+    )
+    value = (LeasedValue("vm/vm-1", b"entry"),)
+    assert (await store.commit((), value)).unwrap() == 7
+    assert (await store.commit((), value)).unwrap() == 8
+    assert (await store.grant_lease(100)).unwrap() == (3, 100)
+    assert target.connections == 3
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,74 @@
+"""A target that answers each request with what a script writes."""
+
+import asyncio
+
+from heathershunt.http import Address
+
+
+def answer(body, head=b""):
+    return b"HTTP/1.1 200 OK\r\n%bcontent-length: %d\r\n\r\n%b" % (
+        head,
+        len(body),
+        body,
+    )
+
+
+class ScriptedTarget:
+    """Answers each request with what its script writes.
+
+    :param script: coroutine function of the target, the path of a request and the
+        writer of its connection.
+    :ivar connections: connections so far.
+    :ivar head: head of the newest request.
+    """
+
+    def __init__(self, script):
+        self._script = script
+        self.connections = 0
+        self.head = b""
+        self.sent_bytes = 0
+        self._tasks = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return Address(*self._server.sockets[0].getsockname())
+
+    def _accept(self, reader, writer):
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                await reader.readexactly(_body_length(head))
+                self.head = head
+                await self._script(self, head.split()[1].decode(), writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def send(self, writer, data):
+        writer.write(data)
+        await writer.drain()
+        self.sent_bytes += len(data)
+
+    def stop(self):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+
+def field_of(head, name):
+    """Return a header field of a request, ``None`` without it."""
+    for line in head.split(b"\r\n")[1:]:
+        key, _, value = line.partition(b":")
+        if key.strip().lower() == name:
+            return value.strip()
+    return None
+
+
+def _body_length(head):
+    return int(field_of(head, b"content-length") or 0)
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -1,6 +1,7 @@
 import asyncio
 import json
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -10,6 +11,7 @@
 from heathershunt.services.addresses import AddressChooser, RetryBudget
 from heathershunt.services.dispatch import Dispatcher
 from heathershunt.verdict import Progress
+from tests.scripted import ScriptedTarget, answer
 from tests.services.doubles import service_call
 
 HOST = "127.0.0.1"
@@ -99,3 +101,27 @@
     for _ in range(10):
         budget.earn()
     assert [budget.take() for _ in range(3)] == [True, True, False]
+
+
+async def test_second_copy_of_an_answer_reaches_no_other_caller():
+    # Guards against an answer to somebody else: the copy comes when the next request
+    # has been written, and no id in it tells whose it is.
+    last = {}
+
+    async def script(target, path, writer):
+        if writer in last:
+            await target.send(writer, last[writer])
+        last[writer] = answer(path.encode())
+        await target.send(writer, last[writer])
+
+    target = ScriptedTarget(script)
+    address = await target.start()
+    clock = SystemClock()
+    client = HttpClient()
+    dispatcher = Dispatcher(client, clock, lambda name: [address], random.Random(3))
+    for number in range(3):
+        call = replace(service_call(), target=f"/{number}")
+        outcome = await dispatcher.run(call, READS, Millis(clock.now() + 2000))
+        assert outcome.response.body == f"/{number}".encode()
+    client.close()
+    target.stop()
