--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -8,24 +8,15 @@
 from heathershunt.drafts.engine import MAX_LINE_BYTES, EngineClient, RunOrder
 from heathershunt.http import HttpClient
 from heathershunt.routing import Chain, Stage
-from tests.scripted import ScriptedTarget, answer
+from tests.scripted import ScriptedTarget, answer, late_copies
 
 
 async def test_second_copy_of_a_stream_does_not_reach_the_next_run():
     # Guards against a caller that reads the text of somebody else's draft: the copy
     # comes when the next run has been opened on the connection.
-    last = {}
-    opened = []
-
-    async def script(target, path, writer):
-        if writer in last:
-            await target.send(writer, last[writer])
-        opened.append(path)
-        line = {"event": "opened", "text": f"run {len(opened)}"}
-        last[writer] = answer(json.dumps(line).encode() + b"\n")
-        await target.send(writer, last[writer])
-
-    target = ScriptedTarget(script)
+    lines = [{"event": "opened", "text": f"run {number}"} for number in (1, 2, 3)]
+    answers = [answer(json.dumps(line).encode() + b"\n") for line in lines]
+    target = ScriptedTarget(late_copies(answers))
     client = HttpClient()
     stage = Stage("runner-1", str(await target.start()), "", 0, 80)
     for number in (1, 2, 3):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,7 +9,7 @@
 from heathershunt.coordination.store import StoreFailure
 from heathershunt.http import HttpClient
 from heathershunt.platform.store import MetadataStore
-from tests.scripted import ScriptedTarget, answer
+from tests.scripted import ScriptedTarget, answer, late_copies
 
 
 def _events(revision, *rows):
@@ -30,16 +30,7 @@
     targets = []
 
     async def start(*bodies):
-        replies = iter(bodies)
-        last = {}
-
-        async def script(target, path, writer):
-            if writer in last:
-                await target.send(writer, last[writer])
-            last[writer] = answer(next(replies))
-            await target.send(writer, last[writer])
-
-        target = ScriptedTarget(script)
+        target = ScriptedTarget(late_copies(map(answer, bodies)))
         targets.append(target)
         return MetadataStore(client, await target.start()), target
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -61,6 +61,24 @@
             task.cancel()
 
 
+def late_copies(answers):
+    """Return a script that gives answers in order.
+
+    Before each one on a kept connection comes a second copy of the last one, when the
+    next request has been written already.
+    """
+    left = iter(answers)
+    last = {}
+
+    async def script(target, path, writer):
+        if writer in last:
+            await target.send(writer, last[writer])
+        last[writer] = next(left)
+        await target.send(writer, last[writer])
+
+    return script
+
+
 def field_of(head, name):
     """Return a header field of a request, ``None`` without it."""
     for line in head.split(b"\r\n")[1:]:
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -11,7 +11,7 @@
 from heathershunt.services.addresses import AddressChooser, RetryBudget
 from heathershunt.services.dispatch import Dispatcher
 from heathershunt.verdict import Progress
-from tests.scripted import ScriptedTarget, answer
+from tests.scripted import ScriptedTarget, answer, late_copies
 from tests.services.doubles import service_call
 
 HOST = "127.0.0.1"
@@ -106,15 +106,8 @@
 async def test_second_copy_of_an_answer_reaches_no_other_caller():
     # Guards against an answer to somebody else: the copy comes when the next request
     # has been written, and no id in it tells whose it is.
-    last = {}
-
-    async def script(target, path, writer):
-        if writer in last:
-            await target.send(writer, last[writer])
-        last[writer] = answer(path.encode())
-        await target.send(writer, last[writer])
-
-    target = ScriptedTarget(script)
+    answers = [answer(f"/{number}".encode()) for number in range(3)]
+    target = ScriptedTarget(late_copies(answers))
     address = await target.start()
     clock = SystemClock()
     client = HttpClient()
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -7,7 +7,7 @@
 
 from heathershunt.http import HttpClient
 from heathershunt.store import KeyValueStore, StoreFailure
-from tests.scripted import ScriptedTarget, answer
+from tests.scripted import ScriptedTarget, answer, late_copies
 
 
 @pytest.fixture
@@ -20,16 +20,8 @@
     targets = []
 
     async def start(*replies):
-        left = iter(replies)
-        last = {}
-
-        async def script(target, path, writer):
-            if writer in last:
-                await target.send(writer, last[writer])
-            last[writer] = answer(json.dumps(next(left)).encode())
-            await target.send(writer, last[writer])
-
-        target = ScriptedTarget(script)
+        bodies = [json.dumps(reply).encode() for reply in replies]
+        target = ScriptedTarget(late_copies(map(answer, bodies)))
         targets.append(target)
         return KeyValueStore(client, (await target.start(),))
 
