Spread the requests of VMs that have just started by chance

All VMs lost power and were back within half a second of each other, and so were their callers. Each knew only itself: chains were compared over all domains, as in a small fleet, and the fastest domain was chosen by all. Of 539 sends in a quarter of a second 240 were rejected, two thirds of them by four runners, and 146 streams were refused.

Ruled out: missing layers (all domains were whole), old entries (status 503, not 421), the exchange of loads (what it tells after such a start is true, but comes from those few that have told theirs).

Change: for 1.5 s after its start a VM does not take what it knows of the others for complete. Meanwhile, where many runners tell that the fleet is large, it draws one domain, and raises the cost of each runner by chance, as it does for the replacements of a dead one.

Test: test_vms_that_were_all_started_at_once_do_not_know_how_many_they_are failed before. Pattern: all callers come back to VMs that have just started.

--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -31,9 +31,13 @@
 # So many VMs, told the same loads, would all choose the same domain until they are told
 # again. A small fleet sends few requests between two exchanges of loads.
 LARGE_FLEET_VMS = 16
+# Runners that so many VMs have. A VM that has just started does not know the others.
+LARGE_FLEET_RUNNERS = 64
 DOMAINS_TRIED = 2
-# The same while a VM knows nothing of the others, as when all were restarted at once.
-DOMAINS_TRIED_UNINFORMED = 1
+# The same while a VM knows little of the others, as when all were restarted at once.
+DOMAINS_TRIED_UNSETTLED = 1
+# Most by which the cost of a runner is raised by chance meanwhile.
+UNSETTLED_SPREAD = 1.5
 # Runners of a domain among which a chain is looked for. More would hardly give a better
 # chain, and the time of the search grows with them.
 MOST_RUNNERS = 64
@@ -173,12 +177,12 @@
             if first >= last:
                 continue
             item = self._candidate(engine, runner, job, vms, None)
-            # All streams of the dead runner look for another one at the same moment,
-            # here and at other VMs, and shall not all find the same.
-            item.layer_ms *= random.uniform(1.0, REPLACEMENT_SPREAD)
             item.first, item.end = first - start, last - start
             item.has_slot = True
             candidates.append(item)
+        # All streams of the dead runner look for another one at the same moment, here
+        # and at other VMs, and shall not all find the same.
+        _spread(candidates, REPLACEMENT_SPREAD)
         terms = SearchTerms(end - start, *_hop_costs(job))
         domain = lost[0].runner.domain
         inside = [item for item in candidates if item.runner.domain == domain]
@@ -212,7 +216,13 @@
             by_domain.setdefault(candidate.runner.domain, []).append(candidate)
         whole = [c for c in by_domain.values() if _holds_all(c, terms)]
         random.shuffle(whole)
-        tried = self._domains_tried(vms, len(whole))
+        is_large = vms >= LARGE_FLEET_VMS or len(candidates) >= LARGE_FLEET_RUNNERS
+        tried = len(whole)
+        if is_large and self._ledger.is_settled:
+            tried = DOMAINS_TRIED if vms >= LARGE_FLEET_VMS else tried
+        elif is_large:
+            tried = DOMAINS_TRIED_UNSETTLED
+            _spread(candidates, UNSETTLED_SPREAD)
         found = _cheapest_of(whole[:tried], terms)
         if _is_short(found):
             found = _cheaper(found, _cheapest_of(whole[tried:], terms))
@@ -230,11 +240,6 @@
             self._paces.pace(part.runner.id) > USUAL_PACE for part in found[1].parts
         )
 
-    def _domains_tried(self, vms: int, domains: int) -> int:
-        if vms < LARGE_FLEET_VMS:
-            return domains
-        return DOMAINS_TRIED if self._ledger.is_informed else DOMAINS_TRIED_UNINFORMED
-
     def _candidate(
         self,
         engine: Engine,
@@ -272,6 +277,15 @@
         return usual_ms * self._paces.pace(runner.id)
 
 
+def _spread(candidates: Iterable[Candidate], most: float) -> None:
+    """Raise the cost of each runner by chance.
+
+    :param most: largest factor.
+    """
+    for candidate in candidates:
+        candidate.layer_ms *= random.uniform(1.0, most)
+
+
 def _holds_all(candidates: list[Candidate], terms: SearchTerms) -> bool:
     """Return whether a chain of some runners is possible."""
     if not any(item.may_lead for item in candidates):
--- a/src/heathershunt/pipelines/load.py
+++ b/src/heathershunt/pipelines/load.py
@@ -9,6 +9,9 @@
 # What other VMs told is used for this long; after that, each is taken to have as much
 # running as this one.
 FRESH_MS = 1500
+# Time after its start for which a VM hears little of the others: where all were started
+# at once, they find and tell each other only then.
+SETTLING_MS = 1500
 
 
 @dataclass(slots=True)
@@ -39,6 +42,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._settled_at = Millis(clock.now() + SETTLING_MS)
         self._by_runner: dict[str, RunnerLoad] = {}
         self._others_by_runner: Mapping[str, RunnerLoad] = {}
         self._others_at: Millis | None = None
@@ -59,6 +63,11 @@
             return False
         return self._clock.now() - self._others_at <= FRESH_MS
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether what is known of the other VMs is likely to be complete."""
+        return self.is_informed and self._clock.now() >= self._settled_at
+
     def total(self, runner_id: str, vms: int) -> RunnerLoad:
         """Return the load of all VMs at a runner.
 
