--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -216,11 +216,8 @@
             by_domain.setdefault(candidate.runner.domain, []).append(candidate)
         whole = [c for c in by_domain.values() if _holds_all(c, terms)]
         random.shuffle(whole)
-        is_large = vms >= LARGE_FLEET_VMS or len(candidates) >= LARGE_FLEET_RUNNERS
-        tried = len(whole)
-        if is_large and self._ledger.is_settled:
-            tried = DOMAINS_TRIED if vms >= LARGE_FLEET_VMS else tried
-        elif is_large:
+        tried = DOMAINS_TRIED if vms >= LARGE_FLEET_VMS else len(whole)
+        if self._may_be_crowded(vms, len(candidates)):
             tried = DOMAINS_TRIED_UNSETTLED
             _spread(candidates, UNSETTLED_SPREAD)
         found = _cheapest_of(whole[:tried], terms)
@@ -233,6 +230,11 @@
             found = _cheaper(found, find_cheapest(candidates, terms))
         return found
 
+    def _may_be_crowded(self, vms: int, runners: int) -> bool:
+        """Return whether many VMs may choose now that know little of each other."""
+        is_large = vms >= LARGE_FLEET_VMS or runners >= LARGE_FLEET_RUNNERS
+        return is_large and not self._ledger.is_settled
+
     def _has_slow_runner(self, found: Found) -> bool:
         if found is None:
             return False
--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -154,7 +154,8 @@
 
     async def end_lease(self, lease: int) -> Result[None, StoreError]:
         """End a lease; its keys are removed."""
-        reply = await self._call("DELETE", f"/kv-lease-end/{lease}", None)
+        path = f"/kv-lease-end/{lease}"
+        reply = await self._call("DELETE", path, None, fresh=True)
         return reply.map(lambda _: None)
 
     async def _write(
