--- a/standins/engine.py
+++ b/standins/engine.py
@@ -8,7 +8,7 @@
 import json
 import sys
 import time
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from dataclasses import asdict, replace
 
 import msgspec
@@ -27,7 +27,10 @@
 from standins import oracle
 from standins.engine_fabric import Fabric
 from standins.engine_prefixes import PrefixCache
+from standins.engine_reports import LoadReports
 from standins.engine_state import EngineSpec, Run, Work
+from standins.engine_steps import StepQueue
+from standins.engine_stream import stream_lines
 
 HOST = "127.0.0.1"
 PROGRESS_SECONDS = 1.0
@@ -52,11 +55,10 @@
         self._runs_by_id: dict[str, Run] = {}
         self._kv_by_run: OrderedDict[str, int] = OrderedDict()
         self._epoch_by_run: OrderedDict[str, int] = OrderedDict()
-        self._queue: list[Work] = []
-        self._wake = asyncio.Event()
+        self._steps = StepQueue(spec, self._cost_ms, self._finish_step)
         self._fabric = Fabric(self._receive)
         self._prefixes = PrefixCache()
-        self._reports: deque[tuple[float, dict]] = deque(maxlen=512)
+        self._reports = LoadReports(self._load_report)
         self._running = 0
         self._client = HttpClient()
         self.http = HttpServer(self.handle, HttpLimits(idle_ms=600_000))
@@ -69,8 +71,8 @@
         fabric = self.spec.advertised_fabric or f"{HOST}:{port}"
         self.spec = replace(self.spec, advertised_fabric=fabric)
         self._tasks = [
-            asyncio.create_task(self._step_forever()),
-            asyncio.create_task(self._report_forever()),
+            asyncio.create_task(self._steps.run()),
+            asyncio.create_task(self._reports.run()),
         ]
         return {
             "runner": self.spec.runner,
@@ -114,51 +116,28 @@
 
     def _status(self) -> dict:
         spec = self._loading or self.spec
-        cutoff = time.monotonic() - spec.report_lag_ms / 1000
-        load = self._load_report()
-        for stamp, report in reversed(self._reports):
-            if stamp <= cutoff:
-                load = report
-                break
-        return {
-            "runner": spec.runner,
+        return spec.described() | {
             "incarnation": self.incarnation,
-            "kind": spec.kind,
             "fence": self.fence,
-            "checks_fence": spec.checks_fence,
             "leaving": self.leaving,
-            "vm": spec.vm or spec.runner,
-            "domain": spec.domain,
-            "model": spec.model,
-            "version": spec.version,
-            "adapters": list(spec.adapters),
-            "first_layer": spec.first_layer,
-            "end_layer": spec.end_layer,
             "role": "loading" if self._loading else spec.role,
-            "fabric": spec.advertised_fabric,
-            "load": load,
+            "load": self._reports.published(spec.report_lag_ms) or self._load_report(),
         }
 
     def _load_report(self) -> dict:
         spec = self.spec
+        free = spec.kv_token_limit - sum(self._kv_by_run.values())
         return {
             "running": len(self._runs_by_id),
-            "queued": len(self._queue),
+            "queued": len(self._steps),
             "batch_limit": spec.batch_limit,
             "step_ms": spec.step_ms,
             "token_ms": spec.token_ms,
             "prefill_token_ms": spec.prefill_token_ms,
-            "kv_free_tokens": max(
-                0, spec.kv_token_limit - sum(self._kv_by_run.values())
-            ),
+            "kv_free_tokens": max(0, free),
             "at_ms": time.time_ns() // 1_000_000,
         }
 
-    async def _report_forever(self) -> None:
-        while True:
-            self._reports.append((time.monotonic(), self._load_report()))
-            await asyncio.sleep(0.05)
-
     def _open(self, body: dict) -> Response | StreamResponse:
         run_id, epoch = body["run"], int(body["epoch"])
         if epoch <= self._epoch_by_run.get(run_id, 0):
@@ -173,21 +152,7 @@
         old = self._runs_by_id.pop(run_id, None)
         if old is not None:
             self._end(old, "superseded")
-        run = Run(
-            run_id,
-            epoch,
-            int(body["stage"]),
-            body["chain"],
-            body["prompt"],
-            list(body["tokens"]),
-            int(body["position"]),
-            int(body["max_tokens"]),
-            int(body["seed"]),
-            body["adapter"],
-            int(body["priority"]),
-            0,
-            import_from=body.get("import_from"),
-        )
+        run = Run.from_body(body)
         run.kv_positions = self._kv_positions(run)
         self._runs_by_id[run_id] = run
         self._epoch_by_run[run_id] = epoch
@@ -215,24 +180,9 @@
             "version": spec.version,
             "kv_positions": run.kv_positions,
         }
-        stream.write(_line(opened))
-        closed = asyncio.create_task(stream.wait_closed())
-        get = asyncio.create_task(run.outbox.get())
         try:
-            while not closed.done():
-                await asyncio.wait({closed, get}, return_when="FIRST_COMPLETED")
-                if not get.done():
-                    continue
-                lines = [get.result()]
-                while not run.outbox.empty():
-                    lines.append(run.outbox.get_nowait())
-                stream.write(b"".join(_line(line) for line in lines))
-                if lines[-1]["event"] == "end":
-                    return
-                get = asyncio.create_task(run.outbox.get())
+            await stream_lines(run, opened, stream)
         finally:
-            closed.cancel()
-            get.cancel()
             if self._runs_by_id.get(run.run) is run:
                 self._end(run, "closed")
 
@@ -283,15 +233,7 @@
             return json_response(409, {"error": "old fencing token"})
         self.fence = fence
         self.orders.append({**body, "done": True})
-        ordered = replace(
-            self.spec,
-            model=body["model"],
-            version=body["version"],
-            adapters=tuple(body["adapters"]),
-            first_layer=int(body["first_layer"]),
-            end_layer=int(body["end_layer"]),
-            role=body["role"],
-        )
+        ordered = self.spec.ordered(body)
         if ordered.loaded != (self._loading or self.spec).loaded:
             self._load(ordered)
         elif self._loading is None:
@@ -326,7 +268,7 @@
 
     def _enqueue_token(self, run: Run, recompute_from: tuple[int, ...]) -> None:
         value = oracle.embed(run.prompt, run.seed, run.tokens)
-        self._enqueue(
+        self._steps.put(
             Work(
                 run.run,
                 run.epoch,
@@ -338,29 +280,12 @@
             )
         )
 
-    def _enqueue(self, work: Work) -> None:
-        self._queue.append(work)
-        self._wake.set()
-
-    async def _step_forever(self) -> None:
-        spec = self.spec
-        due = time.monotonic()
-        while True:
-            await self._wake.wait()
-            if not self._queue:
-                self._wake.clear()
-                continue
-            self._queue.sort(key=lambda work: work.priority)
-            batch = self._queue[: spec.batch_limit]
-            del self._queue[: spec.batch_limit]
-            cost = spec.step_ms + sum(map(self._cost_ms, batch))
-            due = max(due, time.monotonic() - 0.002) + cost / 1000
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            frames_by_address: dict[str, list] = {}
-            for work in batch:
-                self._finish(work, frames_by_address)
-            for address, items in frames_by_address.items():
-                await self._fabric.send(address, items)
+    async def _finish_step(self, batch: list[Work]) -> None:
+        frames_by_address: dict[str, list] = {}
+        for work in batch:
+            self._finish(work, frames_by_address)
+        for address, items in frames_by_address.items():
+            await self._fabric.send(address, items)
 
     def _cost_ms(self, work: Work) -> float:
         run = self._runs_by_id.get(work.run)
@@ -456,11 +381,7 @@
             return
         trace = tuple(item["trace"])
         held = tuple(item["recompute_from"])
-        self._enqueue(Work(**{**item, "trace": trace, "recompute_from": held}))
-
-
-def _line(value: dict) -> bytes:
-    return json.dumps(value, separators=(",", ":")).encode() + b"\n"
+        self._steps.put(Work(**{**item, "trace": trace, "recompute_from": held}))
 
 
 async def run_engines(specs: list[EngineSpec]) -> None:
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -1,7 +1,7 @@
 """Runs, work items and the ledger of one engine stand-in."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 
@@ -48,6 +48,34 @@
         layers = (self.first_layer, self.end_layer)
         return self.model, self.version, self.adapters, layers
 
+    def ordered(self, body: dict[str, Any]) -> "EngineSpec":
+        """Return the engine as an order wants it."""
+        return replace(
+            self,
+            model=body["model"],
+            version=body["version"],
+            adapters=tuple(body["adapters"]),
+            first_layer=int(body["first_layer"]),
+            end_layer=int(body["end_layer"]),
+            role=body["role"],
+        )
+
+    def described(self) -> dict[str, Any]:
+        """Return what the status says of the engine itself."""
+        return {
+            "runner": self.runner,
+            "kind": self.kind,
+            "checks_fence": self.checks_fence,
+            "vm": self.vm or self.runner,
+            "domain": self.domain,
+            "model": self.model,
+            "version": self.version,
+            "adapters": list(self.adapters),
+            "first_layer": self.first_layer,
+            "end_layer": self.end_layer,
+            "fabric": self.advertised_fabric,
+        }
+
 
 @dataclass
 class Run:
@@ -78,6 +106,25 @@
     def __post_init__(self) -> None:
         self.finished = self.position - 1
 
+    @classmethod
+    def from_body(cls, body: dict[str, Any]) -> "Run":
+        """Return the run that a request to open one describes."""
+        return cls(
+            body["run"],
+            int(body["epoch"]),
+            int(body["stage"]),
+            body["chain"],
+            body["prompt"],
+            list(body["tokens"]),
+            int(body["position"]),
+            int(body["max_tokens"]),
+            int(body["seed"]),
+            body["adapter"],
+            int(body["priority"]),
+            0,
+            import_from=body.get("import_from"),
+        )
+
     @property
     def is_first(self) -> bool:
         """Return whether this stage embeds the tokens."""
