Log the parts of a prompt and the events of each run

What the lines lacked: they couldn't tell a request that crashes its runner from one that dies with it. admitted now lists the parts of the prompt, stream_broken the events that the run itself sent (after counts earlier runs too). The header field with the parts also joins those that a caller's connection field can't remove; such a caller hid it from the runner (tests/platform/test_headers.py, found by reading).

--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -130,6 +130,7 @@
             left_ms=deadline - request.received_at,
             version=catalog.version,
             view_age_ms=self._view_age_ms(),
+            parts=request.prompt_parts,
         )
         self._context.events.emit(event)
         try:
--- a/src/heathershunt/logs/request_events.py
+++ b/src/heathershunt/logs/request_events.py
@@ -36,6 +36,7 @@
     :param left_ms: time until the deadline of the request.
     :param version: version of the configuration.
     :param view_age_ms: age of the view of the store; ``None`` without a view.
+    :param parts: ids of the parts of the prompt, in order.
     """
 
     name: ClassVar[str] = "admitted"
@@ -48,6 +49,7 @@
     left_ms: int
     version: int
     view_age_ms: int | None
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -185,11 +187,12 @@
 
 @dataclass(frozen=True)
 class StreamBroken(RequestEvent):
-    """A run of a stream ended before its last event.
+    """A run of a stream ended before its last event, after its reply had begun.
 
     :param target: first runner of the chain.
     :param after: id of the last event; ``None`` before the first.
     :param detail: reason why the run ended.
+    :param run_events: events that this run itself sent.
     """
 
     name: ClassVar[str] = "stream_broken"
@@ -197,6 +200,7 @@
     target: str
     after: int | None
     detail: str
+    run_events: int
 
 
 @dataclass(frozen=True)
--- a/src/heathershunt/platform/headers.py
+++ b/src/heathershunt/platform/headers.py
@@ -38,6 +38,16 @@
         names.AUTHORIZATION,
     }
 )
+# Fields that identify or describe the request; they are always passed on.
+DESCRIBING_FIELDS = frozenset(
+    {
+        names.REQUEST_ID,
+        names.HOST,
+        names.MODEL,
+        names.TOKEN_COUNTS,
+        names.PROMPT_PARTS,
+    }
+)
 MAX_RANK = 9
 REJECTION_STATUSES = frozenset({421})
 
@@ -81,6 +91,7 @@
             max_tokens=max_tokens,
             estimated_tokens=_parse_number(values, names.LENGTH_HINT),
             last_event_id=_parse_number(values, names.LAST_EVENT_ID),
+            prompt_parts=_parse_prompt_parts(values.get(names.PROMPT_PARTS)),
         )
 
     def fields(
@@ -161,6 +172,18 @@
         raise RequestError(message) from None
 
 
+def _parse_prompt_parts(value: bytes | None) -> tuple[str, ...]:
+    """Return the ids of the prompt's parts in order.
+
+    The field is passed on as it came, so that the runner judges a malformed one.
+    """
+    if value is None:
+        return ()
+    entries = value.decode("latin-1").split(",")
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    return tuple(part_id for part_id in ids if part_id)
+
+
 def _parse_api_key(value: bytes | None) -> str | None:
     if value is None:
         return None
@@ -176,6 +199,6 @@
     listed = {name.strip().lower() for name in connection.split(b",")}
     # A caller cannot use its ``connection`` field to remove the fields that identify or
     # describe the request.
-    listed -= {names.REQUEST_ID, names.HOST, names.MODEL, names.TOKEN_COUNTS}
+    listed -= DESCRIBING_FIELDS
     dropped = HOP_BY_HOP_FIELDS | ROUTER_FIELDS | listed
     return tuple(field for field in fields if field[0] not in dropped)
--- a/src/heathershunt/platform/names.py
+++ b/src/heathershunt/platform/names.py
@@ -6,6 +6,8 @@
 MODEL = b"heathershunt-model"
 # Number of prompt tokens and limit of output tokens, separated by a comma.
 TOKEN_COUNTS = b"heathershunt-token-counts"
+# Parts of the prompt in order, as ID:TOKENS separated by commas.
+PROMPT_PARTS = b"heathershunt-prompt-prefix"
 # Estimate of the caller for the number of output tokens.
 LENGTH_HINT = b"heathershunt-length-hint"
 LAST_EVENT_ID = b"last-event-id"
--- a/src/heathershunt/relay/messages.py
+++ b/src/heathershunt/relay/messages.py
@@ -24,6 +24,8 @@
     :param estimated_tokens: the caller's estimate of the tokens to generate.
     :param last_event_id: id of the event after which a stream resumes; ``None`` for
         its start.
+    :param prompt_parts: ids of the parts of the prompt, in order; requests share parts,
+        except for the last one.
 
     .. versionadded:: 0.2
     """
@@ -41,6 +43,7 @@
     max_tokens: int = 0
     estimated_tokens: int | None = None
     last_event_id: int | None = None
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/heathershunt/relay/runs.py
+++ b/src/heathershunt/relay/runs.py
@@ -25,6 +25,7 @@
     :param tokens: tokens that the load ledger counts for the run.
     :param response: reply of the first runner; ``None`` until its head arrives.
     :param head: decoded head of the reply.
+    :ivar events: number of events that this run has sent.
 
     .. versionadded:: 0.3
     """
@@ -34,6 +35,7 @@
     response: ClientResponse | None = None
     head: ReplyHead | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    events: int = 0
 
     def next_events(self, data: bytes | None) -> list[StreamEvent] | None:
         """Return the events that are complete now; ``None`` at the end of the stream.
@@ -42,7 +44,9 @@
         :raises StreamBrokenError: if the stream ends inside an event.
         """
         if data is not None:
-            return self.splitter.feed(data)
+            events = self.splitter.feed(data)
+            self.events += len(events)
+            return events
         if self.splitter.has_partial:
             raise StreamBrokenError("the stream ends inside an event")
         return self.splitter.end() or None
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -369,6 +369,7 @@
             target=run.chain.head.id,
             after=self._progress.last_id,
             detail=self._refusal_detail,
+            run_events=run.events,
         )
         self._context.events.emit(event)
         self._drop_run()
