--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -48,6 +48,8 @@
     :ivar orders: number of orders carried out.
     :ivar answer: returns the response to a plain call, ``None`` for a default one.
     :ivar stalls_after: id of the event after which streams send no further one.
+    :ivar deadly_part: id of a part of a prompt; the runner crashes when it begins to
+        write an answer on it. ``None`` without one.
     :ivar trickle: bytes that a stalled stream sends every ``EVENT_MS``.
     """
 
@@ -75,6 +77,7 @@
         self.answer: Callable[[Request], Response] | None = None
         self.stalls_after: int | None = None
         self.trickle = b""
+        self.deadly_part: str | None = None
         self._store = store
         self._targets_by_address = targets_by_address
         self._chain_by_request: dict[str, str] = {}
@@ -198,6 +201,8 @@
         await self._wait_for_chain(request_id)
 
         async def write(sink: ResponseStream) -> None:
+            if self._is_deadly(request):
+                await self._crash(sink)
             for number in range(first, last + 1):
                 await self._wait_for_chain(request_id)
                 run.events.append(number)
@@ -215,6 +220,17 @@
         }
         return StreamResponse(200, headers, write)
 
+    def _is_deadly(self, request: Request) -> bool:
+        parts = request.headers.get("heathershunt-prompt-prefix", "")
+        ids = [entry.partition(":")[0] for entry in parts.split(",")]
+        return self.deadly_part in ids
+
+    async def _crash(self, sink: ResponseStream) -> None:
+        """Send the head of the reply and end as a process does that dies."""
+        sink.write(b"")
+        await sink.drain()
+        await self.stop()
+
     def _first_faulty(self, chain: str) -> str | None:
         """Return the address of the first runner that cannot run its layers."""
         for part in chain.split(","):
--- /dev/null
+++ b/tests/gateway/test_crashing_requests.py
@@ -0,0 +1,59 @@
+"""Requests that crash the runner that begins to write an answer on them."""
+
+import asyncio
+import itertools
+
+DEADLY = "dead0000"
+SHARED = "5c1e07a2"
+# Stated target: at most five crashes until the system knows the part.
+MAX_CRASHES = 5
+
+_own_parts = itertools.count(1)
+
+
+def prompt(*parts):
+    """Return the header field for a prompt with these parts and one of its own."""
+    ids = [*parts, f"{next(_own_parts):08x}"]
+    return ",".join(f"{part}:40" for part in ids)
+
+
+async def add_first_runners(site, count=8):
+    """Add runners that begin chains, all of which crash at the deadly part."""
+    for number in range(count):
+        name = f"first-{number}"
+        await site.add_target(name, "engine", "ab"[number % 2], "large", (0, 40))
+    registry = site.gateways["vm-1"].state.registry
+    await site.until(lambda: len(registry.of_service("engine")) == 6 + count)
+    for target in site.targets.values():
+        target.deadly_part = DEADLY
+
+
+async def send(site, *parts, **changes):
+    """Send one stream; return the status, the headers and whether it was complete."""
+    response = await site.open_stream(
+        events=5, heathershunt_prompt_prefix=prompt(*parts), **changes
+    )
+    try:
+        body = await response.read()
+    except OSError:
+        return response.status, response.headers, False
+    return response.status, response.headers, body.count(b"data: ") == 5
+
+
+def crashes(site):
+    return sum(target.is_unresponsive for target in site.targets.values())
+
+
+# Guards against requests with one part that crash back ends one after the other.
+async def test_part_that_crashes_runners_stops_reaching_them(site):
+    await add_first_runners(site)
+    sound = []
+    for _ in range(12):
+        await send(site, SHARED, DEADLY)
+        sound.append(await send(site, SHARED))
+        await asyncio.sleep(0.02)
+    assert crashes(site) <= MAX_CRASHES
+    assert all(status == 200 and is_complete for status, _, is_complete in sound)
+    status, headers, _ = await send(site, SHARED, DEADLY)
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
