Refuse prompts with a part that crashes runners

Callers saw: requests with one part of a prompt ended runner after runner, and over half of all other requests were refused, cut or failed for as long as such requests came.

Cause: a run that ended was always put down to its runner. The retry, the resumed stream and the next request took the part to the next runner.

Fix: the relays record which runs had no event when their runner ended, and on which parts runs wrote. Two crashes that followed each other block a part for the account, three of two accounts for all. Evidence travels to all VMs at once, with the loads, and through the store. It works because a sound part is written on again at once, while a part that crashes each runner never is.

--- /dev/null
+++ b/src/heathershunt/crashes/judge.py
@@ -0,0 +1,256 @@
+"""Decision which parts of prompts are blocked because they crash runners."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from itertools import islice
+
+from heathershunt.clock import Millis
+from heathershunt.crashes.evidence import CrashEvidence, PartKey, RunnerCrash, score
+
+MAX_EVIDENCE_PER_PART = 16
+MAX_EXPONENT = 16
+# Share of the requests that are sent although a part is blocked, where another part
+# explains its crashes: a sound part must not wait long in a large fleet.
+MIN_UNCERTAIN_SHARE = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class JudgeConfig:
+    """Limits of the decision.
+
+    :param block_score: score of an account's crashes at which a part is blocked for it.
+    :param sound_score: the same for a part on which runs wrote before the crashes.
+    :param common_score: score of the crashes of all accounts together at which a part
+        is blocked for all of them.
+    :param common_accounts: accounts that must have crashes of their own for that.
+    :param block_ms: duration of the first block; each further crash doubles it.
+    :param max_block_ms: limit of the duration.
+    :param memory_ms: time after the last crash for which its evidence is kept.
+    :param max_parts: parts with evidence that are kept.
+    :param max_sound_parts: parts without evidence on which runs wrote.
+
+    .. versionadded:: 0.6
+    """
+
+    block_score: float = 2.0
+    sound_score: float = 3.0
+    common_score: float = 3.0
+    common_accounts: int = 2
+    block_ms: int = 60_000
+    max_block_ms: int = 300_000
+    memory_ms: int = 600_000
+    max_parts: int = 512
+    max_sound_parts: int = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class Block:
+    """A part with which requests of an account are refused.
+
+    :param crashes: score of the crashes that led to the block.
+    :param until: time at which requests are tried again, one at a time.
+    :param is_uncertain: whether another blocked part, which the request does not have,
+        explains all of these crashes.
+
+    .. versionadded:: 0.6
+    """
+
+    part: str
+    crashes: float
+    until: Millis
+    is_uncertain: bool = False
+
+    def try_share(self, now: Millis, vm_count: int) -> float:
+        """Return the share of requests that are sent to learn if the part is sound."""
+        share = 1 / max(1, vm_count)
+        if self.is_uncertain:
+            return max(share, MIN_UNCERTAIN_SHARE)
+        return share if now >= self.until else 0.0
+
+
+class PartJudge:
+    """Collects evidence on parts of prompts, and decides which ones are blocked.
+
+    All state follows from the evidence and from the times at which runs wrote on a
+    part. VMs that exchange both come to the same decision in whatever order they learn
+    them.
+
+    .. versionadded:: 0.6
+    """
+
+    def __init__(self, config: JudgeConfig | None = None) -> None:
+        self._config = config or JudgeConfig()
+        self._evidence_by_part: OrderedDict[
+            str, dict[tuple[PartKey, RunnerCrash], CrashEvidence]
+        ] = OrderedDict()
+        self._sound_at_by_part: OrderedDict[str, Millis] = OrderedDict()
+        # Parts with evidence here or at another VM, settled or not.
+        self._suspected_at_by_part: OrderedDict[str, Millis] = OrderedDict()
+
+    # What the VMs learn
+
+    def add(self, item: CrashEvidence, now: Millis) -> bool:
+        """Add evidence; return whether it was new and still counts."""
+        part = item.key.part
+        if now - item.crashed_at > self._config.memory_ms:
+            return False
+        self._suspected_at_by_part[part] = now
+        self._suspected_at_by_part.move_to_end(part)
+        if item.crashed_at <= self._sound_at_by_part.get(part, item.crashed_at - 1):
+            return False
+        known = self._evidence_by_part.setdefault(part, {})
+        fact = (item.key, item.crash)
+        before = known.get(fact)
+        if before is not None and before.evidence.value >= item.evidence.value:
+            return False
+        known[fact] = item
+        self._evidence_by_part.move_to_end(part)
+        self._bound(known)
+        return True
+
+    def _bound(self, known: dict[tuple[PartKey, RunnerCrash], CrashEvidence]) -> None:
+        if len(known) > MAX_EVIDENCE_PER_PART:
+            oldest = min(known, key=lambda fact: known[fact].crashed_at)
+            del known[oldest]
+        limit = self._config.max_parts
+        if len(self._evidence_by_part) > limit:
+            parts = iter(self._evidence_by_part)
+            single = (part for part in parts if len(self._evidence_by_part[part]) == 1)
+            del self._evidence_by_part[next(single, next(iter(self._evidence_by_part)))]
+        while len(self._suspected_at_by_part) > limit:
+            self._suspected_at_by_part.popitem(last=False)
+
+    def add_sound(self, part: str, at: Millis) -> bool:
+        """Record that a run wrote on a part; return whether that settled evidence."""
+        if at <= self._sound_at_by_part.get(part, at - 1):
+            return False
+        self._sound_at_by_part[part] = at
+        self._sound_at_by_part.move_to_end(part)
+        while len(self._sound_at_by_part) > self._config.max_sound_parts:
+            self._sound_at_by_part.popitem(last=False)
+        return self._settle(part, at)
+
+    def _settle(self, part: str, at: Millis) -> bool:
+        known = self._evidence_by_part.get(part)
+        if known is None:
+            return False
+        settled = [fact for fact, item in known.items() if item.crashed_at <= at]
+        for fact in settled:
+            del known[fact]
+        if not known:
+            del self._evidence_by_part[part]
+        return bool(settled)
+
+    def expire(self, now: Millis) -> None:
+        """Forget parts whose last crash is too long ago."""
+        for part, known in list(self._evidence_by_part.items()):
+            last = max(item.crashed_at for item in known.values())
+            if now - last > self._config.memory_ms:
+                del self._evidence_by_part[part]
+        for part, suspected_at in list(self._suspected_at_by_part.items()):
+            if now - suspected_at > self._config.memory_ms:
+                del self._suspected_at_by_part[part]
+
+    # What they decide
+
+    def block(
+        self,
+        account: str,
+        parts: Iterable[str],
+        now: Millis,
+        draw: float = 1.0,
+        vm_count: int = 1,
+    ) -> Block | None:
+        """Return the block that a request meets; ``None`` if it may be sent.
+
+        :param draw: random number of the request between 0 and 1; a low one makes it
+            one of those that are sent to learn whether a part is sound.
+        :param vm_count: number of VMs that receive such requests.
+        """
+        if not self._evidence_by_part:
+            return None
+        parts = tuple(parts)
+        blocks = [self._block(account, part, parts) for part in parts]
+        found = [
+            item
+            for item in blocks
+            if item is not None and draw >= item.try_share(now, vm_count)
+        ]
+        return max(found, key=lambda item: item.until, default=None)
+
+    def _block(self, account: str, part: str, parts: Sequence[str]) -> Block | None:
+        crashes = self._score(account, part)
+        if crashes is None:
+            return None
+        items = self._evidence_by_part[part].values()
+        last = max(item.crashed_at for item in items)
+        until = Millis(last + self._duration_ms(crashes))
+        return Block(part, crashes, until, self._is_explained(account, part, parts))
+
+    def _score(self, account: str, part: str) -> float | None:
+        """Return the score of a part that is blocked for an account, else ``None``."""
+        known = self._evidence_by_part.get(part)
+        if not known:
+            return None
+        config = self._config
+        needed = config.block_score
+        if part in self._sound_at_by_part:
+            needed = config.sound_score
+        own = score(item for item in known.values() if item.key.account == account)
+        if own >= needed:
+            return own
+        accounts = {item.key.account for item in known.values()}
+        if len(accounts) < config.common_accounts:
+            return None
+        common = score(known.values())
+        return common if common >= config.common_score else None
+
+    def _duration_ms(self, crashes: float) -> int:
+        config = self._config
+        exponent = min(MAX_EXPONENT, max(0, int(crashes - config.block_score)))
+        return min(config.max_block_ms, config.block_ms * 2**exponent)
+
+    def _is_explained(self, account: str, part: str, parts: Sequence[str]) -> bool:
+        """Return whether a blocked part outside of ``parts`` explains all crashes."""
+        crashes = self._crashes(part)
+        return any(
+            other not in parts
+            and crashes <= self._crashes(other)
+            and self._score(account, other) is not None
+            for other in self._evidence_by_part
+        )
+
+    def _crashes(self, part: str) -> set[tuple[str, RunnerCrash]]:
+        known = self._evidence_by_part.get(part, {})
+        return {(key.account, crash) for key, crash in known}
+
+    def keys(self) -> set[PartKey]:
+        """Return the parts with evidence, each for the accounts that have it."""
+        return {key for known in self._evidence_by_part.values() for key, _ in known}
+
+    def blocked_keys(self) -> set[PartKey]:
+        """Return the parts that are blocked, each for the accounts with evidence."""
+        return {
+            key for key in self.keys() if self._score(key.account, key.part) is not None
+        }
+
+    # What they tell each other
+
+    def evidence_on(self, part: str) -> list[CrashEvidence]:
+        """Return the evidence on a part."""
+        return list(self._evidence_by_part.get(part, {}).values())
+
+    def evidence(self, limit: int) -> list[CrashEvidence]:
+        """Return evidence for other VMs, that on the parts with most crashes first."""
+        latest_first = reversed(self._evidence_by_part.values())
+        parts = sorted(latest_first, key=len, reverse=True)
+        items = [item for known in parts for item in known.values()]
+        return items[:limit]
+
+    def sound_parts(self, limit: int) -> dict[str, Millis]:
+        """Return when runs last wrote on parts that have or had evidence."""
+        sound = self._sound_at_by_part
+        latest_first = (part for part in reversed(self._suspected_at_by_part))
+        found = (part for part in latest_first if part in sound)
+        return {part: sound[part] for part in islice(found, limit)}
--- /dev/null
+++ b/src/heathershunt/crashes/messages.py
@@ -0,0 +1,121 @@
+"""Evidence as VMs send it to each other and keep it in the store."""
+
+import msgspec
+
+from heathershunt.clock import Clock, Millis
+from heathershunt.crashes.evidence import (
+    CrashEvidence,
+    Evidence,
+    PartKey,
+    RunnerCrash,
+)
+from heathershunt.crashes.judge import PartJudge
+
+# Bounds the size of a message: evidence is some 80 bytes long, a sound part 15.
+MAX_EVIDENCE = 64
+MAX_SOUND_PARTS = 64
+
+
+class EvidenceRow(msgspec.Struct, array_like=True, frozen=True):
+    """Evidence with ages in milliseconds in place of times, as clocks differ.
+
+    .. versionadded:: 0.6
+    """
+
+    account: str
+    part: str
+    runner: str
+    incarnation: int
+    sent_age_ms: int
+    crashed_age_ms: int
+    has_begun: bool
+
+    @classmethod
+    def from_evidence(cls, item: CrashEvidence, now: Millis) -> "EvidenceRow":
+        """Return the row for evidence at the time ``now``."""
+        return cls(
+            item.key.account,
+            item.key.part,
+            item.crash.runner,
+            item.crash.incarnation,
+            now - item.sent_at,
+            now - item.crashed_at,
+            item.evidence is Evidence.BEGUN,
+        )
+
+    def evidence(self, now: Millis) -> CrashEvidence:
+        """Return the evidence, on the clock of the receiver."""
+        return CrashEvidence(
+            PartKey(self.account, self.part),
+            RunnerCrash(self.runner, self.incarnation),
+            Millis(now - max(0, self.sent_age_ms)),
+            Millis(now - max(0, self.crashed_age_ms)),
+            Evidence.BEGUN if self.has_begun else Evidence.WAITING,
+        )
+
+
+class SoundPart(msgspec.Struct, array_like=True, frozen=True):
+    """A part on which a run has written.
+
+    :param age_ms: time since the last run began to write on it.
+
+    .. versionadded:: 0.6
+    """
+
+    part: str
+    age_ms: int
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    """Value in the store.
+
+    :param written_at: wall time in milliseconds.
+    """
+
+    written_at: int
+    rows: list[EvidenceRow]
+
+
+def encode_entry(evidence: list[CrashEvidence], clock: Clock) -> bytes:
+    """Return a value for the store that holds evidence."""
+    now = clock.now()
+    rows = [EvidenceRow.from_evidence(item, now) for item in evidence]
+    return msgspec.json.encode(_Entry(clock.wall(), rows))
+
+
+def decode_entry(value: bytes, clock: Clock) -> list[CrashEvidence]:
+    """Return the evidence that a value of the store holds.
+
+    :raises ValueError: if the value is malformed.
+    """
+    entry = msgspec.json.decode(value, type=_Entry)
+    age_ms = max(0, clock.wall() - entry.written_at)
+    written_at = Millis(clock.now() - age_ms)
+    return [row.evidence(written_at) for row in entry.rows[:MAX_EVIDENCE]]
+
+
+class CrashDigest(msgspec.Struct, array_like=True, frozen=True):
+    """What a VM knows about parts that may crash runners.
+
+    .. versionadded:: 0.6
+    """
+
+    rows: list[EvidenceRow] = []
+    sound: list[SoundPart] = []
+
+    @classmethod
+    def from_judge(cls, judge: PartJudge, now: Millis) -> "CrashDigest":
+        """Return what a VM tells the others."""
+        rows = [
+            EvidenceRow.from_evidence(item, now)
+            for item in judge.evidence(MAX_EVIDENCE)
+        ]
+        sound = judge.sound_parts(MAX_SOUND_PARTS)
+        return cls(rows, [SoundPart(part, now - at) for part, at in sound.items()])
+
+    def apply(self, judge: PartJudge, now: Millis) -> None:
+        """Add what another VM knows; what is known already changes nothing."""
+        for item in self.sound[:MAX_SOUND_PARTS]:
+            judge.add_sound(item.part, Millis(now - max(0, item.age_ms)))
+        for row in self.rows[:MAX_EVIDENCE]:
+            judge.add(row.evidence(now), now)
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -18,6 +18,12 @@
     ViewConfig,
     ViewMirror,
 )
+from heathershunt.crashes import (
+    CRASHES_PATH,
+    CrashExchange,
+    EvidenceKeeper,
+    PartGuard,
+)
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory, check_get
 from heathershunt.gateway.metrics import GatewayMetrics
@@ -105,10 +111,12 @@
         bounds = config.bounds
         notes = PeerNotes(clock, self._notes_for_peers, events.emit)
         self.suspects = SuspectList(clock, events.emit, notes)
+        self.guard = PartGuard(clock, events.emit, self._vm_count)
         state = self.state = SiteState(
             ports.decoder,
             clock,
             self.suspects,
+            self.guard,
             events,
             self._on_catalog,
             self._on_member_removal,
@@ -151,7 +159,9 @@
         )
         ledger = LoadLedger(clock)
         self._paces = paces = PaceTracker(clock, events.emit, notes)
-        self.load_aggregator = LoadAggregator(clock, self._topology.fleet_factor)
+        self.load_aggregator = LoadAggregator(
+            clock, self._topology.fleet_factor, self.guard
+        )
         self.load_exchange = LoadExchange(
             http,
             ledger,
@@ -160,7 +170,12 @@
             self._topology.aggregators,
             self._topology.fleet_factor,
             notes,
+            self.guard,
         )
+        self.crash_exchange = CrashExchange(
+            http, self.guard, self._topology.crash_recipients
+        )
+        self._evidence_keeper = EvidenceKeeper(ports.store, self.guard)
         budget = WindowBudgetConfig(
             bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
         )
@@ -176,7 +191,8 @@
             runners=ports.runners,
             diagnosis=Diagnosis(clock, ports.runners, self.suspects, paces),
             events=events,
-            vm_count=lambda: max(1, len(state.members)),
+            guard=self.guard,
+            vm_count=self._vm_count,
             domain=config.domain,
         )
         self.request_handler = RequestHandler(
@@ -218,6 +234,8 @@
             self.leadership.run(),
             self.placer.run(),
             self.load_exchange.run(),
+            self.crash_exchange.run(),
+            self._evidence_keeper.run(),
             self.relay_context.diagnosis.poll_slow_runners(self.state.registry.get),
             self._tick(),
         ):
@@ -299,6 +317,7 @@
         """Update the state that depends on time alone, every ``TICK_MS``."""
         while True:
             self.state.expire()
+            self.guard.expire()
             is_ready = self._is_ready()
             if is_ready != self.directory.accepts_callers:
                 self.directory.accepts_callers = is_ready
@@ -342,6 +361,9 @@
         if vm == self.config.vm and self.directory.accepts_callers:
             self.keeper.publish()
 
+    def _vm_count(self) -> int:
+        return max(1, len(self.state.members))
+
     def _notes_for_peers(self) -> list[RunnerNote]:
         """Return the notes on runners that this VM sends to its peers."""
         return self._paces.notes() + self.suspects.notes()
@@ -371,6 +393,8 @@
     async def _handle_peer(self, request: Request) -> Response:
         if request.path.startswith(LOAD_PATH):
             return await self.load_aggregator.handle(request)
+        if request.path == CRASHES_PATH:
+            return await self.crash_exchange.handle(request)
         return await self.mirror.handle(request)
 
     async def _handle_directory(self, request: Request) -> Response:
--- a/src/heathershunt/gateway/state.py
+++ b/src/heathershunt/gateway/state.py
@@ -8,6 +8,7 @@
 from heathershunt.catalog import Catalog, Engine
 from heathershunt.clock import Clock
 from heathershunt.coordination import Changes, Entry, Snapshot
+from heathershunt.crashes import CRASHES_PREFIX, PartGuard
 from heathershunt.discovery import Member, MemberList, Target, TargetRegistry
 from heathershunt.gateway.ports import Decoder
 from heathershunt.http import Address
@@ -31,6 +32,7 @@
     """Configuration, targets, VMs and leader, updated from the view of the store.
 
     :param suspects: suspected targets; removed targets are removed from it.
+    :param guard: receives the evidence on crashes that the store keeps.
     :param on_catalog: called with each configuration that comes into force.
     :param on_member_removal: called with the name of each VM whose entry is removed.
     :ivar catalog: configuration in force; ``None`` before the first.
@@ -44,12 +46,14 @@
         decoder: Decoder,
         clock: Clock,
         suspects: SuspectList,
+        guard: PartGuard,
         events: EventLog,
         on_catalog: Callable[[Catalog], None],
         on_member_removal: Callable[[str], None],
     ) -> None:
         self._decoder = decoder
         self._suspects = suspects
+        self._guard = guard
         self._events = events
         self._on_catalog = on_catalog
         self._on_member_removal = on_member_removal
@@ -116,6 +120,9 @@
             self._on_member_entry(key.removeprefix(MEMBER_PREFIX), entry)
         elif key == decoder.configuration_key and entry is not None:
             self._on_configuration(entry)
+        elif key.startswith(CRASHES_PREFIX):
+            if entry is not None:
+                self._guard.on_entry(entry.value)
         elif key == LEADER_KEY:
             self.leader = None if entry is None else (entry.value, entry.revision)
 
--- a/src/heathershunt/gateway/topology.py
+++ b/src/heathershunt/gateway/topology.py
@@ -56,6 +56,23 @@
         members = self._members.members_named(names)
         return [None if m.vm == self._vm else m.peers for m in members]
 
+    def crash_recipients(self) -> list[list[Address]]:
+        """Return the VMs that learn of crashes at once, by preference in each list.
+
+        In a small fleet these are all other VMs, in a larger one an aggregator of each
+        group, from which the group learns it with the loads.
+        """
+        names = sorted(self._members.names())
+        if len(names) <= MAX_FLAT_FLEET:
+            lists = [[name] for name in names if name != self._vm]
+        else:
+            lists = [group[:WATCHERS] for group in self._groups(names)]
+        return [self._peers(chosen) for chosen in lists if self._vm not in chosen[:1]]
+
+    def _peers(self, names: list[str]) -> list[Address]:
+        members = self._members.members_named([n for n in names if n != self._vm])
+        return [member.peers for member in members if member.peers is not None]
+
     def fleet_factor(self) -> float:
         """Return the ratio of the other VMs of the fleet to those of the group.
 
@@ -85,13 +102,15 @@
         )
 
     def _group(self) -> list[str]:
-        """Return the names of this VM's group; group sizes differ by one at most."""
-        names = sorted(self._members.names())
-        groups = max(1, -(-len(names) // MAX_GROUP_SIZE))
-        own = names.index(self._vm) if self._vm in names else 0
-        own_group = own * groups // max(1, len(names))
-        return [
-            name
-            for rank, name in enumerate(names)
-            if rank * groups // len(names) == own_group
-        ]
+        """Return the names of this VM's group; the first one if it has none."""
+        groups = self._groups(sorted(self._members.names()))
+        own = (group for group in groups if self._vm in group)
+        return next(own, groups[0])
+
+    def _groups(self, names: list[str]) -> list[list[str]]:
+        """Return all groups, of which there is at least one; sizes differ by one."""
+        count = max(1, -(-len(names) // MAX_GROUP_SIZE))
+        groups: list[list[str]] = [[] for _ in range(count)]
+        for rank, name in enumerate(names):
+            groups[rank * count // len(names)].append(name)
+        return groups
--- a/src/heathershunt/logs/events.py
+++ b/src/heathershunt/logs/events.py
@@ -236,6 +236,37 @@
     is_failed: bool
 
 
+@dataclass(frozen=True)
+class PartBlocked(Event):
+    """Requests of an account with a part of a prompt are refused: it crashes runners.
+
+    :param account: client account; empty on public routes.
+    """
+
+    name: ClassVar[str] = "part_blocked"
+    sentence: ClassVar[str] = (
+        "requests of account {account} with the part {part} are refused: runners "
+        "crashed when they began to write on it"
+    )
+    part: str
+    account: str
+
+
+@dataclass(frozen=True)
+class PartTrusted(Event):
+    """Requests with a part that was blocked are sent again.
+
+    :param account: client account; empty on public routes.
+    """
+
+    name: ClassVar[str] = "part_trusted"
+    sentence: ClassVar[str] = (
+        "requests of account {account} with the part {part} are sent again"
+    )
+    part: str
+    account: str
+
+
 @dataclass(frozen=True)
 class LeadershipTaken(Event):
     """The VM became leader: it may order placements.
--- a/src/heathershunt/logs/request_events.py
+++ b/src/heathershunt/logs/request_events.py
@@ -203,6 +203,35 @@
     run_events: int
 
 
+@dataclass(frozen=True)
+class RunCrashed(RequestEvent):
+    """A runner ended while the run had sent no event; evidence against its parts.
+
+    :param target: runner that ended.
+    :param has_begun: whether the head of its reply had arrived.
+    """
+
+    name: ClassVar[str] = "run_crashed"
+    sentence: ClassVar[str] = (
+        "runner {target} ended before the run's first event; begun: {has_begun}"
+    )
+    target: str
+    has_begun: bool
+
+
+@dataclass(frozen=True)
+class PartRefused(RequestEvent):
+    """The request is not sent: a part of its prompt crashes runners.
+
+    :param left_ms: time after which the caller is asked to return.
+    """
+
+    name: ClassVar[str] = "part_refused"
+    sentence: ClassVar[str] = "not sent: the part {part} crashes runners"
+    part: str
+    left_ms: int
+
+
 @dataclass(frozen=True)
 class StreamResumed(RequestEvent):
     """Another run continues a stream after the last event that the caller received.
--- a/src/heathershunt/pipelines/load_exchange.py
+++ b/src/heathershunt/pipelines/load_exchange.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from heathershunt.clock import Clock, Millis
+from heathershunt.crashes import CrashDigest, PartGuard
 from heathershunt.http import Address, HttpClient, Request, Response
 from heathershunt.pipelines.load import LoadLedger, RunnerLoad
 from heathershunt.pipelines.notes import PeerNotes, RunnerNote, merge_notes
@@ -38,22 +39,30 @@
 
 
 class _LoadMessage(msgspec.Struct, array_like=True):
-    """Load and notes of one VM in a request; those of all others in a reply."""
+    """Load and notes of one VM in a request; those of all others in a reply.
+
+    :param crashes: evidence on crashes that the sender knows, from whatever VM.
+    """
 
     rows: list[_Row]
     notes: list[RunnerNote]
+    crashes: CrashDigest = CrashDigest()
 
 
 class LoadAggregator:
     """Adds up the loads that VMs send, and merges their notes.
 
     :param fleet_factor: as in :class:`LoadExchange`; the period depends on it.
+    :param guard: evidence on crashes, which requests and replies carry too.
 
     .. versionadded:: 0.2
     """
 
-    def __init__(self, clock: Clock, fleet_factor: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Clock, fleet_factor: Callable[[], float], guard: PartGuard
+    ) -> None:
         self._clock = clock
+        self._guard = guard
         self._fleet_factor = fleet_factor
         self._message_by_vm: dict[str, tuple[Millis, _LoadMessage]] = {}
 
@@ -72,7 +81,8 @@
             elif name != vm:
                 _add_rows(total, message.rows)
                 notes.append(message.notes)
-        return _LoadMessage(_rows(total), merge_notes(notes))
+        crashes = self._guard.digest()
+        return _LoadMessage(_rows(total), merge_notes(notes), crashes)
 
     async def handle(self, request: Request) -> Response:
         """Answer the message of a VM with the load of the others; 400 if malformed."""
@@ -83,6 +93,7 @@
             log.warning("malformed load message from VM {!r}: {}", vm, error)
             return Response(400)
         self.put(vm, message)
+        self._guard.merge(message.crashes)
         return Response(200, {}, msgspec.msgpack.encode(self.others(vm)))
 
 
@@ -97,6 +108,7 @@
     :param fleet_factor: called for the ratio of the load of all other VMs to the load
         that the aggregator has of them.
     :param notes: notes of this VM; receives those of the others.
+    :param guard: evidence of this VM on crashes; receives that of the others.
 
     .. versionadded:: 0.2
     """
@@ -110,7 +122,9 @@
         aggregators: Callable[[], Sequence[Address | None]],
         fleet_factor: Callable[[], float],
         notes: PeerNotes,
+        guard: PartGuard,
     ) -> None:
+        self._guard = guard
         self._http = http
         self._notes = notes
         self._ledger = ledger
@@ -128,7 +142,9 @@
 
     async def run_once(self) -> bool:
         """Exchange loads once, and return whether one of the aggregators answered."""
-        message = _LoadMessage(_rows(self._ledger.own()), self._notes.own())
+        message = _LoadMessage(
+            _rows(self._ledger.own()), self._notes.own(), self._guard.digest()
+        )
         self._aggregator.put(self._vm, message)
         for address in self._aggregators():
             if address is None:
@@ -148,6 +164,7 @@
             loads = {name: load.scaled(factor) for name, load in loads.items()}
         self._ledger.set_others(loads)
         self._notes.set_others(others.notes)
+        self._guard.merge(others.crashes)
 
     async def _send(
         self, address: Address, message: _LoadMessage
--- a/src/heathershunt/platform/headers.py
+++ b/src/heathershunt/platform/headers.py
@@ -1,5 +1,7 @@
 """Decoding and encoding of the platform's header fields in requests and replies."""
 
+import hashlib
+
 import msgspec
 
 from heathershunt.clock import Clock, Millis
@@ -49,6 +51,7 @@
     }
 )
 MAX_RANK = 9
+MAX_PART_ID_CHARACTERS = 64
 REJECTION_STATUSES = frozenset({421})
 
 
@@ -181,7 +184,14 @@
         return ()
     entries = value.decode("latin-1").split(",")
     ids = (entry.partition(":")[0].strip().lower() for entry in entries)
-    return tuple(part_id for part_id in ids if part_id)
+    return tuple(_bounded(part_id) for part_id in ids if part_id)
+
+
+def _bounded(part_id: str) -> str:
+    """Return the id of a part, or its hash if it is too long to keep."""
+    if len(part_id) <= MAX_PART_ID_CHARACTERS:
+        return part_id
+    return hashlib.sha256(part_id.encode()).hexdigest()
 
 
 def _parse_api_key(value: bytes | None) -> str | None:
--- a/src/heathershunt/relay/context.py
+++ b/src/heathershunt/relay/context.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from heathershunt.clock import Clock
+from heathershunt.crashes import PartGuard
 from heathershunt.discovery import TargetRegistry
 from heathershunt.http import HttpClient
 from heathershunt.logs import EventLog
@@ -18,6 +19,7 @@
 class RelayContext:
     """Dependencies of the relays.
 
+    :param guard: refuses prompts that crash runners.
     :param vm_count: returns the number of VMs that share the targets.
     :param domain: failure domain of this VM.
 
@@ -35,5 +37,6 @@
     runners: RunnerApi
     diagnosis: Diagnosis
     events: EventLog
+    guard: PartGuard
     vm_count: Callable[[], int]
     domain: str
--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -41,6 +41,17 @@
         self._background_tasks: set[asyncio.Task] = set()
         self._polls_by_id: dict[str, tuple[Millis, asyncio.Task]] = {}
 
+    async def has_ended(self, runner: Target, since: Millis) -> bool:
+        """Return whether the process of a runner has ended; eject it then.
+
+        :param since: time at or after which the runner must have been polled.
+        """
+        self._discard_poll(runner, Millis(since - 1))
+        if not await self._is_dead(runner):
+            return False
+        self._suspects.eject(runner)
+        return True
+
     async def find_faulty(self, chain: Chain) -> Target | None:
         """Return the first runner of the chain that is at fault; eject all that are.
 
@@ -128,10 +139,13 @@
         self._spawn(self._eject_if_dead(runner))
 
     async def _eject_if_dead(self, runner: Target) -> None:
-        report = await self._fetch_report(runner)
-        if report is None or self._is_restarted(runner, report):
+        if await self._is_dead(runner):
             self._suspects.eject(runner)
 
+    async def _is_dead(self, runner: Target) -> bool:
+        report = await self._fetch_report(runner)
+        return report is None or self._is_restarted(runner, report)
+
     def _is_restarted(self, runner: Target, report: RunnerReport) -> bool:
         """Return whether the runner has restarted since it was listed."""
         return bool(
--- a/src/heathershunt/relay/reading.py
+++ b/src/heathershunt/relay/reading.py
@@ -1,6 +1,7 @@
 """Reading of a run's events, and the checks of its chain during pauses."""
 
 import asyncio
+from collections.abc import Callable
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.relay.events import StreamEvent
@@ -14,6 +15,7 @@
     """Reads the events of one stream, and replaces runners that stall it.
 
     :param deadline: time by which the stream must have ended.
+    :param on_writing: called when a run sends its first event.
 
     .. versionadded:: 0.4
     """
@@ -25,12 +27,14 @@
         pauses: PauseMonitor,
         repair: ChainRepair,
         progress: StreamProgress,
+        on_writing: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._deadline = deadline
         self._pauses = pauses
         self._repair = repair
         self._progress = progress
+        self._on_writing = on_writing
 
     async def next_events(
         self, run: Run, check_after_ms: float
@@ -52,7 +56,10 @@
             except TimeoutError:
                 check_at = now() + await self._handle_pause(run)
                 continue
+            had_events = run.events > 0
             events = run.next_events(data)
+            if run.events and not had_events:
+                self._on_writing()
             if events or events is None:
                 return events
 
--- a/src/heathershunt/relay/runs.py
+++ b/src/heathershunt/relay/runs.py
@@ -5,6 +5,7 @@
 
 from result import Err
 
+from heathershunt.clock import Millis
 from heathershunt.http import ClientResponse
 from heathershunt.pipelines import Chain
 from heathershunt.relay.events import EventSplitter, StreamEvent
@@ -23,6 +24,7 @@
     """One run of a stream on a chain.
 
     :param tokens: tokens that the load ledger counts for the run.
+    :param sent_at: time when the run was sent.
     :param response: reply of the first runner; ``None`` until its head arrives.
     :param head: decoded head of the reply.
     :ivar events: number of events that this run has sent.
@@ -32,6 +34,7 @@
 
     chain: Chain
     tokens: float
+    sent_at: Millis
     response: ClientResponse | None = None
     head: ReplyHead | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -18,6 +18,7 @@
     :param capacity: shared by the streams of this VM.
     :param attempts: runners that the stream was sent to.
     :param progress: events that the caller has received.
+    :param is_blocked: returns whether the stream is no longer to be sent.
 
     .. versionadded:: 0.3
     """
@@ -29,7 +30,9 @@
         spec: StreamSpec,
         attempts: Attempts,
         progress: StreamProgress,
+        is_blocked: Callable[[], bool],
     ) -> None:
+        self._is_blocked = is_blocked
         self._context = context
         self._capacity = capacity
         self._spec = spec
@@ -41,13 +44,15 @@
     async def wait_for_chain(self) -> Chain | None:
         """Return a chain, if need be after a short wait; ``None`` if there is none.
 
+        The wait also ends when the stream is blocked.
+
         Streams end all the time, so a full chain often has capacity again soon, and
         sooner than a refused caller would retry.
         """
         service = self._spec.service
         if not self._attempts.sends and not self._has_layers():
             return None
-        while True:
+        while not self._is_blocked():
             if self._capacity.may_search(service):
                 chain = self._choose(self._suspects(), needs_room=True)
                 if chain is not None:
@@ -60,6 +65,7 @@
                 if not self._may_wait_longer():
                     return self._choose_avoided()
             await asyncio.sleep(CAPACITY_POLL_MS / 1000)
+        return None
 
     def find_replacement(self, chain: Chain, dead: set[str]) -> Chain | None:
         """Return a chain with the same first part and without the dead runners.
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -30,6 +30,7 @@
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.capacity import CapacityGate
 from heathershunt.relay.context import RelayContext
+from heathershunt.relay.crashes import BLOCKED_DETAIL, CrashWitness
 from heathershunt.relay.events import StreamEvent
 from heathershunt.relay.messages import Dispatch, refuse
 from heathershunt.relay.pauses import PauseMonitor
@@ -39,7 +40,7 @@
 from heathershunt.relay.runs import Run, StreamBrokenError, cancel_request
 from heathershunt.relay.selection import ChainSelection
 from heathershunt.relay.spec import StreamSpec
-from heathershunt.verdict import Progress, may_have_run, not_run
+from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
 
 CONNECT_MS = 250
 # Counts all sends of a request; ``Route.max_attempts`` counts only the runners that
@@ -71,15 +72,26 @@
         self._progress = StreamProgress(
             context.clock, spec.request.received_at, spec.request.last_event_id
         )
+        self._crashes = CrashWitness(context, spec)
         self._selection = ChainSelection(
-            context, capacity, spec, self._attempts, self._progress
+            context,
+            capacity,
+            spec,
+            self._attempts,
+            self._progress,
+            self._crashes.is_blocked,
         )
         self._repair = ChainRepair(
             context, spec, self._selection, self._attempts, self._progress
         )
         self._pauses = PauseMonitor(context, spec, self._attempts, self._progress)
         self._reader = RunReader(
-            context.clock, spec.deadline, self._pauses, self._repair, self._progress
+            context.clock,
+            spec.deadline,
+            self._pauses,
+            self._repair,
+            self._progress,
+            self._crashes.on_writing,
         )
         self._run: Run | None = None
         self._may_have_run = False
@@ -115,6 +127,9 @@
         if self._attempts.sends >= MAX_SENDS:
             return self._fail(False)
         chain = await self._selection.wait_for_chain()
+        refused = self._crashes.refusal(self._may_have_run)
+        if refused is not None:
+            return self._refuse(refused)
         if chain is None:
             return self._fail(False)
         left_ms = self._spec.deadline - context.clock.now()
@@ -152,7 +167,7 @@
             )
         )
         self._attempts.sends += 1
-        run = self._run = Run(chain, self._tokens)
+        run = self._run = Run(chain, self._tokens, context.clock.now())
         context.ledger.add(chain, self._tokens)
         sending = context.http.request(
             chain.head.address,
@@ -167,7 +182,7 @@
         outcome = await self._await_head(run, sending)
         if isinstance(outcome, Err):
             self._drop_run()
-            await self._on_send_failure(run.chain, outcome.err_value)
+            await self._on_send_failure(run, outcome.err_value)
             return False
         self._attempts.deliveries += 1
         was_sent_before = self._attempts.has_head(chain.head)
@@ -192,7 +207,9 @@
         wait_ms = self._timeouts.first_event_check_ms
         is_result_taken = False
         try:
-            while not (await asyncio.wait({task}, timeout=wait_ms / 1000))[0]:
+            while not await self._crashes.wait_for(task, wait_ms):
+                if self._crashes.is_blocked():
+                    return Err(TransportError(Progress.SENT, BLOCKED_DETAIL))
                 faulty = await self._pauses.examine(run.chain)
                 if task.done():
                     break
@@ -210,7 +227,8 @@
             if not is_result_taken:
                 cancel_request(task)
 
-    async def _on_send_failure(self, chain: Chain, error: TransportError) -> None:
+    async def _on_send_failure(self, run: Run, error: TransportError) -> None:
+        chain = run.chain
         self._refusal_detail = error.detail
         event = SendFailed(
             self._request.id, chain.head.id, error.progress.value, error.detail
@@ -222,6 +240,9 @@
         self._attempts.deliveries += 1
         self._attempts.add_head(chain.head)
         self._may_have_run = True
+        if self._crashes.is_blocked():
+            return
+        await self._crashes.on_broken_run(run)
         faulty = await self._context.diagnosis.find_faulty(chain)
         self._attempts.avoided.add((faulty or chain.head).id)
 
@@ -283,7 +304,11 @@
             refusal = may_have_run(status, title, self._refusal_detail)
         else:
             refusal = not_run(503, "No chain", self._refusal_detail, RETRY_AFTER_MS)
-        event = StreamRefused(self._request.id, refusal.status, self._refusal_detail)
+        return self._refuse(refusal)
+
+    def _refuse(self, refusal: Refusal) -> Response:
+        self._refusal_detail = refusal.detail
+        event = StreamRefused(self._request.id, refusal.status, refusal.detail)
         self._context.events.emit(event)
         return refuse(self._context.wire, refusal, self._request)
 
@@ -376,6 +401,7 @@
         if isinstance(error, TimeoutError):
             self._attempts.avoided.add(run.chain.head.id)
             return
+        await self._crashes.on_broken_run(run)
         # The connection to the first runner also breaks when a later runner fails.
         faulty = await self._context.diagnosis.find_faulty(run.chain)
         if faulty is not None:
--- a/tests/pipelines/test_load_exchange.py
+++ b/tests/pipelines/test_load_exchange.py
@@ -5,6 +5,7 @@
 import pytest
 
 from heathershunt.clock import ManualClock
+from heathershunt.crashes import PartGuard
 from heathershunt.http import Address, HttpClient, HttpServer, correlated
 from heathershunt.pipelines import (
     Chain,
@@ -32,8 +33,10 @@
         self.clock = ManualClock()
         self.http = HttpClient()
         self.ledgers = [LoadLedger(self.clock) for _ in range(size)]
+        self.guards = [PartGuard(self.clock, print, lambda: size) for _ in range(size)]
         self.aggregators = [
-            LoadAggregator(self.clock, self.fleet_factor) for _ in range(size)
+            LoadAggregator(self.clock, self.fleet_factor, guard)
+            for guard in self.guards
         ]
         self.servers = [
             HttpServer(correlated(aggregator.handle)) for aggregator in self.aggregators
@@ -60,6 +63,7 @@
                 lambda number=number: self.aggregators_of(number),
                 self.fleet_factor,
                 self.peer_notes[number],
+                self.guards[number],
             )
             self.load_exchanges.append(load_exchange)
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -20,6 +20,7 @@
         (b"", ()),
         (b" , :5,", ()),
         (b"\xff:1", ("ÿ",)),
+        (b"a" * 64 + b":1", ("a" * 64,)),
     ],
 )
 def test_parts_of_a_prompt_are_decoded_in_order(value, parts):
@@ -28,6 +29,11 @@
     assert (b"heathershunt-prompt-prefix", value) in request.fields
 
 
+def test_long_id_of_a_part_is_replaced_by_its_hash():
+    request = caller_request((b"heathershunt-prompt-prefix", b"a" * 65 + b":1"))
+    assert [len(part) for part in request.prompt_parts] == [64]
+
+
 # A caller that lists the field in ``connection`` hid its parts from the runner.
 def test_connection_field_does_not_remove_the_parts_of_a_prompt():
     field = (b"heathershunt-prompt-prefix", PARTS)
--- a/tests/relay/test_repair.py
+++ b/tests/relay/test_repair.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from heathershunt.clock import Millis
 from heathershunt.pipelines import Chain, ChainPart, OrderOutcome, OrderReply
 from heathershunt.relay.repair import MAX_ORDERS, ChainRepair
 from heathershunt.relay.runs import Run
@@ -88,7 +89,7 @@
     # Guards against streams that are sent again, at the cost of a retry, because the
     # first spare runner had released its layers.
     runners.refused = {"r03"}
-    run = Run(chain_with(DEAD), 100)
+    run = Run(chain_with(DEAD), 100, Millis(0))
     assert await repair.replace(run, DEAD)
     assert run.chain == chain_with(engines.runner(4))
     assert [runner.id for runner in backed_off] == ["r03"]
@@ -97,14 +98,14 @@
 
 async def test_orders_for_one_replacement_are_bounded(repair, runners):
     runners.refused = {f"r{number:02}" for number in range(3, 9)}
-    run = Run(chain_with(DEAD), 100)
+    run = Run(chain_with(DEAD), 100, Millis(0))
     assert not await repair.replace(run, DEAD)
     assert runners.orders == MAX_ORDERS
     assert run.chain == chain_with(DEAD)
 
 
 async def test_first_runner_is_not_replaced(repair, runners):
-    assert not await repair.replace(Run(chain_with(DEAD), 100), HEAD)
+    assert not await repair.replace(Run(chain_with(DEAD), 100, Millis(0)), HEAD)
     assert runners.orders == 0
 
 
@@ -115,7 +116,7 @@
     # held. All their tokens crossed one link twice, and no event came for 1.2 s;
     # streams that were sent to another domain continued after 50 ms.
     selection.is_faster = True
-    assert not await repair.replace(Run(chain_with(DEAD), 100), DEAD)
+    assert not await repair.replace(Run(chain_with(DEAD), 100, Millis(0)), DEAD)
     assert runners.orders == 0
     assert attempts.use_reserved_retry()
     assert not attempts.use_reserved_retry()
@@ -127,6 +128,6 @@
     # Guards against streams that all leave their chains when too few retries are left.
     selection.is_faster = True
     context.budget.left = 0
-    run = Run(chain_with(DEAD), 100)
+    run = Run(chain_with(DEAD), 100, Millis(0))
     assert await repair.replace(run, DEAD)
     assert runners.orders == 1
--- a/tests/relay/test_selection.py
+++ b/tests/relay/test_selection.py
@@ -15,7 +15,7 @@
 @pytest.fixture
 def selection(context, spec, attempts, progress):
     return ChainSelection(
-        context, CapacityGate(context.clock), spec, attempts, progress
+        context, CapacityGate(context.clock), spec, attempts, progress, lambda: False
     )
 
 
