--- a/src/heathershunt/crashes/keeper.py
+++ b/src/heathershunt/crashes/keeper.py
@@ -78,7 +78,7 @@
                 log.info("entry of crashes not written: {}", granted.err_value.detail)
                 return False
             lease = self._lease_by_part[part] = granted.ok_value[0]
-        value = LeasedValue(_key(part), self._guard.entry(part), lease)
+        value = LeasedValue(entry_key(part), self._guard.entry(part), lease)
         outcome = await self._store.commit((), (value,))
         if isinstance(outcome, Err):
             log.info("entry of crashes not written: {}", outcome.err_value.detail)
@@ -99,5 +99,6 @@
         return True
 
 
-def _key(part: str) -> str:
+def entry_key(part: str) -> str:
+    """Return the key of the store for a part, whatever its id consists of."""
     return CRASHES_PREFIX + hashlib.sha256(part.encode()).hexdigest()[:32]
--- /dev/null
+++ b/tests/crashes/test_judge.py
@@ -0,0 +1,174 @@
+"""Which parts of prompts are blocked, for whom and for how long."""
+
+import itertools
+
+import pytest
+
+from heathershunt.clock import Millis
+from heathershunt.crashes import (
+    CrashEvidence,
+    Evidence,
+    JudgeConfig,
+    PartJudge,
+    PartKey,
+    RunnerCrash,
+)
+
+CONFIG = JudgeConfig()
+runners = itertools.count(1)
+
+
+@pytest.fixture
+def judge():
+    return PartJudge()
+
+
+def crash(judge, at, parts, account="a", took=100, evidence=Evidence.BEGUN):
+    """Add a crash at a time, under a run that was sent ``took`` before it."""
+    runner = RunnerCrash(f"runner-{next(runners)}", 1)
+    for part in parts:
+        key = PartKey(account, part)
+        item = CrashEvidence(key, runner, Millis(at - took), Millis(at), evidence)
+        judge.add(item, Millis(at))
+
+
+def is_blocked(judge, parts, at, account="a", **options):
+    return judge.block(account, parts, Millis(at), **options) is not None
+
+
+def test_second_crash_blocks_the_part(judge):
+    crash(judge, 1000, ["deadly"])
+    assert not is_blocked(judge, ["deadly", "own"], 1001)
+    crash(judge, 2000, ["deadly"])
+    assert is_blocked(judge, ["deadly", "own"], 2001)
+    assert not is_blocked(judge, ["other", "own"], 2001)
+
+
+# Guards against false blame when runners of a rack end together.
+def test_runners_that_end_together_count_once(judge):
+    for at in (1000, 1001, 1040, 1090):
+        crash(judge, at, ["popular"])
+    assert not is_blocked(judge, ["popular"], 1100)
+
+
+def test_part_that_runs_write_on_is_cleared(judge):
+    crash(judge, 1000, ["shared", "deadly"])
+    judge.add_sound("shared", Millis(1500))
+    crash(judge, 2000, ["shared", "deadly"])
+    assert is_blocked(judge, ["deadly"], 2001)
+    assert not is_blocked(judge, ["shared", "own"], 2001)
+
+
+def test_part_that_was_sound_before_needs_one_crash_more(judge):
+    judge.add_sound("shared", Millis(500))
+    crash(judge, 1000, ["shared"])
+    crash(judge, 2000, ["shared"])
+    assert not is_blocked(judge, ["shared"], 2001)
+    crash(judge, 3000, ["shared"])
+    assert is_blocked(judge, ["shared"], 3001)
+
+
+# Guards against one account that gets the parts of another one blocked.
+def test_crashes_of_one_account_block_no_other_one(judge):
+    for at in range(1000, 9000, 1000):
+        crash(judge, at, ["stolen"], account="hostile")
+    assert is_blocked(judge, ["stolen"], 9000, account="hostile")
+    assert not is_blocked(judge, ["stolen"], 9000, account="owner")
+
+
+def test_crashes_of_two_accounts_block_the_part_for_all(judge):
+    crash(judge, 1000, ["deadly"], account="a")
+    crash(judge, 2000, ["deadly"], account="b")
+    assert not is_blocked(judge, ["deadly"], 2001, account="c")
+    crash(judge, 3000, ["deadly"], account="a")
+    assert is_blocked(judge, ["deadly"], 3001, account="c")
+
+
+def test_runs_that_waited_weigh_half(judge):
+    for at in (1000, 2000, 3000):
+        crash(judge, at, ["part"], evidence=Evidence.WAITING)
+    assert not is_blocked(judge, ["part"], 3001)
+    crash(judge, 4000, ["part"], evidence=Evidence.WAITING)
+    assert is_blocked(judge, ["part"], 4001)
+
+
+def test_request_without_the_part_that_explains_the_crashes_is_tried(judge):
+    for at in (1000, 2000):
+        crash(judge, at, ["shared", "deadly"])
+    assert is_blocked(judge, ["shared", "own"], 2001, draw=0.5, vm_count=4)
+    assert not is_blocked(judge, ["shared", "own"], 2001, draw=0.2, vm_count=4)
+    assert not is_blocked(judge, ["shared", "own"], 2001, draw=0.09, vm_count=390)
+    assert is_blocked(judge, ["shared", "deadly", "own"], 2001, draw=0.0)
+    crash(judge, 3000, ["shared"])
+    assert is_blocked(judge, ["shared", "own"], 3001, draw=0.0)
+
+
+# Guards against a new series of crashes each time a block ends.
+def test_few_requests_are_tried_after_a_block_and_one_crash_prolongs_it(judge):
+    for at in (1000, 2000):
+        crash(judge, at, ["deadly"])
+    over = 2000 + CONFIG.block_ms
+    assert is_blocked(judge, ["deadly"], over - 1, draw=0.0, vm_count=4)
+    assert is_blocked(judge, ["deadly"], over, draw=0.3, vm_count=4)
+    assert not is_blocked(judge, ["deadly"], over, draw=0.2, vm_count=4)
+    crash(judge, over + 100, ["deadly"])
+    again = over + 100 + 2 * CONFIG.block_ms
+    assert is_blocked(judge, ["deadly"], again - 1, draw=0.0, vm_count=4)
+    assert not is_blocked(judge, ["deadly"], again, draw=0.2, vm_count=4)
+
+
+def test_tried_request_that_writes_ends_the_block(judge):
+    for at in (1000, 2000):
+        crash(judge, at, ["part"])
+    assert judge.add_sound("part", Millis(70_000))
+    assert not is_blocked(judge, ["part"], 70_001)
+
+
+def test_duration_is_bounded_and_all_is_forgotten_in_the_end(judge):
+    for at in range(1000, 20_000, 1000):
+        crash(judge, at, ["deadly"])
+    block = judge.block("a", ["deadly"], Millis(20_000))
+    assert block.until == 19_000 + CONFIG.max_block_ms
+    judge.expire(Millis(19_000 + CONFIG.memory_ms + 1))
+    assert not is_blocked(judge, ["deadly"], 19_000 + CONFIG.memory_ms + 1)
+    assert not judge.keys()
+
+
+def test_order_in_which_evidence_arrives_does_not_matter():
+    items = []
+    for number, at in enumerate((1000, 1050, 2000, 3000)):
+        runner = RunnerCrash(f"r{number}", 1)
+        key = PartKey("a", "deadly")
+        item = CrashEvidence(key, runner, Millis(at - 100), Millis(at), Evidence.BEGUN)
+        items.append(item)
+    blocks = set()
+    for order in itertools.permutations(items):
+        judge = PartJudge()
+        for item in (*order, order[0]):
+            judge.add(item, Millis(3000))
+        blocks.add(judge.block("a", ["deadly"], Millis(3001)))
+    assert len(blocks) == 1
+    assert blocks.pop().crashes == 3.0
+
+
+def test_late_evidence_from_before_a_success_changes_nothing(judge):
+    judge.add_sound("shared", Millis(2000))
+    crash(judge, 1000, ["shared"])
+    crash(judge, 1900, ["shared"])
+    assert not judge.keys()
+    assert judge.sound_parts(10) == {"shared": 2000}
+
+
+def test_memory_is_bounded_and_keeps_what_is_blocked():
+    judge = PartJudge(JudgeConfig(max_parts=20, max_sound_parts=30))
+    for at in (1000, 2000):
+        crash(judge, at, ["deadly"])
+    for number in range(500):
+        crash(judge, 3000 + number, [f"part-{number}"])
+        judge.add_sound(f"sound-{number}", Millis(3000 + number))
+    assert len({key.part for key in judge.keys()}) == 20
+    assert is_blocked(judge, ["deadly"], 4000)
+    for at in range(5000, 60_000, 1000):
+        crash(judge, at, ["deadly"])
+    assert len(judge.evidence_on("deadly")) == 16
+    assert len(judge.evidence(limit=7)) == 7
