Refuse drafts whose prompts crash the runners of the daemon

Cause: as in the relay, the executor put each failed epoch down to its runners; after a start it goes on for RECOVERY_LIMIT_MS whatever the draft did to them.

Fix: the same decision as in the gateway, over the prefixes of the prompt; a draft that ended two runners before a token isn't run again. An epoch counts only if a runner of it has really ended (no status, or another incarnation).

What one daemon learned isn't sent to the others yet: an unknown message closes the link to an older daemon.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -8,6 +8,7 @@
 from heathershunt.admission import ShareConfig, ShareSplitter
 from heathershunt.bundle import Bundle, BundleKeeper
 from heathershunt.clock import Clock, SystemClock
+from heathershunt.crashes import PartGuard
 from heathershunt.daemon.callers import CallerRoutes
 from heathershunt.daemon.fleet import Fleet
 from heathershunt.daemon.forwarding import PeerRequests
@@ -78,6 +79,9 @@
             self.clock,
             settings.drafts.resume_window_ms,
         )
+        self.guard = PartGuard(
+            self.clock, self.operations.on_part, lambda: len(self._live_vms())
+        )
         observer = DraftObserver(self.operations.timeline, self.operations.metrics)
         executor = DraftExecutor(
             EngineClient(self.http),
@@ -88,6 +92,7 @@
             self.clock,
             settings.drafts.progress_floor_ms,
             observer,
+            self.guard,
         )
         self.drafts = DraftHandler(
             self.draft_table, executor, self.gate, self.clock, observer
@@ -178,6 +183,7 @@
             self.draft_table.remove_expired()
             self.ejection.set_ranges(self.registry.ranges_by_runner())
             self.services.remove_expired()
+            self.guard.expire()
             self.fleet.tick()
 
     def _has_unfinished_work(self) -> bool:
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -10,6 +10,7 @@
 from heathershunt.bundle import Bundle, BundleError, SignedRoot, encode_file
 from heathershunt.daemon.status import daemon_status
 from heathershunt.http import Address, HttpServer, Response
+from heathershunt.logs.events import PartBlocked, PartTrusted
 from heathershunt.metrics import LoopLag, Metrics
 from heathershunt.operators import (
     OPERATOR_LIMITS,
@@ -135,6 +136,12 @@
         """Record that a bundle from the store was refused."""
         self.timeline.record(EventKind.FAULT, what="bundle refused", why=str(error))
 
+    def on_part(self, event: PartBlocked | PartTrusted) -> None:
+        """Record that drafts with a part of a prompt are refused, or run again."""
+        self.timeline.record(
+            EventKind.PROMPT, what=event.name, part=event.part, account=event.account
+        )
+
     def on_draining(self) -> None:
         """Record the start of the graceful shutdown."""
         running = self._daemon.draft_table.running
--- /dev/null
+++ b/src/heathershunt/drafts/crashes.py
@@ -0,0 +1,82 @@
+"""What drafts show about prompts that crash runners, and whether one may run."""
+
+from heathershunt.clock import Clock, Millis
+from heathershunt.crashes import Evidence, PartGuard, RunnerCrash
+from heathershunt.drafts.draft import Draft
+from heathershunt.drafts.engine import EngineClient
+from heathershunt.drafts.epoch import EpochFailure
+from heathershunt.routing import Chain
+from heathershunt.runners import RunnerRegistry, prefix_hashes
+from heathershunt.verdict import Refusal, may_have_run, not_run
+
+# Epochs of a draft that may end together with a runner before their first token.
+MAX_CRASHES_PER_DRAFT = 2
+
+
+class DraftCrashes:
+    """Records the crashes under one draft, and checks the draft's prompt.
+
+    The parts of a prompt are its prefixes, as in the caches of the engines.
+
+    :param guard: shared by the drafts of this VM.
+
+    .. versionadded:: 0.6
+    """
+
+    def __init__(
+        self,
+        draft: Draft,
+        guard: PartGuard,
+        engine: EngineClient,
+        registry: RunnerRegistry,
+        clock: Clock,
+    ) -> None:
+        self._draft = draft
+        self._guard = guard
+        self._engine = engine
+        self._registry = registry
+        self._clock = clock
+        self._parts = prefix_hashes(draft.request.prompt)
+        self._draw = guard.draw()
+        self._crashes = 0
+
+    def refusal(self) -> Refusal | None:
+        """Return the refusal of a draft that must not run or not run again."""
+        account = self._draft.request.account
+        block = self._guard.block(account, self._parts, self._draw)
+        if block is None and self._crashes < MAX_CRASHES_PER_DRAFT:
+            return None
+        detail = "runners crashed when they began to write on this prompt"
+        if self._draft.may_have_started or block is None:
+            return may_have_run(502, "Prompt crashes runners", detail)
+        return not_run(503, "Prompt blocked", detail, self._guard.left_ms(block))
+
+    def on_first_token(self) -> None:
+        """Record that a runner wrote on the prompt."""
+        self._guard.record_writing(self._parts)
+
+    async def on_failed_epoch(
+        self, chain: Chain, failure: EpochFailure, started_at: Millis
+    ) -> None:
+        """Record an epoch without a token, if one of its runners has ended.
+
+        :param started_at: time when the epoch began.
+        """
+        if not self._draft.may_have_started or not failure.is_confirmed:
+            return
+        for stage in chain.stages:
+            if stage.runner not in failure.suspects:
+                continue
+            known = self._registry.states_by_runner.get(stage.runner)
+            before = known.report.incarnation if known else 0
+            if await self._engine.incarnation(stage) == before:
+                continue
+            self._crashes += 1
+            self._guard.record_crash(
+                self._draft.request.account,
+                self._parts,
+                RunnerCrash(stage.runner, before),
+                started_at,
+                Evidence.BEGUN,
+            )
+            return
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -17,6 +17,7 @@
 OPEN_TIMEOUT_MS = 1000
 START_TIMEOUT_MS = 1000
 CANCEL_TIMEOUT_MS = 1000
+STATUS_TIMEOUT_MS = 300
 MAX_LINE_BYTES = 1_048_576
 EMPTY_TRACE = msgspec.Raw(b"[]")
 
@@ -64,6 +65,10 @@
     deadline_ms: int
 
 
+class _StatusReply(msgspec.Struct):
+    incarnation: int
+
+
 class _ProbeReply(msgspec.Struct):
     """Reply to a probe.
 
@@ -211,6 +216,25 @@
         except msgspec.ValidationError:
             return None
 
+    async def incarnation(self, stage: Stage) -> int | None:
+        """Return the incarnation of a stage's runner; ``None`` if it does not answer.
+
+        The request uses a new connection.
+        """
+        outcome = await self._http.request_json(
+            _parse_address(stage.address),
+            "GET",
+            "/v1/status",
+            timeout_ms=STATUS_TIMEOUT_MS,
+            fresh=True,
+        )
+        if isinstance(outcome, Err) or outcome.ok_value[0] != 200:
+            return None
+        try:
+            return msgspec.convert(outcome.ok_value[1], _StatusReply).incarnation
+        except msgspec.ValidationError:
+            return None
+
     async def cancel(self, stage: Stage, run: str, epoch: int) -> None:
         """Cancel all epochs of a run up to ``epoch`` at a stage."""
         await self._http.request_json(
--- a/src/heathershunt/drafts/execution.py
+++ b/src/heathershunt/drafts/execution.py
@@ -8,6 +8,8 @@
 from result import Err, Ok, Result
 
 from heathershunt.clock import Clock, GapEstimator, Millis
+from heathershunt.crashes import PartGuard
+from heathershunt.drafts.crashes import DraftCrashes
 from heathershunt.drafts.draft import Draft
 from heathershunt.drafts.engine import EngineClient, RunSpec
 from heathershunt.drafts.epoch import Epoch, EpochFailure
@@ -92,6 +94,7 @@
     """Runs drafts on chains of runners and moves them to new chains after failures.
 
     :param progress_floor_ms: least progress deadline of a stream.
+    :param guard: refuses prompts that crash runners.
 
     .. versionadded:: 0.1
     """
@@ -106,7 +109,9 @@
         clock: Clock,
         progress_floor_ms: int,
         observer: DraftObserver,
+        guard: PartGuard,
     ) -> None:
+        self._guard = guard
         self._engine = engine
         self._router = router
         self._registry = registry
@@ -126,8 +131,15 @@
         last_suspects: frozenset[str] = frozenset()
         detail = ""
         recovery = _RecoveryState(self._clock.now(), len(draft.tokens))
+        crashes = DraftCrashes(
+            draft, self._guard, self._engine, self._registry, self._clock
+        )
         while not draft.ended.is_set():
             now = self._clock.now()
+            refusal = crashes.refusal()
+            if refusal is not None:
+                draft.refuse(refusal)
+                break
             if recovery.is_exhausted(draft, now):
                 break
             chosen = self._choose_chain(draft, keep, last_suspects)
@@ -137,7 +149,7 @@
                     break
                 await asyncio.sleep(REPLAN_DELAY_MS / 1000)
                 continue
-            failure = await self._run_until_ended(draft, chosen.ok_value)
+            failure = await self._run_until_ended(draft, chosen.ok_value, crashes)
             if failure is None:
                 break
             detail = failure.detail
@@ -145,14 +157,17 @@
             keep = used_runners - failure.suspects
             last_suspects = failure.suspects
             if not recovery.record_failure(draft, self._clock.now()):
+                await crashes.on_failed_epoch(chosen.ok_value, failure, now)
                 await asyncio.sleep(recovery.delay_ms() / 1000)
         if not draft.ended.is_set():
             self._refuse_unfinished(draft, detail)
         self._observer.ended(draft, self._clock.now())
 
-    async def _run_until_ended(self, draft: Draft, chain: Chain) -> EpochFailure | None:
+    async def _run_until_ended(
+        self, draft: Draft, chain: Chain, crashes: DraftCrashes
+    ) -> EpochFailure | None:
         """Run one epoch, and cancel it if the draft is refused meanwhile."""
-        epoch = asyncio.create_task(self._run_epoch(draft, chain))
+        epoch = asyncio.create_task(self._run_epoch(draft, chain, crashes))
         ended = asyncio.create_task(draft.ended.wait())
         await asyncio.wait({epoch, ended}, return_when="FIRST_COMPLETED")
         ended.cancel()
@@ -213,7 +228,13 @@
             keep,
         )
 
-    async def _run_epoch(self, draft: Draft, chain: Chain) -> EpochFailure | None:
+    async def _run_epoch(
+        self, draft: Draft, chain: Chain, crashes: DraftCrashes
+    ) -> EpochFailure | None:
+        def on_first_token() -> None:
+            crashes.on_first_token()
+            self._observer.first_token(draft, self._clock.now())
+
         draft.epoch += 1
         request = draft.request
         spec = RunSpec(
@@ -235,7 +256,7 @@
             self._monitor,
             self._estimators_by_model[request.model],
             self._clock,
-            lambda: self._observer.first_token(draft, self._clock.now()),
+            on_first_token,
         )
         runners = chain.runners()
         now = self._clock.now()
--- a/src/heathershunt/timeline/events.py
+++ b/src/heathershunt/timeline/events.py
@@ -29,6 +29,7 @@
     MEMBERSHIP = "membership"
     ORDER = "order"
     FAULT = "fault"
+    PROMPT = "prompt"
 
 
 @dataclass(frozen=True)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import time
 from collections import OrderedDict
@@ -340,6 +341,8 @@
             frames_by_address.setdefault(address, []).append(asdict(work))
 
     def _emit_token(self, run: Run, work: Work, frames_by_address: dict) -> None:
+        if self.spec.deadly_word and self.spec.deadly_word in run.prompt:
+            os._exit(1)
         text = oracle.decode(work.value)
         last = work.position + 1 >= run.max_tokens
         run.outbox.put_nowait(
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -20,6 +20,7 @@
     :param report_lag_ms: age of the published load report and cache events.
     :param keep_ledger: record each position that the engine computes.
     :param weights: address of the weight store; empty to load without delay.
+    :param deadly_word: the process ends when it is to emit a token on a prompt with it.
     """
 
     runner: str
@@ -46,6 +47,7 @@
     prefix_limit: int = 256
     keep_ledger: bool = True
     weights: str = ""
+    deadly_word: str = ""
 
     @property
     def loaded(self) -> tuple:
