--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -96,3 +96,25 @@
     client.close()
     assert target.sent_bytes < 8 * MAX_LINE_BYTES
     target.stop()
+
+
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+TOKEN_LINE = b'{"event": "token", "position": 0, "text": "a"}\n'
+
+
+# Guards against a token that is taken from half a line, and against a stream that is
+# kept open after its connection has ended.
+@pytest.mark.parametrize("cut", [0, 1, 9, len(TOKEN_LINE) - 1])
+async def test_stream_without_length_or_chunks_ends_with_its_connection(cut):
+    async def script(target, path, writer):
+        data = OPENED_LINE + TOKEN_LINE + TOKEN_LINE[:cut]
+        await target.send(writer, UNFRAMED_HEAD + data)
+        writer.close()
+
+    target, client, outcome = await _open_stream(script)
+    stream, lines = outcome.unwrap()
+    while found := await stream.read_lines():
+        lines = [*lines, *found]
+    assert [line.event for line in lines] == ["opened", "token"]
+    client.close()
+    target.stop()
