--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -57,6 +57,11 @@
         self.on_block: Callable[[str], None] = lambda part: None
         self.on_trust: Callable[[str], None] = lambda part: None
 
+    @property
+    def blocked_count(self) -> int:
+        """Return the number of blocked parts, counted for each account."""
+        return len(self._blocked)
+
     # Requests
 
     def draw(self) -> float:
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -26,6 +26,7 @@
 )
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory, check_get
+from heathershunt.gateway.gauges import add_gauges
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.ports import Ports
 from heathershunt.gateway.request_handler import RequestHandler
@@ -214,7 +215,14 @@
         self._peers = HttpServer(correlated(self._handle_peer))
         self.metrics = GatewayMetrics()
         events.add_observer(self.metrics.on_event)
-        self._add_gauges()
+        add_gauges(
+            self.metrics,
+            state,
+            view_age_ms=lambda: self.view.age_ms,
+            running=lambda: self._callers.active_requests,
+            is_leader=lambda: self.leadership.is_leader,
+            blocked_parts=lambda: self.guard.blocked_count,
+        )
         self._metrics = HttpServer(self.metrics.handle)
 
     async def start(self) -> None:
@@ -250,27 +258,6 @@
         except OSError as error:
             log.warning("metrics are not served: cannot listen on {}: {}", host, error)
 
-    def _add_gauges(self) -> None:
-        state = self.state
-        gauges = (
-            ("view_age_ms", "age of the view of the store", lambda: self.view.age_ms),
-            ("members", "VMs that take callers", lambda: len(state.members)),
-            ("targets", "listed targets", lambda: len(state.registry)),
-            ("running", "requests being served", lambda: self._callers.active_requests),
-            (
-                "configuration_version",
-                "configuration in force",
-                lambda: state.catalog.version if state.catalog else None,
-            ),
-            (
-                "is_leader",
-                "whether this VM orders placements",
-                lambda: int(self.leadership.is_leader),
-            ),
-        )
-        for name, doc, read in gauges:
-            self.metrics.add_gauge(name, doc, read)
-
     async def shut_down(self) -> None:
         """Leave the directory, finish running requests, then stop.
 
--- /dev/null
+++ b/src/heathershunt/gateway/gauges.py
@@ -0,0 +1,45 @@
+"""Gauges of a gateway, read whenever its metrics are fetched."""
+
+from collections.abc import Callable
+
+from heathershunt.gateway.metrics import GatewayMetrics
+from heathershunt.gateway.state import SiteState
+
+
+def add_gauges(
+    metrics: GatewayMetrics,
+    state: SiteState,
+    view_age_ms: Callable[[], int | None],
+    running: Callable[[], int],
+    is_leader: Callable[[], bool],
+    blocked_parts: Callable[[], int],
+) -> None:
+    """Add the gauges of one gateway to its metrics.
+
+    :param view_age_ms: returns the age of the view of the store, if there is one.
+    :param running: returns the number of requests being served.
+    :param is_leader: returns whether this VM orders placements.
+    :param blocked_parts: returns the number of blocked parts, by client account.
+    """
+    for name, doc, read in (
+        ("view_age_ms", "age of the view of the store", view_age_ms),
+        ("members", "VMs that take callers", lambda: len(state.members)),
+        ("targets", "listed targets", lambda: len(state.registry)),
+        ("running", "requests being served", running),
+        (
+            "configuration_version",
+            "configuration in force",
+            lambda: state.catalog.version if state.catalog else None,
+        ),
+        (
+            "is_leader",
+            "whether this VM orders placements",
+            lambda: int(is_leader()),
+        ),
+        (
+            "blocked_parts",
+            "parts of prompts that are refused as they crash runners",
+            blocked_parts,
+        ),
+    ):
+        metrics.add_gauge(name, doc, read)
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -1,16 +1,14 @@
 """A stream to one caller, relayed from one or more runs on chains of runners."""
 
 import asyncio
-from collections.abc import Coroutine
 from functools import partial
 
 import h11
 import logbook
-from result import Err, Result
+from result import Err
 
 from heathershunt.discovery import Target
 from heathershunt.http import (
-    ClientResponse,
     Response,
     ResponseStream,
     StreamResponse,
@@ -30,14 +28,15 @@
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.capacity import CapacityGate
 from heathershunt.relay.context import RelayContext
-from heathershunt.relay.crashes import BLOCKED_DETAIL, CrashWitness
+from heathershunt.relay.crashes import CrashWitness
 from heathershunt.relay.events import StreamEvent
+from heathershunt.relay.head_wait import HeadWait
 from heathershunt.relay.messages import Dispatch, refuse
 from heathershunt.relay.pauses import PauseMonitor
 from heathershunt.relay.progress import StreamProgress
 from heathershunt.relay.reading import RunReader
 from heathershunt.relay.repair import ChainRepair
-from heathershunt.relay.runs import Run, StreamBrokenError, cancel_request
+from heathershunt.relay.runs import Run, StreamBrokenError
 from heathershunt.relay.selection import ChainSelection
 from heathershunt.relay.spec import StreamSpec
 from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
@@ -93,6 +92,13 @@
             self._progress,
             self._crashes.on_writing,
         )
+        self._head_wait = HeadWait(
+            context.clock,
+            spec.timeouts.first_event_check_ms,
+            self._pauses,
+            self._repair,
+            self._crashes,
+        )
         self._run: Run | None = None
         self._may_have_run = False
         self._refusal_detail = "no chain of runners holds all layers"
@@ -179,7 +185,7 @@
             connect_ms=CONNECT_MS,
             fresh=True,
         )
-        outcome = await self._await_head(run, sending)
+        outcome = await self._head_wait.wait_for(run, sending)
         if isinstance(outcome, Err):
             self._drop_run()
             await self._on_send_failure(run, outcome.err_value)
@@ -194,39 +200,6 @@
             return True
         return await self._on_failure_reply(run, was_sent_before)
 
-    async def _await_head(
-        self, run: Run, sending: Coroutine
-    ) -> Result[ClientResponse, TransportError]:
-        """Return the reply once its head has arrived, which is with the first event.
-
-        While the head is late, the runners are polled and a faulty one is replaced;
-        the others keep the tokens that they have processed.
-        """
-        task = asyncio.ensure_future(sending)
-        sent_at = self._context.clock.now()
-        wait_ms = self._timeouts.first_event_check_ms
-        is_result_taken = False
-        try:
-            while not await self._crashes.wait_for(task, wait_ms):
-                if self._crashes.is_blocked():
-                    return Err(TransportError(Progress.SENT, BLOCKED_DETAIL))
-                faulty = await self._pauses.examine(run.chain)
-                if task.done():
-                    break
-                if faulty is not None and await self._repair.replace(run, faulty):
-                    wait_ms = self._timeouts.first_event_check_ms
-                    continue
-                paused_ms = self._context.clock.now() - sent_at
-                detail = self._pauses.reroute_reason(run.chain, faulty, paused_ms)
-                if detail is not None:
-                    return Err(TransportError(Progress.SENT, detail))
-                wait_ms = self._pauses.next_check_ms(paused_ms)
-            is_result_taken = True
-            return task.result()
-        finally:
-            if not is_result_taken:
-                cancel_request(task)
-
     async def _on_send_failure(self, run: Run, error: TransportError) -> None:
         chain = run.chain
         self._refusal_detail = error.detail
