Keep streams waiting when a part of another prompt is blocked

Found by reading: each newly blocked part ended the wait of all streams without a head, which then polled all runners of their chains at once. The wait now goes on unless the block is the stream's own. The test failed before: 23 ms instead of 120.

--- a/src/heathershunt/relay/crashes.py
+++ b/src/heathershunt/relay/crashes.py
@@ -58,15 +58,19 @@
     async def wait_for(self, task: asyncio.Future, timeout_ms: float) -> bool:
         """Wait for a reply's head, and return whether it is there.
 
-        The wait also ends when a part is blocked.
+        The wait also ends when a part of this stream's prompt is blocked.
         """
-        waiting = {task, self._guard.next_block()} if self._parts else {task}
-        await asyncio.wait(
-            waiting,
-            timeout=timeout_ms / 1000,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        return task.done()
+        now = self._context.clock.now
+        deadline = now() + timeout_ms
+        while True:
+            waiting = {task, self._guard.next_block()} if self._parts else {task}
+            await asyncio.wait(
+                waiting,
+                timeout=max(0.0, deadline - now()) / 1000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if task.done() or now() >= deadline or self.is_blocked():
+                return task.done()
 
     def on_writing(self) -> None:
         """Record that a run of the stream sent its first event."""
