Write evidence on a blocked part under a new lease each time

Found by reading: a block that a later crash prolonged kept the first lease of its entry, which the store could remove before the block was over; a restart of all VMs after that would have forgotten it.

--- a/src/heathershunt/crashes/keeper.py
+++ b/src/heathershunt/crashes/keeper.py
@@ -71,19 +71,18 @@
 
     async def _write(self, part: str) -> bool:
         count = self._guard.evidence_count(part)
-        lease = self._lease_by_part.get(part)
-        if lease is None:
-            granted = await self._store.grant_lease(ENTRY_TTL_MS)
-            if isinstance(granted, Err):
-                log.info("entry of crashes not written: {}", granted.err_value.detail)
-                return False
-            lease = self._lease_by_part[part] = granted.ok_value[0]
+        # A new lease each time: the entry must outlast a block that was prolonged.
+        granted = await self._store.grant_lease(ENTRY_TTL_MS)
+        if isinstance(granted, Err):
+            log.info("entry of crashes not written: {}", granted.err_value.detail)
+            return False
+        lease, _ = granted.ok_value
         value = LeasedValue(entry_key(part), self._guard.entry(part), lease)
         outcome = await self._store.commit((), (value,))
         if isinstance(outcome, Err):
             log.info("entry of crashes not written: {}", outcome.err_value.detail)
-            self._lease_by_part.pop(part, None)
             return False
+        self._lease_by_part[part] = lease
         self._written_by_part[part] = count
         return True
 
