--- a/src/heathershunt/crashes/judge.py
+++ b/src/heathershunt/crashes/judge.py
@@ -69,6 +69,10 @@
         return share if now >= self.until else 0.0
 
 
+# Evidence on one part; a crash counts once for each account.
+_Evidence = dict[tuple[PartKey, RunnerCrash], CrashEvidence]
+
+
 class PartJudge:
     """Collects evidence on parts of prompts, and decides which ones are blocked.
 
@@ -81,9 +85,8 @@
 
     def __init__(self, config: JudgeConfig | None = None) -> None:
         self._config = config or JudgeConfig()
-        self._evidence_by_part: OrderedDict[
-            str, dict[tuple[PartKey, RunnerCrash], CrashEvidence]
-        ] = OrderedDict()
+        # The parts of the latest crashes are at the end.
+        self._evidence_by_part: OrderedDict[str, _Evidence] = OrderedDict()
         self._sound_at_by_part: OrderedDict[str, Millis] = OrderedDict()
         # Parts with evidence here or at another VM, settled or not.
         self._suspected_at_by_part: OrderedDict[str, Millis] = OrderedDict()
@@ -100,24 +103,25 @@
         if item.crashed_at <= self._sound_at_by_part.get(part, item.crashed_at - 1):
             return False
         known = self._evidence_by_part.setdefault(part, {})
-        fact = (item.key, item.crash)
-        before = known.get(fact)
+        crash_key = (item.key, item.crash)
+        before = known.get(crash_key)
         if before is not None and before.evidence.value >= item.evidence.value:
             return False
-        known[fact] = item
+        known[crash_key] = item
+        if len(known) > MAX_EVIDENCE_PER_PART:
+            del known[min(known, key=lambda key: known[key].crashed_at)]
         self._evidence_by_part.move_to_end(part)
-        self._bound(known)
+        self._drop_excess_parts()
         return True
 
-    def _bound(self, known: dict[tuple[PartKey, RunnerCrash], CrashEvidence]) -> None:
-        if len(known) > MAX_EVIDENCE_PER_PART:
-            oldest = min(known, key=lambda fact: known[fact].crashed_at)
-            del known[oldest]
+    def _drop_excess_parts(self) -> None:
+        """Drop the oldest part, if possible one that crashed a single runner."""
         limit = self._config.max_parts
-        if len(self._evidence_by_part) > limit:
-            parts = iter(self._evidence_by_part)
-            single = (part for part in parts if len(self._evidence_by_part[part]) == 1)
-            del self._evidence_by_part[next(single, next(iter(self._evidence_by_part)))]
+        by_part = self._evidence_by_part
+        if len(by_part) > limit:
+            single = (part for part, known in by_part.items() if len(known) == 1)
+            oldest = next(iter(by_part))
+            del by_part[next(single, oldest)]
         while len(self._suspected_at_by_part) > limit:
             self._suspected_at_by_part.popitem(last=False)
 
@@ -135,9 +139,9 @@
         known = self._evidence_by_part.get(part)
         if known is None:
             return False
-        settled = [fact for fact, item in known.items() if item.crashed_at <= at]
-        for fact in settled:
-            del known[fact]
+        settled = [key for key, item in known.items() if item.crashed_at <= at]
+        for crash_key in settled:
+            del known[crash_key]
         if not known:
             del self._evidence_by_part[part]
         return bool(settled)
@@ -189,7 +193,11 @@
         return Block(part, crashes, until, self._is_explained(account, part, parts))
 
     def _score(self, account: str, part: str) -> float | None:
-        """Return the score of a part that is blocked for an account, else ``None``."""
+        """Return the score of a part that is blocked for an account, else ``None``.
+
+        What an account's own requests showed suffices for itself. What those of others
+        showed counts for it only if there are several of them.
+        """
         known = self._evidence_by_part.get(part)
         if not known:
             return None
--- a/tests/crashes/test_spread.py
+++ b/tests/crashes/test_spread.py
@@ -67,9 +67,7 @@
     def crash(self, name, number, parts=("deadly", "own")):
         crash = RunnerCrash(f"runner-{number}", 1)
         sent_at = Millis(self.clock.now() - 50)
-        self.guards[name].record_crash(
-            "a", parts, crash, sent_at, Evidence.BEGUN
-        )
+        self.guards[name].record_crash("a", parts, crash, sent_at, Evidence.BEGUN)
 
     def run(self, ms):
         end = self.clock.now() + ms
