Let no account prolong the block of another one's part

Found by reading: the end of a block was counted from the last crash under any account's request, so an account could keep the part of another one blocked that was about to be tried again. The end is now counted from the evidence that the block rests on. Evidence: the test failed before with 90,000 ms in place of 62,000 ms.

--- a/src/heathershunt/crashes/judge.py
+++ b/src/heathershunt/crashes/judge.py
@@ -184,35 +184,30 @@
         return max(found, key=lambda item: item.until, default=None)
 
     def _block(self, account: str, part: str, parts: Sequence[str]) -> Block | None:
-        crashes = self._score(account, part)
-        if crashes is None:
+        reasons = self._reasons(account, part)
+        if not reasons:
             return None
-        items = self._evidence_by_part[part].values()
-        last = max(item.crashed_at for item in items)
+        crashes = score(reasons)
+        last = max(item.crashed_at for item in reasons)
         until = Millis(last + self._duration_ms(crashes))
         return Block(part, crashes, until, self._is_explained(account, part, parts))
 
-    def _score(self, account: str, part: str) -> float | None:
-        """Return the score of a part that is blocked for an account, else ``None``.
+    def _reasons(self, account: str, part: str) -> list[CrashEvidence]:
+        """Return the evidence for which a part is blocked for an account; empty if not.
 
         What an account's own requests showed suffices for itself. What those of others
         showed counts for it only if there are several of them.
         """
-        known = self._evidence_by_part.get(part)
-        if not known:
-            return None
+        known = list(self._evidence_by_part.get(part, {}).values())
         config = self._config
-        needed = config.block_score
-        if part in self._sound_at_by_part:
-            needed = config.sound_score
-        own = score(item for item in known.values() if item.key.account == account)
-        if own >= needed:
+        is_sound = part in self._sound_at_by_part
+        own = [item for item in known if item.key.account == account]
+        if score(own) >= (config.sound_score if is_sound else config.block_score):
             return own
-        accounts = {item.key.account for item in known.values()}
+        accounts = {item.key.account for item in known}
         if len(accounts) < config.common_accounts:
-            return None
-        common = score(known.values())
-        return common if common >= config.common_score else None
+            return []
+        return known if score(known) >= config.common_score else []
 
     def _duration_ms(self, crashes: float) -> int:
         config = self._config
@@ -225,7 +220,7 @@
         return any(
             other not in parts
             and crashes <= self._crashes(other)
-            and self._score(account, other) is not None
+            and self._reasons(account, other)
             for other in self._evidence_by_part
         )
 
@@ -239,9 +234,7 @@
 
     def blocked_keys(self) -> set[PartKey]:
         """Return the parts that are blocked, each for the accounts with evidence."""
-        return {
-            key for key in self.keys() if self._score(key.account, key.part) is not None
-        }
+        return {key for key in self.keys() if self._reasons(key.account, key.part)}
 
     # What they tell each other
 
--- a/tests/crashes/test_judge.py
+++ b/tests/crashes/test_judge.py
@@ -76,6 +76,15 @@
     assert not is_blocked(judge, ["stolen"], 9000, account="owner")
 
 
+# Guards against one account that prolongs the block of another one.
+def test_later_crashes_of_another_account_do_not_prolong_a_block(judge):
+    for at in (1000, 2000):
+        crash(judge, at, ["part"], account="owner")
+    until = judge.block("owner", ["part"], Millis(2001)).until
+    crash(judge, 30_000, ["part"], account="hostile")
+    assert judge.block("owner", ["part"], Millis(30_001)).until == until
+
+
 def test_crashes_of_two_accounts_block_the_part_for_all(judge):
     crash(judge, 1000, ["deadly"], account="a")
     crash(judge, 2000, ["deadly"], account="b")
