--- a/standins/engine.py
+++ b/standins/engine.py
@@ -32,12 +32,11 @@
 from standins.engine_state import EngineSpec, Run, Work
 from standins.engine_steps import StepQueue
 from standins.engine_stream import stream_lines
+from standins.engine_weights import WeightLoader
 
 HOST = "127.0.0.1"
 PROGRESS_SECONDS = 1.0
 ENDED_RUNS_KEPT = 2048
-LOAD_TIMEOUT_MS = 600_000
-LOAD_RETRY_SECONDS = 0.2
 
 
 class Engine:
@@ -48,9 +47,7 @@
         self.incarnation = time.time_ns() // 1_000_000
         self.fence = 0
         self.leaving = False
-        self._weights_client = HttpClient()
-        self._loading: EngineSpec | None = None
-        self._load_task: asyncio.Task | None = None
+        self._weights = WeightLoader(self._set_spec)
         self.ledger: list[dict] = []
         self.orders: list[dict] = []
         self._runs_by_id: dict[str, Run] = {}
@@ -116,12 +113,12 @@
         return json_response(404, {"error": "no such path"})
 
     def _status(self) -> dict:
-        spec = self._loading or self.spec
+        spec = self._weights.ordered or self.spec
         return spec.status_fields() | {
             "incarnation": self.incarnation,
             "fence": self.fence,
             "leaving": self.leaving,
-            "role": "loading" if self._loading else spec.role,
+            "role": "loading" if self._weights.ordered else spec.role,
             "load": self._reports.published(spec.report_lag_ms) or self._load_report(),
         }
 
@@ -144,7 +141,7 @@
         if epoch <= self._epoch_by_run.get(run_id, 0):
             return json_response(409, {"error": "an epoch as high was opened already"})
         spec = self.spec
-        if self.leaving or self._loading:
+        if self.leaving or self._weights.ordered:
             return json_response(503, {"error": "leaving or loading"})
         if (body["model"], body["version"]) != (spec.model, spec.version):
             return json_response(409, {"error": "another model version is loaded"})
@@ -240,38 +237,20 @@
         self.fence = fence
         self.orders.append({**body, "done": True})
         ordered = self.spec.with_order(body)
-        if ordered.loaded != (self._loading or self.spec).loaded:
+        if ordered.loaded != (self._weights.ordered or self.spec).loaded:
             self._start_load(ordered)
-        elif self._loading is None:
+        elif self._weights.ordered is None:
             self.spec = ordered
         return json_response(200, {})
 
     def _start_load(self, ordered: EngineSpec) -> None:
-        """End all runs and load the ordered layers; no run is accepted meanwhile.
-
-        Without a weight store the load takes no time.
-        """
+        """End all runs and load the ordered layers; no run is accepted meanwhile."""
         for run in list(self._runs_by_id.values()):
             self._end_run(run, "reloaded")
-        if self._load_task is not None:
-            self._load_task.cancel()
-        if not ordered.weights:
-            self.spec = ordered
-            return
-        self._loading = ordered
-        self._load_task = asyncio.create_task(self._read_weights(ordered))
-
-    async def _read_weights(self, ordered: EngineSpec) -> None:
-        layers = ordered.end_layer - ordered.first_layer
-        address = Address.from_text(ordered.weights)
-        target = f"/v1/weights?layers={layers}"
-        while (
-            await self._weights_client.request_json(
-                address, "GET", target, timeout_ms=LOAD_TIMEOUT_MS
-            )
-        ).is_err():
-            await asyncio.sleep(LOAD_RETRY_SECONDS)
-        self.spec, self._loading = ordered, None
+        self._weights.start(ordered)
+
+    def _set_spec(self, loaded: EngineSpec) -> None:
+        self.spec = loaded
 
     # Steps
 
