Send a crashed run again only if its shared parts are known

Cause: the retry reaches the next runner before anyone can know the part. It shows little: both the part and the request's own text explain both crashes.

Fix: a run that had begun when its runner ended is sent again only if runs have written on all of the parts that it shares. Those of sound requests are nearly always known.

The test failed before with two crashes in place of one.

--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -75,6 +75,10 @@
         now = self._clock.now()
         return self._judge.block(account or "", parts, now, draw, self._vm_count())
 
+    def are_sound(self, parts: Sequence[str]) -> bool:
+        """Return whether runs have written on all of these parts."""
+        return all(map(self._judge.is_sound, parts))
+
     def left_ms(self, block: Block) -> int:
         """Return the time after which it makes sense to send a refused request again.
 
--- a/src/heathershunt/crashes/judge.py
+++ b/src/heathershunt/crashes/judge.py
@@ -135,6 +135,10 @@
             self._sound_at_by_part.popitem(last=False)
         return self._settle(part, at)
 
+    def is_sound(self, part: str) -> bool:
+        """Return whether a run has written on a part."""
+        return part in self._sound_at_by_part
+
     def _settle(self, part: str, at: Millis) -> bool:
         known = self._evidence_by_part.get(part)
         if known is None:
--- a/src/heathershunt/relay/crashes.py
+++ b/src/heathershunt/relay/crashes.py
@@ -88,7 +88,10 @@
         has_begun = evidence is Evidence.BEGUN
         event = RunCrashed(self._spec.request.id, head.id, has_begun)
         self._context.events.emit(event)
-        self._crashes += has_begun
+        if has_begun:
+            # Sent again only if others have written on all parts that they share.
+            is_known = self._guard.are_sound(self._parts[:-1])
+            self._crashes += 1 if is_known else MAX_CRASHES_PER_STREAM
         self._guard.record_crash(
             self._spec.account,
             self._parts,
--- a/tests/gateway/test_crash_evidence.py
+++ b/tests/gateway/test_crash_evidence.py
@@ -124,3 +124,41 @@
     response = await site.open_stream(events=5, heathershunt_prompt_prefix="own:40")
     assert response.status == 502
     assert len(site.runs()) == 2
+
+
+# Guards against a request that crashes a second runner before anyone can know its part.
+async def test_run_with_an_unknown_part_is_not_sent_again_after_its_crash(site):
+    await add_first_runners(site)
+    await send(site, SHARED)
+    status, _, _ = await send(site, SHARED, DEADLY)
+    assert status == 502
+    assert sum(target.is_unresponsive for target in site.targets.values()) == 1
+
+
+def crash_only_once(site, part):
+    """Make the first runner that begins to write on a part crash, and no other one."""
+
+    def patch(target):
+        crash = target._crash
+
+        async def crash_once(sink):
+            for other in site.targets.values():
+                other.deadly_part = None
+            await crash(sink)
+
+        target._crash = crash_once
+        target.deadly_part = part
+
+    for target in site.targets.values():
+        patch(target)
+
+
+async def test_run_whose_shared_parts_are_known_is_sent_again_after_a_crash(site):
+    await add_first_runners(site)
+    await send(site, SHARED)
+    crash_only_once(site, "own")
+    response = await site.open_stream(
+        events=5, heathershunt_prompt_prefix=f"{SHARED}:40,own:40"
+    )
+    assert (response.status, (await response.read()).count(b"data: ")) == (200, 5)
+    assert len(site.runs()) == 3
