Log the limits that targets name in their answers

Answers to requests, reports and orders are decoded, and the events limit_named and limit_withdrawn say what changed. What is sent stays as it was.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -65,6 +65,7 @@
     Placer,
     RunnerNote,
 )
+from heathershunt.ratelimits import LimitTable, ObservedRunners
 from heathershunt.relay import (
     Diagnosis,
     RelayContext,
@@ -177,6 +178,8 @@
             http, self.guard, self._topology.crash_recipients
         )
         self._evidence_keeper = EvidenceKeeper(ports.store, self.guard)
+        limits = LimitTable(events.emit)
+        runners = ObservedRunners(ports.runners, limits, clock)
         budget = WindowBudgetConfig(
             bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
         )
@@ -189,10 +192,11 @@
             budget=WindowBudget(clock, budget),
             ledger=ledger,
             chooser=ChainChooser(ledger, paces),
-            runners=ports.runners,
-            diagnosis=Diagnosis(clock, ports.runners, self.suspects, paces),
+            runners=runners,
+            diagnosis=Diagnosis(clock, runners, self.suspects, paces),
             events=events,
             guard=self.guard,
+            limits=limits,
             vm_count=self._vm_count,
             domain=config.domain,
         )
@@ -200,7 +204,7 @@
             self.relay_context, bounds, lambda: state.catalog, lambda: self.view.age_ms
         )
         self.placer = Placer(
-            ports.runners,
+            runners,
             clock,
             state.engines,
             state.placement_candidates,
--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -205,6 +205,7 @@
         headers: HeaderFields | None = None,
         limit: int = MAX_JSON_BYTES,
         correlated: bool = False,
+        on_headers: Callable[[Mapping[str, str]], None] | None = None,
         **options,
     ) -> Result[tuple[int, bytes], TransportError]:
         """Send a request and return the status and the whole body.
@@ -213,6 +214,7 @@
         :param correlated: reject a response that does not repeat the id of this
             request. Only for servers of this project whose handlers are wrapped by
             :func:`~heathershunt.http.correlation.correlated`.
+        :param on_headers: called with the header fields of the response.
         :param options: as for :meth:`request`; the time limit includes the body.
         """
         timeout_ms = options.get("timeout_ms", REQUEST_TIMEOUT_MS)
@@ -233,6 +235,8 @@
                     response.headers.get(CORRELATION_HEADER),
                 ):
                     raise WrongAnswerError("the answer is to another request")
+                if on_headers is not None:
+                    on_headers(response.headers)
                 return Ok((response.status, await response.read(limit)))
         except EXCHANGE_ERRORS as error:
             reason = str(error) or type(error).__name__
--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -22,6 +22,8 @@
     events.NoteReceived,
     events.PartBlocked,
     events.PartTrusted,
+    events.LimitNamed,
+    events.LimitWithdrawn,
     events.LeadershipTaken,
     events.LeadershipLost,
     events.OrderAnswered,
--- a/src/heathershunt/logs/events.py
+++ b/src/heathershunt/logs/events.py
@@ -267,6 +267,36 @@
     account: str
 
 
+@dataclass(frozen=True)
+class LimitNamed(Event):
+    """A target named how many requests it takes from all VMs together.
+
+    :param per_s: requests a second.
+    :param answer: kind of the answer that named the limit.
+    """
+
+    name: ClassVar[str] = "limit_named"
+    sentence: ClassVar[str] = (
+        "target {target} takes at most {per_s} requests a second from all VMs"
+    )
+    target: str
+    per_s: float
+    answer: str
+
+
+@dataclass(frozen=True)
+class LimitWithdrawn(Event):
+    """A target that had named a limit answered without one.
+
+    :param answer: kind of the answer that named none.
+    """
+
+    name: ClassVar[str] = "limit_withdrawn"
+    sentence: ClassVar[str] = "target {target} names no limit any more"
+    target: str
+    answer: str
+
+
 @dataclass(frozen=True)
 class LeadershipTaken(Event):
     """The VM became leader: it may order placements.
--- a/src/heathershunt/pipelines/runners.py
+++ b/src/heathershunt/pipelines/runners.py
@@ -33,6 +33,8 @@
     :param kv_total: size of the KV cache, in tokens times layers.
     :param pace: time of its work as a multiple of the usual time; over 1 is slow.
     :param stalled: requests that wait for another runner of their chain.
+    :param limit_per_s: requests a second that the runner takes from all VMs together;
+        ``None`` if it names no limit.
 
     .. versionadded:: 0.2
     """
@@ -47,6 +49,7 @@
     kv_total: float
     pace: float
     stalled: tuple[StalledJob, ...] = ()
+    limit_per_s: float | None = None
 
 
 class OrderOutcome(Enum):
@@ -68,12 +71,14 @@
 
     :param faulty_address: address of a runner that does not serve its part of the
         ordered chain, as ``ip:port``; ``None`` if the answer names none.
+    :param limit_per_s: as in :class:`RunnerReport`.
 
     .. versionadded:: 0.3
     """
 
     outcome: OrderOutcome
     faulty_address: str | None = None
+    limit_per_s: float | None = None
 
 
 class RunnerApi(Protocol):
--- a/src/heathershunt/platform/headers.py
+++ b/src/heathershunt/platform/headers.py
@@ -7,6 +7,7 @@
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import ClientResponse, Request, Response
 from heathershunt.platform import names
+from heathershunt.platform.limits import decode_limit
 from heathershunt.platform.runners import encode_chain
 from heathershunt.relay import CallerRequest, Dispatch, ReplyHead
 from heathershunt.verdict import Refusal
@@ -127,6 +128,7 @@
                 or response.status in REJECTION_STATUSES
             ),
             faulty_address=headers.get(names.FAULTY_RUNNER.decode()),
+            limit_per_s=decode_limit(headers),
             headers={
                 name: value
                 for name, value in headers.items()
--- a/src/heathershunt/platform/runners.py
+++ b/src/heathershunt/platform/runners.py
@@ -1,5 +1,7 @@
 """Client for the reports of and the orders to the platform's model runners."""
 
+from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import logbook
@@ -15,6 +17,7 @@
     RunnerReport,
     StalledJob,
 )
+from heathershunt.platform.limits import decode_limit
 from heathershunt.platform.names import EXPECTED_TARGET, ORDER_PATH, REPORT_PATH
 from heathershunt.platform.targets import LayersEntry, decode_layers
 
@@ -56,6 +59,20 @@
     address: str | None = None
 
 
+@dataclass
+class _LimitField:
+    """The limit that the header fields of an answer name.
+
+    :ivar per_s: as in :class:`~heathershunt.pipelines.RunnerReport`.
+    """
+
+    per_s: float | None = None
+
+    def read(self, headers: Mapping[str, str]) -> None:
+        """Take the limit from the header fields."""
+        self.per_s = decode_limit(headers)
+
+
 _decoder = msgspec.json.Decoder(_Report)
 
 
@@ -70,12 +87,14 @@
 
     async def report(self, runner: Target, timeout_ms: int) -> RunnerReport | None:
         """Return the state of a runner, ``None`` if it gave no valid report."""
+        limit = _LimitField()
         outcome = await self._http.exchange(
             runner.address,
             "GET",
             REPORT_PATH,
             timeout_ms=timeout_ms,
             limit=MAX_REPLY_BYTES,
+            on_headers=limit.read,
             fresh=True,
         )
         if isinstance(outcome, Err):
@@ -86,7 +105,7 @@
             log.info("no report from {}: status {}", runner.id, status)
             return None
         try:
-            return _build_report(_decoder.decode(raw))
+            return _build_report(_decoder.decode(raw), limit.per_s)
         except (ValueError, RecursionError) as error:
             log.warning("malformed report of {}: {}", runner.id, error)
             return None
@@ -121,6 +140,7 @@
         return await self._order(runner, payload)
 
     async def _order(self, runner: Target, payload: dict[str, Any]) -> OrderReply:
+        limit = _LimitField()
         outcome = await self._http.exchange(
             runner.address,
             "POST",
@@ -132,12 +152,13 @@
             body=msgspec.json.encode(payload),
             timeout_ms=ORDER_TIMEOUT_MS,
             limit=MAX_REPLY_BYTES,
+            on_headers=limit.read,
             fresh=True,
         )
         if isinstance(outcome, Err):
             detail = outcome.err_value.detail
             log.warning("no reply to the order to {}: {}", runner.id, detail)
-            return OrderReply(OrderOutcome.UNKNOWN)
+            return OrderReply(OrderOutcome.UNKNOWN, limit_per_s=limit.per_s)
         status, raw = outcome.ok_value
         if status not in OUTCOME_BY_STATUS:
             log.warning("order to {}: status {}: {}", runner.id, status, raw[:200])
@@ -145,7 +166,7 @@
         address = (
             _faulty_address(raw) if order_outcome is OrderOutcome.CONFLICT else None
         )
-        return OrderReply(order_outcome, address)
+        return OrderReply(order_outcome, address, limit.per_s)
 
 
 def _faulty_address(raw: bytes) -> str | None:
@@ -164,7 +185,7 @@
     )
 
 
-def _build_report(report: _Report) -> RunnerReport:
+def _build_report(report: _Report, limit_per_s: float | None) -> RunnerReport:
     return RunnerReport(
         incarnation=report.born,
         orders=report.sequence,
@@ -176,4 +197,5 @@
         kv_total=report.kv_total,
         pace=report.pace,
         stalled=tuple(StalledJob(row.id, row.address) for row in report.stalled),
+        limit_per_s=limit_per_s,
     )
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -18,6 +18,7 @@
     SendRejected,
     Sent,
 )
+from heathershunt.ratelimits import Statement
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.messages import CallerRequest, Dispatch, ReplyHead, refuse
 from heathershunt.verdict import Progress, may_have_run, not_run
@@ -151,6 +152,7 @@
     ) -> Result[Reply, TransportError]:
         self._running[target.id] += 1
         response = None
+        sent_at = self._context.clock.now()
         try:
             async with asyncio.timeout(try_ms / 1000):
                 outcome = await self._context.http.request(
@@ -168,8 +170,11 @@
                 if isinstance(outcome, Err):
                     return outcome
                 response = outcome.ok_value
-                body = await response.read()
-                return Ok(Reply(self._context.wire.reply_head(response), body))
+                head = self._context.wire.reply_head(response)
+                self._context.limits.record(
+                    target, Statement(head.limit_per_s, sent_at)
+                )
+                return Ok(Reply(head, await response.read()))
         except TimeoutError:
             return Err(TransportError(Progress.SENT, TIMEOUT_DETAIL))
         except BODY_ERRORS as error:
--- a/src/heathershunt/relay/messages.py
+++ b/src/heathershunt/relay/messages.py
@@ -82,6 +82,8 @@
     :param is_not_run: whether the target states that it did not run the request.
     :param faulty_address: runner of the chain that caused the failure, as ``ip:port``;
         ``None`` if none is named.
+    :param limit_per_s: requests a second that the target takes from all VMs together;
+        ``None`` if it names no limit.
     :param headers: header fields to pass back to the caller.
 
     .. versionadded:: 0.2
@@ -92,6 +94,7 @@
     has_signature: bool
     is_not_run: bool
     faulty_address: str | None
+    limit_per_s: float | None
     headers: Mapping[str, str]
 
     @property
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -25,6 +25,7 @@
     StreamResumed,
 )
 from heathershunt.pipelines import Chain
+from heathershunt.ratelimits import Statement
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.capacity import CapacityGate
 from heathershunt.relay.context import RelayContext
@@ -195,6 +196,8 @@
         self._attempts.add_head(chain.head)
         run.response = outcome.ok_value
         run.head = context.wire.reply_head(run.response)
+        statement = Statement(run.head.limit_per_s, run.sent_at)
+        context.limits.record(chain.head, statement)
         if run.head.status == SUCCESS and run.head.request_id == request.id:
             self._may_have_run = True
             return True
