--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -50,6 +50,10 @@
     :ivar stalls_after: id of the event after which streams send no further one.
     :ivar deadly_part: id of a part of a prompt; the runner crashes when it begins to
         write an answer on it. ``None`` without one.
+    :ivar limit_per_s: requests a second that the target names in its answers; ``None``
+        for no limit.
+    :ivar arrivals: times at which requests other than reports and orders arrived, in
+        seconds of the event loop.
     :ivar trickle: bytes that a stalled stream sends every ``EVENT_MS``.
     """
 
@@ -78,6 +82,8 @@
         self.stalls_after: int | None = None
         self.trickle = b""
         self.deadly_part: str | None = None
+        self.limit_per_s: float | None = None
+        self.arrivals: list[float] = []
         self._store = store
         self._targets_by_address = targets_by_address
         self._chain_by_request: dict[str, str] = {}
@@ -121,6 +127,13 @@
     async def _handle(self, request: Request) -> Response | StreamResponse:
         if self.is_unresponsive:
             await asyncio.sleep(3600)
+        response = await self._answer(request)
+        if self.limit_per_s is None:
+            return response
+        headers = {**response.headers, "server-limit": str(self.limit_per_s)}
+        return replace(response, headers=headers)
+
+    async def _answer(self, request: Request) -> Response | StreamResponse:
         if request.path == "/report":
             return self._report()
         expected = request.headers.get("heathershunt-expect-instance")
@@ -128,6 +141,7 @@
             return Response(421, {"heathershunt-instance-id": self.id})
         if request.path == "/order":
             return self._handle_order(msgspec.json.decode(request.body))
+        self.arrivals.append(asyncio.get_running_loop().time())
         if self.kind is None:
             return self._handle_call(request)
         return await self._stream(request)
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -196,11 +196,11 @@
         body = await response.read()
         return response.status, response.headers, body
 
-    async def open_stream(self, events=30, **changes):
+    async def open_stream(self, events=30, vm="vm-1", **changes):
         """Open a stream and return the response, whose body is still to be read."""
         tokens = f"700,{events * 2}"
         outcome = await self.client.request(
-            self.gateways["vm-1"].config.listeners.callers,
+            self.gateways[vm].config.listeners.callers,
             "POST",
             "/drafts/x",
             headers=self.headers(heathershunt_token_counts=tokens, **changes),
