Keep what VMs send to targets within the limits that those name

What callers saw: nothing directly; a target in need went on to get what it got before it named a limit, 1.4 to 1.6 times what the rule allows.

Cause: no VM read the limit, and nothing divides among the VMs what one target takes. The class of fault is a shared quantity without a share: each VM decides by itself and all of them hit the same target.

Why this works: the VMs agree, by a ring of hashes over the listed VMs, on the few that send to a target; each has a token bucket with its part of 0.9 of the limit, by demand where all demands are known, else equal. The number of senders bounds the burst of all of them. No message is needed for a request. Limits travel with the loads, and at once when an answer changed one (the exchange of evidence on crashes now serves both). Retries, resumed streams and calls take a token; checks and orders are counted and make requests wait. What is above goes to other targets; if there is none, it is refused at once with the time of the next token.

A try that failed: with a rendezvous hash, each change of the VMs cost 400 targets x 390 hashes; the model of 390 VMs did not end within ten minutes. RateLimit moves from admission, unchanged but for an empty start.

--- a/src/heathershunt/admission/__init__.py
+++ b/src/heathershunt/admission/__init__.py
@@ -1,6 +1,6 @@
 """Admission control: which request runs next, and which is refused at once."""
 
-from heathershunt.admission.limits import AccountLimits, RateLimit
+from heathershunt.admission.limits import AccountLimits
 from heathershunt.admission.queue import AdmissionConfig, AdmissionQueue, Ticket
 from heathershunt.admission.shares import Demand, ShareConfig, ShareSplitter
 
@@ -9,7 +9,6 @@
     "AdmissionConfig",
     "AdmissionQueue",
     "Demand",
-    "RateLimit",
     "ShareConfig",
     "ShareSplitter",
     "Ticket",
--- a/src/heathershunt/admission/queue.py
+++ b/src/heathershunt/admission/queue.py
@@ -8,8 +8,9 @@
 
 from heathershunt.admission.drain import DrainEstimate
 from heathershunt.admission.fair import FairQueue
-from heathershunt.admission.limits import AccountLimits, RateLimit
+from heathershunt.admission.limits import AccountLimits
 from heathershunt.clock import Millis
+from heathershunt.ratelimits import RateLimit
 from heathershunt.verdict import Refusal, not_run
 
 
--- a/src/heathershunt/crashes/__init__.py
+++ b/src/heathershunt/crashes/__init__.py
@@ -1,19 +1,16 @@
 """Parts of prompts that crash runners: evidence, its exchange and the decision."""
 
 from heathershunt.crashes.evidence import CrashEvidence, Evidence, PartKey, RunnerCrash
-from heathershunt.crashes.exchange import CRASHES_PATH, CrashExchange
 from heathershunt.crashes.guard import PartGuard
 from heathershunt.crashes.judge import Block, JudgeConfig, PartJudge
 from heathershunt.crashes.keeper import CRASHES_PREFIX, EvidenceKeeper
 from heathershunt.crashes.messages import CrashDigest
 
 __all__ = [
-    "CRASHES_PATH",
     "CRASHES_PREFIX",
     "Block",
     "CrashDigest",
     "CrashEvidence",
-    "CrashExchange",
     "EvidenceKeeper",
     "Evidence",
     "JudgeConfig",
--- a/src/heathershunt/drafts/gate.py
+++ b/src/heathershunt/drafts/gate.py
@@ -10,12 +10,12 @@
     AccountLimits,
     AdmissionConfig,
     AdmissionQueue,
-    RateLimit,
     ShareSplitter,
     Ticket,
 )
 from heathershunt.bundle import Bundle, ClientAccount
 from heathershunt.clock import Clock
+from heathershunt.ratelimits import RateLimit
 from heathershunt.routing import pipeline_capacity
 from heathershunt.runners import RunnerRegistry
 from heathershunt.verdict import Refusal, not_run
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -18,16 +18,13 @@
     ViewConfig,
     ViewMirror,
 )
-from heathershunt.crashes import (
-    CRASHES_PATH,
-    CrashExchange,
-    EvidenceKeeper,
-    PartGuard,
-)
+from heathershunt.crashes import CrashDigest, EvidenceKeeper, PartGuard
+from heathershunt.discovery import Target
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory, check_get
 from heathershunt.gateway.gauges import add_gauges
 from heathershunt.gateway.metrics import GatewayMetrics
+from heathershunt.gateway.news import CRASHES_PATH, LIMITS_PATH, NewsExchange
 from heathershunt.gateway.ports import Ports
 from heathershunt.gateway.request_handler import RequestHandler
 from heathershunt.gateway.state import (
@@ -65,7 +62,8 @@
     Placer,
     RunnerNote,
 )
-from heathershunt.ratelimits import LimitTable, ObservedRunners
+from heathershunt.ratelimits import LimitDigest, LimitGuard
+from heathershunt.ratelimits.runners import CountedRunners
 from heathershunt.relay import (
     Diagnosis,
     RelayContext,
@@ -114,11 +112,15 @@
         notes = PeerNotes(clock, self._notes_for_peers, events.emit)
         self.suspects = SuspectList(clock, events.emit, notes)
         self.guard = PartGuard(clock, events.emit, self._vm_count)
+        self.limits = LimitGuard(
+            clock, config.vm, self._vm_names, self._find_target, events.emit
+        )
         state = self.state = SiteState(
             ports.decoder,
             clock,
             self.suspects,
             self.guard,
+            self.limits,
             events,
             self._on_catalog,
             self._on_member_removal,
@@ -162,7 +164,7 @@
         ledger = LoadLedger(clock)
         self._paces = paces = PaceTracker(clock, events.emit, notes)
         self.load_aggregator = LoadAggregator(
-            clock, self._topology.fleet_factor, self.guard
+            clock, self._topology.fleet_factor, self.guard, self.limits
         )
         self.load_exchange = LoadExchange(
             http,
@@ -173,13 +175,24 @@
             self._topology.fleet_factor,
             notes,
             self.guard,
+            self.limits,
         )
-        self.crash_exchange = CrashExchange(
-            http, self.guard, self._topology.crash_recipients
+        self.crash_exchange = NewsExchange(
+            http,
+            CRASHES_PATH,
+            self.guard,
+            CrashDigest,
+            self._topology.news_recipients,
+        )
+        self.limit_exchange = NewsExchange(
+            http,
+            LIMITS_PATH,
+            self.limits,
+            LimitDigest,
+            self._topology.news_recipients,
         )
         self._evidence_keeper = EvidenceKeeper(ports.store, self.guard)
-        limits = LimitTable(events.emit)
-        runners = ObservedRunners(ports.runners, limits, clock)
+        runners = CountedRunners(ports.runners, self.limits, clock)
         budget = WindowBudgetConfig(
             bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
         )
@@ -193,10 +206,12 @@
             ledger=ledger,
             chooser=ChainChooser(ledger, paces),
             runners=runners,
-            diagnosis=Diagnosis(clock, runners, self.suspects, paces),
+            diagnosis=Diagnosis(
+                clock, runners, self.suspects, paces, self.limits.may_check
+            ),
             events=events,
             guard=self.guard,
-            limits=limits,
+            limits=self.limits,
             vm_count=self._vm_count,
             domain=config.domain,
         )
@@ -226,6 +241,7 @@
             running=lambda: self._callers.active_requests,
             is_leader=lambda: self.leadership.is_leader,
             blocked_parts=lambda: self.guard.blocked_count,
+            limited_targets=lambda: self.limits.limited_count,
         )
         self._metrics = HttpServer(self.metrics.handle)
 
@@ -247,6 +263,7 @@
             self.placer.run(),
             self.load_exchange.run(),
             self.crash_exchange.run(),
+            self.limit_exchange.run(),
             self._evidence_keeper.run(),
             self.relay_context.diagnosis.poll_slow_runners(self.state.registry.get),
             self._tick(),
@@ -309,6 +326,7 @@
         while True:
             self.state.expire()
             self.guard.expire()
+            self.limits.update()
             is_ready = self._is_ready()
             if is_ready != self.directory.accepts_callers:
                 self.directory.accepts_callers = is_ready
@@ -352,6 +370,12 @@
         if vm == self.config.vm and self.directory.accepts_callers:
             self.keeper.publish()
 
+    def _find_target(self, target_id: str) -> Target | None:
+        return self.state.registry.get(target_id)
+
+    def _vm_names(self) -> list[str]:
+        return self.state.members.names()
+
     def _vm_count(self) -> int:
         return max(1, len(self.state.members))
 
@@ -386,6 +410,8 @@
             return await self.load_aggregator.handle(request)
         if request.path == CRASHES_PATH:
             return await self.crash_exchange.handle(request)
+        if request.path == LIMITS_PATH:
+            return await self.limit_exchange.handle(request)
         return await self.mirror.handle(request)
 
     async def _handle_directory(self, request: Request) -> Response:
--- a/src/heathershunt/gateway/gauges.py
+++ b/src/heathershunt/gateway/gauges.py
@@ -13,6 +13,7 @@
     running: Callable[[], int],
     is_leader: Callable[[], bool],
     blocked_parts: Callable[[], int],
+    limited_targets: Callable[[], int],
 ) -> None:
     """Add the gauges of one gateway to its metrics.
 
@@ -20,6 +21,7 @@
     :param running: returns the number of requests being served.
     :param is_leader: returns whether this VM orders placements.
     :param blocked_parts: returns the number of blocked parts, by client account.
+    :param limited_targets: returns the number of targets that name a limit.
     """
     for name, doc, read in (
         ("view_age_ms", "age of the view of the store", view_age_ms),
@@ -41,5 +43,10 @@
             "parts of prompts that are refused as they crash runners",
             blocked_parts,
         ),
+        (
+            "limited_targets",
+            "targets that name a limit on the requests a second",
+            limited_targets,
+        ),
     ):
         metrics.add_gauge(name, doc, read)
--- /dev/null
+++ b/src/heathershunt/gateway/news.py
@@ -0,0 +1,114 @@
+"""Exchange between VMs of what they have seen, as soon as there is something new."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
+
+import logbook
+import msgspec
+from result import Err
+
+from heathershunt.http import Address, HttpClient, Request, Response
+
+CRASHES_PATH = "/crashes/"
+LIMITS_PATH = "/limits/"
+EXCHANGE_TIMEOUT_MS = 300
+# Time between two rounds, which bounds the messages while much happens.
+ROUND_PERIOD_MS = 250
+MAX_REPLY_BYTES = 65_536
+
+log = logbook.Logger("heathershunt.gateway")
+
+
+class NewsSource(Protocol):
+    """What a VM knows and exchanges with the others, as a ``msgspec`` structure.
+
+    :ivar on_news: called when the others should learn something at once.
+
+    .. versionadded:: 0.7
+    """
+
+    on_news: Callable[[], None]
+
+    def digest(self) -> Any:
+        """Return what the other VMs are told."""
+
+    def merge(self, digest: Any) -> None:
+        """Add what another VM knows."""
+
+
+class NewsExchange:
+    """Sends what this VM knows to others at once; both sides then know the same.
+
+    The periodic exchange of loads spreads it further.
+
+    :param path: path of these messages.
+    :param digest_type: type of the digests of the source.
+    :param recipients: called for lists of addresses; of each list, the first VM that
+        answers receives the news.
+
+    .. versionadded:: 0.7
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        path: str,
+        source: NewsSource,
+        digest_type: type,
+        recipients: Callable[[], Sequence[Sequence[Address]]],
+    ) -> None:
+        self._http = http
+        self._path = path
+        self._source = source
+        self._decoder = msgspec.msgpack.Decoder(digest_type)
+        self._recipients = recipients
+        self._wake = asyncio.Event()
+        source.on_news = self._wake.set
+
+    async def run(self) -> None:
+        """Send news whenever there are some, until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            await asyncio.gather(*map(self._send_to_first, self._recipients()))
+            await asyncio.sleep(ROUND_PERIOD_MS / 1000)
+
+    async def _send_to_first(self, addresses: Sequence[Address]) -> None:
+        for address in addresses:
+            if await self._send(address):
+                return
+
+    async def _send(self, address: Address) -> bool:
+        outcome = await self._http.exchange(
+            address,
+            "POST",
+            self._path,
+            body=msgspec.msgpack.encode(self._source.digest()),
+            timeout_ms=EXCHANGE_TIMEOUT_MS,
+            limit=MAX_REPLY_BYTES,
+            correlated=True,
+        )
+        if isinstance(outcome, Err):
+            detail = outcome.err_value.detail
+            log.info("news of {} not sent to {}: {}", self._path, address, detail)
+            return False
+        status, raw = outcome.ok_value
+        if status != 200:
+            log.warning("news of {} refused by {}: {}", self._path, address, status)
+            return False
+        try:
+            self._source.merge(self._decoder.decode(raw))
+        except ValueError as error:
+            log.warning("malformed reply on {} from {}: {}", self._path, address, error)
+        return True
+
+    async def handle(self, request: Request) -> Response:
+        """Answer the news of a VM with what this one knows; 400 if malformed."""
+        try:
+            digest = self._decoder.decode(request.body)
+        except ValueError as error:
+            log.warning("malformed message on {}: {}", self._path, error)
+            return Response(400)
+        self._source.merge(digest)
+        return Response(200, {}, msgspec.msgpack.encode(self._source.digest()))
--- a/src/heathershunt/gateway/state.py
+++ b/src/heathershunt/gateway/state.py
@@ -20,6 +20,7 @@
     TargetListed,
     TargetRemoved,
 )
+from heathershunt.ratelimits import LimitGuard
 from heathershunt.relay import SuspectList
 
 MEMBER_PREFIX = "vm/"
@@ -33,6 +34,7 @@
 
     :param suspects: suspected targets; removed targets are removed from it.
     :param guard: receives the evidence on crashes that the store keeps.
+    :param limits: limits of targets; told when targets change.
     :param on_catalog: called with each configuration that comes into force.
     :param on_member_removal: called with the name of each VM whose entry is removed.
     :ivar catalog: configuration in force; ``None`` before the first.
@@ -47,6 +49,7 @@
         clock: Clock,
         suspects: SuspectList,
         guard: PartGuard,
+        limits: LimitGuard,
         events: EventLog,
         on_catalog: Callable[[Catalog], None],
         on_member_removal: Callable[[str], None],
@@ -54,6 +57,7 @@
         self._decoder = decoder
         self._suspects = suspects
         self._guard = guard
+        self._limits = limits
         self._events = events
         self._on_catalog = on_catalog
         self._on_member_removal = on_member_removal
@@ -166,6 +170,7 @@
 
     def _on_target(self, target_id: str) -> None:
         target = self.registry.get(target_id)
+        self._limits.on_target(target_id)
         if target is None:
             self._suspects.discard(target_id)
             self._events.emit(TargetRemoved(target_id))
--- a/src/heathershunt/gateway/topology.py
+++ b/src/heathershunt/gateway/topology.py
@@ -56,8 +56,8 @@
         members = self._members.members_named(names)
         return [None if m.vm == self._vm else m.peers for m in members]
 
-    def crash_recipients(self) -> list[list[Address]]:
-        """Return the VMs that learn of crashes at once, by preference in each list.
+    def news_recipients(self) -> list[list[Address]]:
+        """Return the VMs that learn news at once, by preference in each list.
 
         In a small fleet these are all other VMs, in a larger one an aggregator of each
         group, from which the group learns it with the loads.
--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -69,6 +69,19 @@
         return self.prompt_tokens + self.answer_tokens
 
 
+@dataclass(frozen=True, slots=True)
+class _Heads:
+    """Ids of the runners that may come first in a chain, ``None`` for all but some."""
+
+    allowed: Collection[str] | None = None
+    barred: Collection[str] = ()
+
+    def may_be_first(self, runner: Target) -> bool:
+        if self.allowed is not None:
+            return runner.id in self.allowed
+        return runner.id not in self.barred
+
+
 class ChainChooser:
     """Finds the chains with the least estimated time.
 
@@ -103,6 +116,7 @@
         head: ChainPart | None = None,
         heads: Collection[str] | None = None,
         needs_room: bool = False,
+        barred_heads: Collection[str] = (),
     ) -> Chain | None:
         """Return the cheapest chain, or ``None`` if no chain has all layers.
 
@@ -111,17 +125,21 @@
         :param head: required first part; takes precedence over ``heads``.
         :param heads: ids of the runners that may come first; ``None`` for all.
         :param needs_room: exclude chains with a runner that lacks room or a slot.
+        :param barred_heads: ids of runners that must not come first.
         """
         usable = _of_newest_version(runners, avoided)
         if head is not None:
             heads = {head.runner.id}
+        elif heads is not None:
+            heads = set(heads).difference(barred_heads)
         if heads is not None and all(runner.id not in heads for runner in usable):
             return None
         terms = SearchTerms(engine.layers, *_hop_costs(job), head, needs_room)
         sampled = _sample_each_domain(usable, set(heads or ()))
-        found = self._search(engine, sampled, job, vms, heads, terms)
+        allowed = _Heads(heads, barred_heads)
+        found = self._search(engine, sampled, job, vms, allowed, terms)
         if _lacks_room(found) and len(sampled) < len(usable):
-            found = self._search(engine, usable, job, vms, heads, terms)
+            found = self._search(engine, usable, job, vms, allowed, terms)
         return None if found is None else found[1]
 
     def repair(
@@ -180,7 +198,7 @@
             first, last = max(start, runner.held.first), min(end, runner.held.end)
             if first >= last:
                 continue
-            item = self._candidate(engine, runner, job, vms, None)
+            item = self._candidate(engine, runner, job, vms, _Heads())
             item.first, item.end = first - start, last - start
             item.has_slot = True
             candidates.append(item)
@@ -206,7 +224,7 @@
         usable: list[Target],
         job: Job,
         vms: int,
-        heads: Collection[str] | None,
+        heads: "_Heads",
         terms: SearchTerms,
     ) -> Found:
         """Return the cheapest chain inside a domain, or over several where needed."""
@@ -252,7 +270,7 @@
         runner: Target,
         job: Job,
         vms: int,
-        heads: Collection[str] | None,
+        heads: "_Heads",
     ) -> Candidate:
         load = self._ledger.total(runner.id, vms)
         free = kv_capacity(engine, runner) * (1 - MIN_FREE_KV_FRACTION) - load.kv
@@ -262,7 +280,7 @@
             min(runner.held.end, engine.layers),
             self._request_ms(engine, runner, job, load) / engine.layers,
             free / max(1.0, job.tokens),
-            heads is None or runner.id in heads,
+            heads.may_be_first(runner),
             load.head_requests < runner.slots,
         )
 
--- a/src/heathershunt/pipelines/load_exchange.py
+++ b/src/heathershunt/pipelines/load_exchange.py
@@ -17,6 +17,7 @@
 from heathershunt.http import Address, HttpClient, Request, Response
 from heathershunt.pipelines.load import LoadLedger, RunnerLoad
 from heathershunt.pipelines.notes import PeerNotes, RunnerNote, merge_notes
+from heathershunt.ratelimits import LimitDigest, LimitGuard
 
 log = logbook.Logger("heathershunt.pipelines")
 
@@ -42,11 +43,13 @@
     """Load and notes of one VM in a request; those of all others in a reply.
 
     :param crashes: evidence on crashes that the sender knows, from whatever VM.
+    :param limits: limits of targets and demands of VMs that it knows, likewise.
     """
 
     rows: list[_Row]
     notes: list[RunnerNote]
     crashes: CrashDigest = CrashDigest()
+    limits: LimitDigest = LimitDigest()
 
 
 class LoadAggregator:
@@ -54,15 +57,21 @@
 
     :param fleet_factor: as in :class:`LoadExchange`; the period depends on it.
     :param guard: evidence on crashes, which requests and replies carry too.
+    :param limits: limits of targets, likewise.
 
     .. versionadded:: 0.2
     """
 
     def __init__(
-        self, clock: Clock, fleet_factor: Callable[[], float], guard: PartGuard
+        self,
+        clock: Clock,
+        fleet_factor: Callable[[], float],
+        guard: PartGuard,
+        limits: LimitGuard,
     ) -> None:
         self._clock = clock
         self._guard = guard
+        self._limits = limits
         self._fleet_factor = fleet_factor
         self._message_by_vm: dict[str, tuple[Millis, _LoadMessage]] = {}
 
@@ -81,8 +90,12 @@
             elif name != vm:
                 _add_rows(total, message.rows)
                 notes.append(message.notes)
-        crashes = self._guard.digest()
-        return _LoadMessage(_rows(total), merge_notes(notes), crashes)
+        return _LoadMessage(
+            _rows(total),
+            merge_notes(notes),
+            self._guard.digest(),
+            self._limits.digest(),
+        )
 
     async def handle(self, request: Request) -> Response:
         """Answer the message of a VM with the load of the others; 400 if malformed."""
@@ -94,6 +107,7 @@
             return Response(400)
         self.put(vm, message)
         self._guard.merge(message.crashes)
+        self._limits.merge(message.limits)
         return Response(200, {}, msgspec.msgpack.encode(self.others(vm)))
 
 
@@ -109,6 +123,7 @@
         that the aggregator has of them.
     :param notes: notes of this VM; receives those of the others.
     :param guard: evidence of this VM on crashes; receives that of the others.
+    :param limits: limits of targets that this VM knows; receives those of the others.
 
     .. versionadded:: 0.2
     """
@@ -123,8 +138,10 @@
         fleet_factor: Callable[[], float],
         notes: PeerNotes,
         guard: PartGuard,
+        limits: LimitGuard,
     ) -> None:
         self._guard = guard
+        self._limits = limits
         self._http = http
         self._notes = notes
         self._ledger = ledger
@@ -143,7 +160,10 @@
     async def run_once(self) -> bool:
         """Exchange loads once, and return whether one of the aggregators answered."""
         message = _LoadMessage(
-            _rows(self._ledger.own()), self._notes.own(), self._guard.digest()
+            _rows(self._ledger.own()),
+            self._notes.own(),
+            self._guard.digest(),
+            self._limits.digest(),
         )
         self._aggregator.put(self._vm, message)
         for address in self._aggregators():
@@ -165,6 +185,7 @@
         self._ledger.set_others(loads)
         self._notes.set_others(others.notes)
         self._guard.merge(others.crashes)
+        self._limits.merge(others.limits)
 
     async def _send(
         self, address: Address, message: _LoadMessage
--- a/src/heathershunt/ratelimits/__init__.py
+++ b/src/heathershunt/ratelimits/__init__.py
@@ -1,7 +1,12 @@
-"""Rates of requests that targets take from all VMs together."""
+"""Rates of requests that targets take from all VMs together.
 
-from heathershunt.ratelimits.runners import ObservedRunners
+:mod:`heathershunt.ratelimits.runners` is not imported here, as it depends on
+:mod:`heathershunt.pipelines`, which depends on this package.
+"""
+
+from heathershunt.ratelimits.bucket import RateLimit
+from heathershunt.ratelimits.guard import LimitGuard
+from heathershunt.ratelimits.messages import LimitDigest
 from heathershunt.ratelimits.statement import AnswerKind, Statement
-from heathershunt.ratelimits.table import LimitTable
 
-__all__ = ["AnswerKind", "LimitTable", "ObservedRunners", "Statement"]
+__all__ = ["AnswerKind", "LimitDigest", "LimitGuard", "RateLimit", "Statement"]
--- a/src/heathershunt/ratelimits/statement.py
+++ b/src/heathershunt/ratelimits/statement.py
@@ -1,4 +1,4 @@
-"""What a target said of the rate of requests that it takes."""
+"""What an answer of a target says of the rate of requests that it takes."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -15,6 +15,7 @@
     REQUEST = "request"
     REPORT = "report"
     ORDER = "order"
+    PEER = "peer"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -26,6 +26,9 @@
 CONNECT_MS = 250
 # Fraction of the remaining time for a try of an idempotent call that is not the last.
 EARLY_TRY_FRACTION = 0.5
+# Fraction of the remaining time for which a call waits until a target takes another
+# request by its limit.
+LIMIT_WAIT_FRACTION = 0.15
 # Targets that refuse a connection have received nothing, so these tries do not count as
 # sends.
 MAX_CONNECT_FAILURES = 3
@@ -61,6 +64,7 @@
     def __init__(self, context: RelayContext) -> None:
         self._context = context
         self._running: Counter[str] = Counter()
+        self._waiting: Counter[str] = Counter()
 
     async def relay(
         self,
@@ -76,11 +80,13 @@
         """
         context = self._context
         context.budget.record_request(service)
+        context.limits.record_request()
         tried: set[str] = set()
         sends = connect_failures = 0
         may_have_started = False
         last: Result[Reply, TransportError] | None = None
         while sends < route.max_attempts and connect_failures < MAX_CONNECT_FAILURES:
+            await self._wait_for_limits(service, tried, deadline)
             target = self._choose_target(service, tried)
             left_ms = deadline - context.clock.now()
             if target is None or left_ms <= 0:
@@ -89,6 +95,7 @@
                 context.events.emit(RetryDenied(request.id, service))
                 break
             tried.add(target.id)
+            context.limits.record_send(target)
             waited_ms = context.clock.now() - request.received_at
             context.events.emit(Sent(request.id, target.id, (), sends, waited_ms))
             may_retry = route.is_retryable and sends + 1 < route.max_attempts
@@ -112,7 +119,8 @@
             if not should_retry:
                 break
             may_have_started |= not head.is_not_run
-        response = self._answer(request, last, deadline, may_have_started)
+        wait_ms = self._limits_wait_ms(service, tried) if not sends else None
+        response = self._answer(request, last, deadline, may_have_started, wait_ms)
         event = CallEnded(
             request.id,
             status=response.status,
@@ -125,10 +133,35 @@
         context.events.emit(event)
         return response
 
+    def _untried(self, service: str, tried: set[str]) -> list[Target]:
+        targets = self._context.registry.of_service(service)
+        return [target for target in targets if target.id not in tried]
+
+    def _limits_wait_ms(self, service: str, tried: set[str]) -> int | None:
+        """Return the time until a target takes a request by its limit; 0 for now."""
+        targets = self._untried(service, tried)
+        return self._context.limits.wait_ms(targets, self._waiting[service])
+
+    async def _wait_for_limits(
+        self, service: str, tried: set[str], deadline: Millis
+    ) -> None:
+        """Wait until a target takes a request, if that is soon; else return at once."""
+        wait_ms = self._limits_wait_ms(service, tried)
+        left_ms = deadline - self._context.clock.now()
+        if not wait_ms or wait_ms > left_ms * LIMIT_WAIT_FRACTION:
+            return
+        self._waiting[service] += 1
+        try:
+            await asyncio.sleep(wait_ms / 1000)
+        finally:
+            self._waiting[service] -= 1
+
     def _choose_target(self, service: str, tried: set[str]) -> Target | None:
         """Return the target with the lowest slot usage, preferably a healthy one."""
         context = self._context
-        targets = [t for t in context.registry.of_service(service) if t.id not in tried]
+        targets = self._untried(service, tried)
+        spent = context.limits.spent()
+        targets = [target for target in targets if target.id not in spent]
         healthy = [
             target
             for target in targets
@@ -211,16 +244,25 @@
         last: Result[Reply, TransportError] | None,
         deadline: Millis,
         may_have_started: bool,
+        limit_wait_ms: int | None,
     ) -> Response:
+        """Return the response to the caller.
+
+        :param limit_wait_ms: time until a target takes a request by its limit, if the
+            call was not sent.
+        """
         wire = self._context.wire
         detail = "no target takes the request"
+        if limit_wait_ms:
+            detail = "all targets have the requests that they take"
         if isinstance(last, Err):
             detail = last.err_value.detail
         elif last is not None and last.ok_value.head.is_not_run:
             detail = f"a target rejected it with status {last.ok_value.head.status}"
         if last is None or isinstance(last, Err) or last.ok_value.head.is_not_run:
             if not may_have_started:
-                refusal = not_run(503, "No target", detail, RETRY_AFTER_MS)
+                retry_after_ms = max(RETRY_AFTER_MS, limit_wait_ms or 0)
+                refusal = not_run(503, "No target", detail, retry_after_ms)
             elif self._context.clock.now() >= deadline:
                 refusal = may_have_run(504, "Timeout", detail)
             else:
--- a/src/heathershunt/relay/capacity.py
+++ b/src/heathershunt/relay/capacity.py
@@ -1,5 +1,9 @@
 """Limit on searches for a chain while all chains are full."""
 
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 from heathershunt.clock import Clock, Millis
 
 # Interval between two searches for a chain with capacity.
@@ -18,6 +22,20 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._full_until: dict[str, Millis] = {}
+        self._waiting: Counter[str] = Counter()
+
+    def waiting(self, service: str) -> int:
+        """Return how many streams of a service wait for a chain."""
+        return self._waiting[service]
+
+    @contextmanager
+    def counted(self, service: str) -> Iterator[None]:
+        """Count a stream as waiting inside the ``with`` block."""
+        self._waiting[service] += 1
+        try:
+            yield
+        finally:
+            self._waiting[service] -= 1
 
     def may_search(self, service: str) -> bool:
         """Return whether a chain of a service may have capacity again."""
--- a/src/heathershunt/relay/context.py
+++ b/src/heathershunt/relay/context.py
@@ -9,7 +9,7 @@
 from heathershunt.http import HttpClient
 from heathershunt.logs import EventLog
 from heathershunt.pipelines import ChainChooser, LoadLedger, RunnerApi
-from heathershunt.ratelimits import LimitTable
+from heathershunt.ratelimits import LimitGuard
 from heathershunt.relay.budget import WindowBudget
 from heathershunt.relay.diagnosis import Diagnosis
 from heathershunt.relay.messages import TargetWire
@@ -21,7 +21,7 @@
     """Dependencies of the relays.
 
     :param guard: refuses prompts that crash runners.
-    :param limits: limits that targets have named.
+    :param limits: keeps to the limits that targets name.
     :param vm_count: returns the number of VMs that share the targets.
     :param domain: failure domain of this VM.
 
@@ -40,6 +40,6 @@
     diagnosis: Diagnosis
     events: EventLog
     guard: PartGuard
-    limits: LimitTable
+    limits: LimitGuard
     vm_count: Callable[[], int]
     domain: str
--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -24,6 +24,9 @@
 class Diagnosis:
     """Polls the runners of a chain for reports, and ejects those that give none.
 
+    :param may_check: returns whether a runner may be polled though no stream waits for
+        the report.
+
     .. versionadded:: 0.2
     """
 
@@ -33,8 +36,10 @@
         runners: RunnerApi,
         suspects: SuspectList,
         paces: PaceTracker,
+        may_check: Callable[[Target], bool] = lambda runner: True,
     ) -> None:
         self._clock = clock
+        self._may_check = may_check
         self._runners = runners
         self._suspects = suspects
         self._paces = paces
@@ -111,7 +116,8 @@
         task.add_done_callback(self._background_tasks.discard)
 
     async def _fetch_chain_reports(self, chain: Chain) -> None:
-        await asyncio.gather(*(self._fetch_report(part.runner) for part in chain.parts))
+        runners = (part.runner for part in chain.parts)
+        await asyncio.gather(*map(self._fetch_report, filter(self._may_check, runners)))
 
     async def poll_slow_runners(self, find: Callable[[str], Target | None]) -> None:
         """Poll each slow runner at intervals until its pace is normal; never returns.
@@ -121,8 +127,10 @@
         while True:
             await asyncio.sleep(SLOW_POLL_MS / 1000)
             found = map(find, self._paces.slow())
-            runners = [runner for runner in found if runner is not None]
-            await asyncio.gather(*map(self._fetch_report, runners))
+            runners = (runner for runner in found if runner is not None)
+            await asyncio.gather(
+                *map(self._fetch_report, filter(self._may_check, runners))
+            )
 
     def record_rejection(self, runner: Target) -> None:
         """Avoid a runner briefly, so that the next requests are not rejected too."""
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -19,6 +19,8 @@
     :param attempts: runners that the stream was sent to.
     :param progress: events that the caller has received.
     :param is_blocked: returns whether the stream is no longer to be sent.
+    :ivar limit_wait_ms: time after which a first runner takes requests again, if no
+        chain was found as all of them have what they take; else ``None``.
 
     .. versionadded:: 0.3
     """
@@ -40,6 +42,7 @@
         self._progress = progress
         self._timeouts = spec.timeouts
         self._job = spec.job
+        self.limit_wait_ms: int | None = None
 
     async def wait_for_chain(self) -> Chain | None:
         """Return a chain, if need be after a short wait; ``None`` if there is none.
@@ -52,6 +55,13 @@
         service = self._spec.service
         if not self._attempts.sends and not self._has_layers():
             return None
+        self.limit_wait_ms = self._wait_for_limits_ms()
+        if self.limit_wait_ms is not None:
+            return None
+        with self._capacity.counted(service):
+            return await self._wait_for_capacity(service)
+
+    async def _wait_for_capacity(self, service: str) -> Chain | None:
         while not self._is_blocked():
             if self._capacity.may_search(service):
                 chain = self._choose(self._suspects(), needs_room=True)
@@ -110,6 +120,28 @@
         new_chain = self._choose(self._suspects(), needs_room=True)
         return new_chain is not None and len(new_chain.domains) < len(repaired.domains)
 
+    def _wait_for_limits_ms(self) -> int | None:
+        """Return how long the limits of all first runners would hold up the stream.
+
+        It is ``None`` if the stream may be sent soon enough. A stream that was sent
+        waits for its runners in any case.
+        """
+        context, service = self._context, self._spec.service
+        if self._was_sent or not context.limits.limited_count:
+            return None
+        avoided = self._attempts.avoided | self._suspects()
+        heads = [
+            runner
+            for runner in context.registry.of_service(service)
+            if runner.held is not None
+            and runner.held.first == 0
+            and runner.id not in avoided
+        ]
+        wait_ms = context.limits.wait_ms(heads, self._capacity.waiting(service))
+        if wait_ms is None or wait_ms <= self._timeouts.capacity_wait_ms:
+            return None
+        return wait_ms
+
     def _has_layers(self) -> bool:
         context = self._context
         runners = context.registry.of_service(self._spec.service)
@@ -150,14 +182,16 @@
 
     def _choose_excluding(self, avoided: set[str], needs_room: bool) -> Chain | None:
         context = self._context
+        runners = context.registry.of_service(self._spec.service)
         return context.chooser.choose(
             self._spec.engine,
-            context.registry.of_service(self._spec.service),
+            runners,
             self._job,
             context.vm_count(),
             avoided,
             heads=self._attempts.allowed_heads(),
             needs_room=needs_room,
+            barred_heads=context.limits.spent(),
         )
 
     def _wait_left_ms(self, limit_ms: float) -> float:
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -138,6 +138,8 @@
         if refused is not None:
             return self._refuse(refused)
         if chain is None:
+            if self._selection.limit_wait_ms is not None:
+                self._refusal_detail = "all runners have the requests that they take"
             return self._fail(False)
         left_ms = self._spec.deadline - context.clock.now()
         if self._attempts.deliveries and not self._take_retry():
@@ -176,6 +178,7 @@
         self._attempts.sends += 1
         run = self._run = Run(chain, self._tokens, context.clock.now())
         context.ledger.add(chain, self._tokens)
+        context.limits.record_send(chain.head)
         sending = context.http.request(
             chain.head.address,
             request.method,
@@ -279,7 +282,8 @@
             status, title = (504, "Timeout") if is_timeout else (502, "Runner failed")
             refusal = may_have_run(status, title, self._refusal_detail)
         else:
-            refusal = not_run(503, "No chain", self._refusal_detail, RETRY_AFTER_MS)
+            wait_ms = max(RETRY_AFTER_MS, self._selection.limit_wait_ms or 0)
+            refusal = not_run(503, "No chain", self._refusal_detail, wait_ms)
         return self._refuse(refusal)
 
     def _refuse(self, refusal: Refusal) -> Response:
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -20,6 +20,7 @@
     async def relay(self, spec: StreamSpec) -> Response | StreamResponse:
         """Return the stream once its first event has arrived, or a refusal."""
         self._context.budget.record_request(spec.service)
+        self._context.limits.record_request()
         session = StreamSession(self._context, self._capacity, spec)
         try:
             return await session.open()
--- a/tests/crashes/test_spread.py
+++ b/tests/crashes/test_spread.py
@@ -52,7 +52,7 @@
         return period * self.random.uniform(0.8, 1.2)
 
     def push(self, name):
-        for addresses in self.topologies[name].crash_recipients():
+        for addresses in self.topologies[name].news_recipients():
             self.exchange(name, addresses)
 
     def exchange(self, name, addresses):
--- a/tests/pipelines/test_chooser.py
+++ b/tests/pipelines/test_chooser.py
@@ -340,3 +340,18 @@
     assert repaired.parts[4].runner.domain == "b"
     everyone = {r.id for r in site if r.held.first == at.first}
     assert chooser.repair(engine, site, JOB, 4, chain, {at.runner.id}, everyone) is None
+
+
+def test_barred_runner_serves_other_parts_only(chooser):
+    engine = engines.engine()
+    first = engines.runner(1, held=(0, 80))
+    second = engines.runner(2, held=(0, 80))
+    chain = chooser.choose(engine, [first, second], JOB, 1, barred_heads={first.id})
+    assert chain.head == second
+    both = {first.id, second.id}
+    assert chooser.choose(engine, [first, second], JOB, 1, barred_heads=both) is None
+    allowed = {first.id}
+    assert (
+        chooser.choose(engine, [first], JOB, 1, heads=allowed, barred_heads=both)
+        is None
+    )
--- a/tests/pipelines/test_load_exchange.py
+++ b/tests/pipelines/test_load_exchange.py
@@ -22,6 +22,7 @@
 from heathershunt.pipelines.load import LOAD_MAX_AGE_MS
 from heathershunt.pipelines.load_exchange import EXCHANGE_PERIOD_MS, MAX_AGE_PERIODS
 from heathershunt.pipelines.notes import NOTES_MAX_AGE_MS
+from heathershunt.ratelimits import LimitGuard
 
 JOB = Job(760, 167)
 
@@ -34,9 +35,13 @@
         self.http = HttpClient()
         self.ledgers = [LoadLedger(self.clock) for _ in range(size)]
         self.guards = [PartGuard(self.clock, print, lambda: size) for _ in range(size)]
+        self.limits = [
+            LimitGuard(self.clock, f"vm-{number}", list, {}.get, print)
+            for number in range(size)
+        ]
         self.aggregators = [
-            LoadAggregator(self.clock, self.fleet_factor, guard)
-            for guard in self.guards
+            LoadAggregator(self.clock, self.fleet_factor, guard, limits)
+            for guard, limits in zip(self.guards, self.limits, strict=True)
         ]
         self.servers = [
             HttpServer(correlated(aggregator.handle)) for aggregator in self.aggregators
@@ -64,6 +69,7 @@
                 self.fleet_factor,
                 self.peer_notes[number],
                 self.guards[number],
+                self.limits[number],
             )
             self.load_exchanges.append(load_exchange)
 
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -6,6 +6,7 @@
 
 from heathershunt.catalog import Route, RouteKind
 from heathershunt.discovery import TargetRegistry
+from heathershunt.ratelimits import LimitGuard
 from heathershunt.relay import CallerRequest, StreamSpec, SuspectList
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.progress import StreamProgress
@@ -20,7 +21,11 @@
     registry = TargetRegistry(clock, lambda target_id: None)
     suspects = SuspectList(clock, print)
     return SimpleNamespace(
-        clock=clock, registry=registry, suspects=suspects, vm_count=lambda: 1
+        clock=clock,
+        registry=registry,
+        suspects=suspects,
+        limits=LimitGuard(clock, "vm-1", list, registry.get, print),
+        vm_count=lambda: 1,
     )
 
 
--- a/tests/relay/test_selection.py
+++ b/tests/relay/test_selection.py
@@ -6,6 +6,8 @@
 
 from heathershunt.pipelines import Chain
 from heathershunt.pipelines.chain import ChainPart
+from heathershunt.ratelimits import Statement
+from heathershunt.ratelimits.guard import START_MS
 from heathershunt.relay.capacity import CapacityGate
 from heathershunt.relay.events import StreamEvent
 from heathershunt.relay.selection import ChainSelection
@@ -33,7 +35,7 @@
     def has_layers(self, engine, runners, avoided):
         return self.holds_all
 
-    def choose(self, engine, runners, job, vms, avoided, heads=None, needs_room=False):
+    def choose(self, engine, runners, job, vms, avoided, needs_room=False, **heads):
         self.searches += needs_room
         is_full = self.full_for is None or self.searches <= self.full_for
         if not self.holds_all or (needs_room and is_full):
@@ -96,7 +98,7 @@
     def has_layers(self, engine, runners, avoided):
         return bool(self.ids)
 
-    def choose(self, engine, runners, job, vms, avoided, heads=None, needs_room=False):
+    def choose(self, engine, runners, job, vms, avoided, needs_room=False, **heads):
         left = [name for name in self.ids if name not in avoided]
         return left[0] if left and not needs_room else None
 
@@ -213,3 +215,38 @@
 ):
     context.chooser = SimpleNamespace(choose=lambda *args, **options: new_chain)
     assert selection.is_new_run_faster(repaired, chain_in("a", "a")) == is_faster
+
+
+@pytest.fixture
+def limited_head(context):
+    """Return a first runner that takes very few requests a second."""
+    runner = engines.runner(1, held=(0, 80))
+    context.registry.put(runner)
+    context.clock.advance(START_MS)
+    context.limits.record(runner, Statement(0.1, context.clock.now()))
+    return runner
+
+
+# Guards against streams that wait for runners whose limits leave nothing for them.
+async def test_stream_beyond_all_limits_is_refused_at_once(
+    wait_with, selection, context, limited_head
+):
+    before = context.clock.now()
+    assert await wait_with(FullChooser(full_for=0)) == (None, before)
+    assert selection.limit_wait_ms > 500
+
+
+async def test_stream_that_has_begun_waits_for_a_limit(
+    wait_with, progress, limited_head, context
+):
+    progress.accept([StreamEvent(1, b"id: 1\n\n")])
+    chain, _ = await wait_with(FullChooser(full_for=2))
+    assert chain == "chain"
+
+
+async def test_stream_is_sent_if_another_first_runner_has_no_limit(
+    wait_with, context, limited_head
+):
+    context.registry.put(engines.runner(2, held=(0, 80)))
+    chain, _ = await wait_with(FullChooser(full_for=0))
+    assert chain == "chain"
