Keep the daemon's runs and calls within the limits that targets name

Its targets name one in the field rate-limit of their answers. Drafts avoid runners without a token left for this VM, at every stage, as each stage receives the run; calls avoid such addresses, and are refused at once if no other is left.

--- a/measure/_baseline.py
+++ b/measure/_baseline.py
@@ -118,7 +118,7 @@
             epoch = UnprobedEpoch(
                 draft,
                 spec,
-                EngineClient(self._http),
+                EngineClient(self._http, self._clock),
                 self._monitor,
                 FixedTimeout(),
                 self._clock,
--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -24,6 +24,7 @@
 )
 from heathershunt.http import Address, HttpClient, HttpServer
 from heathershunt.placement import PlacementController
+from heathershunt.ratelimits import LimitGuard, Statement, TargetProcess
 from heathershunt.retries import EjectionConfig, EjectionPolicy
 from heathershunt.routing import Router, RoutingConfig
 from heathershunt.runners import RunnerPoller, RunnerRegistry
@@ -82,9 +83,17 @@
         self.guard = PartGuard(
             self.clock, self.operations.on_part, lambda: len(self._live_vms())
         )
+        # Runners and addresses of services; their restarts are not told apart.
+        self.limits = LimitGuard(
+            self.clock,
+            settings.vm.name,
+            self._live_vms,
+            TargetProcess,
+            self.operations.on_limit,
+        )
         observer = DraftObserver(self.operations.timeline, self.operations.metrics)
         executor = DraftExecutor(
-            EngineClient(self.http),
+            EngineClient(self.http, self.clock, self._on_limit),
             self.router,
             self.registry,
             self.ejection,
@@ -93,6 +102,7 @@
             settings.drafts.progress_floor_ms,
             observer,
             self.guard,
+            self.limits,
         )
         self.drafts = DraftHandler(
             self.draft_table, executor, self.gate, self.clock, observer
@@ -104,6 +114,7 @@
             self.store,
             self.clock,
             self.vm_list.service_addresses,
+            self.limits,
         )
         self.fleet = Fleet(self)
         self.peer_requests = PeerRequests(self)
@@ -171,6 +182,9 @@
         self.fleet.tracker.record_store_contact(self.clock.now())
         self.fleet.replicator.announce()
 
+    def _on_limit(self, runner: str, statement: Statement) -> None:
+        self.limits.record(TargetProcess(runner), statement)
+
     def _live_vms(self) -> frozenset[str]:
         return self.fleet.live_vms()
 
@@ -184,6 +198,7 @@
             self.ejection.set_ranges(self.registry.ranges_by_runner())
             self.services.remove_expired()
             self.guard.expire()
+            self.limits.update()
             self.fleet.tick()
 
     def _has_unfinished_work(self) -> bool:
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -10,7 +10,12 @@
 from heathershunt.bundle import Bundle, BundleError, SignedRoot, encode_file
 from heathershunt.daemon.status import daemon_status
 from heathershunt.http import Address, HttpServer, Response
-from heathershunt.logs.events import PartBlocked, PartTrusted
+from heathershunt.logs.events import (
+    LimitNamed,
+    LimitWithdrawn,
+    PartBlocked,
+    PartTrusted,
+)
 from heathershunt.metrics import LoopLag, Metrics
 from heathershunt.operators import (
     OPERATOR_LIMITS,
@@ -142,6 +147,13 @@
             EventKind.PROMPT, what=event.name, part=event.part, account=event.account
         )
 
+    def on_limit(self, event: LimitNamed | LimitWithdrawn) -> None:
+        """Record that a runner or a service takes few requests, or all again."""
+        per_s = event.per_s if isinstance(event, LimitNamed) else None
+        self.timeline.record(
+            EventKind.LIMIT, what=event.name, target=event.target, per_s=per_s
+        )
+
     def on_draining(self) -> None:
         """Record the start of the graceful shutdown."""
         running = self._daemon.draft_table.running
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any
@@ -10,7 +11,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from heathershunt.clock import Clock
 from heathershunt.http import Address, ClientResponse, HttpClient, TransportError
+from heathershunt.ratelimits import RATE_LIMIT_HEADER, Statement, decode_limit
 from heathershunt.routing import Chain, Stage
 from heathershunt.verdict import Progress
 
@@ -128,11 +131,21 @@
 class EngineClient:
     """Calls the stages of a chain over the engines' HTTP protocol.
 
+    :param on_limit: called with a runner and what its answer to a run says of the runs
+        that it takes.
+
     .. versionadded:: 0.1
     """
 
-    def __init__(self, http: HttpClient) -> None:
+    def __init__(
+        self,
+        http: HttpClient,
+        clock: Clock,
+        on_limit: Callable[[str, Statement], None] = lambda runner, statement: None,
+    ) -> None:
         self._http = http
+        self._clock = clock
+        self._on_limit = on_limit
 
     async def open(
         self, spec: RunSpec, index: int
@@ -142,6 +155,7 @@
         :param index: index of the stage in the chain.
         """
         stage = spec.chain.stages[index]
+        sent_at = self._clock.now()
         outcome = await self._http.request(
             _parse_address(stage.address),
             "POST",
@@ -156,6 +170,8 @@
         if isinstance(outcome, Err):
             return outcome
         response = outcome.ok_value
+        per_s = decode_limit(response.headers, RATE_LIMIT_HEADER)
+        self._on_limit(stage.runner, Statement(per_s, sent_at))
         stream = StageStream(stage, response)
         if response.status != 200:
             stream.close()
--- a/src/heathershunt/drafts/execution.py
+++ b/src/heathershunt/drafts/execution.py
@@ -15,6 +15,7 @@
 from heathershunt.drafts.epoch import Epoch, EpochFailure
 from heathershunt.drafts.observer import DraftObserver
 from heathershunt.drafts.progress import ProgressMonitor
+from heathershunt.ratelimits import LimitGuard, TargetProcess
 from heathershunt.retries import EjectionPolicy
 from heathershunt.routing import Chain, NoChain, Router
 from heathershunt.runners import RunnerRegistry, prefix_hashes
@@ -95,6 +96,7 @@
 
     :param progress_floor_ms: least progress deadline of a stream.
     :param guard: refuses prompts that crash runners.
+    :param limits: keeps to the runs a second that runners take.
 
     .. versionadded:: 0.1
     """
@@ -110,8 +112,10 @@
         progress_floor_ms: int,
         observer: DraftObserver,
         guard: PartGuard,
+        limits: LimitGuard,
     ) -> None:
         self._guard = guard
+        self._limits = limits
         self._engine = engine
         self._router = router
         self._registry = registry
@@ -193,10 +197,16 @@
         for exclude in (suspects | self._ejection.excluded(now), suspects, frozenset()):
             chosen = self._choose_without(draft, exclude, keep)
             if isinstance(chosen, Ok):
+                self._count_run(chosen.ok_value)
                 self._observer.chain_chosen(draft, chosen.ok_value, exclude, keep)
                 break
         return chosen
 
+    def _count_run(self, chain: Chain) -> None:
+        """Count a run at each runner of a chain, all of which receive it."""
+        for runner in chain.runners():
+            self._limits.record_send(TargetProcess(runner))
+
     def _suspects(self, now: Millis) -> frozenset[str]:
         """Return the suspected runners.
 
@@ -223,7 +233,7 @@
             request.layers,
             self._registry.views_by_runner,
             self._clock.now(),
-            exclude,
+            exclude | self._limits.spent(),
             prefix_hashes(request.prompt),
             keep,
         )
--- a/src/heathershunt/platform/headers.py
+++ b/src/heathershunt/platform/headers.py
@@ -7,8 +7,8 @@
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import ClientResponse, Request, Response
 from heathershunt.platform import names
-from heathershunt.platform.limits import decode_limit
 from heathershunt.platform.runners import encode_chain
+from heathershunt.ratelimits import decode_limit
 from heathershunt.relay import CallerRequest, Dispatch, ReplyHead
 from heathershunt.verdict import Refusal
 
@@ -128,7 +128,7 @@
                 or response.status in REJECTION_STATUSES
             ),
             faulty_address=headers.get(names.FAULTY_RUNNER.decode()),
-            limit_per_s=decode_limit(headers),
+            limit_per_s=decode_limit(headers, names.RATE_LIMIT),
             headers={
                 name: value
                 for name, value in headers.items()
--- a/src/heathershunt/platform/names.py
+++ b/src/heathershunt/platform/names.py
@@ -24,7 +24,7 @@
 # Address of the runner of a chain that caused the failure.
 FAULTY_RUNNER = b"at-server"
 # Requests a second that a target takes from all VMs together.
-RATE_LIMIT = b"server-limit"
+RATE_LIMIT = "server-limit"
 AUTHORIZATION = b"authorization"
 AUTHORIZATION_SCHEME = "Token"
 HOST = b"host"
--- a/src/heathershunt/platform/runners.py
+++ b/src/heathershunt/platform/runners.py
@@ -17,9 +17,14 @@
     RunnerReport,
     StalledJob,
 )
-from heathershunt.platform.limits import decode_limit
-from heathershunt.platform.names import EXPECTED_TARGET, ORDER_PATH, REPORT_PATH
+from heathershunt.platform.names import (
+    EXPECTED_TARGET,
+    ORDER_PATH,
+    RATE_LIMIT,
+    REPORT_PATH,
+)
 from heathershunt.platform.targets import LayersEntry, decode_layers
+from heathershunt.ratelimits import decode_limit
 
 log = logbook.Logger("heathershunt.platform")
 
@@ -70,7 +75,7 @@
 
     def read(self, headers: Mapping[str, str]) -> None:
         """Take the limit from the header fields."""
-        self.per_s = decode_limit(headers)
+        self.per_s = decode_limit(headers, RATE_LIMIT)
 
 
 _decoder = msgspec.json.Decoder(_Report)
--- a/src/heathershunt/ratelimits/__init__.py
+++ b/src/heathershunt/ratelimits/__init__.py
@@ -6,7 +6,17 @@
 
 from heathershunt.ratelimits.bucket import RateLimit
 from heathershunt.ratelimits.guard import LimitGuard
+from heathershunt.ratelimits.header import RATE_LIMIT_HEADER, decode_limit
 from heathershunt.ratelimits.messages import LimitDigest
-from heathershunt.ratelimits.statement import AnswerKind, Statement
+from heathershunt.ratelimits.statement import AnswerKind, Statement, TargetProcess
 
-__all__ = ["AnswerKind", "LimitDigest", "LimitGuard", "RateLimit", "Statement"]
+__all__ = [
+    "RATE_LIMIT_HEADER",
+    "AnswerKind",
+    "LimitDigest",
+    "LimitGuard",
+    "RateLimit",
+    "Statement",
+    "TargetProcess",
+    "decode_limit",
+]
--- a/src/heathershunt/ratelimits/guard.py
+++ b/src/heathershunt/ratelimits/guard.py
@@ -1,9 +1,9 @@
 """Keeps what this VM sends to targets within its part of the limits that they name."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
+from typing import Protocol
 
 from heathershunt.clock import Clock
-from heathershunt.discovery import Target
 from heathershunt.logs import Event
 from heathershunt.logs.events import LimitNamed, LimitWithdrawn
 from heathershunt.ratelimits.bucket import MILLISECONDS_PER_SECOND, RateLimit
@@ -29,6 +29,13 @@
 OTHER_VM_WAIT_MS = 1000
 
 
+class Process(Protocol):
+    """A process that takes requests: its id and the time when it started."""
+
+    id: str
+    incarnation: int
+
+
 class LimitGuard:
     """Decides whether this VM may send a request to a target now.
 
@@ -46,8 +53,8 @@
         self,
         clock: Clock,
         vm: str,
-        vms: Callable[[], Sequence[str]],
-        find: Callable[[str], Target | None],
+        vms: Callable[[], Collection[str]],
+        find: Callable[[str], Process | None],
         emit: Callable[[Event], None],
     ) -> None:
         self._clock = clock
@@ -89,11 +96,11 @@
         }
         return empty | self._closed if empty else self._closed
 
-    def may_check(self, target: Target) -> bool:
+    def may_check(self, target: Process) -> bool:
         """Return whether to send a check now that no request waits for."""
         return self._wait_for(target.id) == 0
 
-    def wait_ms(self, targets: Sequence[Target], waiting: int = 0) -> int | None:
+    def wait_ms(self, targets: Sequence[Process], waiting: int = 0) -> int | None:
         """Return the time until one of the targets may be sent a request; 0 for now.
 
         It is ``None`` if there are no targets.
@@ -109,7 +116,7 @@
             waits = [wait + waiting * MILLISECONDS_PER_SECOND / rate for wait in waits]
         return min(MAX_WAIT_MS, int(min(waits)))
 
-    def record_send(self, target: Target) -> None:
+    def record_send(self, target: Process) -> None:
         """Count something that is sent to a target: a request, a check or an order."""
         bucket = self._bucket_by_target.get(target.id)
         if bucket is not None:
@@ -125,7 +132,7 @@
 
     # What is known
 
-    def record(self, target: Target, statement: Statement) -> None:
+    def record(self, target: Process, statement: Statement) -> None:
         """Apply what an answer of a target said."""
         known_at = statement.sent_at
         if statement.per_s is not None:
--- a/src/heathershunt/platform/limits.py
+++ b/src/heathershunt/ratelimits/header.py
@@ -1,21 +1,23 @@
-"""Decoding of the limit that a target names in its answers."""
+"""The header field in which targets of the daemon name their limit."""
 
 import math
 from collections.abc import Mapping
 
 import logbook
 
-from heathershunt.platform.names import RATE_LIMIT
+RATE_LIMIT_HEADER = "rate-limit"
 
-log = logbook.Logger("heathershunt.platform")
+log = logbook.Logger("heathershunt.ratelimits")
 
 
-def decode_limit(headers: Mapping[str, str]) -> float | None:
+def decode_limit(headers: Mapping[str, str], name: str) -> float | None:
     """Return the requests a second that a target takes; ``None`` without a limit.
 
     A malformed limit counts as none.
+
+    :param name: name of the header field, in lower case.
     """
-    text = headers.get(RATE_LIMIT.decode())
+    text = headers.get(name)
     if text is None:
         return None
     try:
--- a/src/heathershunt/ratelimits/statement.py
+++ b/src/heathershunt/ratelimits/statement.py
@@ -6,6 +6,19 @@
 from heathershunt.clock import Millis
 
 
+@dataclass(frozen=True, slots=True)
+class TargetProcess:
+    """A process that takes requests, where no :class:`Target` describes it.
+
+    :param incarnation: wall time in milliseconds when it started; 0 if unknown.
+
+    .. versionadded:: 0.7
+    """
+
+    id: str
+    incarnation: int = 0
+
+
 class AnswerKind(Enum):
     """Kind of the answer that a statement came with.
 
--- a/src/heathershunt/services/dispatch.py
+++ b/src/heathershunt/services/dispatch.py
@@ -12,6 +12,13 @@
 from heathershunt.bundle import Service
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import Address, ClientResponse, HttpClient, Response
+from heathershunt.ratelimits import (
+    RATE_LIMIT_HEADER,
+    LimitGuard,
+    Statement,
+    TargetProcess,
+    decode_limit,
+)
 from heathershunt.services.addresses import AddressChooser, CallRetryBudget
 from heathershunt.services.calls import (
     CallOutcome,
@@ -43,6 +50,7 @@
     """Sends calls to plain services and retries them within a budget.
 
     :param addresses: gives the addresses of a service that are not leaving.
+    :param limits: keeps to the limits that addresses name.
 
     .. versionadded:: 0.1
     """
@@ -52,11 +60,13 @@
         http: HttpClient,
         clock: Clock,
         addresses: Callable[[str], Sequence[Address]],
+        limits: LimitGuard,
         source: random.Random | None = None,
     ) -> None:
         self._http = http
         self._clock = clock
         self._addresses = addresses
+        self._limits = limits
         self._random = source or random.Random()
         self._chooser = AddressChooser(self._random)
         self._budget = CallRetryBudget()
@@ -90,16 +100,21 @@
                     return outcome
             if not await self._may_retry(len(tried), deadline):
                 return outcome
-        return outcome or problem_outcome(
-            Progress.NOT_SENT,
-            503,
-            "No address",
-            f"no address of the service {call.service!r} is known",
-            RETRY_AFTER_MS,
-        )
+        return outcome or self._unsent_outcome(call.service)
+
+    def _unsent_outcome(self, service: str) -> CallOutcome:
+        """Return the outcome of a call for which there was no address."""
+        processes = [_process_at(address) for address in self._addresses(service)]
+        wait_ms = self._limits.wait_ms(processes)
+        detail = f"no address of the service {service!r} is known"
+        if wait_ms:
+            detail = f"the service {service!r} has the requests that it takes"
+        after = max(RETRY_AFTER_MS, wait_ms or 0)
+        return problem_outcome(Progress.NOT_SENT, 503, "No address", detail, after)
 
     def _choose(self, service: str, tried: list[Address]) -> Address | None:
-        addresses = self._addresses(service)
+        spent = self._limits.spent()
+        addresses = [a for a in self._addresses(service) if str(a) not in spent]
         return self._chooser.choose(addresses, tried, self._clock.now())
 
     async def _may_retry(self, tries: int, deadline: Millis) -> bool:
@@ -151,7 +166,10 @@
     async def _exchange(
         self, call: ServiceCall, address: Address, timeout_ms: int
     ) -> Result[Response, _Failure]:
-        end = self._clock.now() + timeout_ms
+        sent_at = self._clock.now()
+        end = sent_at + timeout_ms
+        process = _process_at(address)
+        self._limits.record_send(process)
         # A new connection for each call: an idle one may have been closed by the peer
         # unnoticed, which would leave the outcome unknown, or may still deliver a
         # duplicate of an answer to another caller.
@@ -169,6 +187,8 @@
             error = outcome.err_value
             return Err(_Failure(error.progress, error.detail))
         response = outcome.ok_value
+        per_s = decode_limit(response.headers, RATE_LIMIT_HEADER)
+        self._limits.record(process, Statement(per_s, sent_at))
         try:
             async with asyncio.timeout(max(1, end - self._clock.now()) / 1000):
                 return await _read_answer(response)
@@ -181,6 +201,10 @@
             raise
 
 
+def _process_at(address: Address) -> TargetProcess:
+    return TargetProcess(str(address))
+
+
 def _is_healthy(result: Result[Response, _Failure], timeout_ms: int) -> bool | None:
     if isinstance(result, Ok):
         return result.ok_value.status not in UNAVAILABLE_STATUSES
--- a/src/heathershunt/services/handler.py
+++ b/src/heathershunt/services/handler.py
@@ -7,6 +7,7 @@
 from heathershunt.bundle import Bundle, ClientAccount
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import Address, HttpClient, Request, Response
+from heathershunt.ratelimits import LimitGuard
 from heathershunt.services.batches import ClaimBatcher, ClaimFailure, SwapStore
 from heathershunt.services.calls import (
     CallOutcome,
@@ -61,13 +62,15 @@
         store: SwapStore,
         clock: Clock,
         addresses: Callable[[str], Sequence[Address]],
+        limits: LimitGuard,
     ) -> "ServiceHandler":
         """Return a handler with the default limits.
 
         :param addresses: gives the addresses of a service that are not leaving.
+        :param limits: keeps to the limits that addresses name.
         """
         return cls(
-            Dispatcher(http, clock, addresses),
+            Dispatcher(http, clock, addresses, limits),
             KeyTable(),
             KeyIssuer(vm, incarnation, clock),
             ClaimRouter(ClaimBatcher(store, clock), clock, vm),
--- a/src/heathershunt/timeline/events.py
+++ b/src/heathershunt/timeline/events.py
@@ -30,6 +30,7 @@
     ORDER = "order"
     FAULT = "fault"
     PROMPT = "prompt"
+    LIMIT = "limit"
 
 
 @dataclass(frozen=True)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -156,10 +156,11 @@
         self._epoch_by_run[run_id] = epoch
         while len(self._epoch_by_run) > ENDED_RUNS_KEPT:
             self._epoch_by_run.popitem(last=False)
+        headers = {"content-type": "application/x-ndjson"}
+        if spec.rate_limit is not None:
+            headers["rate-limit"] = str(spec.rate_limit)
         return StreamResponse(
-            200,
-            {"content-type": "application/x-ndjson"},
-            lambda stream: self._stream_run(run, stream),
+            200, headers, lambda stream: self._stream_run(run, stream)
         )
 
     def _cached_positions(self, run: Run) -> int:
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -21,6 +21,8 @@
     :param keep_ledger: record each position that the engine computes.
     :param weights: address of the weight store; empty to load without delay.
     :param deadly_word: the process ends when it is to emit a token on a prompt with it.
+    :param rate_limit: runs a second that the engine names in its answers as what it
+        takes; ``None`` for no limit.
     """
 
     runner: str
@@ -48,6 +50,7 @@
     keep_ledger: bool = True
     weights: str = ""
     deadly_word: str = ""
+    rate_limit: float | None = None
 
     @property
     def loaded(self) -> tuple:
--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from heathershunt.clock import SystemClock
 from heathershunt.drafts.engine import MAX_LINE_BYTES, EngineClient, RunSpec
 from heathershunt.http import HttpClient
 from heathershunt.routing import Chain, Stage
@@ -33,7 +34,9 @@
             0,
             1000,
         )
-        stream, lines = (await EngineClient(client).open(spec, 0)).unwrap()
+        stream, lines = (
+            await EngineClient(client, SystemClock()).open(spec, 0)
+        ).unwrap()
         assert [line.text for line in lines] == [f"run {number}"]
         while await stream.read_lines():
             pass
@@ -47,7 +50,7 @@
     stage = Stage("runner-1", str(await target.start()), "", 0, 80)
     chain = Chain(1, "m", "1", None, (stage,))
     spec = RunSpec("run", 1, chain, "prompt", (), 0, 10, 1, 0, 1000)
-    outcome = await EngineClient(client).open(spec, 0)
+    outcome = await EngineClient(client, SystemClock()).open(spec, 0)
     return target, client, outcome
 
 
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -8,6 +8,7 @@
 from heathershunt.bundle import Call, Service
 from heathershunt.clock import Millis, SystemClock
 from heathershunt.http import Address, HttpClient, HttpServer, json_response
+from heathershunt.ratelimits import RATE_LIMIT_HEADER, LimitGuard, TargetProcess
 from heathershunt.services.addresses import AddressChooser, CallRetryBudget
 from heathershunt.services.dispatch import Dispatcher
 from heathershunt.verdict import Progress
@@ -21,8 +22,9 @@
 class Target:
     """A server that answers every call with ``status``, or never if it is 0."""
 
-    def __init__(self, status):
+    def __init__(self, status, headers=None):
         self.status = status
+        self.headers = headers
         self.calls = 0
 
     async def start(self):
@@ -35,15 +37,20 @@
         self.calls += 1
         if self.status == 0:
             await asyncio.Event().wait()
-        return json_response(self.status, {})
+        return json_response(self.status, {}, self.headers)
+
+
+def make_dispatcher(addresses, client, clock):
+    limits = LimitGuard(clock, "vm-1", list, TargetProcess, print)
+    source = random.Random(3)
+    return Dispatcher(client, clock, lambda name: addresses, limits, source)
 
 
 async def run(targets, service, wait_ms=2000):
     addresses = [target.address for target in targets]
     client = HttpClient()
     clock = SystemClock()
-    source = random.Random(3)
-    dispatcher = Dispatcher(client, clock, lambda name: addresses, source)
+    dispatcher = make_dispatcher(addresses, client, clock)
     deadline = Millis(clock.now() + wait_ms)
     outcome = await dispatcher.run(service_call(), service, deadline)
     for target in targets:
@@ -111,10 +118,44 @@
     address = await target.start()
     clock = SystemClock()
     client = HttpClient()
-    dispatcher = Dispatcher(client, clock, lambda name: [address], random.Random(3))
+    dispatcher = make_dispatcher([address], client, clock)
     for number in range(3):
         call = replace(service_call(), target=f"/{number}")
         outcome = await dispatcher.run(call, IDEMPOTENT, Millis(clock.now() + 2000))
         assert outcome.response.body == f"/{number}".encode()
     client.close()
     target.stop()
+
+
+async def send_calls(targets, count=40):
+    """Send calls one after the other, over some 2.4 s, and return their statuses."""
+    client, clock = HttpClient(), SystemClock()
+    addresses = [target.address for target in targets]
+    dispatcher = make_dispatcher(addresses, client, clock)
+    outcomes = []
+    for _ in range(count):
+        deadline = Millis(clock.now() + 1000)
+        outcomes.append(await dispatcher.run(service_call(), IDEMPOTENT, deadline))
+        await asyncio.sleep(0.06)
+    client.close()
+    for target in targets:
+        await target.http.close()
+    return outcomes
+
+
+# Guards against a service that gets more calls than the limit that it names.
+async def test_address_that_names_a_limit_gets_few_calls():
+    limited = await Target(200, {RATE_LIMIT_HEADER: "1"}).start()
+    free = await Target(200).start()
+    outcomes = await send_calls([limited, free])
+    assert [outcome.response.status for outcome in outcomes] == [200] * 40
+    assert limited.calls <= 4
+
+
+async def test_calls_beyond_the_limits_of_all_addresses_are_refused_at_once():
+    limited = await Target(200, {RATE_LIMIT_HEADER: "1"}).start()
+    outcomes = await send_calls([limited])
+    refused = [o for o in outcomes if o.response.status == 503]
+    assert len(refused) >= 35
+    assert all(outcome.progress is Progress.NOT_SENT for outcome in refused)
+    assert all("retry-after" in outcome.response.headers for outcome in refused)
