Log when the store was restored from a copy

That a view went back, and when, was in no line. The era in the store's answers is read and the event store_restored is emitted when it rises; nothing else changes.

--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -13,6 +13,7 @@
     events.Readiness,
     events.StoreFailed,
     events.StoreRecovered,
+    events.StoreRestored,
     events.MemberChanged,
     events.TargetListed,
     events.TargetRemoved,
--- a/src/heathershunt/logs/events.py
+++ b/src/heathershunt/logs/events.py
@@ -140,6 +140,19 @@
     away_ms: int
 
 
+@dataclass(frozen=True)
+class StoreRestored(Event):
+    """The store came back from a copy: what was written since the copy is gone.
+
+    :param era: number of the restorations so far, as the store counts them.
+    """
+
+    name: ClassVar[str] = "store_restored"
+    sentence: ClassVar[str] = "the store was restored from a copy; its era is now {era}"
+    concerns_all_vms: ClassVar[bool] = True
+    era: int
+
+
 @dataclass(frozen=True)
 class MemberChanged(Event):
     """The member entry of an entry VM was added, changed or removed.
--- a/src/heathershunt/platform/names.py
+++ b/src/heathershunt/platform/names.py
@@ -29,6 +29,8 @@
 AUTHORIZATION_SCHEME = "Token"
 HOST = b"host"
 RETRY_AFTER = "retry-after"
+# Number of times that the store was restored from a copy.
+STORE_ERA = "store-era"
 
 CONFIGURATION_KEY = "op/config"
 TARGET_PREFIX = "servers/"
--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import base64
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 from urllib.parse import urlencode
 
+import logbook
 import msgspec
 from result import Err, Ok, Result
 
@@ -20,8 +21,11 @@
     StoreFailure,
 )
 from heathershunt.http import Address, HttpClient
+from heathershunt.platform.names import STORE_ERA
 from heathershunt.verdict import Progress
 
+log = logbook.Logger("heathershunt.platform")
+
 CALL_TIMEOUT_MS = 700
 # Time limit for the reply to a watch, in addition to its wait.
 WATCH_SLACK_MS = 500
@@ -71,12 +75,21 @@
 class MetadataStore:
     """Calls to the platform's metadata store over HTTP.
 
+    :param on_era: called with the new era when the store was restored from a copy.
+
     .. versionadded:: 0.2
     """
 
-    def __init__(self, http: HttpClient, address: Address) -> None:
+    def __init__(
+        self,
+        http: HttpClient,
+        address: Address,
+        on_era: Callable[[int], None] = lambda era: None,
+    ) -> None:
         self._http = http
         self._address = address
+        self._on_era = on_era
+        self._era: int | None = None
 
     async def read_all(self, prefix: str) -> Result[Snapshot, StoreError]:
         """Read all entries under a prefix, page by page.
@@ -164,6 +177,14 @@
         reply = await self._call("DELETE", path, None, fresh=True)
         return reply.map(lambda _: None)
 
+    def _read_era(self, headers: Mapping[str, str]) -> None:
+        era = _decode_era(headers.get(STORE_ERA))
+        if era is None or (self._era is not None and era <= self._era):
+            return
+        if self._era is not None:
+            self._on_era(era)
+        self._era = era
+
     async def _write(
         self, path: str, reply_type: type, payload: Any
     ) -> Result[Any, StoreError]:
@@ -199,6 +220,7 @@
             body=body,
             timeout_ms=timeout_ms,
             limit=MAX_REPLY_BYTES,
+            on_headers=self._read_era,
             fresh=fresh,
         )
         if isinstance(outcome, Err):
@@ -219,6 +241,15 @@
             return Err(StoreError(StoreFailure.UNKNOWN, detail))
 
 
+def _decode_era(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if text.isdecimal():
+        return int(text)
+    log.warning("malformed era of the store: {!r}", text[:40])
+    return None
+
+
 def _matches_watch(events: _WatchReply, revision: int) -> bool:
     """Return whether a reply can be the one to a watch after ``revision``."""
     if events.current_rev < revision:
