--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -83,6 +83,7 @@
         self.trickle = b""
         self.deadly_part: str | None = None
         self.limit_per_s: float | None = None
+        self.heartbeats = 1
         self.arrivals: list[float] = []
         self._store = store
         self._targets_by_address = targets_by_address
@@ -103,6 +104,7 @@
 
     def register(self) -> None:
         """Write the current entry of the target to the store."""
+        self.heartbeats += 1
         entry = {
             "service": self.service,
             "address": self.address,
@@ -110,7 +112,7 @@
             "version": "v1",
             "slots": 8,
             "state": "draining" if self.is_draining else "ready",
-            "sequence": 1,
+            "sequence": self.heartbeats,
             "cold_remaining_ms": 0,
             "born": 1000,
         }
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import itertools
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -22,10 +21,22 @@
     lease: int
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Contents of the store at one moment."""
+
+    items: dict[str, _Item]
+    history: list[tuple[int, str, _Item | None]]
+    revision: int
+    leases: dict[int, tuple[float, int]]
+    next_lease: int
+
+
 class MetadataStoreStandIn:
     """Key-value store with revisions, leases and watches over HTTP.
 
     :ivar is_down: answer every call with 503 and let no lease expire.
+    :ivar era: number of times that it was restored from a copy, and one.
     :ivar lost_replies: number of next transactions whose reply is lost.
     """
 
@@ -35,11 +46,12 @@
         self._compacted_revision = 0
         self._revision = 1
         self._leases: dict[int, tuple[float, int]] = {}
-        self._lease_numbers = itertools.count(1000)
+        self._next_lease = 1000
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle)
         self._expiry: asyncio.Task | None = None
         self.is_down = False
+        self.era = 1
         self.lost_replies = 0
 
     async def start(self) -> str:
@@ -74,6 +86,31 @@
         item = self._items.get(key)
         return item.value if item else None
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore the store from."""
+        return StoreCopy(
+            dict(self._items),
+            list(self._history),
+            self._revision,
+            dict(self._leases),
+            self._next_lease,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace all contents by a copy; its leases run from now."""
+        now = asyncio.get_running_loop().time()
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._revision = copy.revision
+        self._leases = {lease: (now, ttl) for lease, (_, ttl) in copy.leases.items()}
+        self._next_lease = copy.next_lease
+        self.era += 1
+        self._changed.set()
+
+    def lease_of(self, key: str) -> int:
+        """Return the lease of a key; 0 without one."""
+        return self._items[key].lease if key in self._items else 0
+
     def forget_history(self) -> None:
         """Drop the history; a watch from an older revision gets 410."""
         self._compacted_revision = self._revision
@@ -101,6 +138,11 @@
     async def _handle(self, request: Request) -> Response:
         if self.is_down:
             return Response(503)
+        response = await self._answer(request)
+        headers = {**response.headers, "store-era": str(self.era)}
+        return replace(response, headers=headers)
+
+    async def _answer(self, request: Request) -> Response:
         name, _, argument = request.path.strip("/").partition("/")
         calls = {
             "kv-key": self._get,
@@ -139,7 +181,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query["wait_ms"]) / 1000
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self._revision:
                 return Response(410)
             events = [
                 _encode(item)
@@ -174,7 +216,7 @@
 
     async def _grant_lease(self, request: Request, _) -> Response:
         ttl_ms = msgspec.json.decode(request.body)["ttl_ms"]
-        lease = next(self._lease_numbers)
+        lease, self._next_lease = self._next_lease, self._next_lease + 1
         self._leases[lease] = (asyncio.get_running_loop().time(), ttl_ms)
         return _reply({"lease": lease, "ttl_ms": ttl_ms})
 
