Put the era of the store above its revisions and leases

What callers saw, with the stand-in: a confirmed change was not in force, as a VM that was cut off while the store came back from a copy watched on from a revision that had been given out again. Its own entry was not written again under a lease that survived the copy, two VMs could hold one lease, and a new leader had a lower fencing token, which some runners reject.

Cause: views, watches, mirrors, conditions and tokens trust that revisions only grow. The class of fault is an order that its source may take back.

Why this works: a revision is the era and the store's number in one number, so whatever compares two of them is right as it stands: a view is read again, a mirror's follower too, a condition or lease from another era fails, a fencing token of a later era is higher. Leases count as ended after a restoration, so each VM takes a new one and writes its entry, the leader claims again. The first watch after a failure doesn't wait, so the era is known at once.

A try that failed: leases packed in 40 bits. The stand-in now gives out large leases too.

--- a/src/heathershunt/coordination/mirror.py
+++ b/src/heathershunt/coordination/mirror.py
@@ -14,6 +14,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from heathershunt.coordination.revisions import era_of
 from heathershunt.coordination.store import (
     Changes,
     Entry,
@@ -234,6 +235,9 @@
         if isinstance(outcome, Err):
             return outcome
         reply = outcome.ok_value
+        if era_of(reply.revision) < era_of(revision):
+            detail = "mirror: it has not seen that the store was restored"
+            return self._avoid(upstream, StoreFailure.REJECTED, detail)
         entries = tuple(
             (c.key, None if c.value is None else Entry(c.key, c.value, c.revision))
             for c in reply.changes
--- a/src/heathershunt/coordination/view.py
+++ b/src/heathershunt/coordination/view.py
@@ -9,6 +9,7 @@
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.coordination.backoff import Backoff
+from heathershunt.coordination.revisions import era_of
 from heathershunt.coordination.store import (
     Changes,
     Snapshot,
@@ -51,6 +52,8 @@
         age of the view.
     :param on_recovery: called before the first data after an outage, with the time
         without an answer in milliseconds.
+    :param on_restored: called before the first snapshot after the store was restored
+        from a copy, with its new era.
     :param on_loss: called with the reason when a call fails after a successful one.
 
     .. versionadded:: 0.2
@@ -67,6 +70,7 @@
         on_recovery: Callable[[int], None],
         wait_ms: Callable[[], int] | None = None,
         on_loss: Callable[[str], None] | None = None,
+        on_restored: Callable[[int], None] = lambda era: None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -76,6 +80,8 @@
         self._on_changes = on_changes
         self._on_recovery = on_recovery
         self._on_loss = on_loss
+        self._on_restored = on_restored
+        self._era: int | None = None
         self._wait_ms = wait_ms or (lambda: config.wait_ms)
         self._backoff = Backoff(config.retry_min_ms, config.retry_max_ms)
         self._answered_at: Millis | None = None
@@ -107,12 +113,15 @@
             return outcome.err_value
         self._record_answer(sent_at - outcome.ok_value.age_ms)
         self.revision = outcome.ok_value.revision
+        self._record_era(era_of(self.revision))
         self._on_snapshot(outcome.ok_value)
         return None
 
     async def _watch(self) -> StoreError | None:
         sent_at = self._clock.now()
-        wait_ms = self._wait_ms()
+        # After a failure the first reply must not wait: it tells whether the store was
+        # restored meanwhile.
+        wait_ms = 0 if self._backoff.failures else self._wait_ms()
         outcome = await self._store.watch(self._prefix, self.revision, wait_ms)
         if isinstance(outcome, Err):
             return outcome.err_value
@@ -126,6 +135,12 @@
             self._on_changes(changes)
         return None
 
+    def _record_era(self, era: int) -> None:
+        if self._era is not None and era != self._era:
+            log.notice("the store was restored from a copy; its era is {}", era)
+            self._on_restored(era)
+        self._era = era
+
     def _record_answer(self, confirmed_at: int) -> None:
         now = self._clock.now()
         silent_ms = 0 if self._answered_at is None else now - self._answered_at
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -145,6 +145,7 @@
             state.on_store_recovery,
             self._topology.wait_ms,
             self._on_store_loss,
+            state.on_store_restored,
         )
         self.mirror = ViewMirror(lambda: self.view.age_ms)
         self.keeper = LeaseKeeper(
--- a/src/heathershunt/gateway/state.py
+++ b/src/heathershunt/gateway/state.py
@@ -17,6 +17,7 @@
     ConfigurationInForce,
     MemberChanged,
     StoreRecovered,
+    StoreRestored,
     TargetListed,
     TargetRemoved,
 )
@@ -91,6 +92,10 @@
         self.registry.start_grace_period()
         self._events.emit(StoreRecovered(silent_ms))
 
+    def on_store_restored(self, era: int) -> None:
+        """Handle a restoration of the store, before its first snapshot."""
+        self._events.emit(StoreRestored(era))
+
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Apply a complete list of the entries."""
         self._events.revision = snapshot.revision
--- a/src/heathershunt/platform/main.py
+++ b/src/heathershunt/platform/main.py
@@ -12,7 +12,7 @@
 from heathershunt.gateway.ports import Ports
 from heathershunt.http import HttpClient
 from heathershunt.logs import EventLog, JsonHandler
-from heathershunt.logs.events import ReloadIgnored, StoreRestored
+from heathershunt.logs.events import ReloadIgnored
 from heathershunt.platform.decoder import PlatformDecoder
 from heathershunt.platform.headers import HeaderCodec
 from heathershunt.platform.runners import RunnerClient
@@ -35,9 +35,7 @@
     http = HttpClient()
     codec = HeaderCodec(clock)
     ports = Ports(
-        store=MetadataStore(
-            http, config.store, lambda era: events.emit(StoreRestored(era))
-        ),
+        store=MetadataStore(http, config.store),
         runners=RunnerClient(http),
         wire=codec,
         decoder=PlatformDecoder(codec),
--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import base64
-from collections.abc import Callable, Mapping
-from dataclasses import replace
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import urlencode
 
@@ -20,6 +20,15 @@
     StoreError,
     StoreFailure,
 )
+from heathershunt.coordination.revisions import (
+    MAX_ERA,
+    era_of,
+    era_of_lease,
+    join,
+    join_lease,
+    number_of,
+    number_of_lease,
+)
 from heathershunt.http import Address, HttpClient
 from heathershunt.platform.names import STORE_ERA
 from heathershunt.verdict import Progress
@@ -72,10 +81,43 @@
     ttl_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """A decoded reply.
+
+    :param era: era of the store when it answered.
+    """
+
+    era: int
+    body: Any
+
+
+class _EraField:
+    """The era in the header fields of a reply.
+
+    :param known: era that is known so far; a reply without a valid one counts as of
+        this era.
+    """
+
+    def __init__(self, known: int) -> None:
+        self.value = known
+
+    def read(self, headers: Mapping[str, str]) -> None:
+        """Take the era from the header fields."""
+        text = headers.get(STORE_ERA)
+        if text is None:
+            return
+        if text.isdecimal() and int(text) <= MAX_ERA:
+            self.value = int(text)
+        else:
+            log.warning("malformed era of the store: {!r}", text[:40])
+
+
 class MetadataStore:
     """Calls to the platform's metadata store over HTTP.
 
-    :param on_era: called with the new era when the store was restored from a copy.
+    Revisions and leases carry the era of the store, see
+    :mod:`heathershunt.coordination.revisions`.
 
     .. versionadded:: 0.2
     """
@@ -84,12 +126,10 @@
         self,
         http: HttpClient,
         address: Address,
-        on_era: Callable[[int], None] = lambda era: None,
     ) -> None:
         self._http = http
         self._address = address
-        self._on_era = on_era
-        self._era: int | None = None
+        self._era = 0
 
     async def read_all(self, prefix: str) -> Result[Snapshot, StoreError]:
         """Read all entries under a prefix, page by page.
@@ -104,19 +144,29 @@
             page = await self._call("GET", "/kv-range", _RangeReply, query, fresh=True)
             if isinstance(page, Err):
                 return page
-            items = page.ok_value.items
-            entries.extend(map(_decode_entry, items))
+            era, reply = page.ok_value.era, page.ok_value.body
             if revision is None:
-                revision = page.ok_value.current_rev
-            if not page.ok_value.has_more or not items:
+                revision = join(era, reply.current_rev)
+            if era != era_of(revision):
+                detail = "the store was restored while it was read"
+                return Err(StoreError(StoreFailure.UNKNOWN, detail))
+            entries.extend(_decode_entry(item, era) for item in reply.items)
+            if not reply.has_more or not reply.items:
                 return Ok(Snapshot(tuple(entries), revision))
-            query["after"] = items[-1].key
+            query["after"] = reply.items[-1].key
 
     async def watch(
         self, prefix: str, revision: int, wait_ms: int
     ) -> Result[Changes, StoreError]:
-        """Return the changes after ``revision``, waiting up to ``wait_ms`` for one."""
-        query = {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
+        """Return the changes after ``revision``, waiting up to ``wait_ms`` for one.
+
+        The history before a restoration is lost, also if the store has reached the same
+        number again.
+        """
+        era, number = era_of(revision), number_of(revision)
+        if era != self._era:
+            return _history_lost(self._era)
+        query = {"prefix": prefix, "after": number, "wait_ms": wait_ms}
         timeout_ms = wait_ms + WATCH_SLACK_MS
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -125,14 +175,17 @@
         )
         if isinstance(reply, Err):
             return reply
-        if not _matches_watch(reply.ok_value, revision):
+        if reply.ok_value.era != era:
+            return _history_lost(reply.ok_value.era)
+        body = reply.ok_value.body
+        if not _matches_watch(body, number):
             # A duplicate of an earlier reply. From now on, each call on the connection
             # would get the reply to the call before.
             self._http.close_idle(self._address)
-            detail = f"the reply to a watch after {revision} is an older one"
+            detail = f"the reply to a watch after {number} is an older one"
             return Err(StoreError(StoreFailure.UNKNOWN, detail))
         waited_ms = int((loop.time() - started_at) * 1000)
-        changes = _decode_changes(reply.ok_value)
+        changes = _decode_changes(body, era)
         if changes.entries or waited_ms >= wait_ms - EARLY_END_TOLERANCE_MS:
             return Ok(changes)
         # A reply without changes that is early may be a duplicate too, so it proves
@@ -148,46 +201,74 @@
     ) -> Result[int, StoreError]:
         """Write and remove keys in one transaction and return its revision.
 
-        Nothing is changed if a key does not have its expected revision.
+        Nothing is changed if a key does not have its expected revision, or if a
+        revision or lease is from before a restoration.
         """
+        revisions = [row.revision for row in expectations if row.revision]
+        if any(era_of(revision) != self._era for revision in revisions):
+            return _outdated(StoreFailure.CONFLICT)
+        leases = [value.lease for value in values if value.lease]
+        if any(map(self._has_ended, leases)):
+            return _outdated(StoreFailure.NO_LEASE)
         payload = {
             "expected": [
-                {"key": row.key, "revision": row.revision} for row in expectations
+                {"key": row.key, "revision": number_of(row.revision)}
+                for row in expectations
             ],
             "puts": [_encode_put(value) for value in values],
             "remove": list(removed),
         }
+        era = self._era
         reply = await self._write("/kv-txn", _CommitReply, payload)
-        return reply.map(lambda committed: committed.revision)
+        if isinstance(reply, Ok) and reply.ok_value.era != era:
+            if leases or expectations:
+                # Its revisions and leases may now be those of others.
+                return _outdated(StoreFailure.UNKNOWN)
+        return reply.map(lambda answer: join(answer.era, answer.body.revision))
 
     async def grant_lease(self, ttl_ms: int) -> Result[tuple[int, int], StoreError]:
         """Return the id of a new lease and its time to live in milliseconds."""
         payload = {"ttl_ms": ttl_ms}
         reply = await self._write("/kv-lease", _GrantReply, payload)
-        return reply.map(lambda granted: (granted.lease, int(granted.ttl_ms)))
+        return reply.map(
+            lambda answer: (
+                join_lease(answer.era, answer.body.lease),
+                int(answer.body.ttl_ms),
+            )
+        )
 
     async def renew_lease(self, lease: int) -> Result[int, StoreError]:
-        """Renew a lease and return its time to live in milliseconds."""
-        reply = await self._call("POST", f"/kv-keep/{lease}", _KeepReply)
-        return reply.map(lambda kept: int(kept.ttl_ms))
+        """Renew a lease and return its time to live in milliseconds.
+
+        After a restoration its keys may be gone or its number be another VM's, so it
+        counts as ended.
+        """
+        if self._has_ended(lease):
+            return _outdated(StoreFailure.NO_LEASE)
+        path = f"/kv-keep/{number_of_lease(lease)}"
+        reply = await self._call("POST", path, _KeepReply)
+        if isinstance(reply, Ok) and reply.ok_value.era != era_of_lease(lease):
+            return _outdated(StoreFailure.NO_LEASE)
+        return reply.map(lambda answer: int(answer.body.ttl_ms))
 
     async def end_lease(self, lease: int) -> Result[None, StoreError]:
-        """End a lease; its keys are removed."""
-        path = f"/kv-lease-end/{lease}"
+        """End a lease; its keys are removed.
+
+        One from before a restoration is left to expire, as its number may be another
+        VM's.
+        """
+        if self._has_ended(lease):
+            return Ok(None)
+        path = f"/kv-lease-end/{number_of_lease(lease)}"
         reply = await self._call("DELETE", path, None, fresh=True)
         return reply.map(lambda _: None)
 
-    def _read_era(self, headers: Mapping[str, str]) -> None:
-        era = _decode_era(headers.get(STORE_ERA))
-        if era is None or (self._era is not None and era <= self._era):
-            return
-        if self._era is not None:
-            self._on_era(era)
-        self._era = era
+    def _has_ended(self, lease: int) -> bool:
+        return era_of_lease(lease) != self._era
 
     async def _write(
         self, path: str, reply_type: type, payload: Any
-    ) -> Result[Any, StoreError]:
+    ) -> Result["_Answer", StoreError]:
         """Make a call that changes the store, on a new connection.
 
         On a reused one, a duplicate of an earlier reply would report a write that did
@@ -204,14 +285,17 @@
         payload: Any = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
         fresh: bool = False,
-    ) -> Result[Any, StoreError]:
+    ) -> Result["_Answer", StoreError]:
         """Make a call and decode its reply.
 
+        A reply from before a restoration that is known already proves nothing.
+
         :param fresh: use a new connection. Replies carry no id, so on a reused one a
             duplicate of an earlier reply could be taken for the reply to this call.
         """
         target = f"{path}?{urlencode(query)}" if query else path
         body = b"" if payload is None else msgspec.json.encode(payload)
+        era_field = _EraField(self._era)
         outcome = await self._http.exchange(
             self._address,
             method,
@@ -220,7 +304,7 @@
             body=body,
             timeout_ms=timeout_ms,
             limit=MAX_REPLY_BYTES,
-            on_headers=self._read_era,
+            on_headers=era_field.read,
             fresh=fresh,
         )
         if isinstance(outcome, Err):
@@ -229,25 +313,30 @@
             failure = StoreFailure.UNKNOWN if is_sent else StoreFailure.REJECTED
             return Err(StoreError(failure, error.detail))
         status, raw = outcome.ok_value
+        era = era_field.value
+        if era < self._era:
+            detail = f"{method} {path}: the reply is from before the store was restored"
+            return Err(StoreError(StoreFailure.UNKNOWN, detail))
+        self._era = era
         if status != SUCCESS:
             failure = FAILURE_BY_STATUS.get(status, StoreFailure.REJECTED)
             return Err(StoreError(failure, f"{method} {path}: status {status}"))
         if reply_type is None:
-            return Ok(None)
+            return Ok(_Answer(era, None))
         try:
-            return Ok(msgspec.json.decode(raw, type=reply_type))
+            return Ok(_Answer(era, msgspec.json.decode(raw, type=reply_type)))
         except (ValueError, RecursionError) as error:
             detail = f"{method} {path}: malformed reply: {error}"
             return Err(StoreError(StoreFailure.UNKNOWN, detail))
 
 
-def _decode_era(text: str | None) -> int | None:
-    if text is None:
-        return None
-    if text.isdecimal():
-        return int(text)
-    log.warning("malformed era of the store: {!r}", text[:40])
-    return None
+def _history_lost(era: int) -> Err[StoreError]:
+    detail = f"the store was restored; its era is {era}"
+    return Err(StoreError(StoreFailure.HISTORY_LOST, detail))
+
+
+def _outdated(failure: StoreFailure) -> Err[StoreError]:
+    return Err(StoreError(failure, "from before the store was restored"))
 
 
 def _matches_watch(events: _WatchReply, revision: int) -> bool:
@@ -257,8 +346,9 @@
     return all(item.revision > revision for item in events.events)
 
 
-def _decode_entry(item: _Item) -> Entry:
-    return Entry(item.key, _decode_value(item.value), item.revision)
+def _decode_entry(item: _Item, era: int) -> Entry:
+    revision = join(era, item.revision)
+    return Entry(item.key, _decode_value(item.value), revision)
 
 
 def _decode_value(text: str) -> bytes:
@@ -269,17 +359,17 @@
         return b""
 
 
-def _decode_changes(events: _WatchReply) -> Changes:
+def _decode_changes(events: _WatchReply, era: int) -> Changes:
     entries = tuple(
-        (item.key, None if item.tombstone else _decode_entry(item))
+        (item.key, None if item.tombstone else _decode_entry(item, era))
         for item in events.events
     )
-    return Changes(entries, events.current_rev)
+    return Changes(entries, join(era, events.current_rev))
 
 
 def _encode_put(value: LeasedValue) -> dict[str, Any]:
     encoded = base64.b64encode(value.value).decode("ascii")
     row = {"key": value.key, "value": encoded}
     if value.lease:
-        row["lease"] = value.lease
+        row["lease"] = number_of_lease(value.lease)
     return row
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -9,6 +9,8 @@
 from heathershunt.http import HttpServer, Request, Response
 
 PAGE_ITEMS = 50
+# Leases are large numbers, unlike revisions.
+FIRST_LEASE = 2**50
 JSON_TYPE = {"content-type": "application/json"}
 
 
@@ -46,7 +48,7 @@
         self._compacted_revision = 0
         self._revision = 1
         self._leases: dict[int, tuple[float, int]] = {}
-        self._next_lease = 1000
+        self._next_lease = FIRST_LEASE
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle)
         self._expiry: asyncio.Task | None = None
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -19,6 +19,7 @@
     PROBE_JITTER,
     STALE_AVOID_MS,
 )
+from heathershunt.coordination.revisions import join
 from heathershunt.gateway.topology import MAX_VIEW_AGE_MS
 from heathershunt.http import Address, HttpClient, HttpServer, correlated
 
@@ -245,3 +246,21 @@
     for _ in range(2):
         await pair.follower.watch("", 9, 10)
     assert (await pair.follower.read_all("")).ok_value.revision == 50
+
+
+# Guards against followers that miss what was written after the store was restored, as
+# the mirror has reached their revision again.
+async def test_follower_reads_all_entries_after_the_store_was_restored(pair):
+    pair.mirror.on_snapshot(Snapshot((entry("a", join(1, 3)),), join(1, 90)))
+    before = (await pair.follower.read_all("")).ok_value
+    restored = entry("a", join(2, 60))
+    pair.mirror.on_snapshot(Snapshot((restored,), join(2, 95)))
+    outcome = await pair.follower.watch("", before.revision, 10)
+    assert outcome.err_value.failure is StoreFailure.HISTORY_LOST
+    assert (await pair.follower.read_all("")).ok_value.entries == (restored,)
+
+
+async def test_mirror_that_has_not_seen_the_restoration_is_not_followed(pair):
+    pair.mirror.on_snapshot(Snapshot((), join(1, 90)))
+    outcome = await pair.follower.watch("", join(2, 60), 10)
+    assert outcome.err_value.failure is StoreFailure.REJECTED
--- a/tests/coordination/test_view.py
+++ b/tests/coordination/test_view.py
@@ -10,6 +10,7 @@
     StoreView,
     ViewConfig,
 )
+from heathershunt.coordination.revisions import join
 
 CONFIG = ViewConfig(wait_ms=1500, pause_ms=0, outage_ms=1000)
 
@@ -121,3 +122,42 @@
     store.replies = [(4, snapshot(9))]
     await run_all(view, store)
     assert (len(recorder.snapshots), view.revision) == (2, 9)
+
+
+# Guards against a change that is seen late, as the first watch after an outage waits
+# though the store was restored.
+async def test_first_watch_after_a_failure_does_not_wait(view, store, clock):
+    waits = []
+    answered = store.watch
+
+    async def watch(prefix, revision, wait_ms):
+        waits.append(wait_ms)
+        return await answered(prefix, revision, wait_ms)
+
+    store.watch = watch
+    store.replies = [(0, snapshot()), (0, Err(StoreError(StoreFailure.UNKNOWN, "")))]
+    await run_all(view, store)
+    view._record_failure(StoreError(StoreFailure.UNKNOWN, ""))
+    store.replies = [(0, no_changes()), (0, no_changes())]
+    await run_all(view, store)
+    assert waits == [1500, 0, 1500]
+
+
+async def test_restoration_is_reported_before_the_snapshot(clock, store, recorder):
+    seen = []
+    view = StoreView(
+        store,
+        clock,
+        CONFIG,
+        "",
+        lambda snapshot: seen.append("snapshot"),
+        recorder.changes.append,
+        recorder.recoveries.append,
+        on_restored=seen.append,
+    )
+    store.replies = [(0, snapshot(join(1, 9)))]
+    await run_all(view, store)
+    view._record_failure(StoreError(StoreFailure.HISTORY_LOST, ""))
+    store.replies = [(0, snapshot(join(2, 5)))]
+    await run_all(view, store)
+    assert seen == ["snapshot", 2, "snapshot"]
