Claim no leadership right after the store was restored

Two VMs could order placements at once: the key is free in a copy from before the last claim, while its holder is cut off and still acts under its lease. Claims wait for the time to live of a lease after a restoration, as they do when a leader is lost.

--- a/src/heathershunt/coordination/leader.py
+++ b/src/heathershunt/coordination/leader.py
@@ -8,6 +8,7 @@
 import logbook
 from result import Err
 
+from heathershunt.clock import Clock, Millis
 from heathershunt.coordination.lease import LeaseKeeper
 from heathershunt.coordination.store import (
     Expectation,
@@ -53,6 +54,7 @@
         self,
         store: Store,
         keeper: LeaseKeeper,
+        clock: Clock,
         config: LeadershipConfig,
         vm: str,
         holder: Callable[[], tuple[bytes, int] | None],
@@ -60,6 +62,8 @@
     ) -> None:
         self._store = store
         self._keeper = keeper
+        self._clock = clock
+        self._claims_from = Millis(0)
         self._config = config
         self._vm = vm
         self._holder = holder
@@ -83,12 +87,24 @@
             if held is not None and not self.is_leader:
                 self._adopt(*held)
             self._emit_change()
-            if held is not None or not self._keeper.is_valid:
+            if held is not None or not self._keeper.is_valid or self._is_paused:
                 continue
             await asyncio.sleep(random.uniform(0, config.jitter_ms) / 1000)
             if self._holder() is None and not self.is_leader:
                 await self._claim()
 
+    def pause_claims(self, pause_ms: int) -> None:
+        """Claim nothing for some time.
+
+        After a restoration of the store the key may be free though another VM, which
+        has not seen it, still acts as the leader.
+        """
+        self._claims_from = Millis(self._clock.now() + pause_ms)
+
+    @property
+    def _is_paused(self) -> bool:
+        return self._clock.now() < self._claims_from
+
     def _value(self) -> bytes:
         """Return a value that is unique to this process and its lease."""
         return f"{self._vm}/{self._keeper.lease}".encode()
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -145,7 +145,7 @@
             state.on_store_recovery,
             self._topology.wait_ms,
             self._on_store_loss,
-            state.on_store_restored,
+            self._on_store_restored,
         )
         self.mirror = ViewMirror(lambda: self.view.age_ms)
         self.keeper = LeaseKeeper(
@@ -157,6 +157,7 @@
         self.leadership = Leadership(
             ports.store,
             self.keeper,
+            clock,
             LeadershipConfig(LEADER_KEY),
             config.vm,
             lambda: state.leader,
@@ -351,6 +352,10 @@
         self.mirror.on_changes(changes)
         self.state.on_changes(changes)
 
+    def _on_store_restored(self, era: int) -> None:
+        self.leadership.pause_claims(LEASE_TTL_MS)
+        self.state.on_store_restored(era)
+
     def _on_store_loss(self, detail: str) -> None:
         self._events.emit(StoreFailed(detail, self.view.age_ms))
 
