Use no target that a restored store lists from before it left

What callers saw, with the stand-in: a target that had left, or drained, after the copy was taken was listed as ready again, and calls were sent to it.

Cause: the registry takes whatever the store lists; an entry said nothing of its age. The class of fault is a state that comes back without its history.

Why this works: the entry of a target holds the number of the heartbeat at which it changed last. After a restoration, an entry that is no newer than what was known of the same process, or is of an earlier process, is ignored; a target that lives counts on and is taken. An entry that stays for 20 s is taken in any case, so that no target is lost for good.

--- a/src/heathershunt/discovery/registry.py
+++ b/src/heathershunt/discovery/registry.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from heathershunt.clock import Clock, Millis
+from heathershunt.discovery.copies import OldCopies
 from heathershunt.discovery.outage import OUTAGE_GRACE_MS
 from heathershunt.discovery.target import Target
 
@@ -27,6 +28,7 @@
         self._missing_since: dict[str, Millis] = {}
         self._ids_by_service: dict[str, set[str]] = {}
         self._recovered_at: Millis | None = None
+        self._copies = OldCopies(clock)
 
     def get(self, target_id: str) -> Target | None:
         """Return a target by its id; ``None`` if it is not registered."""
@@ -42,10 +44,17 @@
         return len(self._by_id)
 
     def put(self, target: Target) -> None:
-        """Add or update a target."""
+        """Add or update a target, unless a restored store holds an old copy of it."""
+        if self._copies.is_copy(target, self._by_id):
+            return
+        self._put(target)
+
+    def _put(self, target: Target) -> None:
         self._missing_since.pop(target.id, None)
         previous = self._by_id.get(target.id)
         if previous == target:
+            if previous.heartbeats != target.heartbeats:
+                self._by_id[target.id] = target
             return
         if previous is not None:
             self._ids_by_service[previous.service].discard(target.id)
@@ -55,6 +64,7 @@
 
     def remove(self, target_id: str) -> None:
         """Drop a target, or mark it as missing right after an outage of the store."""
+        self._copies.on_entry_removed(target_id)
         if target_id not in self._by_id:
             return
         if self._is_recovering():
@@ -74,6 +84,11 @@
         """Start the grace period after an outage of the store."""
         self._recovered_at = self._clock.now()
 
+    def on_store_restored(self) -> None:
+        """Start the grace period, and ignore entries from before the restoration."""
+        self.start_grace_period()
+        self._copies.start()
+
     def is_missing(self, target_id: str) -> bool:
         """Return whether a target is kept although its entry is missing."""
         return target_id in self._missing_since
@@ -84,6 +99,8 @@
         expired = [key for key, since in self._missing_since.items() if since <= limit]
         for target_id in expired:
             self._drop(target_id)
+        for target in self._copies.expire():
+            self._put(target)
 
     def _is_recovering(self) -> bool:
         if self._recovered_at is None:
@@ -94,5 +111,6 @@
         self._missing_since.pop(target_id, None)
         target = self._by_id.pop(target_id, None)
         if target is not None:
+            self._copies.on_removed(target)
             self._ids_by_service[target.service].discard(target_id)
             self._on_change(target_id)
--- a/src/heathershunt/discovery/target.py
+++ b/src/heathershunt/discovery/target.py
@@ -1,6 +1,6 @@
 """Targets and the layers that they hold, as registered in the store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from heathershunt.http import Address
 
@@ -36,6 +36,7 @@
     :param is_draining: whether the target is about to leave.
     :param kind: name of the kind of accelerator; empty for plain services.
     :param held: layers that the runner holds; ``None`` if it holds none.
+    :param heartbeats: heartbeats of the process until its entry changed last.
 
     .. versionadded:: 0.2
     """
@@ -49,3 +50,4 @@
     is_draining: bool = False
     kind: str = ""
     held: LayerRange | None = None
+    heartbeats: int = field(default=0, compare=False)
--- a/src/heathershunt/gateway/state.py
+++ b/src/heathershunt/gateway/state.py
@@ -94,7 +94,7 @@
 
     def on_store_restored(self, era: int) -> None:
         """Handle a restoration of the store, before its first snapshot."""
-        self.registry.start_grace_period()
+        self.registry.on_store_restored()
         self._events.emit(StoreRestored(era))
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
--- a/src/heathershunt/platform/targets.py
+++ b/src/heathershunt/platform/targets.py
@@ -34,6 +34,8 @@
     slots: int = 1
     # Start of the process in milliseconds since the Unix epoch.
     born: int = 0
+    # Number of the heartbeat at which the entry changed last.
+    sequence: int = 0
     kind: str | None = None
     layers: LayersEntry | None = None
 
@@ -66,6 +68,7 @@
         is_draining=entry.state == DRAINING,
         kind=entry.kind or "",
         held=decode_layers(entry.layers),
+        heartbeats=entry.sequence,
     )
 
 
