Keep the newest configuration, and ask for it, when the store's is older

Cause: VMs that run keep the version in force in memory only, a VM that starts has nothing but the store. The class of fault is trust in the one place that may have forgotten.

Only a higher version ever replaces the one in force.

If all VMs are lost before one of them wrote, only the operator knows it.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -21,6 +21,11 @@
 from heathershunt.crashes import CrashDigest, EvidenceKeeper, PartGuard
 from heathershunt.discovery import Target
 from heathershunt.gateway.config import GatewayConfig
+from heathershunt.gateway.configurations import (
+    CONFIGURATION_PATH,
+    ConfigurationInquiry,
+    ConfigurationKeeper,
+)
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory, check_get
 from heathershunt.gateway.gauges import add_gauges
 from heathershunt.gateway.metrics import GatewayMetrics
@@ -35,6 +40,7 @@
 )
 from heathershunt.gateway.topology import Topology
 from heathershunt.http import (
+    Address,
     HttpClient,
     HttpLimits,
     HttpServer,
@@ -76,6 +82,8 @@
 
 LEASE_TTL_MS = 2500
 TICK_MS = 100
+# Age of the view up to which what it lacks is written to the store.
+CURRENT_VIEW_MS = 2000
 # Time after the stop signal during which new connections are still accepted, as callers
 # use addresses from earlier directory answers.
 ACCEPT_AFTER_STOP_MS = 1000
@@ -154,6 +162,10 @@
             max(LEASE_TTL_MS, config.min_lease_ttl_ms),
             self._member_value,
         )
+        self._configuration_keeper = ConfigurationKeeper(
+            ports.store, clock, state, self._rank, self._has_current_view
+        )
+        self._inquiry = ConfigurationInquiry(http, state, self._other_vms)
         self.leadership = Leadership(
             ports.store,
             self.keeper,
@@ -218,7 +230,7 @@
             domain=config.domain,
         )
         self.request_handler = RequestHandler(
-            self.relay_context, bounds, lambda: state.catalog, lambda: self.view.age_ms
+            self.relay_context, bounds, self._catalog, lambda: self.view.age_ms
         )
         self.placer = Placer(
             runners,
@@ -261,6 +273,8 @@
         for coroutine in (
             self.view.run(),
             self.keeper.run(),
+            self._inquiry.run(),
+            self._configuration_keeper.run(),
             self.leadership.run(),
             self.placer.run(),
             self.load_exchange.run(),
@@ -338,10 +352,29 @@
 
     def _is_ready(self) -> bool:
         """Return whether this VM accepts callers' requests."""
-        if self.is_leaving or self.state.catalog is None:
+        if self.is_leaving or self._catalog() is None:
             return False
         return self.request_handler.has_fresh_view()
 
+    # The configuration
+
+    def _catalog(self) -> Catalog | None:
+        """Return the configuration once VMs that run have been asked for theirs."""
+        return self.state.catalog if self._inquiry.is_done else None
+
+    def _other_vms(self) -> list[Address]:
+        members = self.state.members.members()
+        others = (member for member in members if member.vm != self.config.vm)
+        return [member.peers for member in others if member.peers is not None]
+
+    def _rank(self) -> int:
+        """Return the number of VMs in the list before this one."""
+        return sum(name < self.config.vm for name in self._vm_names())
+
+    def _has_current_view(self) -> bool:
+        age = self.view.age_ms
+        return age is not None and age < CURRENT_VIEW_MS
+
     # The view of the store
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
@@ -418,6 +451,8 @@
             return await self.crash_exchange.handle(request)
         if request.path == LIMITS_PATH:
             return await self.limit_exchange.handle(request)
+        if request.path == CONFIGURATION_PATH:
+            return await self._inquiry.handle(request)
         return await self.mirror.handle(request)
 
     async def _handle_directory(self, request: Request) -> Response:
--- a/src/heathershunt/gateway/state.py
+++ b/src/heathershunt/gateway/state.py
@@ -10,6 +10,7 @@
 from heathershunt.coordination import Changes, Entry, Snapshot
 from heathershunt.crashes import CRASHES_PREFIX, PartGuard
 from heathershunt.discovery import Member, MemberList, Target, TargetRegistry
+from heathershunt.gateway.configurations import KEPT_KEY, KnownVersions
 from heathershunt.gateway.ports import Decoder
 from heathershunt.http import Address
 from heathershunt.logs import EventLog
@@ -39,6 +40,7 @@
     :param on_catalog: called with each configuration that comes into force.
     :param on_member_removal: called with the name of each VM whose entry is removed.
     :ivar catalog: configuration in force; ``None`` before the first.
+    :ivar raw_configuration: the configuration in force as it was written.
     :ivar leader: value and revision of the leader's key; ``None`` if it is free.
 
     .. versionadded:: 0.3
@@ -63,6 +65,9 @@
         self._on_catalog = on_catalog
         self._on_member_removal = on_member_removal
         self.catalog: Catalog | None = None
+        self.raw_configuration = b""
+        self._operator_version = 0
+        self._kept_version = 0
         self.leader: tuple[bytes, int] | None = None
         self.registry = TargetRegistry(clock, self._on_target)
         self.members = MemberList(clock)
@@ -102,6 +107,7 @@
         self._events.revision = snapshot.revision
         targets, members = [], []
         self.leader = None
+        self._operator_version = self._kept_version = 0
         for entry in snapshot.entries:
             if entry.key.startswith(self._decoder.target_prefix):
                 target = self._decode_target(entry)
@@ -128,8 +134,10 @@
             self._on_target_entry(key.removeprefix(decoder.target_prefix), entry)
         elif key.startswith(MEMBER_PREFIX):
             self._on_member_entry(key.removeprefix(MEMBER_PREFIX), entry)
-        elif key == decoder.configuration_key and entry is not None:
-            self._on_configuration(entry)
+        elif key == decoder.configuration_key:
+            self._operator_version = self._on_configuration(entry)
+        elif key == KEPT_KEY:
+            self._kept_version = self._on_configuration(entry)
         elif key.startswith(CRASHES_PREFIX):
             if entry is not None:
                 self._guard.on_entry(entry.value)
@@ -162,17 +170,31 @@
             self._on_member_removal(vm)
         self._events.emit(MemberChanged(vm, member is not None))
 
-    def _on_configuration(self, entry: Entry) -> None:
+    def versions(self) -> KnownVersions:
+        """Return the versions of the configuration that this VM sees."""
+        in_force = self.catalog.version if self.catalog else 0
+        return KnownVersions(in_force, self._operator_version, self._kept_version)
+
+    def offer_configuration(self, raw: bytes) -> None:
+        """Put a configuration of another VM in force if it is newer."""
+        self._put_in_force(raw, self._events.revision or 0)
+
+    def _on_configuration(self, entry: Entry | None) -> int:
+        """Apply an entry with a configuration; return its version, 0 without one."""
+        return 0 if entry is None else self._put_in_force(entry.value, entry.revision)
+
+    def _put_in_force(self, raw: bytes, revision: int) -> int:
         try:
-            catalog = self._decoder.configuration(entry.value)
+            catalog = self._decoder.configuration(raw)
         except ValueError as error:
             log.error("skipped a malformed configuration: {}", error)
-            return
-        if self.catalog is not None and catalog.version <= self.catalog.version:
-            return
-        self.catalog = catalog
-        self._on_catalog(catalog)
-        self._events.emit(ConfigurationInForce(catalog.version, entry.revision))
+            return 0
+        if self.catalog is None or catalog.version > self.catalog.version:
+            self.catalog = catalog
+            self.raw_configuration = raw
+            self._on_catalog(catalog)
+            self._events.emit(ConfigurationInForce(catalog.version, revision))
+        return catalog.version
 
     def _on_target(self, target_id: str) -> None:
         target = self.registry.get(target_id)
