Write evidence on crashing prompts again after the store was restored

A block that was written after the copy was taken is gone from the store, and nobody wrote it again: after a restart of all VMs the crashes would begin anew. Each VM writes again what it had written. The new test failed before (no entry within five seconds).

--- a/src/heathershunt/crashes/keeper.py
+++ b/src/heathershunt/crashes/keeper.py
@@ -50,6 +50,12 @@
             self._pending.add(part)
             self._wake.set()
 
+    def on_store_restored(self) -> None:
+        """Write the entries of this VM again, which a copy may not hold."""
+        self._written_by_part.clear()
+        self._pending.update(self._lease_by_part)
+        self._wake.set()
+
     async def run(self) -> None:
         """Write and remove entries until cancelled; a failed call is repeated."""
         while True:
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -388,6 +388,7 @@
     def _on_store_restored(self, era: int) -> None:
         self.leadership.pause_claims(LEASE_TTL_MS)
         self.state.on_store_restored(era)
+        self._evidence_keeper.on_store_restored()
 
     def _on_store_loss(self, detail: str) -> None:
         self._events.emit(StoreFailed(detail, self.view.age_ms))
--- a/tests/gateway/test_crash_evidence.py
+++ b/tests/gateway/test_crash_evidence.py
@@ -72,6 +72,17 @@
     await site.until(lambda: site.store.keys("crashes/"))
 
 
+# Guards against a new series of crashes after all VMs are restarted later.
+async def test_block_is_written_again_after_the_store_was_restored(site):
+    copy = site.store.copy()
+    await add_first_runners(site)
+    await crash_two_runners(site)
+    await site.until(lambda: site.store.keys("crashes/"))
+    site.store.restore(copy)
+    assert not site.store.keys("crashes/")
+    await site.until(lambda: site.store.keys("crashes/"))
+
+
 def test_malformed_entry_is_skipped(site):
     state = site.gateways["vm-1"].state
     for value in (b"", b"\xff", b"[]", b'{"written_at": 1, "rows": [["a"]]}'):
