Put the era into the revisions and leases of the daemon's store

After a restoration its watch of the bundle's root took every reply for a duplicate until the store had passed its revision, and then missed the roots before; a swap could match another write; a new holder of a placement lease had a lower fencing token.

Its store names the era in the field store-era. A watch from another era starts at the beginning of the history, a swap or lease from another era fails, tokens grow. Bundles never went back, as they are signed and versioned.

--- a/src/heathershunt/coordination/revisions.py
+++ b/src/heathershunt/coordination/revisions.py
@@ -5,6 +5,12 @@
 whatever compares two revisions, or uses one as a fencing token, is right across eras.
 """
 
+from collections.abc import Mapping
+
+import logbook
+
+log = logbook.Logger("heathershunt.coordination")
+
 # The store's own number has at most so many bits, and with the era above it a revision
 # still fits the 53 bits of a number in JSON.
 NUMBER_BITS = 40
@@ -41,3 +47,28 @@
 def number_of_lease(lease: int) -> int:
     """Return the store's own number of a lease."""
     return lease & (1 << LEASE_BITS) - 1
+
+
+class EraField:
+    """The era in the header fields of a reply of the store.
+
+    :param name: name of the field, in lower case.
+    :param known: era that is known so far; a reply without a valid one counts as of
+        this era.
+
+    .. versionadded:: 0.7
+    """
+
+    def __init__(self, name: str, known: int) -> None:
+        self._name = name
+        self.value = known
+
+    def read(self, headers: Mapping[str, str]) -> None:
+        """Take the era from the header fields."""
+        text = headers.get(self._name)
+        if text is None:
+            return
+        if text.isdecimal() and int(text) <= MAX_ERA:
+            self.value = int(text)
+        else:
+            log.warning("malformed era of the store: {!r}", text[:40])
--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -7,7 +7,6 @@
 from typing import Any
 from urllib.parse import urlencode
 
-import logbook
 import msgspec
 from result import Err, Ok, Result
 
@@ -21,7 +20,7 @@
     StoreFailure,
 )
 from heathershunt.coordination.revisions import (
-    MAX_ERA,
+    EraField,
     era_of,
     era_of_lease,
     join,
@@ -33,8 +32,6 @@
 from heathershunt.platform.names import STORE_ERA
 from heathershunt.verdict import Progress
 
-log = logbook.Logger("heathershunt.platform")
-
 CALL_TIMEOUT_MS = 700
 # Time limit for the reply to a watch, in addition to its wait.
 WATCH_SLACK_MS = 500
@@ -92,27 +89,6 @@
     body: Any
 
 
-class _EraField:
-    """The era in the header fields of a reply.
-
-    :param known: era that is known so far; a reply without a valid one counts as of
-        this era.
-    """
-
-    def __init__(self, known: int) -> None:
-        self.value = known
-
-    def read(self, headers: Mapping[str, str]) -> None:
-        """Take the era from the header fields."""
-        text = headers.get(STORE_ERA)
-        if text is None:
-            return
-        if text.isdecimal() and int(text) <= MAX_ERA:
-            self.value = int(text)
-        else:
-            log.warning("malformed era of the store: {!r}", text[:40])
-
-
 class MetadataStore:
     """Calls to the platform's metadata store over HTTP.
 
@@ -295,7 +271,7 @@
         """
         target = f"{path}?{urlencode(query)}" if query else path
         body = b"" if payload is None else msgspec.json.encode(payload)
-        era_field = _EraField(self._era)
+        era_field = EraField(STORE_ERA, self._era)
         outcome = await self._http.exchange(
             self._address,
             method,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,12 +6,11 @@
 """
 
 import asyncio
-import itertools
 import json
 import sys
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from heathershunt.http import (
     HttpLimits,
@@ -51,6 +50,17 @@
     lease: str | None = None
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Contents of the key-value store at one moment."""
+
+    entries_by_key: dict[str, Entry]
+    history: list[dict]
+    revision: int
+    expiry_by_lease: dict[str, tuple[float, int]]
+    next_lease: int
+
+
 @dataclass
 class Bucket:
     """Token bucket that limits calls.
@@ -94,7 +104,8 @@
         self._history: list[dict] = []
         self._revision = 0
         self._changed = asyncio.Condition()
-        self._lease_ids = itertools.count(1)
+        self._next_lease = 1
+        self.era = 1
         self._expiry_by_lease: dict[str, tuple[float, int]] = {}
         self._writes = Bucket(writes_per_second)
         self._reads = Bucket(reads_per_second)
@@ -117,6 +128,27 @@
             return self._handle_vms(request)
         return await self._handle_key_value(request)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the store to restore it from."""
+        return StoreCopy(
+            dict(self._entries_by_key),
+            list(self._history),
+            self._revision,
+            dict(self._expiry_by_lease),
+            self._next_lease,
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Replace the contents of the store by a copy."""
+        self._entries_by_key = dict(copy.entries_by_key)
+        self._history = list(copy.history)
+        self._revision = copy.revision
+        self._expiry_by_lease = dict(copy.expiry_by_lease)
+        self._next_lease = copy.next_lease
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     def _handle_vms(self, request: Request) -> Response:
         if request.method == "PUT":
             vms = json.loads(request.body)["vms"]
@@ -138,6 +170,8 @@
         if not (self._writes if write else self._reads).take():
             return json_response(429, {"error": "rate"}, {"retry-after": "1"})
         response = await self._dispatch(request)
+        headers = {**response.headers, "store-era": str(self.era)}
+        response = replace(response, headers=headers)
         if self.faults.outage:
             return _broken_reply()
         if write and self.faults.lose_replies > 0:
@@ -214,7 +248,7 @@
                 continue
 
     def _grant_lease(self, ttl_ms: int) -> Response:
-        lease = str(next(self._lease_ids))
+        lease, self._next_lease = str(self._next_lease), self._next_lease + 1
         self._expiry_by_lease[lease] = (time.monotonic() + ttl_ms / 1000, ttl_ms)
         return json_response(200, {"lease": lease})
 
