Write the claims again that a restored store has lost

A call under an idempotency key could run twice: its claim was gone from the store, and another VM claimed the key anew. Each VM remembers the claims of the shards that it writes; they hold their keys as before, and it writes them again as soon as it knows of the restoration. Between the store's return and that write another VM may still claim such a key: the store alone decides, and it has forgotten. The new test failed before.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -116,6 +116,7 @@
             self.vm_list.service_addresses,
             self.limits,
         )
+        self.store.on_restored = self.services.on_store_restored
         self.fleet = Fleet(self)
         self.peer_requests = PeerRequests(self)
         self.services.set_peers(
--- a/src/heathershunt/services/batches.py
+++ b/src/heathershunt/services/batches.py
@@ -12,6 +12,7 @@
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.services.claims import (
+    CLAIM_RETENTION_MS,
     CLAIM_SHARDS,
     MAX_CLAIMS_PER_SHARD,
     Claim,
@@ -82,6 +83,9 @@
     queue: list[_Pending] = field(default_factory=list)
     stored: StoredValue | None = None
     claims: dict[bytes, Claim] | None = None
+    remembered: dict[bytes, Claim] = field(default_factory=dict)
+    has_lost: bool = False
+    needs_check: bool = False
     contended_until: Millis = Millis(0)
     worker: asyncio.Task | None = None
 
@@ -184,9 +188,20 @@
             return Err(ClaimFailure.TIMEOUT)
         return result
 
+    def on_store_restored(self) -> None:
+        """Write the claims again that a restored store may lack."""
+        for shard in self._shards_by_number.values():
+            shard.stored = shard.claims = None
+            shard.needs_check = bool(shard.remembered)
+            if shard.needs_check and shard.worker is None:
+                shard.worker = asyncio.create_task(self._run_worker(shard))
+
     async def _run_worker(self, shard: _Shard) -> None:
         try:
-            while shard.queue:
+            while shard.queue or shard.needs_check:
+                if shard.needs_check:
+                    await self._check(shard)
+                    continue
                 await asyncio.sleep(self._window_ms / 1000)
                 await self._commit(shard, shard.take(MAX_BATCH))
         finally:
@@ -195,6 +210,15 @@
                 pending.settle(Err(ClaimFailure.STORE_UNAVAILABLE))
             shard.queue.clear()
 
+    async def _check(self, shard: _Shard) -> None:
+        """Read a shard and write the claims that it lost; retry while it is away."""
+        shard.needs_check = False
+        shard.stored = None
+        outcome = await self._swap_once(shard, [])
+        if isinstance(outcome, Err) or shard.has_lost:
+            shard.needs_check = True
+            await asyncio.sleep(OUTAGE_PAUSE_MS / 1000)
+
     async def _commit(self, shard: _Shard, batch: list[_Pending]) -> None:
         """Settle every claim of a batch; swap again until all are settled."""
         delay = MIN_RETRY_DELAY_MS
@@ -226,7 +250,7 @@
                 return self._fail(stored.err_value)
             shard.stored, shard.claims = stored.ok_value, None
         try:
-            claims = shard.claims or decode_shard(shard.stored.value)
+            claims = shard.claims or self._with_remembered(shard)
         except ValueError as error:
             log.error("store key {} holds no valid claims: {}", shard.key, error)
             shard.stored = None
@@ -245,10 +269,28 @@
             elif key in claims and merged.get(key) is claims[key]:
                 pending.settle(Ok(claims[key]))
         unsettled = [pending for pending in batch if not pending.settled.done()]
-        if not unsettled:
+        if not unsettled and not shard.has_lost:
             return Ok(None)
         return await self._write(shard, merged, unsettled)
 
+    def _with_remembered(self, shard: _Shard) -> dict[bytes, Claim]:
+        """Return the claims of a value, and those that this VM has seen in the shard.
+
+        A store that was restored from a copy lacks the last ones. Their calls have
+        run, so they hold their keys as before and are written again.
+        """
+        stored = decode_shard(shard.stored.value)
+        oldest = self._clock.wall() - CLAIM_RETENTION_MS
+        lost = {
+            key: claim
+            for key, claim in shard.remembered.items()
+            if key not in stored and claim.at_ms > oldest
+        }
+        shard.has_lost = bool(lost)
+        if lost:
+            log.warning("{} lost {} claims; writing them again", shard.key, len(lost))
+        return lost | stored
+
     def _may_be_replaced(
         self, cached: Mapping[bytes, Claim], wanted: Sequence[Claim]
     ) -> bool:
@@ -274,7 +316,9 @@
             return self._fail(swapped.err_value)
         self._pacer.record_accepted()
         shard.stored, shard.claims = swapped.ok_value.current, merged
-        if not swapped.ok_value.done:
+        if swapped.ok_value.done:
+            shard.remembered, shard.has_lost = merged, False
+        else:
             shard.claims = None
             self.swap_conflicts += 1
             shard.contended_until = Millis(self._clock.now() + CONTENDED_MS)
--- a/src/heathershunt/services/handler.py
+++ b/src/heathershunt/services/handler.py
@@ -77,6 +77,10 @@
             clock,
         )
 
+    def on_store_restored(self) -> None:
+        """Write what this VM has claimed again, which the store may have lost."""
+        self._keyed.claims.on_store_restored()
+
     @property
     def running(self) -> int:
         """Return the calls that a graceful shutdown waits for."""
--- a/src/heathershunt/services/home.py
+++ b/src/heathershunt/services/home.py
@@ -87,6 +87,10 @@
             return Err(ClaimFailure.TIMEOUT)
         return outcome
 
+    def on_store_restored(self) -> None:
+        """Write the claims again that a restored store may lack."""
+        self._batcher.on_store_restored()
+
     async def claim_here(
         self, claim: Claim, deadline: Millis
     ) -> Result[Claim, ClaimFailure]:
--- a/tests/store/test_era.py
+++ b/tests/store/test_era.py
@@ -1,10 +1,14 @@
 """The daemon's store client while the store is restored from a copy."""
 
+import asyncio
+
 import pytest
 
-from heathershunt.clock import SystemClock
+from heathershunt.clock import Millis, SystemClock
 from heathershunt.http import Address, HttpClient
 from heathershunt.placement.lease import LeaseKeeper
+from heathershunt.services.batches import ClaimBatcher
+from heathershunt.services.claims import Claim, key_hash
 from heathershunt.store import KeyValueStore, StoreFailure
 from standins.platform import Platform
 
@@ -86,3 +90,26 @@
     before = await acquire()
     await platform.restore(copy)
     assert await acquire() > before
+
+
+def claim(nonce, clock):
+    return Claim(key_hash("a", "k"), b"r" * 16, "vm1", 1, nonce, clock.wall())
+
+
+# Guards against a booking that runs twice: the store has lost who holds its key.
+async def test_claim_that_the_store_lost_still_holds_its_key(platform, store):
+    clock = SystemClock()
+    batcher = ClaimBatcher(store, clock)
+    copy = platform.copy()
+    first = claim(b"first", clock)
+    deadline = Millis(clock.now() + 2000)
+    assert (await batcher.claim(first, deadline)).unwrap() == first
+    store.on_restored = batcher.on_store_restored
+    await platform.restore(copy)
+    again = (await batcher.claim(claim(b"again", clock), deadline)).unwrap()
+    assert again == first
+    await store.get("any")
+    await asyncio.sleep(0.2)
+    # Another VM, which has not seen the claim, finds it in the store again.
+    other = ClaimBatcher(store, clock)
+    assert (await other.claim(claim(b"other", clock), deadline)).unwrap() == first
