--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -18,8 +18,8 @@
     ViewConfig,
     ViewMirror,
 )
-from heathershunt.crashes import CrashDigest, EvidenceKeeper, PartGuard
-from heathershunt.discovery import Target
+from heathershunt.crashes import EvidenceKeeper, PartGuard
+from heathershunt.gateway.caller_limits import caller_limits
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.configurations import (
     CONFIGURATION_PATH,
@@ -27,9 +27,9 @@
     ConfigurationKeeper,
 )
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory, check_get
+from heathershunt.gateway.exchanges import PeerExchanges
 from heathershunt.gateway.gauges import add_gauges
-from heathershunt.gateway.metrics import GatewayMetrics
-from heathershunt.gateway.news import CRASHES_PATH, LIMITS_PATH, NewsExchange
+from heathershunt.gateway.metrics import GatewayMetrics, MetricsServer
 from heathershunt.gateway.ports import Ports
 from heathershunt.gateway.request_handler import RequestHandler
 from heathershunt.gateway.state import (
@@ -40,9 +40,7 @@
 )
 from heathershunt.gateway.topology import Topology
 from heathershunt.http import (
-    Address,
     HttpClient,
-    HttpLimits,
     HttpServer,
     Request,
     Response,
@@ -58,17 +56,14 @@
     StoreFailed,
 )
 from heathershunt.pipelines import (
-    LOAD_PATH,
     ChainChooser,
-    LoadAggregator,
-    LoadExchange,
     LoadLedger,
     PaceTracker,
     PeerNotes,
     Placer,
     RunnerNote,
 )
-from heathershunt.ratelimits import LimitDigest, LimitGuard
+from heathershunt.ratelimits import LimitGuard
 from heathershunt.ratelimits.runners import CountedRunners
 from heathershunt.relay import (
     Diagnosis,
@@ -90,10 +85,6 @@
 # Part of the grace time that is reserved for closing connections.
 STOP_MARGIN_MS = 500
 DRAIN_POLL_MS = 50
-BODY_TIMEOUT_MS = 15_000
-# Every request uses two file descriptors: the caller's connection and the target's.
-DESCRIPTORS_PER_CONNECTION = 2
-RESERVED_DESCRIPTORS = 300
 
 
 class Gateway:
@@ -121,7 +112,11 @@
         self.suspects = SuspectList(clock, events.emit, notes)
         self.guard = PartGuard(clock, events.emit, self._vm_count)
         self.limits = LimitGuard(
-            clock, config.vm, self._vm_names, self._find_target, events.emit
+            clock,
+            config.vm,
+            lambda: self.state.members.names(),
+            lambda target_id: self.state.registry.get(target_id),
+            events.emit,
         )
         state = self.state = SiteState(
             ports.decoder,
@@ -163,9 +158,9 @@
             self._member_value,
         )
         self._configuration_keeper = ConfigurationKeeper(
-            ports.store, clock, state, self._rank, self._has_current_view
+            ports.store, clock, state, self._topology.rank, self._has_current_view
         )
-        self._inquiry = ConfigurationInquiry(http, state, self._other_vms)
+        self._inquiry = ConfigurationInquiry(http, state, self._topology.other_vms)
         self.leadership = Leadership(
             ports.store,
             self.keeper,
@@ -177,34 +172,16 @@
         )
         ledger = LoadLedger(clock)
         self._paces = paces = PaceTracker(clock, events.emit, notes)
-        self.load_aggregator = LoadAggregator(
-            clock, self._topology.fleet_factor, self.guard, self.limits
-        )
-        self.load_exchange = LoadExchange(
+        self._exchanges = PeerExchanges(
             http,
-            ledger,
-            self.load_aggregator,
+            clock,
             config.vm,
-            self._topology.aggregators,
-            self._topology.fleet_factor,
+            self._topology,
+            ledger,
             notes,
             self.guard,
             self.limits,
         )
-        self.crash_exchange = NewsExchange(
-            http,
-            CRASHES_PATH,
-            self.guard,
-            CrashDigest,
-            self._topology.news_recipients,
-        )
-        self.limit_exchange = NewsExchange(
-            http,
-            LIMITS_PATH,
-            self.limits,
-            LimitDigest,
-            self._topology.news_recipients,
-        )
         self._evidence_keeper = EvidenceKeeper(ports.store, self.guard)
         runners = CountedRunners(ports.runners, self.limits, clock)
         budget = WindowBudgetConfig(
@@ -257,7 +234,7 @@
             blocked_parts=lambda: self.guard.blocked_count,
             limited_targets=lambda: self.limits.limited_count,
         )
-        self._metrics = HttpServer(self.metrics.handle)
+        self._metrics = MetricsServer(self.metrics)
 
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
@@ -269,7 +246,7 @@
             (self._peers, listeners.peers),
         ):
             await server.start(address.host, address.port)
-        await self._start_metrics()
+        await self._metrics.start(listeners.callers.host, self.config.metrics_port)
         for coroutine in (
             self.view.run(),
             self.keeper.run(),
@@ -277,9 +254,7 @@
             self._configuration_keeper.run(),
             self.leadership.run(),
             self.placer.run(),
-            self.load_exchange.run(),
-            self.crash_exchange.run(),
-            self.limit_exchange.run(),
+            *self._exchanges.tasks(),
             self._evidence_keeper.run(),
             self.relay_context.diagnosis.poll_slow_runners(self.state.registry.get),
             self._tick(),
@@ -287,14 +262,6 @@
             self._spawn(coroutine)
         self._events.emit(Started(str(listeners.callers)))
 
-    async def _start_metrics(self) -> None:
-        """Serve metrics; the gateway runs without them if the port cannot be bound."""
-        host = self.config.listeners.callers.host
-        try:
-            await self._metrics.start(host, self.config.metrics_port)
-        except OSError as error:
-            log.warning("metrics are not served: cannot listen on {}: {}", host, error)
-
     async def shut_down(self) -> None:
         """Leave the directory, finish running requests, then stop.
 
@@ -362,15 +329,6 @@
         """Return the configuration once VMs that run have been asked for theirs."""
         return self.state.catalog if self._inquiry.is_done else None
 
-    def _other_vms(self) -> list[Address]:
-        members = self.state.members.members()
-        others = (member for member in members if member.vm != self.config.vm)
-        return [member.peers for member in others if member.peers is not None]
-
-    def _rank(self) -> int:
-        """Return the number of VMs in the list before this one."""
-        return sum(name < self.config.vm for name in self._vm_names())
-
     def _has_current_view(self) -> bool:
         age = self.view.age_ms
         return age is not None and age < CURRENT_VIEW_MS
@@ -394,28 +352,13 @@
         self._events.emit(StoreFailed(detail, self.view.age_ms))
 
     def _on_catalog(self, catalog: Catalog) -> None:
-        limits = catalog.limits
-        descriptors = self.config.max_descriptors - RESERVED_DESCRIPTORS
-        self._callers.limits = HttpLimits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            connections=max(1, descriptors // DESCRIPTORS_PER_CONNECTION),
-            request_ms=BODY_TIMEOUT_MS,
-            idle_ms=limits.idle_timeout_ms,
-            head_ms=limits.header_timeout_ms,
-        )
+        self._callers.limits = caller_limits(catalog, self.config.max_descriptors)
 
     def _on_member_removal(self, vm: str) -> None:
         """Write this VM's entry again if the entry was removed."""
         if vm == self.config.vm and self.directory.accepts_callers:
             self.keeper.publish()
 
-    def _find_target(self, target_id: str) -> Target | None:
-        return self.state.registry.get(target_id)
-
-    def _vm_names(self) -> list[str]:
-        return self.state.members.names()
-
     def _vm_count(self) -> int:
         return max(1, len(self.state.members))
 
@@ -446,15 +389,10 @@
         return refusal or self.directory.readiness()
 
     async def _handle_peer(self, request: Request) -> Response:
-        if request.path.startswith(LOAD_PATH):
-            return await self.load_aggregator.handle(request)
-        if request.path == CRASHES_PATH:
-            return await self.crash_exchange.handle(request)
-        if request.path == LIMITS_PATH:
-            return await self.limit_exchange.handle(request)
         if request.path == CONFIGURATION_PATH:
             return await self._inquiry.handle(request)
-        return await self.mirror.handle(request)
+        response = await self._exchanges.handle(request)
+        return response or await self.mirror.handle(request)
 
     async def _handle_directory(self, request: Request) -> Response:
         decoder = self._ports.decoder
--- a/src/heathershunt/gateway/metrics.py
+++ b/src/heathershunt/gateway/metrics.py
@@ -3,9 +3,10 @@
 from collections import Counter as Tally
 from collections.abc import Callable
 
+import logbook
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from heathershunt.http import Request, Response
+from heathershunt.http import HttpServer, Request, Response
 from heathershunt.logs import Event
 from heathershunt.logs.request_events import CallEnded, Sent, StreamEnded
 
@@ -17,6 +18,8 @@
 WAIT_SECONDS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 1.0)
 MILLISECONDS_PER_SECOND = 1000
 
+log = logbook.Logger("heathershunt.gateway")
+
 
 class GatewayMetrics:
     """Counts logged events and reads gauges whenever the metrics are fetched.
@@ -90,3 +93,24 @@
 
 def _observe(histogram: Histogram, milliseconds: int) -> None:
     histogram.observe({}, milliseconds / MILLISECONDS_PER_SECOND)
+
+
+class MetricsServer:
+    """Serves the metrics of a gateway.
+
+    .. versionadded:: 0.7
+    """
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        self._server = HttpServer(metrics.handle)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen; the gateway runs without metrics if the port cannot be bound."""
+        try:
+            await self._server.start(host, port)
+        except OSError as error:
+            log.warning("metrics are not served: cannot listen on {}: {}", host, error)
+
+    def close_now(self) -> None:
+        """Close the listener and its connections."""
+        self._server.close_now()
--- a/src/heathershunt/gateway/topology.py
+++ b/src/heathershunt/gateway/topology.py
@@ -56,6 +56,14 @@
         members = self._members.members_named(names)
         return [None if m.vm == self._vm else m.peers for m in members]
 
+    def rank(self) -> int:
+        """Return the number of VMs in the list before this one."""
+        return sum(name < self._vm for name in self._members.names())
+
+    def other_vms(self) -> list[Address]:
+        """Return the addresses of the other VMs."""
+        return self._peers(self._members.names())
+
     def news_recipients(self) -> list[list[Address]]:
         """Return the VMs that learn news at once, by preference in each list.
 
--- a/src/heathershunt/relay/reading.py
+++ b/src/heathershunt/relay/reading.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
+import h11
+import logbook
+
 from heathershunt.clock import Clock, Millis
 from heathershunt.relay.events import StreamEvent
 from heathershunt.relay.pauses import PauseMonitor
@@ -10,6 +13,10 @@
 from heathershunt.relay.repair import ChainRepair
 from heathershunt.relay.runs import Run, StreamBrokenError
 
+READ_ERRORS = (OSError, TimeoutError, h11.RemoteProtocolError)
+
+log = logbook.Logger("heathershunt.relay")
+
 
 class RunReader:
     """Reads the events of one stream, and replaces runners that stall it.
@@ -88,3 +95,14 @@
         left_ms = max(0, min(check_at, self._deadline) - now)
         async with asyncio.timeout(left_ms / 1000):
             return await run.response.read_some()
+
+
+async def read_error_body(run: Run, left_ms: int) -> bytes | None:
+    """Return the body of an error reply; ``None`` if it is not complete in time."""
+    try:
+        async with asyncio.timeout(left_ms / 1000):
+            return await run.response.read()
+    except READ_ERRORS as error:
+        head = run.chain.head.id
+        log.info("error body from runner {} is incomplete: {!r}", head, error)
+        return None
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -3,8 +3,6 @@
 import asyncio
 from functools import partial
 
-import h11
-import logbook
 from result import Err
 
 from heathershunt.discovery import Target
@@ -35,7 +33,7 @@
 from heathershunt.relay.messages import Dispatch, refuse
 from heathershunt.relay.pauses import PauseMonitor
 from heathershunt.relay.progress import StreamProgress
-from heathershunt.relay.reading import RunReader
+from heathershunt.relay.reading import READ_ERRORS, RunReader, read_error_body
 from heathershunt.relay.repair import ChainRepair
 from heathershunt.relay.runs import Run, StreamBrokenError
 from heathershunt.relay.selection import ChainSelection
@@ -50,9 +48,6 @@
 BACKLOG_BYTES = 65_536
 SUCCESS = 200
 SERVER_ERROR = 500
-READ_ERRORS = (OSError, TimeoutError, h11.RemoteProtocolError)
-
-log = logbook.Logger("heathershunt.relay")
 
 
 class StreamSession:
@@ -243,7 +238,8 @@
             return False
         self._may_have_run = True
         if head.request_id == self._request.id and head.status < SERVER_ERROR:
-            body = await self._read_error_body(run)
+            left_ms = max(0, self._spec.deadline - self._context.clock.now())
+            body = await read_error_body(run, left_ms)
             self._drop_run()
             if body is not None and not head.is_success:
                 return Response(head.status, head.headers, body)
@@ -252,17 +248,6 @@
         self._drop_run()
         return False
 
-    async def _read_error_body(self, run: Run) -> bytes | None:
-        """Return the body of an error reply; ``None`` if it is not complete in time."""
-        left_ms = max(0, self._spec.deadline - self._context.clock.now())
-        try:
-            async with asyncio.timeout(left_ms / 1000):
-                return await run.response.read()
-        except READ_ERRORS as error:
-            head = run.chain.head.id
-            log.info("error body from runner {} is incomplete: {!r}", head, error)
-            return None
-
     async def _first_events(self) -> list[StreamEvent] | None:
         """Return the first events of the run; ``None`` if it broke off before one."""
         try:
