Wait for other VMs to be listed when one starts after a restoration

A VM that started right after the store's return took the older configuration if the copy was older than the entries of all other VMs: it knew nobody to ask. If the store was ever restored and lists no other VM, a VM that starts now waits up to 1.5 s; a question may take 0.8 s, and the first answer counts.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -18,6 +18,7 @@
     ViewConfig,
     ViewMirror,
 )
+from heathershunt.coordination.revisions import era_of
 from heathershunt.crashes import EvidenceKeeper, PartGuard
 from heathershunt.gateway.caller_limits import caller_limits
 from heathershunt.gateway.config import GatewayConfig
@@ -160,7 +161,12 @@
         self._configuration_keeper = ConfigurationKeeper(
             ports.store, clock, state, self._topology.rank, self._has_current_view
         )
-        self._inquiry = ConfigurationInquiry(http, state, self._topology.other_vms)
+        self._inquiry = ConfigurationInquiry(
+            http,
+            state,
+            self._topology.other_vms,
+            lambda: era_of(self.view.revision or 0),
+        )
         self.leadership = Leadership(
             ports.store,
             self.keeper,
--- a/src/heathershunt/gateway/configurations.py
+++ b/src/heathershunt/gateway/configurations.py
@@ -29,7 +29,12 @@
 RETRY_MS = 1000
 # VMs that a VM asks as it starts, and the time limit of the questions.
 ASKED_VMS = 3
-ASK_TIMEOUT_MS = 300
+ASK_TIMEOUT_MS = 800
+# Time for which a VM that starts waits until others are listed, if the store was ever
+# restored: the copy may be older than the entries of all of them.
+WAIT_FOR_VMS_MS = 1500
+# Era of a store that was never restored.
+FIRST_ERA = 1
 MAX_CONFIGURATION_BYTES = 1_048_576
 
 log = logbook.Logger("heathershunt.gateway")
@@ -142,6 +147,7 @@
     """Asks VMs that run for their configuration, once as this VM starts.
 
     :param peers: called for the addresses of the other VMs.
+    :param era: called for the era of the store.
     :ivar is_done: whether the VMs were asked, or there were none.
 
     .. versionadded:: 0.7
@@ -152,23 +158,37 @@
         http: HttpClient,
         source: ConfigurationSource,
         peers: Callable[[], Sequence[Address]],
+        era: Callable[[], int],
     ) -> None:
         self._http = http
         self._source = source
         self._peers = peers
+        self._era = era
         self.is_done = False
 
     async def run(self) -> None:
         """Wait for the first configuration of the store, then ask some VMs."""
         while not self._source.versions().in_force:
             await asyncio.sleep(POLL_MS / 1000)
+        await self._wait_for_peers()
         peers = list(self._peers())
         asked = random.sample(peers, min(ASKED_VMS, len(peers)))
-        for raw in await asyncio.gather(*map(self._ask, asked)):
+        for answer in asyncio.as_completed(map(self._ask, asked)):
+            raw = await answer
             if raw is not None:
+                # One that knows has the newest; the others may not answer at all.
                 self._source.offer_configuration(raw)
+                break
         self.is_done = True
 
+    async def _wait_for_peers(self) -> None:
+        waited_ms = 0
+        while not self._peers() and self._era() > FIRST_ERA:
+            if waited_ms >= WAIT_FOR_VMS_MS:
+                return
+            await asyncio.sleep(POLL_MS / 1000)
+            waited_ms += POLL_MS
+
     async def _ask(self, address: Address) -> bytes | None:
         outcome = await self._http.exchange(
             address,
--- a/tests/gateway/test_store_restored.py
+++ b/tests/gateway/test_store_restored.py
@@ -71,6 +71,17 @@
     assert version(site, "vm-3") == 2
 
 
+# Guards against the same if the copy is older than the entries of all other VMs.
+async def test_vm_that_starts_waits_for_others_after_a_restoration(site):
+    site.store.remove("vm/vm-1")
+    copy = site.store.copy()
+    site.store.put("op/config", configuration(2))
+    await site.until(lambda: version(site) == 2 and site.store.keys("vm/"))
+    site.store.restore(copy)
+    await site.add_gateway("vm-2")
+    assert version(site, "vm-2") == 2
+
+
 async def test_configuration_that_the_operator_writes_again_is_kept_nowhere_else(site):
     copy = site.store.copy()
     site.store.put("op/config", configuration(2))
