--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,11 @@
 
 from soak.callers import Callers, find_violations
 from soak.faults import FaultPlan
-from soak.seeds import FIRST_SEED_WITH_BAD_ANSWERS, parse_arguments
+from soak.seeds import (
+    FIRST_SEED_WITH_BAD_ANSWERS,
+    FIRST_SEED_WITH_RESTORATIONS,
+    parse_arguments,
+)
 from soak.site import SoakSite
 
 # Time limits for requests to be served, after the start and after the last repair.
@@ -31,6 +35,7 @@
         site,
         random.Random(f"{seed}-faults"),
         bad_answers=seed >= FIRST_SEED_WITH_BAD_ANSWERS,
+        restorations=seed >= FIRST_SEED_WITH_RESTORATIONS,
     )
     try:
         failures = await _wait_served(callers, START_SECONDS)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,16 +21,24 @@
     """Injects random faults for a given time and repairs each of them.
 
     :param bad_answers: whether targets also stall streams and send oversized answers.
+    :param restorations: whether the store is also restored from copies, and targets
+        name limits.
     :ivar removed_at: event loop time in seconds at which each API key was removed.
     :ivar log: injected faults with their loop time, printed if the run fails.
     """
 
     def __init__(
-        self, site: SoakSite, rng: random.Random, *, bad_answers: bool = False
+        self,
+        site: SoakSite,
+        rng: random.Random,
+        *,
+        bad_answers: bool = False,
+        restorations: bool = False,
     ) -> None:
         self._site = site
         self._rng = rng
         self._bad_answers = bad_answers
+        self._restorations = restorations
         self._reserved: set[str] = set()
         self._running: set[asyncio.Task] = set()
         self.removed_at: dict[str, float] = {}
@@ -56,6 +64,8 @@
         )
         if self._bad_answers:
             kinds += (self._stall, self._oversize)
+        if self._restorations:
+            kinds += (self._restore, self._limit)
         while loop.time() < until:
             fault = self._rng.choice(kinds)
             task = asyncio.create_task(fault())
@@ -203,6 +213,35 @@
         site.store.put("op/config", configuration(site.version, list(site.keys)))
         self.removed_at[key] = asyncio.get_running_loop().time()
 
+    async def _restore(self) -> None:
+        """Restore the store from a copy; the operator and the targets write again."""
+        site = self._site
+        copy = site.store.copy()
+        await self._wait_duration()
+        if site.store.is_down:
+            return
+        self._log_fault("store away")
+        site.store.is_down = True
+        await asyncio.sleep(self._rng.uniform(0.1, 0.5))
+        site.store.restore(copy)
+        self._log_fault("store restored from a copy")
+        site.store.put("op/config", configuration(site.version, list(site.keys)))
+        site.store.is_down = False
+        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+        for target in site.targets.values():
+            target.register()
+
+    async def _limit(self) -> None:
+        name = self._reserve(list(self._site.targets))
+        if name is None:
+            return
+        self._log_fault(f"{name} names a limit")
+        target = self._site.targets[name]
+        target.limit_per_s = self._rng.uniform(0.5, 5.0)
+        await self._wait_duration()
+        target.limit_per_s = None
+        self._reserved.discard(name)
+
     async def _forget_history(self) -> None:
         self._log_fault("store drops its history")
         self._site.store.forget_history()
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -9,6 +9,8 @@
 # Stalled and oversized answers are drawn from this seed on, so that lower seeds keep
 # drawing the faults that they drew before.
 FIRST_SEED_WITH_BAD_ANSWERS = 51
+# The same for restorations of the store and for targets that name a limit.
+FIRST_SEED_WITH_RESTORATIONS = 61
 # Seeds that failed in the past, each with its cause. The order of their faults differs
 # between runs, as the timing of the processes does.
 CAUSE_BY_SEED = {
