--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -98,11 +98,7 @@
     .. versionadded:: 0.2
     """
 
-    def __init__(
-        self,
-        http: HttpClient,
-        address: Address,
-    ) -> None:
+    def __init__(self, http: HttpClient, address: Address) -> None:
         self._http = http
         self._address = address
         self._era = 0
