--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -14,11 +14,8 @@
     StreamResponse,
     problem_response,
 )
-from heathershunt.http.requests import (
-    HttpLimits,
-    RequestRejectedError,
-    build_request,
-)
+from heathershunt.http.reading import READ_BYTES, RequestReader
+from heathershunt.http.requests import HttpLimits, RequestRejectedError
 from heathershunt.http.transports import (
     CountingReader,
     is_receive_buffer_empty,
@@ -28,7 +25,6 @@
 
 log = logbook.Logger("heathershunt.http")
 
-READ_BYTES = 65536
 WRITE_HIGH_WATER_BYTES = 262_144
 LINGER_MS = 2000
 # A drain waits for a connection without requests until this long after it was opened,
@@ -73,26 +69,22 @@
         self.reader = reader
         self.writer = writer
         self._handler = handler
-        self._get_limits = limits
         self._cancels_handlers = cancels_handlers
         self._task: asyncio.Task | None = None
         self.is_busy = False
         self._has_served = False
         self._opened_at = asyncio.get_running_loop().time()
         self._on_confirmed: Callable[[], None] | None = None
-        self._frames_chunks = False
         self._closed = asyncio.Event()
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
+        self._requests = RequestReader(
+            self._h11, reader, limits, self._send_continue, _peer_address(writer)
+        )
         limit_receive_size(writer.transport)
         writer.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
 
-    @property
-    def _limits(self) -> HttpLimits:
-        """Return the current limits, which may change while the connection is open."""
-        return self._get_limits()
-
     @property
     def is_pending(self) -> bool:
         """Return whether the connection may still need a response in a drain.
@@ -108,7 +100,7 @@
 
     def _has_next_request(self) -> bool:
         """Return whether bytes of the next request have been received."""
-        if self.reader.has_unread or self._h11.trailing_data[0]:
+        if self.reader.has_unread or self._requests.has_buffered:
             return True
         if self._h11.their_state is h11.SEND_BODY:
             return True
@@ -180,72 +172,21 @@
         self._on_confirmed = None
 
     async def _read_request(self, draining: Callable[[], bool]) -> Request | None:
-        if not self._h11.trailing_data[0]:
+        if not self._requests.has_buffered:
             # A new connection gets a response to its first request even in a drain, so
             # that a late caller receives the address to send the request to instead.
             if draining() and self._has_served and not self._has_next_request():
                 return None
-            if not await self._wait_first_byte():
+            first = await self._requests.wait_first_bytes()
+            if first is None:
                 return None
-        try:
-            async with (
-                asyncio.timeout(self._limits.request_ms / 1000),
-                asyncio.timeout(self._limits.head_ms / 1000) as head_timeout,
-            ):
-                return await self._parse_request(head_timeout)
-        except TimeoutError:
-            raise RequestRejectedError(408, "The request took too long.") from None
-        except h11.RemoteProtocolError as error:
-            status = getattr(error, "error_status_hint", 400) or 400
-            raise RequestRejectedError(
-                status, f"The request is not valid HTTP/1.1: {error}."
-            ) from None
-
-    async def _wait_first_byte(self) -> bool:
-        try:
-            async with asyncio.timeout(self._limits.idle_ms / 1000):
-                data = await self.reader.read(READ_BYTES)
-        except TimeoutError:
-            return False
-        self._confirm()
-        if data:
-            self._h11.receive_data(data)
-        return bool(data)
-
-    async def _parse_request(self, head_timeout: asyncio.Timeout) -> Request | None:
-        head = None
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                self._send_continue()
-                self._h11.receive_data(await self.reader.read(READ_BYTES))
-            elif isinstance(event, h11.Request):
-                head = event
-                head_timeout.reschedule(None)
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._limits.body_bytes:
-                    limit = self._limits.body_bytes
-                    raise RequestRejectedError(
-                        413, f"The request body is larger than {limit} bytes."
-                    )
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return self._build_request(head, b"".join(parts))
-            else:
+            self._confirm()
+            if not first:
                 return None
+        return await self._requests.read()
 
     def _send_continue(self) -> None:
-        if self._h11.they_are_waiting_for_100_continue:
-            self.send(h11.InformationalResponse(status_code=100, headers=[]))
-
-    def _build_request(self, head: h11.Request, body: bytes) -> Request:
-        # h11 sends no chunks to HTTP/1.0 clients and no body in response to HEAD.
-        self._frames_chunks = head.http_version == b"1.1" and head.method != b"HEAD"
-        peer = self.writer.get_extra_info("peername")
-        return build_request(head, body, peer[0] if peer else "")
+        self.send(h11.InformationalResponse(status_code=100, headers=[]))
 
     async def _run_handler(self, request: Request) -> Response | StreamResponse:
         try:
@@ -337,7 +278,7 @@
         than the rest of a relayed token. The head and the end of the body still pass
         through h11, which keeps no state of an open chunk between two events.
         """
-        if not self._frames_chunks:
+        if not self._requests.allows_chunks:
             self.send(h11.Data(data=data))
         elif data:
             self._require_open()
@@ -389,6 +330,11 @@
         self.writer.transport.abort()
 
 
+def _peer_address(writer: asyncio.StreamWriter) -> str:
+    peer = writer.get_extra_info("peername")
+    return peer[0] if peer else ""
+
+
 def _reason_phrase(status: int) -> str:
     """Return the reason phrase, ``""`` for the unknown statuses of plain services."""
     try:
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -7,7 +7,8 @@
 
 import logbook
 
-from heathershunt.http.connection import READ_BYTES, Connection, Handler
+from heathershunt.http.connection import Connection, Handler
+from heathershunt.http.reading import READ_BYTES
 from heathershunt.http.requests import HttpLimits
 from heathershunt.http.transports import (
     create_server_protocol,
