Log and count each answer that is cut after its request was read

Before, a connection that closed after a whole request and before the end of its answer left no line, unless a stream had begun, so the hypotheses on lost answers could not be told apart. Each is now one line (answer_lost) and one count, with its cause: the caller closed, the handler or the stream failed, the answer cannot be written, bytes of a request were not read, or the process stopped.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -41,6 +41,7 @@
 )
 from heathershunt.gateway.topology import Topology
 from heathershunt.http import (
+    AnswerCut,
     HttpClient,
     HttpServer,
     Request,
@@ -56,6 +57,7 @@
     Stopping,
     StoreFailed,
 )
+from heathershunt.logs.request_events import AnswerLost
 from heathershunt.pipelines import (
     ChainChooser,
     LoadLedger,
@@ -225,7 +227,9 @@
             self.suspects.is_ejected,
             events.emit,
         )
-        self._callers = HttpServer(self._handle_caller, cancels_handlers=True)
+        self._callers = HttpServer(
+            self._handle_caller, cancels_handlers=True, on_cut=self._on_cut
+        )
         self._readiness = HttpServer(self._handle_readiness)
         self._directory = HttpServer(self._handle_directory)
         self._peers = HttpServer(correlated(self._handle_peer))
@@ -390,6 +394,12 @@
             return Response(400, {"content-type": "text/plain"}, str(error).encode())
         return await self.request_handler.handle(decoded)
 
+    def _on_cut(self, cut: AnswerCut) -> None:
+        request = cut.request
+        request_id = "" if request is None else self._ports.decoder.request_id(request)
+        event = AnswerLost(request_id, cut.cause.value, cut.has_begun, cut.detail)
+        self._events.emit(event)
+
     async def _handle_readiness(self, request: Request) -> Response:
         refusal = check_get(request, self._ports.decoder.ready_path)
         return refusal or self.directory.readiness()
--- a/src/heathershunt/gateway/ports.py
+++ b/src/heathershunt/gateway/ports.py
@@ -28,6 +28,9 @@
     def target(self, target_id: str, raw: bytes) -> Target:
         """Decode a target's entry; raise ``ValueError`` if it is malformed."""
 
+    def request_id(self, request: Request) -> str:
+        """Return the id of a caller's request; empty without one."""
+
     def request(self, request: Request) -> CallerRequest:
         """Decode a caller's request; raise ``ValueError`` if it is malformed."""
 
--- a/src/heathershunt/http/__init__.py
+++ b/src/heathershunt/http/__init__.py
@@ -3,6 +3,7 @@
 from heathershunt.http.addresses import Address
 from heathershunt.http.client import ClientResponse, HttpClient, TransportError
 from heathershunt.http.correlation import correlated
+from heathershunt.http.cuts import AnswerCut, CutCause
 from heathershunt.http.messages import (
     Request,
     Response,
@@ -16,7 +17,9 @@
 
 __all__ = [
     "Address",
+    "AnswerCut",
     "ClientResponse",
+    "CutCause",
     "HttpClient",
     "HttpLimits",
     "HttpServer",
--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -8,6 +8,7 @@
 import h11
 import logbook
 
+from heathershunt.http.cuts import AnswerWatch, CutCause, CutHandler, log_cut
 from heathershunt.http.messages import (
     Request,
     Response,
@@ -36,6 +37,14 @@
 Handler = Callable[[Request], Awaitable[Response | StreamResponse]]
 
 
+class _AnswerError(Exception):
+    """An answer that cannot be completed."""
+
+    def __init__(self, cause: CutCause, detail: str) -> None:
+        super().__init__(detail)
+        self.cause = cause
+
+
 class _Stream:
     """Writes the body of one streamed response."""
 
@@ -65,11 +74,13 @@
         handler: Handler,
         limits: Callable[[], HttpLimits],
         cancels_handlers: bool = False,
+        on_cut: CutHandler = log_cut,
     ) -> None:
         self.reader = reader
         self.writer = writer
         self._handler = handler
         self._cancels_handlers = cancels_handlers
+        self._answer = AnswerWatch(on_cut)
         self._task: asyncio.Task | None = None
         self.is_busy = False
         self._has_served = False
@@ -115,20 +126,34 @@
         except asyncio.CancelledError:
             # The watcher cancels the handler if the caller closes the connection.
             if not self._closed.is_set():
+                self._answer.cut(CutCause.STOPPED)
                 raise
-            self.abort()
+            self.abort(CutCause.CALLER_CLOSED)
         except RequestRejectedError as error:
             await self.reject(error.status, error.detail)
-        except (ConnectionError, TimeoutError, h11.LocalProtocolError):
-            self.abort()
+        except _AnswerError as error:
+            self.abort(error.cause, str(error))
+        except h11.LocalProtocolError as error:
+            self.abort(CutCause.INVALID_ANSWER, str(error))
+        except (ConnectionError, TimeoutError) as error:
+            self.abort(CutCause.CALLER_CLOSED, str(error))
         finally:
+            if self._has_unread_request():
+                self._answer.cut_unread()
             self._closed.set()
             self.writer.close()
 
+    def _has_unread_request(self) -> bool:
+        """Return whether bytes of a request were received and not read."""
+        if self.reader.at_eof() or self._closed.is_set():
+            return False
+        return self.reader.has_unread or self._requests.has_buffered
+
     async def _serve_one(self, draining: Callable[[], bool]) -> bool:
         request = await self._read_request(draining)
         if request is None:
             return False
+        self._answer.on_request(request)
         self.is_busy = True
         if self._cancels_handlers:
             async with self._watching_peer():
@@ -193,7 +218,7 @@
             return await self._handler(request)
         except Exception:
             log.exception("handler failed: {} {}", request.method, request.path)
-            raise ConnectionError("the handler failed") from None
+            raise _AnswerError(CutCause.HANDLER_FAILED, "the handler failed") from None
 
     async def _respond(
         self, response: Response | StreamResponse, closing: Callable[[], bool]
@@ -217,6 +242,7 @@
                     response.on_closed()
         self.send(h11.EndOfMessage())
         await self.writer.drain()
+        self._answer.on_end()
 
     async def _run_stream(self, response: StreamResponse) -> None:
         try:
@@ -225,11 +251,14 @@
                 return
             async with self._watching_peer():
                 await response.run(_Stream(self))
-        except ConnectionError:
-            raise
+        except ConnectionError as error:
+            if self._is_caller_gone():
+                raise
+            raise _AnswerError(CutCause.STREAM_FAILED, str(error)) from None
         except Exception:
             log.exception("streamed response failed")
-            raise ConnectionError("the streamed response failed") from None
+            detail = "the streamed response failed"
+            raise _AnswerError(CutCause.STREAM_FAILED, detail) from None
 
     @asynccontextmanager
     async def _watching_peer(self):
@@ -270,6 +299,7 @@
                 reason=_reason_phrase(status).encode(),
             )
         )
+        self._answer.on_answer()
 
     def send_body(self, data: bytes) -> None:
         """Write body bytes of a streamed response as one chunk.
@@ -284,8 +314,11 @@
             self._require_open()
             self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
 
+    def _is_caller_gone(self) -> bool:
+        return self._closed.is_set() or self.writer.transport.is_closing()
+
     def _require_open(self) -> None:
-        if self._closed.is_set() or self.writer.transport.is_closing():
+        if self._is_caller_gone():
             raise ConnectionResetError("the caller closed the connection")
 
     def send(self, event) -> None:
@@ -324,8 +357,12 @@
         else:
             self.writer.close()
 
-    def abort(self) -> None:
-        """Abort the connection."""
+    def abort(self, cause: CutCause = CutCause.STOPPED, detail: str = "") -> None:
+        """Abort the connection.
+
+        :param cause: cause to report if an answer is owed.
+        """
+        self._answer.cut(cause, detail)
         self._closed.set()
         self.writer.transport.abort()
 
--- /dev/null
+++ b/src/heathershunt/http/cuts.py
@@ -0,0 +1,102 @@
+"""Requests that were received and whose connection closed before their answer ended."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import logbook
+
+from heathershunt.http.messages import Request
+
+log = logbook.Logger("heathershunt.http")
+
+
+class CutCause(Enum):
+    """Why a connection closed before the end of an answer.
+
+    :cvar CALLER_CLOSED: the caller closed or reset the connection.
+    :cvar HANDLER_FAILED: the handler raised an error.
+    :cvar STREAM_FAILED: the streamed answer could not be completed.
+    :cvar INVALID_ANSWER: the answer cannot be written as HTTP/1.1.
+    :cvar NOT_READ: the connection closed with received bytes of a request unread.
+    :cvar STOPPED: the process stopped.
+
+    .. versionadded:: 0.8
+    """
+
+    CALLER_CLOSED = "caller_closed"
+    HANDLER_FAILED = "handler_failed"
+    STREAM_FAILED = "stream_failed"
+    INVALID_ANSWER = "invalid_answer"
+    NOT_READ = "not_read"
+    STOPPED = "stopped"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerCut:
+    """A connection that closed after a request and before the end of its answer.
+
+    :param request: the request; ``None`` if it was received but not read.
+    :param has_begun: whether the head of the answer was written.
+    :param detail: error message, empty without one.
+
+    .. versionadded:: 0.8
+    """
+
+    request: Request | None
+    cause: CutCause
+    has_begun: bool
+    detail: str
+
+
+CutHandler = Callable[[AnswerCut], None]
+
+
+def log_cut(cut: AnswerCut) -> None:
+    """Log a cut answer; the default of servers without a handler of their own."""
+    target = "a request" if cut.request is None else cut.request.target
+    log.info("answer to {} cut: {} {}", target, cut.cause.value, cut.detail)
+
+
+class AnswerWatch:
+    """Tracks whether a connection owes an answer, and reports one that is cut.
+
+    :param on_cut: called once for each answer that is cut.
+
+    .. versionadded:: 0.8
+    """
+
+    def __init__(self, on_cut: CutHandler) -> None:
+        self._on_cut = on_cut
+        self._request: Request | None = None
+        self._has_begun = False
+
+    @property
+    def is_owed(self) -> bool:
+        """Return whether a request has been read whose answer has not ended."""
+        return self._request is not None
+
+    def on_request(self, request: Request) -> None:
+        """Record that a request was read whole."""
+        self._request = request
+        self._has_begun = False
+
+    def on_answer(self) -> None:
+        """Record that the head of the answer was written."""
+        self._has_begun = True
+
+    def on_end(self) -> None:
+        """Record that the whole answer was written."""
+        self._request = None
+
+    def cut(self, cause: CutCause, detail: str = "") -> None:
+        """Report that the connection closes, if an answer is owed."""
+        if self._request is None:
+            return
+        cut = AnswerCut(self._request, cause, self._has_begun, detail)
+        self._request = None
+        self._on_cut(cut)
+
+    def cut_unread(self) -> None:
+        """Report that received bytes of a request are discarded."""
+        self._on_cut(AnswerCut(None, CutCause.NOT_READ, False, ""))
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -8,6 +8,7 @@
 import logbook
 
 from heathershunt.http.connection import Connection, Handler
+from heathershunt.http.cuts import CutHandler, log_cut
 from heathershunt.http.reading import READ_BYTES
 from heathershunt.http.requests import HttpLimits
 from heathershunt.http.transports import (
@@ -29,6 +30,8 @@
     :param limits: limits on requests and connections.
     :param cancels_handlers: cancel the handler of a request, and its stream, as soon as
         the caller has closed the connection.
+    :param on_cut: called for each request whose connection closes before the end of
+        its answer.
 
     .. versionadded:: 0.1
     """
@@ -39,7 +42,9 @@
         limits: HttpLimits | None = None,
         *,
         cancels_handlers: bool = False,
+        on_cut: CutHandler = log_cut,
     ) -> None:
+        self._on_cut = on_cut
         self._handler = handler
         self.limits = limits or HttpLimits()
         self._cancels_handlers = cancels_handlers
@@ -98,6 +103,7 @@
             self._handler,
             lambda: self.limits,
             self._cancels_handlers,
+            self._on_cut,
         )
         if len(self._connections) >= self.limits.connections:
             await connection.reject(
--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -46,5 +46,6 @@
     request_events.StreamEnded,
     request_events.CallEnded,
     request_events.CallerDisconnected,
+    request_events.AnswerLost,
 )
 EVENT_TYPES_BY_NAME = {event_type.name: event_type for event_type in EVENT_TYPES}
--- a/src/heathershunt/logs/request_events.py
+++ b/src/heathershunt/logs/request_events.py
@@ -350,3 +350,28 @@
     def is_failure(self) -> bool:
         """Return ``True``."""
         return True
+
+
+@dataclass(frozen=True)
+class AnswerLost(RequestEvent):
+    """The connection of a request closed before the end of its answer.
+
+    :param cause: why it closed.
+    :param has_begun: whether the caller has received the head of the answer.
+    :param detail: error message, empty without one.
+    """
+
+    name: ClassVar[str] = "answer_lost"
+    sentence: ClassVar[str] = (
+        "the connection closed before the end of the answer ({cause}): {detail}"
+    )
+    outcome_field: ClassVar[str | None] = "cause"
+    ends_request: ClassVar[bool] = True
+    cause: str
+    has_begun: bool
+    detail: str
+
+    @property
+    def is_failure(self) -> bool:
+        """Return ``True``."""
+        return True
--- a/src/heathershunt/platform/decoder.py
+++ b/src/heathershunt/platform/decoder.py
@@ -32,6 +32,10 @@
         """Decode a target's entry; raise ``ValueError`` if it is malformed."""
         return decode_target(target_id, raw)
 
+    def request_id(self, request: Request) -> str:
+        """Return the id of a caller's request; empty without one."""
+        return request.headers.get(names.REQUEST_ID.decode(), "")
+
     def request(self, request: Request) -> CallerRequest:
         """Decode a caller's request; raise ``ValueError`` if it is malformed."""
         return self._codec.caller_request(request)
