Answer a request whose handler fails, in place of closing its connection

What callers saw: a request that was read whole got neither an answer nor a refusal. Cause: an error in the handler, a cancellation of a task that it shares, or an answer that is not valid HTTP/1.1 closed the connection without a word; the class is an error path that ends the connection, which promises nothing and tells nobody.

Now such a request gets 500 with the verdict that it may have run, the traceback is logged, and the connection goes on with the requests behind it. The head of an answer is built and checked before a byte is written, so that an invalid one can still be replaced.

--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -8,7 +8,14 @@
 import h11
 import logbook
 
-from heathershunt.http.cuts import AnswerWatch, CutCause, CutHandler, log_cut
+from heathershunt.http.cuts import (
+    AnswerError,
+    AnswerWatch,
+    CutCause,
+    CutHandler,
+    log_cut,
+)
+from heathershunt.http.heads import build_head
 from heathershunt.http.messages import (
     Request,
     Response,
@@ -22,7 +29,7 @@
     is_receive_buffer_empty,
     limit_receive_size,
 )
-from heathershunt.verdict import not_run
+from heathershunt.verdict import may_have_run, not_run
 
 log = logbook.Logger("heathershunt.http")
 
@@ -34,15 +41,9 @@
 # Pipelined bytes read while a request is served; beyond this, reading stops.
 MAX_PIPELINED_BYTES = 262_144
 
-Handler = Callable[[Request], Awaitable[Response | StreamResponse]]
-
+FAILED = may_have_run(500, "Internal error", "The router failed to answer the request.")
 
-class _AnswerError(Exception):
-    """An answer that cannot be completed."""
-
-    def __init__(self, cause: CutCause, detail: str) -> None:
-        super().__init__(detail)
-        self.cause = cause
+Handler = Callable[[Request], Awaitable[Response | StreamResponse]]
 
 
 class _Stream:
@@ -131,7 +132,7 @@
             self.abort(CutCause.CALLER_CLOSED)
         except RequestRejectedError as error:
             await self.reject(error.status, error.detail)
-        except _AnswerError as error:
+        except AnswerError as error:
             self.abort(error.cause, str(error))
         except h11.LocalProtocolError as error:
             self.abort(CutCause.INVALID_ANSWER, str(error))
@@ -214,36 +215,47 @@
         self.send(h11.InformationalResponse(status_code=100, headers=[]))
 
     async def _run_handler(self, request: Request) -> Response | StreamResponse:
+        """Return the handler's response, or an error response if it fails."""
         try:
             return await self._handler(request)
+        except asyncio.CancelledError:
+            # A handler that awaits a task which something else cancels raises this too,
+            # without a cancellation of its own.
+            if self._task.cancelling():
+                raise
+            log.exception("handler cancelled: {} {}", request.method, request.path)
         except Exception:
             log.exception("handler failed: {} {}", request.method, request.path)
-            raise _AnswerError(CutCause.HANDLER_FAILED, "the handler failed") from None
+        return problem_response(FAILED)
 
     async def _respond(
         self, response: Response | StreamResponse, closing: Callable[[], bool]
     ) -> None:
-        headers = list(response.headers.items())
         # Pipelined requests are answered before the connection is closed.
-        if closing() and not self._has_next_request():
-            headers.append(("connection", "close"))
-        if isinstance(response, Response):
-            headers.append(("content-length", str(len(response.body))))
-            self._send_head(response.status, headers)
-            if response.body:
-                self.send(h11.Data(data=response.body))
-        else:
-            headers.append(("transfer-encoding", "chunked"))
-            try:
-                self._send_head(response.status, headers)
-                await self._run_stream(response)
-            finally:
-                if response.on_closed is not None:
-                    response.on_closed()
+        closes = closing() and not self._has_next_request()
+        try:
+            head = build_head(response, closes)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            log.error("answer cannot be written as HTTP/1.1: {}", error)
+            _release(response)
+            response = problem_response(FAILED)
+            head = build_head(response, closes)
+        try:
+            self.send(head)
+            self._answer.on_answer()
+            await self._write_body(response)
+        finally:
+            _release(response)
         self.send(h11.EndOfMessage())
         await self.writer.drain()
         self._answer.on_end()
 
+    async def _write_body(self, response: Response | StreamResponse) -> None:
+        if isinstance(response, StreamResponse):
+            await self._run_stream(response)
+        elif response.body:
+            self.send(h11.Data(data=response.body))
+
     async def _run_stream(self, response: StreamResponse) -> None:
         try:
             if self._cancels_handlers:
@@ -251,14 +263,20 @@
                 return
             async with self._watching_peer():
                 await response.run(_Stream(self))
+        except asyncio.CancelledError:
+            if self._task.cancelling():
+                raise
+            log.exception("streamed response cancelled")
+            detail = "a task of the streamed response was cancelled"
+            raise AnswerError(CutCause.STREAM_FAILED, detail) from None
         except ConnectionError as error:
             if self._is_caller_gone():
                 raise
-            raise _AnswerError(CutCause.STREAM_FAILED, str(error)) from None
+            raise AnswerError(CutCause.STREAM_FAILED, str(error)) from None
         except Exception:
             log.exception("streamed response failed")
             detail = "the streamed response failed"
-            raise _AnswerError(CutCause.STREAM_FAILED, detail) from None
+            raise AnswerError(CutCause.STREAM_FAILED, detail) from None
 
     @asynccontextmanager
     async def _watching_peer(self):
@@ -291,16 +309,6 @@
             pipelined_bytes += len(data)
             self._h11.receive_data(data)
 
-    def _send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        self.send(
-            h11.Response(
-                status_code=status,
-                headers=[(name, text.encode("latin-1")) for name, text in headers],
-                reason=_reason_phrase(status).encode(),
-            )
-        )
-        self._answer.on_answer()
-
     def send_body(self, data: bytes) -> None:
         """Write body bytes of a streamed response as one chunk.
 
@@ -367,14 +375,12 @@
         self.writer.transport.abort()
 
 
+def _release(response: Response | StreamResponse) -> None:
+    """Tell the source of a streamed response that it is no longer needed."""
+    if isinstance(response, StreamResponse) and response.on_closed is not None:
+        response.on_closed()
+
+
 def _peer_address(writer: asyncio.StreamWriter) -> str:
     peer = writer.get_extra_info("peername")
     return peer[0] if peer else ""
-
-
-def _reason_phrase(status: int) -> str:
-    """Return the reason phrase, ``""`` for the unknown statuses of plain services."""
-    try:
-        return HTTPStatus(status).phrase
-    except ValueError:
-        return ""
--- a/src/heathershunt/http/cuts.py
+++ b/src/heathershunt/http/cuts.py
@@ -15,7 +15,6 @@
     """Why a connection closed before the end of an answer.
 
     :cvar CALLER_CLOSED: the caller closed or reset the connection.
-    :cvar HANDLER_FAILED: the handler raised an error.
     :cvar STREAM_FAILED: the streamed answer could not be completed.
     :cvar INVALID_ANSWER: the answer cannot be written as HTTP/1.1.
     :cvar NOT_READ: the connection closed with received bytes of a request unread.
@@ -25,13 +24,23 @@
     """
 
     CALLER_CLOSED = "caller_closed"
-    HANDLER_FAILED = "handler_failed"
     STREAM_FAILED = "stream_failed"
     INVALID_ANSWER = "invalid_answer"
     NOT_READ = "not_read"
     STOPPED = "stopped"
 
 
+class AnswerError(Exception):
+    """An answer that cannot be completed.
+
+    .. versionadded:: 0.8
+    """
+
+    def __init__(self, cause: CutCause, detail: str) -> None:
+        super().__init__(detail)
+        self.cause = cause
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerCut:
     """A connection that closed after a request and before the end of its answer.
--- a/tests/http/test_answered_once.py
+++ b/tests/http/test_answered_once.py
@@ -16,6 +16,10 @@
         raise RuntimeError("the handler failed")
     if request.path == "/closed":
         raise ConnectionError("a connection that the handler uses was closed")
+    if request.path == "/cancelled":
+        task = asyncio.create_task(asyncio.sleep(9))
+        task.cancel()
+        await task
     if request.path == "/header":
         return Response(200, {"x": "line\nbreak"}, b"done")
     if request.path == "/charset":
@@ -57,7 +61,16 @@
 
 
 @pytest.mark.parametrize(
-    "path", ["/raises", "/closed", "/header", "/charset", "/status", "/stream"]
+    "path",
+    [
+        "/raises",
+        "/closed",
+        "/cancelled",
+        "/header",
+        "/charset",
+        "/status",
+        "/stream",
+    ],
 )
 async def test_caller_gets_an_answer_if_the_handler_fails(server, path):
     # Guards against a whole request that gets neither an answer nor a refusal because
