Answer a request that arrives as the idle limit of its connection ends

What callers saw: a kept connection closed with a request of theirs read and unanswered. Cause: the end of the wait for the next request decided by the timer alone; where the bytes and the timer came in one iteration of the event loop, as on a VM with little processor time, the bytes stayed in the reader and the connection closed. Besides, a wait kept the limit that was in force as it began, so that after a change to a longer one callers met closed connections. The class: a decision on a state that is older than the decision.

At the end of the limit, bytes in the reader or the kernel count as the next request, and the limit in force then is the one that counts; a shorter one applies from the next wait on.

--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -92,7 +92,7 @@
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
         self._requests = RequestReader(
-            self._h11, reader, limits, self._send_continue, _peer_address(writer)
+            self._h11, reader, limits, self._send_continue, writer.transport
         )
         limit_receive_size(writer.transport)
         writer.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
@@ -379,8 +379,3 @@
     """Tell the source of a streamed response that it is no longer needed."""
     if isinstance(response, StreamResponse) and response.on_closed is not None:
         response.on_closed()
-
-
-def _peer_address(writer: asyncio.StreamWriter) -> str:
-    peer = writer.get_extra_info("peername")
-    return peer[0] if peer else ""
--- a/src/heathershunt/http/reading.py
+++ b/src/heathershunt/http/reading.py
@@ -11,7 +11,7 @@
     RequestRejectedError,
     build_request,
 )
-from heathershunt.http.transports import CountingReader
+from heathershunt.http.transports import CountingReader, is_receive_buffer_empty
 
 READ_BYTES = 65536
 
@@ -23,7 +23,6 @@
     :param limits: returns the current limits, which may change at any time.
     :param send_continue: called when the caller waits for an interim response before it
         sends the body.
-    :param peer: IP address of the caller.
     :ivar allows_chunks: whether the answer to the last request may be sent in chunks.
 
     .. versionadded:: 0.8
@@ -35,13 +34,15 @@
         reader: CountingReader,
         limits: Callable[[], HttpLimits],
         send_continue: Callable[[], None],
-        peer: str,
+        transport: asyncio.Transport,
     ) -> None:
         self._h11 = h11_connection
         self._reader = reader
         self._get_limits = limits
         self._send_continue = send_continue
-        self._peer = peer
+        self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self._peer = peer[0] if peer else ""
         self.allows_chunks = False
 
     @property
@@ -56,17 +57,42 @@
     async def wait_first_bytes(self) -> bytes | None:
         """Wait for the next request to begin.
 
+        A limit that becomes longer applies at once, a shorter one from the next wait
+        on, as callers may still rely on the longer one.
+
         :return: its first bytes; ``b""`` if the caller closed the connection, ``None``
             if the idle limit has passed.
         """
+        started = asyncio.get_running_loop().time()
+        while True:
+            data = await self._read_until(started + self._limits.idle_ms / 1000)
+            if data:
+                self._h11.receive_data(data)
+            if data is not None or self._is_past(started):
+                return data
+
+    def _is_past(self, started: float) -> bool:
+        """Return whether the idle limit in force now has passed."""
+        now = asyncio.get_running_loop().time()
+        return now >= started + self._limits.idle_ms / 1000
+
+    async def _read_until(self, end: float) -> bytes | None:
+        """Return received bytes; ``None`` if there are none at a loop time."""
+        try:
+            async with asyncio.timeout_at(end):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            if self._has_nothing():
+                return None
+        # The limit passed in the iteration of the event loop in which bytes arrived.
         try:
-            async with asyncio.timeout(self._limits.idle_ms / 1000):
-                data = await self._reader.read(READ_BYTES)
+            async with asyncio.timeout(self._limits.head_ms / 1000):
+                return await self._reader.read(READ_BYTES)
         except TimeoutError:
             return None
-        if data:
-            self._h11.receive_data(data)
-        return data
+
+    def _has_nothing(self) -> bool:
+        return not self._reader.has_unread and is_receive_buffer_empty(self._transport)
 
     async def read(self) -> Request | None:
         """Return the next request; ``None`` if the connection ends before it begins.
