Keep a silent run of a stream until another one has taken over

What callers saw: a stream that was accepted ended without its end, or with an error, though its runner was only silent for a second. The run was dropped first, and only then it was asked whether another chain, a retry and a route that may be resumed were there; where one was lacking, the caller's answer ended. The class: a suspicion is acted on as if it were certain, and the old is given up before the new is there.

Now silence leads to a race: the run is kept and read on, another one is started beside it, and the first to deliver answers; a successor that is refused is tried again while the silent run is kept (relay/handover.py). A run is given up only when its connection ends, its first runner has left the list or has started again, the deadline passes, or another run has delivered. A stream that may not be run again waits. Runners that go on are used again at once. Silence is no evidence of a crash any more.

--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -39,6 +39,8 @@
     request_events.ChainReplaced,
     request_events.ChainNotReplaced,
     request_events.StreamBroken,
+    request_events.RunHeld,
+    request_events.RunRegained,
     request_events.RunCrashed,
     request_events.PartRefused,
     request_events.StreamResumed,
--- a/src/heathershunt/logs/request_events.py
+++ b/src/heathershunt/logs/request_events.py
@@ -203,6 +203,38 @@
     run_events: int
 
 
+@dataclass(frozen=True)
+class RunHeld(RequestEvent):
+    """A run is silent; it is kept while another one is started that may take over.
+
+    :param target: first runner of the chain.
+    :param after: id of the last event; ``None`` before the first.
+    """
+
+    name: ClassVar[str] = "run_held"
+    sentence: ClassVar[str] = (
+        "the run at {target} is silent after event {after}, another one is started: "
+        "{detail}"
+    )
+    target: str
+    after: int | None
+    detail: str
+
+
+@dataclass(frozen=True)
+class RunRegained(RequestEvent):
+    """A silent run went on before another one had taken over.
+
+    :param target: first runner of the chain.
+    :param paused_ms: time since the last event.
+    """
+
+    name: ClassVar[str] = "run_regained"
+    sentence: ClassVar[str] = "the run at {target} went on after {paused_ms} ms"
+    target: str
+    paused_ms: int
+
+
 @dataclass(frozen=True)
 class RunCrashed(RequestEvent):
     """A runner ended while the run had sent no event; evidence against its parts.
--- a/src/heathershunt/relay/attempts.py
+++ b/src/heathershunt/relay/attempts.py
@@ -51,7 +51,7 @@
         each of them again. Ejected ones count: they may still run the request.
         """
         listed = {
-            head.id for head in self._heads_by_id.values() if self._is_listed(head)
+            head.id for head in self._heads_by_id.values() if self.is_listed(head)
         }
         return None if len(listed) < self._max_heads else listed
 
@@ -60,7 +60,7 @@
         heads = self.allowed_heads()
         return heads is None or bool(heads - {head.id})
 
-    def _is_listed(self, runner: Target) -> bool:
+    def is_listed(self, runner: Target) -> bool:
         """Return whether a runner is still listed and has not restarted."""
         known = self._registry.get(runner.id)
         return known is not None and known.incarnation == runner.incarnation
--- /dev/null
+++ b/src/heathershunt/relay/handover.py
@@ -0,0 +1,71 @@
+"""Race between a silent run and another one that may take over from it."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+
+from heathershunt.http import Response
+from heathershunt.relay.events import StreamEvent
+from heathershunt.verdict import Refusal
+
+# Pause after which a successor that was refused is tried again.
+RETRY_MS = 300
+
+
+@dataclass(frozen=True, slots=True)
+class Produced:
+    """The next events of a run.
+
+    :param events: events; ``None`` at the end of the stream.
+
+    .. versionadded:: 0.8
+    """
+
+    events: list[StreamEvent] | None
+
+
+# What a run led to: events, a runner's failure for the caller, or no run at all.
+Outcome = Produced | Response | Refusal
+
+
+async def hand_over(
+    held: Coroutine[None, None, Outcome | None],
+    produce: Callable[[], Coroutine[None, None, Outcome]],
+    retry_ms: float = RETRY_MS,
+) -> tuple[Outcome, bool]:
+    """Return what a silent run or its successor leads to, whichever is first.
+
+    Silence does not tell a dead target from one that goes on in a moment, so the silent
+    run is kept until another one has delivered, and while no other one can be started.
+
+    :param held: waits for the silent run; its result is ``None`` if that run failed.
+    :param produce: starts a successor and waits for its first events.
+    :return: the outcome, and whether it is that of the silent run.
+    """
+    waiting = asyncio.ensure_future(held)
+    successor = asyncio.ensure_future(produce())
+    try:
+        while True:
+            await asyncio.wait(
+                {waiting, successor}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if waiting.done():
+                outcome = waiting.result()
+                if outcome is not None:
+                    return outcome, True
+                return await successor, False
+            outcome = successor.result()
+            if not isinstance(outcome, Refusal):
+                return outcome, False
+            successor = asyncio.ensure_future(_produce_later(produce, retry_ms))
+    finally:
+        waiting.cancel()
+        successor.cancel()
+        await asyncio.wait({waiting, successor})
+
+
+async def _produce_later(
+    produce: Callable[[], Coroutine[None, None, Outcome]], delay_ms: float
+) -> Outcome:
+    await asyncio.sleep(delay_ms / 1000)
+    return await produce()
--- a/src/heathershunt/relay/head_wait.py
+++ b/src/heathershunt/relay/head_wait.py
@@ -1,8 +1,5 @@
 """Wait for the head of a run's reply, and the checks of its chain meanwhile."""
 
-import asyncio
-from collections.abc import Coroutine
-
 from result import Err, Result
 
 from heathershunt.clock import Clock
@@ -10,7 +7,7 @@
 from heathershunt.relay.crashes import BLOCKED_DETAIL, CrashWitness
 from heathershunt.relay.pauses import PauseMonitor
 from heathershunt.relay.repair import ChainRepair
-from heathershunt.relay.runs import Run, cancel_request
+from heathershunt.relay.runs import Run, StreamBrokenError
 from heathershunt.verdict import Progress
 
 
@@ -36,36 +33,30 @@
         self._repair = repair
         self._crashes = crashes
 
-    async def wait_for(
-        self, run: Run, sending: Coroutine
-    ) -> Result[ClientResponse, TransportError]:
+    async def wait_for(self, run: Run) -> Result[ClientResponse, TransportError]:
         """Return the reply once its head has arrived, which is with the first event.
 
         While the head is late, the runners are polled and a faulty one is replaced;
-        the others keep the tokens that they have processed. The request is cancelled
-        once a part of its prompt is blocked.
+        the others keep the tokens that they have processed. The wait ends once a part
+        of the stream's prompt is blocked.
+
+        :raises RunPausedError: if the run is silent and another one may take over.
         """
-        task = asyncio.ensure_future(sending)
-        sent_at = self._clock.now()
+        task = run.sending
         wait_ms = self._check_ms
-        is_result_taken = False
-        try:
-            while not await self._crashes.wait_for(task, wait_ms):
-                if self._crashes.is_blocked():
-                    return Err(TransportError(Progress.SENT, BLOCKED_DETAIL))
-                faulty = await self._pauses.examine(run.chain)
-                if task.done():
-                    break
-                if faulty is not None and await self._repair.replace(run, faulty):
-                    wait_ms = self._check_ms
-                    continue
-                paused_ms = self._clock.now() - sent_at
-                detail = self._pauses.reroute_reason(run.chain, faulty, paused_ms)
-                if detail is not None:
-                    return Err(TransportError(Progress.SENT, detail))
-                wait_ms = self._pauses.next_check_ms(paused_ms)
-            is_result_taken = True
-            return task.result()
-        finally:
-            if not is_result_taken:
-                cancel_request(task)
+        while not await self._crashes.wait_for(task, wait_ms):
+            if self._crashes.is_blocked():
+                return Err(TransportError(Progress.SENT, BLOCKED_DETAIL))
+            faulty = await self._pauses.examine(run.chain)
+            if task.done():
+                break
+            if faulty is not None and await self._repair.replace(run, faulty):
+                wait_ms = self._check_ms
+                continue
+            paused_ms = self._clock.now() - run.sent_at
+            try:
+                self._pauses.judge(run, faulty, paused_ms)
+            except StreamBrokenError as error:
+                return Err(TransportError(Progress.SENT, str(error)))
+            wait_ms = self._pauses.next_check_ms(paused_ms)
+        return task.result()
--- a/src/heathershunt/relay/pauses.py
+++ b/src/heathershunt/relay/pauses.py
@@ -6,6 +6,7 @@
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.progress import StreamProgress
+from heathershunt.relay.runs import Run, RunPausedError, StreamBrokenError
 from heathershunt.relay.spec import StreamSpec
 
 
@@ -40,6 +41,24 @@
         self._context.events.emit(event)
         return faulty
 
+    def judge(self, run: Run, faulty: Target | None, paused_ms: float) -> None:
+        """Return if a silent run is to be waited for; else raise.
+
+        No report within a moment does not mean that a runner has ended: it may be
+        silent and go on. Its end is certain only once it has left the list or has
+        started again.
+
+        :param faulty: runner that gives no report; ``None`` if all do.
+        :raises RunPausedError: if another run may take over.
+        :raises StreamBrokenError: if the first runner is known to have ended.
+        """
+        if not run.is_patient:
+            detail = self.reroute_reason(run.chain, faulty, paused_ms)
+            if detail is not None:
+                raise RunPausedError(detail, faulty)
+        elif faulty is not None and not self._attempts.is_listed(run.chain.head):
+            raise StreamBrokenError(f"runner {run.chain.head.id} has ended")
+
     def reroute_reason(
         self, chain: Chain, faulty: Target | None, paused_ms: float
     ) -> str | None:
--- a/src/heathershunt/relay/reading.py
+++ b/src/heathershunt/relay/reading.py
@@ -51,9 +51,9 @@
         A pause lasts until an event is complete, whatever other bytes arrive.
 
         :param check_after_ms: pause after which the chain is first examined.
-        :raises TimeoutError: if the chain is too slow, although no runner is at fault.
-        :raises ConnectionError: if the run broke off, a runner is at fault, or the
-            deadline has passed.
+        :raises RunPausedError: if the run is silent and another one may take over.
+        :raises ConnectionError: if the run broke off, its first runner is known to have
+            ended, or the deadline has passed.
         """
         now = self._clock.now
         check_at = now() + check_after_ms
@@ -80,11 +80,7 @@
             # The new chain may contain a dead runner too.
             return self._pauses.first_check_ms()
         paused_ms = self._progress.paused_ms
-        detail = self._pauses.reroute_reason(run.chain, faulty, paused_ms)
-        if detail is not None:
-            # On TimeoutError, the session does not look for a dead runner in the chain.
-            error = StreamBrokenError if faulty is not None else TimeoutError
-            raise error(detail)
+        self._pauses.judge(run, faulty, paused_ms)
         return self._pauses.next_check_ms(paused_ms)
 
     async def _read_until(self, run: Run, check_at: float) -> bytes | None:
--- a/src/heathershunt/relay/repair.py
+++ b/src/heathershunt/relay/repair.py
@@ -47,7 +47,9 @@
         avoided = {faulty.id}
         for _ in range(MAX_ORDERS):
             chain = self._selection.find_replacement(run.chain, avoided)
-            if chain is None or self._should_resend(run, chain):
+            if chain is None:
+                return False
+            if not run.is_patient and self._should_resend(run, chain):
                 return False
             rejecting = await self._send_order(run, chain, faulty)
             if run.chain is chain:
--- a/src/heathershunt/relay/runs.py
+++ b/src/heathershunt/relay/runs.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from heathershunt.clock import Millis
+from heathershunt.discovery import Target
 from heathershunt.http import ClientResponse
 from heathershunt.pipelines import Chain
 from heathershunt.relay.events import EventSplitter, StreamEvent
@@ -19,15 +20,33 @@
     """
 
 
+class RunPausedError(Exception):
+    """A run that is silent, from which another one may take over.
+
+    :ivar faulty: runner that gives no report; ``None`` if all do.
+
+    .. versionadded:: 0.8
+    """
+
+    def __init__(self, detail: str, faulty: Target | None) -> None:
+        super().__init__(detail)
+        self.faulty = faulty
+
+
 @dataclass(slots=True)
 class Run:
     """One run of a stream on a chain.
 
     :param tokens: tokens that the load ledger counts for the run.
     :param sent_at: time when the run was sent.
+    :param sending: the request, whose result is the reply; ``None`` if it is not sent.
     :param response: reply of the first runner; ``None`` until its head arrives.
     :param head: decoded head of the reply.
     :ivar events: number of events that this run has sent.
+    :ivar is_patient: whether a silence of the run is waited out.
+    :ivar is_delivered: whether the run counts among those that may have reached a
+        runner.
+    :ivar is_released: whether the connection of the run was closed.
 
     .. versionadded:: 0.3
     """
@@ -35,10 +54,14 @@
     chain: Chain
     tokens: float
     sent_at: Millis
+    sending: asyncio.Future | None = None
     response: ClientResponse | None = None
     head: ReplyHead | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     events: int = 0
+    is_patient: bool = False
+    is_delivered: bool = False
+    is_released: bool = False
 
     def next_events(self, data: bytes | None) -> list[StreamEvent] | None:
         """Return the events that are complete now; ``None`` at the end of the stream.
@@ -55,8 +78,10 @@
         return self.splitter.end() or None
 
 
-def cancel_request(task: asyncio.Future) -> None:
+def cancel_request(task: asyncio.Future | None) -> None:
     """Cancel a request, or close its connection if the reply has arrived."""
+    if task is None:
+        return
     if not task.done():
         task.cancel()
     elif not task.cancelled() and task.exception() is None:
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -1,57 +1,39 @@
 """A stream to one caller, relayed from one or more runs on chains of runners."""
 
 import asyncio
+from collections.abc import Coroutine
 from functools import partial
 
-from result import Err
-
-from heathershunt.discovery import Target
-from heathershunt.http import (
-    Response,
-    ResponseStream,
-    StreamResponse,
-    TransportError,
-)
+from heathershunt.http import Response, ResponseStream, StreamResponse
 from heathershunt.logs.request_events import (
-    RetryDenied,
-    SendFailed,
-    SendRejected,
-    Sent,
-    StreamBroken,
+    RunHeld,
+    RunRegained,
     StreamEnded,
     StreamRefused,
-    StreamResumed,
 )
-from heathershunt.pipelines import Chain
-from heathershunt.ratelimits import Statement
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.capacity import CapacityGate
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.crashes import CrashWitness
 from heathershunt.relay.events import StreamEvent
+from heathershunt.relay.handover import Outcome, Produced, hand_over
 from heathershunt.relay.head_wait import HeadWait
-from heathershunt.relay.messages import Dispatch, refuse
+from heathershunt.relay.messages import refuse
 from heathershunt.relay.pauses import PauseMonitor
 from heathershunt.relay.progress import StreamProgress
-from heathershunt.relay.reading import READ_ERRORS, RunReader, read_error_body
+from heathershunt.relay.reading import READ_ERRORS, RunReader
 from heathershunt.relay.repair import ChainRepair
-from heathershunt.relay.runs import Run, StreamBrokenError
+from heathershunt.relay.runs import Run, RunPausedError, StreamBrokenError
 from heathershunt.relay.selection import ChainSelection
 from heathershunt.relay.spec import StreamSpec
-from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
+from heathershunt.relay.starting import SUCCESS, RunStarter
+from heathershunt.verdict import Refusal
 
-CONNECT_MS = 250
-# Counts all sends of a request; ``Route.max_attempts`` counts only the runners that
-# are still listed.
-MAX_SENDS = 8
-RETRY_AFTER_MS = 500
 BACKLOG_BYTES = 65_536
-SUCCESS = 200
-SERVER_ERROR = 500
 
 
 class StreamSession:
-    """Relays one stream to a caller, and starts a new run when one breaks.
+    """Relays one stream to a caller, and starts a new run when one breaks or is silent.
 
     .. versionadded:: 0.3
     """
@@ -67,17 +49,17 @@
         self._progress = StreamProgress(
             context.clock, spec.request.received_at, spec.request.last_event_id
         )
-        self._crashes = CrashWitness(context, spec)
-        self._selection = ChainSelection(
+        crashes = CrashWitness(context, spec)
+        selection = ChainSelection(
             context,
             capacity,
             spec,
             self._attempts,
             self._progress,
-            self._crashes.is_blocked,
+            crashes.is_blocked,
         )
         self._repair = ChainRepair(
-            context, spec, self._selection, self._attempts, self._progress
+            context, spec, selection, self._attempts, self._progress
         )
         self._pauses = PauseMonitor(context, spec, self._attempts, self._progress)
         self._reader = RunReader(
@@ -86,193 +68,119 @@
             self._pauses,
             self._repair,
             self._progress,
-            self._crashes.on_writing,
+            crashes.on_writing,
         )
-        self._head_wait = HeadWait(
+        head_wait = HeadWait(
             context.clock,
             spec.timeouts.first_event_check_ms,
             self._pauses,
             self._repair,
-            self._crashes,
+            crashes,
+        )
+        self._starter = RunStarter(
+            context,
+            spec,
+            self._attempts,
+            self._progress,
+            crashes,
+            selection,
+            head_wait,
         )
         self._run: Run | None = None
-        self._may_have_run = False
-        self._refusal_detail = "no chain of runners holds all layers"
-        self._tokens = spec.job.tokens
+        # A silent run that is kept until another one has taken over.
+        self._held: Run | None = None
 
-    # Opening
+    # Runs
 
     async def open(self) -> Response | StreamResponse:
         """Return a streamed response once its first event has arrived, or a refusal."""
+        outcome = await self._produce()
+        if isinstance(outcome, Produced):
+            relay = partial(self._relay, events=outcome.events)
+            headers = self._run.head.headers
+            return StreamResponse(SUCCESS, headers, relay, on_closed=self.close)
+        self.close()
+        return self._refuse(outcome) if isinstance(outcome, Refusal) else outcome
+
+    async def _produce(self) -> Outcome:
+        """Start runs until one sends events; return these, or why none does."""
         while True:
-            outcome = await self._start()
-            if isinstance(outcome, Response):
-                self.close()
+            run = await self._starter.start()
+            if isinstance(run, Refusal):
+                return run
+            self._run = run
+            outcome = await self._wait_for(run, self._first_outcome(run))
+            if outcome is not None:
                 return outcome
-            if not outcome:
-                continue
-            run = self._run
-            events = await self._first_events()
-            if events is None:
-                continue
-            relay = partial(self._relay, events=events)
-            return StreamResponse(
-                SUCCESS, run.head.headers, relay, on_closed=self.close
-            )
-
-    async def _start(self) -> Response | bool:
-        """Start a run; return whether it started, or the final response."""
-        context = self._context
-        left_ms = self._spec.deadline - context.clock.now()
-        if left_ms <= 0:
-            return self._fail(True)
-        if self._attempts.sends >= MAX_SENDS:
-            return self._fail(False)
-        chain = await self._selection.wait_for_chain()
-        refused = self._crashes.refusal(self._may_have_run)
-        if refused is not None:
-            return self._refuse(refused)
-        if chain is None:
-            if self._selection.limit_wait_ms is not None:
-                self._refusal_detail = "all runners have the requests that they take"
-            return self._fail(False)
-        left_ms = self._spec.deadline - context.clock.now()
-        if self._attempts.deliveries and not self._take_retry():
-            context.events.emit(RetryDenied(self._request.id, self._spec.service))
-            return self._fail(False)
-        return await self._send(chain, left_ms)
-
-    def _take_retry(self) -> bool:
-        if self._attempts.use_reserved_retry():
-            return True
-        context = self._context
-        return context.budget.take(
-            self._spec.service, context.vm_count(), has_begun=self._progress.has_begun
-        )
-
-    async def _send(self, chain: Chain, left_ms: int) -> Response | bool:
-        context = self._context
-        request = self._request
-        dispatch = Dispatch(
-            chain.head,
-            left_ms,
-            self._spec.account,
-            chain,
-            self._spec.route.rank,
-            self._progress.last_id,
-        )
-        context.events.emit(
-            Sent(
-                request.id,
-                target=chain.head.id,
-                chain=tuple(part.runner.id for part in chain.parts),
-                sends=self._attempts.sends,
-                waited_ms=context.clock.now() - request.received_at,
-            )
-        )
-        self._attempts.sends += 1
-        run = self._run = Run(chain, self._tokens, context.clock.now())
-        context.ledger.add(chain, self._tokens)
-        context.limits.record_send(chain.head)
-        sending = context.http.request(
-            chain.head.address,
-            request.method,
-            request.target,
-            headers=context.wire.fields(request, dispatch),
-            body=request.body,
-            timeout_ms=left_ms,
-            connect_ms=CONNECT_MS,
-            fresh=True,
-        )
-        outcome = await self._head_wait.wait_for(run, sending)
-        if isinstance(outcome, Err):
-            self._drop_run()
-            await self._on_send_failure(run, outcome.err_value)
-            return False
-        self._attempts.deliveries += 1
-        was_sent_before = self._attempts.has_head(chain.head)
-        self._attempts.add_head(chain.head)
-        run.response = outcome.ok_value
-        run.head = context.wire.reply_head(run.response)
-        statement = Statement(run.head.limit_per_s, run.sent_at)
-        context.limits.record(chain.head, statement)
-        if run.head.status == SUCCESS and run.head.request_id == request.id:
-            self._may_have_run = True
-            return True
-        return await self._on_failure_reply(run, was_sent_before)
-
-    async def _on_send_failure(self, run: Run, error: TransportError) -> None:
-        chain = run.chain
-        self._refusal_detail = error.detail
-        event = SendFailed(
-            self._request.id, chain.head.id, error.progress.value, error.detail
-        )
-        self._context.events.emit(event)
-        if error.progress is Progress.NOT_SENT:
-            self._avoid(chain.head)
-            return
-        self._attempts.deliveries += 1
-        self._attempts.add_head(chain.head)
-        self._may_have_run = True
-        if self._crashes.is_blocked():
-            return
-        await self._crashes.on_broken_run(run)
-        faulty = await self._context.diagnosis.find_faulty(chain)
-        self._attempts.avoided.add((faulty or chain.head).id)
 
-    async def _on_failure_reply(
-        self, run: Run, was_sent_before: bool
-    ) -> Response | bool:
-        chain, head = run.chain, run.head
-        if head.is_not_run:
-            runner = chain.runner_at(head.faulty_address or "") or chain.head
-            if runner.id != chain.head.id and not was_sent_before:
-                # A later runner rejected the request. On another chain the first runner
-                # would have accepted it, so this send does not count against it.
-                self._attempts.remove_head(chain.head)
-            self._refusal_detail = f"runner {runner.id} rejected it: {head.status}"
-            event = SendRejected(self._request.id, runner.id, head.status)
-            self._context.events.emit(event)
-            self._drop_run()
-            self._context.diagnosis.check_rejection(runner)
-            return False
-        self._may_have_run = True
-        if head.request_id == self._request.id and head.status < SERVER_ERROR:
-            left_ms = max(0, self._spec.deadline - self._context.clock.now())
-            body = await read_error_body(run, left_ms)
-            self._drop_run()
-            if body is not None and not head.is_success:
-                return Response(head.status, head.headers, body)
-        self._refusal_detail = f"runner {chain.head.id}: status {head.status}"
-        self._avoid(chain.head)
-        self._drop_run()
-        return False
+    async def _first_outcome(self, run: Run) -> Produced | Response | None:
+        """Return the first events of a run; ``None`` if it failed before one."""
+        if run.head is None:
+            began = await self._starter.receive_head(run)
+            if began is not True:
+                return began or None
+        return await self._next_outcome(run, self._timeouts.first_event_check_ms)
 
-    async def _first_events(self) -> list[StreamEvent] | None:
-        """Return the first events of the run; ``None`` if it broke off before one."""
+    async def _next_outcome(self, run: Run, check_ms: float) -> Produced | None:
+        """Return the next events of a run; ``None`` if it failed before one."""
         try:
-            events = await self._reader.next_events(
-                self._run, self._timeouts.first_event_check_ms
-            )
+            events = await self._reader.next_events(run, check_ms)
         except READ_ERRORS as error:
-            await self._on_broken_run(error)
+            await self._starter.on_broken_run(run, error)
             return None
-        if not events:
-            await self._on_broken_run(StreamBrokenError("the stream has no event"))
+        if events is None and not self._progress.has_begun:
+            error = StreamBrokenError("the stream has no event")
+            await self._starter.on_broken_run(run, error)
             return None
-        return events
+        return Produced(events)
+
+    async def _wait_for(
+        self, run: Run, waiting: Coroutine[None, None, Outcome | None]
+    ) -> Outcome | None:
+        """Return what a run leads to, or another run if it is silent; ``None`` if none.
 
-    def _fail(self, is_timeout: bool) -> Response:
-        if self._may_have_run:
-            status, title = (504, "Timeout") if is_timeout else (502, "Runner failed")
-            refusal = may_have_run(status, title, self._refusal_detail)
+        :param waiting: waits for the events of the run.
+        """
+        try:
+            return await waiting
+        except RunPausedError as pause:
+            if self._held is not None:
+                self._starter.give_up(run, pause)
+                return None
+            return await self._hand_over(run, pause)
+
+    async def _hand_over(self, run: Run, pause: RunPausedError) -> Outcome:
+        """Keep a silent run, and start others until one of them delivers."""
+        event = RunHeld(
+            self._request.id, run.chain.head.id, self._progress.last_id, str(pause)
+        )
+        self._context.events.emit(event)
+        self._starter.on_paused_run(run, pause)
+        run.is_patient = True
+        self._held, self._run = run, None
+        outcome, is_regained = await hand_over(self._first_outcome(run), self._produce)
+        self._held = None
+        if is_regained:
+            self._starter.release(self._run)
+            self._run = run
+            run.is_patient = not self._spec.route.is_retryable
+            self._on_regained(run)
         else:
-            wait_ms = max(RETRY_AFTER_MS, self._selection.limit_wait_ms or 0)
-            refusal = not_run(503, "No chain", self._refusal_detail, wait_ms)
-        return self._refuse(refusal)
+            self._starter.release(run)
+        return outcome
+
+    def _on_regained(self, run: Run) -> None:
+        """Use the runners of a run again that went on after a silence."""
+        suspects = self._context.suspects
+        for part in run.chain.parts:
+            if suspects.is_ejected(part.runner):
+                suspects.record_success(part.runner)
+        event = RunRegained(
+            self._request.id, run.chain.head.id, self._progress.paused_ms
+        )
+        self._context.events.emit(event)
 
     def _refuse(self, refusal: Refusal) -> Response:
-        self._refusal_detail = refusal.detail
         event = StreamRefused(self._request.id, refusal.status, refusal.detail)
         self._context.events.emit(event)
         return refuse(self._context.wire, refusal, self._request)
@@ -286,7 +194,7 @@
                 self._write(sink, events)
                 if sink.backlog() > BACKLOG_BYTES:
                     await sink.drain()
-                events = await self._next_or_resumed()
+                events = await self._next_events()
             self._record_end("complete")
         except asyncio.CancelledError:
             self._record_end("caller_left")
@@ -321,68 +229,28 @@
         if self._run and self._progress.last_gap_ms > self._timeouts.slow_gap_ms:
             self._context.diagnosis.refresh_paces(self._run.chain)
 
-    async def _next_or_resumed(self) -> list[StreamEvent] | None:
-        """Return the next events, if need be from a new run; ``None`` at the end."""
-        try:
-            return await self._reader.next_events(
-                self._run, self._pauses.first_check_ms()
-            )
-        except READ_ERRORS as error:
-            cause = error
-        while True:
-            await self._on_broken_run(cause)
-            if not self._spec.route.is_resumable or self._progress.last_id is None:
-                raise StreamBrokenError(str(cause)) from cause
-            outcome = await self._start()
-            if isinstance(outcome, Response):
-                raise StreamBrokenError(self._refusal_detail)
-            if not outcome:
-                cause = StreamBrokenError(self._refusal_detail)
-                continue
-            event = StreamResumed(self._request.id, self._progress.last_id)
-            self._context.events.emit(event)
-            try:
-                return await self._reader.next_events(
-                    self._run, self._timeouts.first_event_check_ms
-                )
-            except READ_ERRORS as error:
-                cause = error
+    async def _next_events(self) -> list[StreamEvent] | None:
+        """Return the next events, if need be from a new run; ``None`` at the end.
 
-    async def _on_broken_run(self, error: BaseException) -> None:
-        """Log and release a run that ended early, and avoid the runner at fault."""
+        :raises StreamBrokenError: if there is neither.
+        """
         run = self._run
-        if run is None:
-            return
-        self._refusal_detail = str(error) or type(error).__name__
-        event = StreamBroken(
-            self._request.id,
-            target=run.chain.head.id,
-            after=self._progress.last_id,
-            detail=self._refusal_detail,
-            run_events=run.events,
+        may_resume = (
+            self._spec.route.is_resumable and self._progress.last_id is not None
         )
-        self._context.events.emit(event)
-        self._drop_run()
-        if isinstance(error, TimeoutError):
-            self._attempts.avoided.add(run.chain.head.id)
-            return
-        await self._crashes.on_broken_run(run)
-        # The connection to the first runner also breaks when a later runner fails.
-        faulty = await self._context.diagnosis.find_faulty(run.chain)
-        if faulty is not None:
-            self._attempts.avoided.add(faulty.id)
-
-    def _avoid(self, runner: Target) -> None:
-        self._attempts.avoided.add(runner.id)
-        self._context.suspects.eject(runner)
-
-    def _drop_run(self) -> None:
-        run, self._run = self._run, None
-        if run is not None:
-            self._context.ledger.remove(run.chain, run.tokens)
-            if run.response is not None:
-                run.response.close()
+        run.is_patient = not may_resume
+        waiting = self._next_outcome(run, self._pauses.first_check_ms())
+        outcome = await self._wait_for(run, waiting)
+        if outcome is None and may_resume:
+            self._run = None
+            outcome = await self._produce()
+        if isinstance(outcome, Produced):
+            return outcome.events
+        if isinstance(outcome, Refusal):
+            self._refuse(outcome)
+        raise StreamBrokenError(self._starter.detail)
 
     def close(self) -> None:
-        """Close the connection to the first runner, which ends the run there."""
-        self._drop_run()
+        """Close the connections to the first runners, which ends the runs there."""
+        for run in (self._run, self._held):
+            self._starter.release(run)
