Run a stream that may not be resumed once, also before its first event

What callers could see: a stream of a route that may not be resumed ran at a second runner (TWICE) when its first one ended, or was silent, before the first event. Cause: only the resumption of a stream that had begun asked whether the route may be run again; the start of a stream went on to the next runner whatever its kind.

Each start now asks. A runner that states that it did not run the request may be followed by another one, as before. Found while the silence of targets was tested.

--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -74,7 +74,7 @@
         context = self._context
         if self._spec.deadline <= context.clock.now():
             return self._refusal(is_timeout=True)
-        if self._attempts.sends >= MAX_SENDS:
+        if self._attempts.sends >= MAX_SENDS or not self._may_run_again():
             return self._refusal()
         chain = await self._selection.wait_for_chain()
         blocked = self._crashes.refusal(self._may_have_run)
@@ -89,6 +89,9 @@
             return self._refusal()
         return self._send(chain)
 
+    def _may_run_again(self) -> bool:
+        return self._spec.route.is_retryable or not self._may_have_run
+
     def _take_retry(self) -> bool:
         if self._attempts.use_reserved_retry():
             return True
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -103,6 +103,20 @@
     assert len(site.runs()) == 1
 
 
+async def test_stream_that_is_not_resumable_runs_once_though_its_runner_ends(site):
+    # Guards against a second run of a stream that may run once, after its runner ended
+    # before the first event.
+    await change_configuration(site, 2, resumable=False)
+    for target in site.targets.values():
+        target.read_ms = 100
+    opening = asyncio.create_task(site.open_stream(events=20))
+    await site.until(lambda: bool(site.runs()))
+    await head_of(site).stop()
+    response = await opening
+    assert response.status == 502
+    assert len(site.runs()) == 1
+
+
 async def test_start_of_a_stream_outlives_a_silence_if_no_retry_is_left(site):
     # Guards against a refusal of a stream whose run would have gone on.
     await site.add_gateway("vm-2", retry_budget_slack=0, retry_budget_ratio=0)
