Keep a silent target of a repeatable call until another one has answered

What callers saw: a call that may be repeated failed at half of its time, though its target answered a moment later. Cause: the same as for streams. The first try was cancelled after half of the time left, and only then it was asked whether another target and a retry were there.

After that time the call is now sent to another target beside the first one, and the first answer counts (relay/handover.py, as for streams). What was tried for a call is one object now.

--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import partial
 
 import h11
 from result import Err, Ok, Result
@@ -20,11 +21,13 @@
 )
 from heathershunt.ratelimits import Statement
 from heathershunt.relay.context import RelayContext
+from heathershunt.relay.handover import hand_over
 from heathershunt.relay.messages import CallerRequest, Dispatch, ReplyHead, refuse
-from heathershunt.verdict import Progress, may_have_run, not_run
+from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
 
 CONNECT_MS = 250
-# Fraction of the remaining time for a try of an idempotent call that is not the last.
+# Fraction of the remaining time after which an idempotent call is sent to a second
+# target too.
 EARLY_TRY_FRACTION = 0.5
 # Fraction of the remaining time for which a call waits until a target takes another
 # request by its limit.
@@ -55,6 +58,42 @@
         return Response(self.head.status, self.head.headers, self.body)
 
 
+@dataclass(slots=True)
+class Call:
+    """One call of a caller, and what was tried for it.
+
+    :param deadline: time by which the caller must have the response.
+    :ivar tried: ids of the targets that the call was sent to.
+    :ivar sends: sends that may have reached a target.
+    :ivar connect_failures: sends that failed before any byte was sent.
+    :ivar may_have_started: whether a target may have run the call.
+    :ivar is_held: whether a silent target is waited for while others are tried.
+
+    .. versionadded:: 0.8
+    """
+
+    request: CallerRequest
+    route: Route
+    service: str
+    account: str | None
+    deadline: Millis
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    connect_failures: int = 0
+    may_have_started: bool = False
+    is_held: bool = False
+
+    @property
+    def may_be_sent(self) -> bool:
+        """Return whether the call may be sent to another target."""
+        return self.sends < self.route.max_attempts
+
+    @property
+    def may_be_repeated(self) -> bool:
+        """Return whether the call may be sent once more after the next send."""
+        return self.route.is_retryable and self.sends + 1 < self.route.max_attempts
+
+
 class CallRelay:
     """Sends plain calls to the targets of a service, with retries.
 
@@ -81,85 +120,136 @@
         context = self._context
         context.budget.record_request(service)
         context.limits.record_request()
-        tried: set[str] = set()
-        sends = connect_failures = 0
-        may_have_started = False
-        last: Result[Reply, TransportError] | None = None
-        while sends < route.max_attempts and connect_failures < MAX_CONNECT_FAILURES:
-            await self._wait_for_limits(service, tried, deadline)
-            target = self._choose_target(service, tried)
-            left_ms = deadline - context.clock.now()
-            if target is None or left_ms <= 0:
-                break
-            if sends and not context.budget.take(service, context.vm_count()):
-                context.events.emit(RetryDenied(request.id, service))
-                break
-            tried.add(target.id)
-            context.limits.record_send(target)
-            waited_ms = context.clock.now() - request.received_at
-            context.events.emit(Sent(request.id, target.id, (), sends, waited_ms))
-            may_retry = route.is_retryable and sends + 1 < route.max_attempts
-            try_ms = int(left_ms * EARLY_TRY_FRACTION) if may_retry else left_ms
-            last = await self._send(request, target, account, left_ms, try_ms)
-            self._record_outcome(request, target, last)
-            if isinstance(last, Err):
-                if last.err_value.progress is Progress.NOT_SENT:
-                    connect_failures += 1
-                    continue
-                sends += 1
-                may_have_started = True
-                if not route.is_retryable:
-                    break
-                continue
-            sends += 1
-            head = last.ok_value.head
-            should_retry = head.is_not_run or (
-                route.is_retryable and head.status >= SERVER_ERROR
-            )
-            if not should_retry:
-                break
-            may_have_started |= not head.is_not_run
-        wait_ms = self._limits_wait_ms(service, tried) if not sends else None
-        response = self._answer(request, last, deadline, may_have_started, wait_ms)
+        call = Call(request, route, service, account, deadline)
+        outcome = await self._try_targets(call)
+        if isinstance(outcome, Refusal):
+            response = refuse(context.wire, outcome, request)
+        else:
+            response = outcome.response()
         event = CallEnded(
             request.id,
             status=response.status,
-            may_have_run=may_have_started or response.status not in NOT_RUN_STATUSES,
-            sends=sends,
-            connect_failures=connect_failures,
-            targets=tuple(sorted(tried)),
+            may_have_run=call.may_have_started
+            or response.status not in NOT_RUN_STATUSES,
+            sends=call.sends,
+            connect_failures=call.connect_failures,
+            targets=tuple(sorted(call.tried)),
             elapsed_ms=context.clock.now() - request.received_at,
         )
         context.events.emit(event)
         return response
 
-    def _untried(self, service: str, tried: set[str]) -> list[Target]:
-        targets = self._context.registry.of_service(service)
-        return [target for target in targets if target.id not in tried]
+    async def _try_targets(self, call: Call) -> Reply | Refusal:
+        """Send a call to targets until one answers it; return why none does."""
+        context = self._context
+        last: Result[Reply, TransportError] | None = None
+        while call.may_be_sent and call.connect_failures < MAX_CONNECT_FAILURES:
+            await self._wait_for_limits(call)
+            target = self._choose_target(call)
+            left_ms = call.deadline - context.clock.now()
+            if target is None or left_ms <= 0:
+                break
+            if call.sends and not context.budget.take(call.service, context.vm_count()):
+                context.events.emit(RetryDenied(call.request.id, call.service))
+                break
+            self._record_send(call, target)
+            exchange = asyncio.ensure_future(self._send(call, target, left_ms))
+            if not await self._is_done_early(call, exchange, left_ms):
+                return await self._hand_over(call, target, exchange)
+            last = await exchange
+            self._record_outcome(call.request, target, last)
+            if not self._should_retry(call, last):
+                break
+        return self._conclude(call, last)
+
+    def _record_send(self, call: Call, target: Target) -> None:
+        context, request = self._context, call.request
+        call.tried.add(target.id)
+        context.limits.record_send(target)
+        waited_ms = context.clock.now() - request.received_at
+        event = Sent(request.id, target.id, (), call.sends, waited_ms)
+        context.events.emit(event)
+
+    async def _is_done_early(
+        self, call: Call, exchange: asyncio.Future, left_ms: int
+    ) -> bool:
+        """Return whether an exchange ends before another target is to be tried."""
+        if not call.may_be_repeated or call.is_held:
+            return True
+        try:
+            await asyncio.wait({exchange}, timeout=left_ms * EARLY_TRY_FRACTION / 1000)
+        except asyncio.CancelledError:
+            exchange.cancel()
+            raise
+        return exchange.done()
+
+    async def _hand_over(
+        self, call: Call, target: Target, exchange: asyncio.Future
+    ) -> Reply | Refusal:
+        """Wait for a silent target, and try others meanwhile."""
+        self._context.suspects.record_timeout(target)
+        call.sends += 1
+        call.may_have_started = True
+        call.is_held = True
+        outcome, _ = await hand_over(
+            self._held_reply(call, target, exchange),
+            partial(self._try_targets, call),
+        )
+        return outcome
+
+    async def _held_reply(
+        self, call: Call, target: Target, exchange: asyncio.Future
+    ) -> Reply | None:
+        """Return the reply of a silent target; ``None`` if it has no answer."""
+        outcome = await exchange
+        self._record_outcome(call.request, target, outcome)
+        if isinstance(outcome, Err) or not _is_answer(outcome.ok_value, call.request):
+            return None
+        return outcome.ok_value
 
-    def _limits_wait_ms(self, service: str, tried: set[str]) -> int | None:
+    def _should_retry(self, call: Call, last: Result[Reply, TransportError]) -> bool:
+        """Count a try, and return whether its outcome calls for another one."""
+        if isinstance(last, Err):
+            if last.err_value.progress is Progress.NOT_SENT:
+                call.connect_failures += 1
+                return True
+            call.sends += 1
+            call.may_have_started = True
+            return call.route.is_retryable
+        call.sends += 1
+        head = last.ok_value.head
+        if head.is_not_run:
+            return True
+        if not call.route.is_retryable or head.status < SERVER_ERROR:
+            return False
+        call.may_have_started = True
+        return True
+
+    def _untried(self, call: Call) -> list[Target]:
+        targets = self._context.registry.of_service(call.service)
+        return [target for target in targets if target.id not in call.tried]
+
+    def _limits_wait_ms(self, call: Call) -> int | None:
         """Return the time until a target takes a request by its limit; 0 for now."""
-        targets = self._untried(service, tried)
-        return self._context.limits.wait_ms(targets, self._waiting[service])
+        waiting = self._waiting[call.service]
+        return self._context.limits.wait_ms(self._untried(call), waiting)
 
-    async def _wait_for_limits(
-        self, service: str, tried: set[str], deadline: Millis
-    ) -> None:
+    async def _wait_for_limits(self, call: Call) -> None:
         """Wait until a target takes a request, if that is soon; else return at once."""
-        wait_ms = self._limits_wait_ms(service, tried)
-        left_ms = deadline - self._context.clock.now()
+        wait_ms = self._limits_wait_ms(call)
+        left_ms = call.deadline - self._context.clock.now()
         if not wait_ms or wait_ms > left_ms * LIMIT_WAIT_FRACTION:
             return
-        self._waiting[service] += 1
+        self._waiting[call.service] += 1
         try:
             await asyncio.sleep(wait_ms / 1000)
         finally:
-            self._waiting[service] -= 1
+            self._waiting[call.service] -= 1
 
-    def _choose_target(self, service: str, tried: set[str]) -> Target | None:
+    def _choose_target(self, call: Call) -> Target | None:
         """Return the target with the lowest slot usage, preferably a healthy one."""
         context = self._context
-        targets = self._untried(service, tried)
+        targets = self._untried(call)
         spent = context.limits.spent()
         targets = [target for target in targets if target.id not in spent]
         healthy = [
@@ -176,28 +266,24 @@
         return min(healthy or targets, key=cost, default=None)
 
     async def _send(
-        self,
-        request: CallerRequest,
-        target: Target,
-        account: str | None,
-        left_ms: int,
-        try_ms: int,
+        self, call: Call, target: Target, left_ms: int
     ) -> Result[Reply, TransportError]:
+        request = call.request
         self._running[target.id] += 1
         response = None
         sent_at = self._context.clock.now()
         try:
-            async with asyncio.timeout(try_ms / 1000):
+            async with asyncio.timeout(left_ms / 1000):
                 outcome = await self._context.http.request(
                     target.address,
                     request.method,
                     request.target,
                     headers=self._context.wire.fields(
-                        request, Dispatch(target, left_ms, account)
+                        request, Dispatch(target, left_ms, call.account)
                     ),
                     body=request.body,
-                    timeout_ms=try_ms + REQUEST_TIMEOUT_SLACK_MS,
-                    connect_ms=min(CONNECT_MS, try_ms),
+                    timeout_ms=left_ms + REQUEST_TIMEOUT_SLACK_MS,
+                    connect_ms=min(CONNECT_MS, left_ms),
                     fresh=True,
                 )
                 if isinstance(outcome, Err):
@@ -238,40 +324,33 @@
         else:
             context.suspects.record_success(target)
 
-    def _answer(
-        self,
-        request: CallerRequest,
-        last: Result[Reply, TransportError] | None,
-        deadline: Millis,
-        may_have_started: bool,
-        limit_wait_ms: int | None,
-    ) -> Response:
-        """Return the response to the caller.
-
-        :param limit_wait_ms: time until a target takes a request by its limit, if the
-            call was not sent.
-        """
-        wire = self._context.wire
+    def _conclude(
+        self, call: Call, last: Result[Reply, TransportError] | None
+    ) -> Reply | Refusal:
+        """Return the reply for the caller, or why there is none."""
+        if isinstance(last, Ok) and not last.ok_value.head.is_not_run:
+            if _is_answer(last.ok_value, call.request):
+                return last.ok_value
+            return may_have_run(502, "Target failed", "the reply is not for this id")
+        limit_wait_ms = self._limits_wait_ms(call) if not call.sends else None
         detail = "no target takes the request"
         if limit_wait_ms:
             detail = "all targets have the requests that they take"
         if isinstance(last, Err):
             detail = last.err_value.detail
-        elif last is not None and last.ok_value.head.is_not_run:
+        elif last is not None:
             detail = f"a target rejected it with status {last.ok_value.head.status}"
-        if last is None or isinstance(last, Err) or last.ok_value.head.is_not_run:
-            if not may_have_started:
-                retry_after_ms = max(RETRY_AFTER_MS, limit_wait_ms or 0)
-                refusal = not_run(503, "No target", detail, retry_after_ms)
-            elif self._context.clock.now() >= deadline:
-                refusal = may_have_run(504, "Timeout", detail)
-            else:
-                refusal = may_have_run(502, "Target failed", detail)
-            return refuse(wire, refusal, request)
-        reply = last.ok_value
-        head = reply.head
-        is_mismatched = head.request_id != request.id
-        if is_mismatched or (head.is_success and not head.has_signature):
-            refusal = may_have_run(502, "Target failed", "the reply is not for this id")
-            return refuse(wire, refusal, request)
-        return reply.response()
+        if not call.may_have_started:
+            retry_after_ms = max(RETRY_AFTER_MS, limit_wait_ms or 0)
+            return not_run(503, "No target", detail, retry_after_ms)
+        if self._context.clock.now() >= call.deadline:
+            return may_have_run(504, "Timeout", detail)
+        return may_have_run(502, "Target failed", detail)
+
+
+def _is_answer(reply: Reply, request: CallerRequest) -> bool:
+    """Return whether a reply may be passed on as the answer to a request."""
+    head = reply.head
+    if head.is_not_run or head.request_id != request.id:
+        return False
+    return head.has_signature or not head.is_success
--- a/src/heathershunt/relay/handover.py
+++ b/src/heathershunt/relay/handover.py
@@ -1,13 +1,19 @@
-"""Race between a silent run and another one that may take over from it."""
+"""Race between a silent run and another one that may take over from it.
+
+Used for streams and for plain calls that may be repeated.
+"""
 
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import TypeVar
 
 from heathershunt.http import Response
 from heathershunt.relay.events import StreamEvent
 from heathershunt.verdict import Refusal
 
+T = TypeVar("T")
+
 # Pause after which a successor that was refused is tried again.
 RETRY_MS = 300
 
@@ -29,10 +35,10 @@
 
 
 async def hand_over(
-    held: Coroutine[None, None, Outcome | None],
-    produce: Callable[[], Coroutine[None, None, Outcome]],
+    held: Coroutine[None, None, T | None],
+    produce: Callable[[], Coroutine[None, None, T | Refusal]],
     retry_ms: float = RETRY_MS,
-) -> tuple[Outcome, bool]:
+) -> tuple[T | Refusal, bool]:
     """Return what a silent run or its successor leads to, whichever is first.
 
     Silence does not tell a dead target from one that goes on in a moment, so the silent
@@ -65,7 +71,7 @@
 
 
 async def _produce_later(
-    produce: Callable[[], Coroutine[None, None, Outcome]], delay_ms: float
-) -> Outcome:
+    produce: Callable[[], Coroutine[None, None, T]], delay_ms: float
+) -> T:
     await asyncio.sleep(delay_ms / 1000)
     return await produce()
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -8,6 +8,8 @@
 from tests.gateway.test_streams import ids
 
 SILENCE_SECONDS = 1.3
+# Time limit of a call whose first try is silent for more than half of it.
+TWO_SECONDS = {"heathershunt_deadline_ms": "2000"}
 
 
 async def change_configuration(site, version, vm="vm-1", **route_changes):
@@ -159,3 +161,39 @@
         target.fall_silent(SILENCE_SECONDS)
     status, _, body = await site.call("POST", path, b"order")
     assert (status, body) == (200, b"done")
+
+
+async def test_repeatable_call_waits_for_its_only_target(site):
+    # Guards against a failure at half of the caller's time, though no other target is
+    # there and the silent one goes on.
+    site.store.remove("servers/desk-b")
+    registry = site.gateways["vm-1"].state.registry
+    await site.until(lambda: len(registry.of_service("desk")) == 1)
+    site.targets["desk-a"].fall_silent(SILENCE_SECONDS)
+    status, _, body = await site.call("GET", "/status/7", **TWO_SECONDS)
+    assert (status, body) == (200, b"done")
+    assert len(site.runs()) == 1
+
+
+async def test_repeatable_call_waits_for_its_target_if_no_retry_is_left(site):
+    # Guards against a failure at half of the caller's time as no retry is left.
+    await site.add_gateway("vm-2", retry_budget_slack=0, retry_budget_ratio=0)
+    for name in ("desk-a", "desk-b"):
+        site.targets[name].fall_silent(SILENCE_SECONDS)
+    status, _, body = await site.call("GET", "/status/7", vm="vm-2", **TWO_SECONDS)
+    assert (status, body) == (200, b"done")
+
+
+async def test_repeatable_call_gets_the_first_answer_of_two_targets(site):
+    # Guards against an answer that is lost as its call was sent to another target.
+    site.targets["desk-a"].fall_silent(SILENCE_SECONDS)
+    site.targets["desk-b"].fall_silent(9)
+    status, _, body = await site.call("GET", "/status/7", **TWO_SECONDS)
+    assert (status, body) == (200, b"done")
+
+
+async def test_repeatable_call_is_sent_elsewhere_if_its_target_is_silent(site):
+    # Guards against a caller that waits for a silent target though another one answers.
+    site.targets["desk-a"].fall_silent(9)
+    status, _, body = await site.call("GET", "/status/7", **TWO_SECONDS)
+    assert (status, body) == (200, b"done")
