--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -55,6 +55,8 @@
     :ivar arrivals: times at which requests other than reports and orders arrived, in
         seconds of the event loop.
     :ivar trickle: bytes that a stalled stream sends every ``EVENT_MS``.
+    :ivar silent_until: event loop time in seconds until which the target neither
+        answers nor goes on with what it runs; it loses nothing.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self.trickle = b""
         self.deadly_part: str | None = None
         self.limit_per_s: float | None = None
+        self.silent_until = 0.0
         self.heartbeats = 1
         self.arrivals: list[float] = []
         self._store = store
@@ -102,6 +105,15 @@
         self.is_unresponsive = True
         await self._server.close()
 
+    def fall_silent(self, seconds: float) -> None:
+        """Do nothing for some seconds, then go on with everything."""
+        self.silent_until = asyncio.get_running_loop().time() + seconds
+
+    async def wait_out_silence(self) -> None:
+        """Wait until the target is no longer silent."""
+        while asyncio.get_running_loop().time() < self.silent_until:
+            await asyncio.sleep(EVENT_MS / 1000)
+
     def register(self) -> None:
         """Write the current entry of the target to the store."""
         self.heartbeats += 1
@@ -129,7 +141,9 @@
     async def _handle(self, request: Request) -> Response | StreamResponse:
         if self.is_unresponsive:
             await asyncio.sleep(3600)
+        await self.wait_out_silence()
         response = await self._answer(request)
+        await self.wait_out_silence()
         if self.limit_per_s is None:
             return response
         headers = {**response.headers, "server-limit": str(self.limit_per_s)}
@@ -215,12 +229,14 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         await asyncio.sleep(self.read_ms / 1000)
         await self._wait_for_chain(request_id)
+        await self._wait_out_silence_of_chain(request_id)
 
         async def write(sink: ResponseStream) -> None:
             if self._is_deadly(request):
                 await self._crash(sink)
             for number in range(first, last + 1):
                 await self._wait_for_chain(request_id)
+                await self._wait_out_silence_of_chain(request_id)
                 run.events.append(number)
                 run.chains.append(self._chain_by_request[request_id])
                 sink.write(b"id: %d\ndata: event %d\n\n" % (number, number))
@@ -247,6 +263,19 @@
         await sink.drain()
         await self.stop()
 
+    async def _wait_out_silence_of_chain(self, request_id: str) -> None:
+        """Wait until no runner of the chain in use is silent."""
+        while (silent := self._first_silent(request_id)) is not None:
+            await silent.wait_out_silence()
+
+    def _first_silent(self, request_id: str) -> "TargetStandIn | None":
+        now = asyncio.get_running_loop().time()
+        for part in self._chain_by_request[request_id].split(","):
+            runner = self._targets_by_address.get(part.partition("=")[0])
+            if runner is not None and now < runner.silent_until:
+                return runner
+        return None
+
     def _first_faulty(self, chain: str) -> str | None:
         """Return the address of the first runner that cannot run its layers."""
         for part in chain.split(","):
