Change the configuration and let targets fall silent in the soak

From seed 71 on, so that lower seeds draw what they drew. The configuration changes in every way all the while; runners and plain targets fall silent for 0.8 s to 1.6 s, also in the middle of an answer; plain answers come without a length, early, in chunks, large or as failures; callers keep connections, pipeline, write slowly, close their side, leave, and come back near the idle limit. Sites have one or two domains of runners, no to 200 retries, and each tenth seed has 12 gateways.

The oracle asks for one whole answer to each request that was sent whole, in good time. What it excuses is named by the fault that caused it, counted and printed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,48 +10,68 @@
 from pathlib import Path
 
 from soak.callers import Callers, find_violations
+from soak.configurations import ConfigurationChanges
 from soak.faults import FaultPlan
+from soak.mixed_callers import MixedCallers
+from soak.oracle import check
 from soak.seeds import (
     FIRST_SEED_WITH_BAD_ANSWERS,
     FIRST_SEED_WITH_RESTORATIONS,
     parse_arguments,
 )
-from soak.site import SoakSite
+from soak.silences import SilencePlan
+from soak.site import SoakSite, draw_extent
 
 # Time limits for requests to be served, after the start and after the last repair.
 START_SECONDS = 10.0
 RECOVERY_SECONDS = 6.0
 MIN_SERVED_SHARE = 0.9
 RECOVERY_REQUESTS = 20
+LAG_PERIOD_SECONDS = 0.02
 EXIT_BAD_USAGE = 2
 
 
 async def run_seed(seed: int, seconds: float) -> list[str]:
     """Run one seed; print a summary, and return its failures."""
-    site = SoakSite(seed)
+    site = SoakSite(seed, draw_extent(seed))
     await site.start()
     callers = Callers(site, random.Random(f"{seed}-callers"))
+    mixed = MixedCallers(site, random.Random(f"{seed}-mixed-callers"))
     plan = FaultPlan(
         site,
         random.Random(f"{seed}-faults"),
         bad_answers=seed >= FIRST_SEED_WITH_BAD_ANSWERS,
         restorations=seed >= FIRST_SEED_WITH_RESTORATIONS,
     )
+    changes = ConfigurationChanges(
+        site.settings, random.Random(f"{seed}-changes"), site.publish
+    )
+    silences = SilencePlan(site, random.Random(f"{seed}-silences"))
+    plans = [plan, changes, silences] if site.extent.is_wide else [plan]
+    lag = LagMeter()
     try:
         failures = await _wait_served(callers, START_SECONDS)
-        calling = asyncio.create_task(callers.run())
-        await plan.run(seconds)
-        callers.is_stopping = True
+        sending = mixed if site.extent.is_wide else callers
+        calling = asyncio.create_task(sending.run())
+        measuring = asyncio.create_task(lag.run())
+        await asyncio.gather(*(item.run(seconds) for item in plans))
+        sending.is_stopping = True
         await calling
-        callers.is_stopping = False
+        sending.is_stopping = False
+        measuring.cancel()
         failures += await _wait_served(callers, RECOVERY_SECONDS)
-        failures += find_violations(site, callers, plan)
+        findings = check(site, mixed.exchanges, mixed.channels)
+        failures += findings.violations
+        other_ids = {exchange.id for exchange in mixed.exchanges}
+        failures += find_violations(site, callers, plan, other_ids)
         failures += _crashes(site)
-        served = sum(r.status == 200 and r.is_whole for r in callers.results)
-        print(f"seed {seed}: {len(callers.results)} requests, {served} served", end="")
-        print(f", {len(plan.log)} faults, {len(failures)} failures", flush=True)
+        _print_summary(seed, callers, mixed, plans, failures)
+        if mixed.exchanges:
+            print(f"  largest lag of the soak {lag.largest_ms:.0f} ms", end="")
+            print(f", without a whole answer: {dict(findings.excuses)}", flush=True)
         if failures:
-            print("\n".join([*failures, *plan.log]), flush=True)
+            log = sorted(line for item in plans for line in item.log)
+            print("\n".join([*failures, *log]), flush=True)
             _save_logs(site, seed)
         return failures
     finally:
@@ -59,6 +79,33 @@
         await site.stop()
 
 
+def _print_summary(seed, callers, mixed, plans, failures) -> None:
+    served = sum(r.status == 200 and r.is_whole for r in callers.results)
+    served += sum(e.status == 200 and e.end == "answer" for e in mixed.exchanges)
+    requests = len(callers.results) + len(mixed.exchanges)
+    faults = sum(len(item.log) for item in plans)
+    print(f"seed {seed}: {requests} requests, {served} served", end="")
+    print(f", {faults} faults, {len(failures)} failures", flush=True)
+
+
+class LagMeter:
+    """Measures how late the event loop of the soak itself runs.
+
+    :ivar largest_ms: largest lag in milliseconds.
+    """
+
+    def __init__(self) -> None:
+        self.largest_ms = 0.0
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + LAG_PERIOD_SECONDS
+            await asyncio.sleep(LAG_PERIOD_SECONDS)
+            self.largest_ms = max(self.largest_ms, (loop.time() - due) * 1000)
+
+
 async def _wait_served(callers: Callers, seconds: float) -> list[str]:
     """Send requests until enough are served; return a failure after ``seconds``."""
     loop = asyncio.get_running_loop()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,8 +10,9 @@
 from result import Err
 
 from heathershunt.http import Address, HttpClient
+from soak.configurations import HOST, LAYERS, OWNER
 from soak.faults import FaultPlan
-from soak.site import HOST, LAYERS, REVOKE_MS, SoakSite
+from soak.site import REVOKE_MS, SoakSite
 
 EVENT = re.compile(rb"id: (\d+)\ndata: event (\d+)\n\n")
 # Events of a complete draft.
@@ -130,8 +131,13 @@
         )
 
 
-def find_violations(site: SoakSite, callers: Callers, plan: FaultPlan) -> list[str]:
-    """Return each guarantee that the answers or the targets' runs violate."""
+def find_violations(
+    site: SoakSite, callers: Callers, plan: FaultPlan, other_ids: set[str]
+) -> list[str]:
+    """Return each guarantee that the answers or the targets' runs violate.
+
+    :param other_ids: ids of requests that other callers sent.
+    """
     runs_by_id: dict[str, list] = {}
     for target in site.targets.values():
         for run in target.runs:
@@ -144,14 +150,17 @@
         late = removed_at is not None and result.sent_at > removed_at + REVOKE_MS / 1000
         if late and runs:
             violations.append(f"{result.id} ran with a key past its revocation limit")
+        if any(run.headers.get("heathershunt-tenant") != OWNER for run in runs):
+            violations.append(f"{result.id} ran for another account")
+    sent_ids = other_ids | {result.id for result in callers.results}
     for request_id, runs in runs_by_id.items():
+        if request_id not in sent_ids:
+            violations.append(f"{request_id} ran, though no caller sent it")
         for run in runs:
             if not all(map(_covers_all_layers, run.chains)):
                 violations.append(
                     f"{request_id} did not pass each layer once and in order"
                 )
-            if run.headers.get("heathershunt-tenant") != "owner":
-                violations.append(f"{request_id} ran for another account")
     return violations
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,7 +4,7 @@
 import random
 
 from heathershunt.http import Response
-from soak.site import RESTART_DELAY_SECONDS, SoakSite, configuration
+from soak.site import RESTART_DELAY_SECONDS, SoakSite
 from standins.proxy import Faults
 
 MIN_PAUSE_SECONDS = 0.1
@@ -36,6 +36,7 @@
         restorations: bool = False,
     ) -> None:
         self._site = site
+        self._spans = site.spans
         self._rng = rng
         self._bad_answers = bad_answers
         self._restorations = restorations
@@ -94,7 +95,8 @@
         if name is None:
             return
         self._log_fault(f"kill {name}")
-        await self._site.gateways[name].kill()
+        with self._spans.during("kill", name):
+            await self._site.gateways[name].kill()
         await asyncio.sleep(RESTART_DELAY_SECONDS)
         await self._site.gateways[name].start()
         self._reserved.discard(name)
@@ -104,9 +106,10 @@
         if name is None:
             return
         self._log_fault(f"pause {name}")
-        self._site.gateways[name].pause()
-        await self._wait_duration()
-        self._site.gateways[name].resume()
+        with self._spans.during("pause", name):
+            self._site.gateways[name].pause()
+            await self._wait_duration()
+            self._site.gateways[name].resume()
         self._reserved.discard(name)
 
     async def _terminate(self) -> None:
@@ -114,7 +117,10 @@
         if name is None:
             return
         self._log_fault(f"terminate {name}")
-        await self._site.gateways[name].terminate()
+        with self._spans.during("terminate", name):
+            was_killed = await self._site.gateways[name].terminate()
+        if was_killed:
+            self._spans.mark("kill", name)
         await asyncio.sleep(RESTART_DELAY_SECONDS)
         await self._site.gateways[name].start()
         self._reserved.discard(name)
@@ -123,33 +129,39 @@
         proxy = self._rng.choice([g.store_proxy for g in self._site.gateways.values()])
         drop = self._rng.choice(("to_target", "to_source"))
         self._log_fault(f"drop bytes between a gateway and the store, {drop}")
-        await proxy.set_faults(Faults(drop=drop))
-        await self._wait_duration()
-        await proxy.set_faults(Faults())
+        with self._spans.during("store"):
+            await proxy.set_faults(Faults(drop=drop))
+            await self._wait_duration()
+            await proxy.set_faults(Faults())
         proxy.cut()
 
     async def _store_down(self) -> None:
         self._log_fault("store down")
-        self._site.store.is_down = True
-        await self._wait_duration()
-        self._site.store.is_down = False
+        with self._spans.during("store"):
+            self._site.store.is_down = True
+            await self._wait_duration()
+            self._site.store.is_down = False
 
     async def _delay(self) -> None:
-        proxy = self._rng.choice(list(self._site.proxies.values()))
+        name = self._rng.choice(list(self._site.proxies))
+        proxy = self._site.proxies[name]
         delay_ms = self._rng.uniform(5, 200)
         self._log_fault(f"delay of {delay_ms:.0f} ms")
-        await proxy.set_faults(Faults(to_target_ms=delay_ms, to_source_ms=delay_ms))
-        await self._wait_duration()
-        await proxy.set_faults(Faults())
+        with self._spans.during("delay", name):
+            await proxy.set_faults(Faults(to_target_ms=delay_ms, to_source_ms=delay_ms))
+            await self._wait_duration()
+            await proxy.set_faults(Faults())
 
     async def _reset(self) -> None:
         name = self._rng.choice(list(self._site.proxies))
         self._log_fault(f"reset connections to {name}")
+        self._spans.mark("reset", name)
         self._site.proxies[name].cut()
 
     async def _silence(self) -> None:
         name = self._rng.choice(list(self._site.proxies))
         self._log_fault(f"silence connections to {name}")
+        self._spans.mark("silence", name)
         self._site.proxies[name].silence()
 
     async def _hang(self) -> None:
@@ -157,9 +169,10 @@
         if name is None:
             return
         self._log_fault(f"{name} accepts connections but does not answer")
-        self._site.targets[name].is_unresponsive = True
-        await self._wait_duration()
-        self._site.targets[name].is_unresponsive = False
+        with self._spans.during("hang", name):
+            self._site.targets[name].is_unresponsive = True
+            await self._wait_duration()
+            self._site.targets[name].is_unresponsive = False
         self._reserved.discard(name)
 
     async def _drain(self) -> None:
@@ -183,7 +196,8 @@
         target.trickle = self._rng.choice(TRICKLES)
         target.stalls_after = STALL_AFTER_EVENTS
         self._log_fault(f"streams of {name} stall and send {target.trickle!r}")
-        await self._wait_duration()
+        with self._spans.during("stall", name):
+            await self._wait_duration()
         target.stalls_after = None
         self._reserved.discard(name)
 
@@ -194,7 +208,8 @@
         target = self._site.targets[name]
         self._log_fault(f"answers of {name} are oversized")
         target.answer = lambda request: Response(200, {}, bytes(OVERSIZE_BYTES))
-        await self._wait_duration()
+        with self._spans.during("oversize", name):
+            await self._wait_duration()
         target.answer = None
         self._reserved.discard(name)
 
@@ -208,9 +223,8 @@
             return
         key = site.keys.pop(0)
         site.keys.append(f"key-{site.version + 2}")
-        site.version += 1
         self._log_fault(f"remove {key}")
-        site.store.put("op/config", configuration(site.version, list(site.keys)))
+        site.publish()
         self.removed_at[key] = asyncio.get_running_loop().time()
 
     async def _restore(self) -> None:
@@ -221,13 +235,14 @@
         if site.store.is_down:
             return
         self._log_fault("store away")
-        site.store.is_down = True
-        await asyncio.sleep(self._rng.uniform(0.1, 0.5))
-        site.store.restore(copy)
-        self._log_fault("store restored from a copy")
-        site.store.put("op/config", configuration(site.version, list(site.keys)))
-        site.store.is_down = False
-        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+        with self._spans.during("store"):
+            site.store.is_down = True
+            await asyncio.sleep(self._rng.uniform(0.1, 0.5))
+            site.store.restore(copy)
+            self._log_fault("store restored from a copy")
+            site.store.put("op/config", site.configuration())
+            site.store.is_down = False
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
         for target in site.targets.values():
             target.register()
 
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -11,6 +11,11 @@
 FIRST_SEED_WITH_BAD_ANSWERS = 51
 # The same for restorations of the store and for targets that name a limit.
 FIRST_SEED_WITH_RESTORATIONS = 61
+# The same for changes of the configuration, targets that fall silent, plain targets
+# whose answers take every form, and callers that keep connections open.
+FIRST_SEED_WITH_CHANGES = 71
+# From that seed on, one in so many has many gateways.
+MANY_GATEWAYS_EVERY = 10
 # Seeds that failed in the past, each with its cause. The order of their faults differs
 # between runs, as the timing of the processes does.
 CAUSE_BY_SEED = {
--- a/soak/site.py
+++ b/soak/site.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import os
+import random
 import signal
 import sys
 import tempfile
+from dataclasses import dataclass
 from pathlib import Path
 
 from heathershunt.http import Address
+from soak.configurations import SiteConfiguration
+from soak.plain_targets import PlainTarget
+from soak.seeds import FIRST_SEED_WITH_CHANGES, MANY_GATEWAYS_EVERY
+from soak.spans import SpanLog
 from standins.layer_runner import TargetStandIn
 from standins.metadata_store import MetadataStoreStandIn
 from standins.ports import free_port
@@ -15,10 +21,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PROGRAM = ROOT / "deploy" / "heathershunt_gateway.py"
-HOST = "site.example"
-LAYERS = 80
 DOMAINS = ("a", "b")
 GATEWAYS = 3
+RUNNER_LAYERS = ((0, 40), (30, 60), (50, 80))
 REVOKE_MS = 2500
 GRACE_MS = 4000
 RESTART_DELAY_SECONDS = 0.2
@@ -37,36 +42,55 @@
 strict_revocation = true
 revoke_ms = {revoke_ms}
 grace_s = {grace_s}
-retry_budget_slack = 200
+retry_budget_slack = {retry_slack}
 """
+DEFAULT_RETRY_SLACK = 200
+# Retries of the sites whose configuration changes: none but the share of the requests,
+# a few, or enough.
+RETRY_SLACKS = (0, 5, DEFAULT_RETRY_SLACK)
+MANY_GATEWAYS = 12
 
 
-def configuration(version: int, keys: list[str]) -> dict:
-    """Return a configuration with the API keys of one client account."""
-    common = {"host": HOST, "timeout_ms": 6000, "target_latency_ms": 300}
-    drafts = common | {"name": "drafts", "prefix": "/drafts/", "kind": "streaming"}
-    drafts |= {"service": "engine", "max_attempts": 2, "resumable": True}
-    drafts["target_gap_ms"] = 150
-    orders = common | {"name": "orders", "prefix": "/orders/", "service": "desk"}
-    status = common | {"name": "status", "prefix": "/status/", "service": "desk"}
-    orders["kind"] = "non_idempotent"
-    status |= {"kind": "idempotent", "max_attempts": 2}
-    engine = {"step_ms": 0.85, "read_per_s": 196_000.0, "kv_token_bytes": 1_180_000}
-    engine |= {"layers": LAYERS, "layer_mb": 1750.0, "usual": {"answer": 80}}
-    engine["models"] = [{"name": "m", "load_s": 1.0}]
-    engine["kinds"] = [{"name": "large", "mb": 90_000.0}]
-    return {
-        "version": version,
-        "routes": [drafts, orders, status],
-        "services": [{"name": "engine", "engine": engine}, {"name": "desk"}],
-        "tenants": [{"name": "owner", "api_keys": keys}],
-    }
+@dataclass(frozen=True)
+class Extent:
+    """Size of a site and what its gateways may retry.
+
+    :param is_wide: whether there are second services, plain targets whose answers take
+        every form, and a configuration that changes.
+    :param runner_domains: failure domains of the runners.
+    """
+
+    gateways: int = GATEWAYS
+    retry_slack: int = DEFAULT_RETRY_SLACK
+    runner_domains: tuple[str, ...] = DOMAINS
+    is_wide: bool = False
+
+
+def draw_extent(seed: int) -> Extent:
+    """Return the extent of the site of a seed."""
+    if seed < FIRST_SEED_WITH_CHANGES:
+        return Extent()
+    rng = random.Random(f"{seed}-extent")
+    has_many = seed % MANY_GATEWAYS_EVERY == 0
+    return Extent(
+        gateways=MANY_GATEWAYS if has_many else GATEWAYS,
+        retry_slack=rng.choice(RETRY_SLACKS),
+        runner_domains=rng.choice((DOMAINS, DOMAINS[:1])),
+        is_wide=True,
+    )
 
 
 class GatewayProcess:
     """One gateway in a separate process, with its own proxy to the store."""
 
-    def __init__(self, name: str, domain: str, folder: Path, store_proxy: Pair) -> None:
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        folder: Path,
+        store_proxy: Pair,
+        retry_slack: int = DEFAULT_RETRY_SLACK,
+    ) -> None:
         self.name = name
         self.store_proxy = store_proxy
         names = ("front", "ready", "directory", "peers")
@@ -80,6 +104,7 @@
                 store=f"127.0.0.1:{store_proxy.port}",
                 revoke_ms=REVOKE_MS,
                 grace_s=GRACE_MS / 1000,
+                retry_slack=retry_slack,
                 **self.ports,
             )
         )
@@ -111,8 +136,11 @@
         await self._process.wait()
         self.is_paused = False
 
-    async def terminate(self) -> None:
-        """Send SIGTERM to the process; kill it after ``GRACE_MS``."""
+    async def terminate(self) -> bool:
+        """Send SIGTERM to the process; kill it after ``GRACE_MS``.
+
+        :return: whether it had to be killed.
+        """
         if self.is_paused:
             self.resume()
         if self._process.returncode is None:
@@ -121,6 +149,8 @@
             await asyncio.wait_for(self._process.wait(), GRACE_MS / 1000)
         except TimeoutError:
             await self.kill()
+            return True
+        return False
 
     def log_text(self) -> str:
         """Return all output of the process, across restarts."""
@@ -128,48 +158,92 @@
 
 
 class SoakSite:
-    """The store, targets, proxies and gateways of one soak run."""
+    """The store, targets, proxies and gateways of one soak run.
+
+    :ivar spans: times at which faults acted.
+    :ivar settings: the configuration and all versions of it.
+    """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, extent: Extent | None = None) -> None:
         self.seed = seed
+        self.extent = extent or Extent()
         self.store = MetadataStoreStandIn()
         self.targets_by_address: dict[str, TargetStandIn] = {}
         self.targets: dict[str, TargetStandIn] = {}
         self.proxies: dict[str, Pair] = {}
         self.gateways: dict[str, GatewayProcess] = {}
         self.keys = ["key-1", "key-2"]
-        self.version = 1
+        self.spans = SpanLog()
+        self.settings = SiteConfiguration(self.extent.is_wide)
         self._folder = tempfile.TemporaryDirectory()
 
+    @property
+    def version(self) -> int:
+        """Return the newest version of the configuration."""
+        return self.settings.version
+
+    def configuration(self) -> dict:
+        """Return the newest version of the configuration."""
+        return self.settings.build(self.keys)
+
+    def publish(self) -> None:
+        """Write the next version of the configuration to the store."""
+        self.settings.version += 1
+        self.settings.record(self.keys)
+        self.store.put("op/config", self.configuration())
+
     async def start(self) -> None:
         """Start the stand-ins, then the gateways."""
         store = Address.from_text(await self.store.start())
-        self.store.put("op/config", configuration(self.version, self.keys))
-        for domain in DOMAINS:
-            for number, layers in enumerate(((0, 40), (30, 60), (50, 80))):
-                name = f"runner-{domain}{number}"
-                await self._add_target(name, "engine", domain, "large", layers)
-            await self._add_target(f"desk-{domain}", "desk", domain)
-        for number in range(GATEWAYS):
+        self.publish()
+        await self._add_targets()
+        for number in range(self.extent.gateways):
             proxy = await self._add_proxy(f"store-{number}", store)
             domain = DOMAINS[number % len(DOMAINS)]
             name = f"vm-{number}"
-            folder = Path(self._folder.name)
-            self.gateways[name] = GatewayProcess(name, domain, folder, proxy)
+            self.gateways[name] = GatewayProcess(
+                name,
+                domain,
+                Path(self._folder.name),
+                proxy,
+                self.extent.retry_slack,
+            )
             await self.gateways[name].start()
 
-    async def _add_target(self, name, service, domain, kind=None, layers=None) -> None:
-        target = TargetStandIn(
+    async def _add_targets(self) -> None:
+        is_wide = self.extent.is_wide
+        plain_type = PlainTarget if is_wide else TargetStandIn
+        for domain in DOMAINS:
+            for service in ("engine", "press") if is_wide else ("engine",):
+                if domain in self.extent.runner_domains:
+                    await self._add_runners(service, domain)
+            for service in ("desk", "counter") if is_wide else ("desk",):
+                target = self._create(
+                    plain_type, f"{service}-{domain}", service, domain
+                )
+                await self._add_target(target)
+
+    async def _add_runners(self, service: str, domain: str) -> None:
+        prefix = "runner" if service == "engine" else service
+        for number, layers in enumerate(RUNNER_LAYERS):
+            name = f"{prefix}-{domain}{number}"
+            target = self._create(TargetStandIn, name, service, domain, "large")
+            target.layers = layers
+            await self._add_target(target)
+
+    def _create(self, target_type, name, service, domain, kind=None) -> TargetStandIn:
+        return target_type(
             name, service, domain, self.store, self.targets_by_address, kind
         )
-        target.layers = layers
+
+    async def _add_target(self, target: TargetStandIn) -> None:
         await target.start()
-        proxy = await self._add_proxy(name, Address.from_text(target.address))
+        proxy = await self._add_proxy(target.id, Address.from_text(target.address))
         # Gateways connect to a target, and list it in chains, by its proxy's address.
         target.address = f"127.0.0.1:{proxy.port}"
         self.targets_by_address[target.address] = target
         target.register()
-        self.targets[name] = target
+        self.targets[target.id] = target
 
     async def _add_proxy(self, name: str, target: Address) -> Pair:
         proxy = Pair(target, f"{self.seed}-{name}")
