Don't count the time in which the soak itself stood still

A time limit is now extended by the stalls of 0.1 s and more that were measured, as by the times for which a gateway was suspended, each moment once.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 from soak.callers import Callers, find_violations
 from soak.configurations import ConfigurationChanges
 from soak.faults import FaultPlan
+from soak.lag import LagMeter
 from soak.mixed_callers import MixedCallers
 from soak.oracle import check
 from soak.seeds import (
@@ -27,7 +28,6 @@
 RECOVERY_SECONDS = 6.0
 MIN_SERVED_SHARE = 0.9
 RECOVERY_REQUESTS = 20
-LAG_PERIOD_SECONDS = 0.02
 EXIT_BAD_USAGE = 2
 
 
@@ -42,13 +42,14 @@
         random.Random(f"{seed}-faults"),
         bad_answers=seed >= FIRST_SEED_WITH_BAD_ANSWERS,
         restorations=seed >= FIRST_SEED_WITH_RESTORATIONS,
+        signals=site.extent.is_wide,
     )
     changes = ConfigurationChanges(
         site.settings, random.Random(f"{seed}-changes"), site.publish
     )
     silences = SilencePlan(site, random.Random(f"{seed}-silences"))
     plans = [plan, changes, silences] if site.extent.is_wide else [plan]
-    lag = LagMeter()
+    lag = LagMeter(site.spans)
     try:
         failures = await _wait_served(callers, START_SECONDS)
         sending = mixed if site.extent.is_wide else callers
@@ -88,24 +89,6 @@
     print(f", {faults} faults, {len(failures)} failures", flush=True)
 
 
-class LagMeter:
-    """Measures how late the event loop of the soak itself runs.
-
-    :ivar largest_ms: largest lag in milliseconds.
-    """
-
-    def __init__(self) -> None:
-        self.largest_ms = 0.0
-
-    async def run(self) -> None:
-        """Measure until cancelled."""
-        loop = asyncio.get_running_loop()
-        while True:
-            due = loop.time() + LAG_PERIOD_SECONDS
-            await asyncio.sleep(LAG_PERIOD_SECONDS)
-            self.largest_ms = max(self.largest_ms, (loop.time() - due) * 1000)
-
-
 async def _wait_served(callers: Callers, seconds: float) -> list[str]:
     """Send requests until enough are served; return a failure after ``seconds``."""
     loop = asyncio.get_running_loop()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,7 @@
     :param bad_answers: whether targets also stall streams and send oversized answers.
     :param restorations: whether the store is also restored from copies, and targets
         name limits.
+    :param signals: whether gateways also get SIGHUP.
     :ivar removed_at: event loop time in seconds at which each API key was removed.
     :ivar log: injected faults with their loop time, printed if the run fails.
     """
@@ -34,12 +35,14 @@
         *,
         bad_answers: bool = False,
         restorations: bool = False,
+        signals: bool = False,
     ) -> None:
         self._site = site
         self._spans = site.spans
         self._rng = rng
         self._bad_answers = bad_answers
         self._restorations = restorations
+        self._signals = signals
         self._reserved: set[str] = set()
         self._running: set[asyncio.Task] = set()
         self.removed_at: dict[str, float] = {}
@@ -67,6 +70,8 @@
             kinds += (self._stall, self._oversize)
         if self._restorations:
             kinds += (self._restore, self._limit)
+        if self._signals:
+            kinds += (self._hang_up,)
         while loop.time() < until:
             fault = self._rng.choice(kinds)
             task = asyncio.create_task(fault())
@@ -125,6 +130,14 @@
         await self._site.gateways[name].start()
         self._reserved.discard(name)
 
+    async def _hang_up(self) -> None:
+        name = self._reserve(list(self._site.gateways))
+        if name is None:
+            return
+        self._log_fault(f"SIGHUP to {name}")
+        self._site.gateways[name].hang_up()
+        self._reserved.discard(name)
+
     async def _cut_store(self) -> None:
         proxy = self._rng.choice([g.store_proxy for g in self._site.gateways.values()])
         drop = self._rng.choice(("to_target", "to_source"))
--- a/soak/site.py
+++ b/soak/site.py
@@ -49,6 +49,8 @@
 # a few, or enough.
 RETRY_SLACKS = (0, 5, DEFAULT_RETRY_SLACK)
 MANY_GATEWAYS = 12
+# Event with which a gateway logs that it listens.
+STARTED = '"event":"started"'
 
 
 @dataclass(frozen=True)
@@ -110,9 +112,11 @@
         )
         self._process: asyncio.subprocess.Process | None = None
         self.is_paused = False
+        self._starts = 0
 
     async def start(self) -> None:
         """Start the process."""
+        self._starts += 1
         environment = os.environ | {"HEATHERSHUNT_SETTINGS": str(self._settings)}
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -129,6 +133,12 @@
         self.is_paused = False
         self._process.send_signal(signal.SIGCONT)
 
+    def hang_up(self) -> None:
+        """Send SIGHUP to the process; before it serves, that would end it."""
+        has_started = self.log_text().count(STARTED) == self._starts
+        if has_started and self._process.returncode is None:
+            self._process.send_signal(signal.SIGHUP)
+
     async def kill(self) -> None:
         """Kill the process and wait for its exit."""
         if self._process.returncode is None:
--- a/soak/spans.py
+++ b/soak/spans.py
@@ -1,4 +1,4 @@
-"""Times at which faults acted, which decide what requests may be excused."""
+"""Times at which faults acted, by which requests are excused."""
 
 import asyncio
 from collections.abc import Iterator
@@ -6,6 +6,10 @@
 from dataclasses import dataclass
 from math import inf
 
+# Kind of the spans in which the event loop of the soak itself did not run. Its callers
+# measure nothing in them, and what it stands in for does nothing.
+STALL = "soak stalled"
+
 
 @dataclass
 class Span:
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -8,7 +8,7 @@
 from soak.channels import Exchange
 from soak.configurations import SiteConfiguration, Version, wide_configuration
 from soak.oracle import check
-from soak.spans import Span, SpanLog
+from soak.spans import STALL, Span, SpanLog
 from standins.layer_runner import Run
 
 CHAIN = "1.1.1.1:1=0-40,1.1.1.1:2=40-80"
@@ -142,6 +142,16 @@
     assert judge(late, [run_of(late)]) == ["LATE"]
     pause = Span("pause", "vm-0", 102.0, 103.0)
     assert judge(late, [run_of(late)], [pause]) == []
+    stalls = [Span(STALL, "", 102.0, 102.3), Span(STALL, "", 102.9, 103.1)]
+    assert judge(late, [run_of(late)], stalls) == []
+    assert judge(late, [run_of(late)], [replace(pause, end=102.05)]) == ["LATE"]
+
+
+def test_time_in_which_pause_and_stall_overlap_counts_once(judge):
+    # Guards against a late answer that is excused by the same time twice.
+    late = replace(WHOLE, ended_at=107.0)
+    spans = [Span("pause", "vm-0", 102.0, 102.4), Span(STALL, "", 102.1, 102.4)]
+    assert judge(late, [run_of(late)], spans) == ["LATE"]
 
 
 def test_second_run_of_a_stream_that_may_not_be_resumed(judge):
