--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -39,6 +39,8 @@
     request_events.ChainReplaced,
     request_events.ChainNotReplaced,
     request_events.StreamBroken,
+    request_events.RunHeld,
+    request_events.RunRegained,
     request_events.RunCrashed,
     request_events.PartRefused,
     request_events.StreamResumed,
@@ -46,5 +48,6 @@
     request_events.StreamEnded,
     request_events.CallEnded,
     request_events.CallerDisconnected,
+    request_events.AnswerLost,
 )
 EVENT_TYPES_BY_NAME = {event_type.name: event_type for event_type in EVENT_TYPES}
