--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -103,7 +103,8 @@
             for target, run in runs
         ]
         self.findings.violations.append(
-            f"{rule} {exchange.id} {exchange.path} at {exchange.gateway}, whole at"
+            f"{rule} {exchange.id} {exchange.path} with {len(exchange.body)} bytes"
+            f" at {exchange.gateway}, whole at"
             f" {whole_at:.3f}, due from {exchange.due_from:.3f}, ended at"
             f" {exchange.ended_at:.3f}: {exchange.end} {exchange.status}"
             f" {len(exchange.answer)} bytes {exchange.detail} {detail}; ran at"
