Deliver the refusal of a long body, and announce that the connection closes

What callers saw: of requests with a body over the limit some got neither an answer nor a refusal, and requests sent behind one ended without an answer. Cause: the connection was closed with bytes unread, which resets it and can take the refusal away; and the close was not announced if bytes of a next request waited, as a stop of the process answers those.

A refusal now always announces the close; then the sending side is closed and what the caller still sends is discarded for 2 s at most, 0.2 s beyond the connection limit.

--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -159,10 +159,10 @@
         if self._cancels_handlers:
             async with self._watching_peer():
                 response = await self._run_handler(request)
-                await self._respond(response, draining)
+                await self._respond(response, self._closes_after(draining))
         else:
             response = await self._run_handler(request)
-            await self._respond(response, draining)
+            await self._respond(response, self._closes_after(draining))
         self.is_busy = False
         self._on_confirmed = getattr(response, "on_confirmed", None)
         self._has_served = True
@@ -172,6 +172,11 @@
         await self._linger()
         return False
 
+    def _closes_after(self, draining: Callable[[], bool]) -> bool:
+        """Return whether the connection closes after the response to come."""
+        # Pipelined requests are answered before the connection is closed.
+        return draining() and not self._has_next_request()
+
     async def _linger(self) -> None:
         """Half-close and wait for the caller to close, which confirms the response."""
         if not self._on_confirmed:
@@ -180,12 +185,13 @@
             self._confirm()
             return
         self.writer.write_eof()
-        if await self._read_end():
+        if await self._read_end(LINGER_MS):
             self._confirm()
 
-    async def _read_end(self) -> bool:
+    async def _read_end(self, limit_ms: int) -> bool:
+        """Discard what the caller sends; return whether it closed in time."""
         try:
-            async with asyncio.timeout(LINGER_MS / 1000):
+            async with asyncio.timeout(limit_ms / 1000):
                 while await self.reader.read(READ_BYTES):
                     pass
         except (TimeoutError, ConnectionError):
@@ -228,11 +234,11 @@
             log.exception("handler failed: {} {}", request.method, request.path)
         return problem_response(FAILED)
 
-    async def _respond(
-        self, response: Response | StreamResponse, closing: Callable[[], bool]
-    ) -> None:
-        # Pipelined requests are answered before the connection is closed.
-        closes = closing() and not self._has_next_request()
+    async def _respond(self, response: Response | StreamResponse, closes: bool) -> None:
+        """Write a response.
+
+        :param closes: whether the connection closes after it.
+        """
         try:
             head = build_head(response, closes)
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
@@ -338,14 +344,26 @@
         """Wait until the peer has closed the connection."""
         await self._closed.wait()
 
-    async def reject(self, status: int, detail: str) -> None:
-        """Respond with a problem document and close the connection."""
+    async def reject(
+        self, status: int, detail: str, linger_ms: int = LINGER_MS
+    ) -> None:
+        """Respond with a problem document and close the connection.
+
+        A connection that is closed with unread bytes is reset, which may take the
+        response away before the caller has read it. So what the caller still sends is
+        read and discarded for a while.
+
+        :param linger_ms: longest time for that.
+        """
         refusal = not_run(status, HTTPStatus(status).phrase, detail)
         try:
             if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                await self._respond(problem_response(refusal), lambda: True)
-        except (ConnectionError, h11.LocalProtocolError):
-            pass
+                await self._respond(problem_response(refusal), closes=True)
+                if self.writer.can_write_eof():
+                    self.writer.write_eof()
+                await self._read_end(linger_ms)
+        except (ConnectionError, h11.LocalProtocolError) as error:
+            log.info("refusal {} not delivered: {}", status, error)
         self.writer.close()
 
     def close_if_idle(self) -> None:
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -21,6 +21,8 @@
 
 # Connections that the kernel queues until the listener accepts them.
 LISTEN_BACKLOG = 1024
+# Time for which a connection beyond the limit may still send.
+OVERLOAD_LINGER_MS = 200
 
 
 class HttpServer:
@@ -107,7 +109,9 @@
         )
         if len(self._connections) >= self.limits.connections:
             await connection.reject(
-                503, "The listener has reached its connection limit."
+                503,
+                "The listener has reached its connection limit.",
+                OVERLOAD_LINGER_MS,
             )
             return
         self._connections.add(connection)
