--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -71,7 +71,7 @@
             print(f"  largest lag of the soak {lag.largest_ms:.0f} ms", end="")
             print(f", without a whole answer: {dict(findings.excuses)}", flush=True)
         if failures:
-            log = sorted(line for item in plans for line in item.log)
+            log = sorted(line for item in (*plans, lag) for line in item.log)
             print("\n".join([*failures, *log]), flush=True)
             _save_logs(site, seed)
         return failures
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -15,6 +15,8 @@
 from soak.spans import STALL
 from standins.layer_runner import Run
 
+# Line in which a gateway logs the target of a request, whose id is to be filled in.
+SENT_EVENT = r'"event":"sent",.*"request":"{}","target":"([^"]*)"'
 EVENT = re.compile(rb"id: (\d+)\ndata: event (\d+)\n\n")
 # Statuses with which a gateway states that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -153,15 +155,30 @@
 
     def _paused_seconds(self, exchange: Exchange) -> float:
         """Return for how long the gateway or the soak did not run during a request."""
-        start, end = exchange.due_from, exchange.ended_at
-        spans = self._spans.find(
-            frozenset({"pause", STALL}), {exchange.gateway, ""}, start, end
-        )
-        paused, until = 0.0, start
+        kinds = frozenset({"pause", STALL})
+        subjects = {exchange.gateway, ""}
+        return self._covered(kinds, subjects, exchange.due_from, exchange.ended_at)
+
+    def _covered(self, kinds, subjects: set[str], start: float, end: float) -> float:
+        """Return the seconds of a time in which one of the faults acted or more."""
+        spans = self._spans.find(kinds, subjects, start, end)
+        covered, until = 0.0, start
         for span in sorted(spans, key=lambda span: span.start):
-            paused += max(0.0, min(end, span.end) - max(until, span.start))
+            covered += max(0.0, min(end, span.end) - max(until, span.start))
             until = max(until, span.end)
-        return paused
+        return covered
+
+    def _seconds_in_time(self, exchange: Exchange) -> float:
+        """Return for how long a gateway may have had a request as it ended.
+
+        The soak may have noticed late that the answer before it had ended.
+        """
+        due = exchange.due_from
+        stalls = self._spans.find(
+            frozenset({STALL}), {""}, due - CLOCK_SLACK_SECONDS, due
+        )
+        start = min([due, *(stall.start for stall in stalls)])
+        return exchange.ended_at - max(start, exchange.whole_at)
 
     # Checks
 
@@ -226,7 +243,7 @@
     def _check_failure(self, exchange: Exchange, runs) -> None:
         """Check that no failure replaces an answer that sound targets were making."""
         shortest, _ = self._limits_seconds(exchange)
-        in_time = exchange.ended_at - exchange.due_from
+        in_time = self._seconds_in_time(exchange)
         if in_time >= shortest - LIMIT_MARGIN_SECONDS or not runs:
             return
         if self._paused_seconds(exchange) or self._broken_by(exchange, runs, True):
@@ -272,11 +289,21 @@
         if self._spans.find(frozenset({"kill"}), gateway, start, end):
             return "the process was killed"
         for stop in self._spans.find(frozenset({"terminate"}), gateway, start, end):
-            grace_seconds = GRACE_MS / 1000 * GRACE_FRACTION
-            if runs and exchange.ended_at >= stop.start + grace_seconds:
+            if exchange.ended_at < stop.start + GRACE_MS / 1000 * GRACE_FRACTION:
+                continue
+            if runs:
                 return "it ran beyond the grace time"
+            if self._hangs_at(exchange):
+                return "its target hung beyond the grace time"
         return None
 
+    def _hangs_at(self, exchange: Exchange) -> bool:
+        """Return whether a target hung to which the gateway sent the request."""
+        log = self._site.gateways[exchange.gateway].log_text()
+        targets = set(re.findall(SENT_EVENT.format(re.escape(exchange.id)), log))
+        start, end = exchange.due_from, exchange.ended_at
+        return bool(self._spans.find(frozenset({"hang"}), targets, start, end))
+
     def _crossing_excuse(self, exchange: Exchange, runs) -> str | None:
         if runs:
             return None
@@ -285,7 +312,10 @@
         previous = exchange.previous
         if previous is not None and previous.end != "answer":
             return "the answer before it on its connection was cut"
-        if exchange.ended_at - exchange.whole_at > CROSSING_SECONDS:
+        # The soak may have noticed the close late.
+        start, end = exchange.whole_at, exchange.ended_at
+        stalled = self._covered(frozenset({STALL}), {""}, start, end)
+        if end - start - stalled > CROSSING_SECONDS:
             return None
         if previous is not None:
             return "it crossed the close of its connection"
@@ -300,8 +330,7 @@
         if exchange.status != 200 or not runs:
             return None
         shortest, _ = self._limits_seconds(exchange)
-        in_time = exchange.ended_at - exchange.due_from
-        if in_time >= shortest - LIMIT_MARGIN_SECONDS:
+        if self._seconds_in_time(exchange) >= shortest - LIMIT_MARGIN_SECONDS:
             return "the time limit has passed"
         fault = self._broken_by(exchange, runs, False)
         return f"its target was hit by {fault}" if fault else None
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -61,7 +61,9 @@
         for span in spans:
             log.add(span)
         addresses = ("1.1.1.1:1", "1.1.1.1:2")
+        line = '{"event":"sent","boot":"b","request":"m1","target":"first","chain":[]}'
         site = SimpleNamespace(
+            gateways={"vm-0": SimpleNamespace(log_text=lambda: line)},
             spans=log,
             settings=settings,
             targets=targets,
@@ -117,6 +119,16 @@
     assert judge(CUT, runs, versions=[changed(timeout_ms=1500)]) == ["LOST"]
 
 
+def test_time_limit_begins_before_a_stall_of_the_soak(judge):
+    # Guards against a stream that is taken for cut, as the soak noticed late that the
+    # answer before it on its connection had ended.
+    late = replace(CUT, whole_at=99.0, due_from=100.1)
+    versions = [changed(timeout_ms=1000)]
+    stall = Span(STALL, "", 100.0, 100.09)
+    assert judge(late, [run_of(late)], [stall], versions) == []
+    assert judge(late, [run_of(late)], versions=versions) == ["LOST"]
+
+
 def test_change_after_its_start_does_not_excuse_the_end_of_a_stream(judge):
     # Guards against excuses by a timeout that was not in force as the request came.
     first = replace(changed(), replaced_at=100.5)
@@ -127,10 +139,25 @@
 def test_request_that_crosses_the_close_of_its_connection_is_excused(judge):
     assert judge(KEPT) == []
     assert judge(replace(KEPT, ended_at=100.3)) == ["LOST"]
+    stall = Span(STALL, "", 100.05, 100.3)
+    assert judge(replace(KEPT, ended_at=100.3), spans=[stall]) == []
+    assert judge(replace(KEPT, ended_at=100.6), spans=[stall]) == ["LOST"]
     assert judge(KEPT, [run_of(KEPT)]) == ["LOST"]
     assert judge(UNRUN) == ["LOST"]
 
 
+@pytest.mark.parametrize(
+    ("hung", "is_excused"), [("first", True), ("second", False), (None, False)]
+)
+def test_request_without_a_run_at_the_end_of_the_grace_time(judge, hung, is_excused):
+    # Guards against excuses for requests that were sent to no target that hung.
+    waiting = replace(UNRUN, ended_at=104.0)
+    spans = [Span("terminate", "vm-0", 100.2, 104.0)]
+    if hung is not None:
+        spans.append(Span("hang", hung, 99.0, 101.0))
+    assert judge(waiting, spans=spans) == ([] if is_excused else ["LOST"])
+
+
 def test_request_after_an_announced_close_is_excused(judge):
     late = replace(KEPT, ended_at=100.9)
     assert judge(replace(late, is_after_close=True)) == []
