Refuse the requests that are left at the end of the grace time

Cause: at that moment all connections were closed, whatever their requests had got; and requests were admitted until the last moment.

Requests that arrive in the last 0.5 s are refused with 503, so that their callers go to another VM at once, and those whose answer has not begun at the end get 502, which says that they may have run. An answer that has begun still ends without its end.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -75,6 +75,7 @@
     WindowBudget,
     WindowBudgetConfig,
 )
+from heathershunt.verdict import may_have_run
 
 log = logbook.Logger("heathershunt.gateway")
 
@@ -88,6 +89,9 @@
 # Part of the grace time that is reserved for closing connections.
 STOP_MARGIN_MS = 500
 DRAIN_POLL_MS = 50
+# Requests that arrive so shortly before the end of the grace time are refused.
+LATE_REQUEST_MS = 500
+STOPPED = may_have_run(502, "VM stopped", "the VM stopped before the answer")
 
 
 class Gateway:
@@ -287,6 +291,7 @@
         accepting_until = started + ACCEPT_AFTER_STOP_MS
         is_accepting = True
         while (now := self._clock.now()) < deadline:
+            self.request_handler.is_stopping = now >= deadline - LATE_REQUEST_MS
             if is_accepting and now >= accepting_until:
                 self._callers.stop_accepting()
                 is_accepting = False
@@ -299,8 +304,8 @@
 
     def stop_now(self) -> None:
         """Close all listeners and connections and cancel the background tasks."""
+        self._callers.close_now(STOPPED)
         for server in (
-            self._callers,
             self._readiness,
             self._directory,
             self._peers,
--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -36,6 +36,7 @@
     :param catalog: returns the configuration in force; ``None`` before the first.
     :param view_age_ms: returns the age of the view of the store; ``None`` before the
         first answer of the store.
+    :ivar is_stopping: whether requests are refused because the process is about to end.
 
     .. versionadded:: 0.2
     """
@@ -51,11 +52,14 @@
         self._bounds = bounds
         self._catalog = catalog
         self._view_age_ms = view_age_ms
+        self.is_stopping = False
         self._calls = CallRelay(context)
         self._streams = StreamRelay(context)
 
     async def handle(self, request: CallerRequest) -> Response | StreamResponse:
         """Return the response to a request, relayed from a target or a refusal."""
+        if self.is_stopping:
+            return self._refuse(request, _unavailable("the VM is about to stop"))
         catalog = self._catalog()
         if catalog is None:
             return self._refuse(
--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -29,7 +29,7 @@
     is_receive_buffer_empty,
     limit_receive_size,
 )
-from heathershunt.verdict import may_have_run, not_run
+from heathershunt.verdict import Refusal, may_have_run, not_run
 
 log = logbook.Logger("heathershunt.http")
 
@@ -383,6 +383,23 @@
         else:
             self.writer.close()
 
+    def refuse_and_close(self, refusal: Refusal) -> None:
+        """Answer a request whose answer has not begun, and close the connection."""
+        if not self._answer.is_owed or self._answer.has_begun:
+            self.abort()
+            return
+        response = problem_response(refusal)
+        try:
+            self.send(build_head(response, closes=True))
+            self.send(h11.Data(data=response.body))
+            self.send(h11.EndOfMessage())
+        except (ConnectionError, h11.LocalProtocolError) as error:
+            self.abort(CutCause.STOPPED, str(error))
+            return
+        self._answer.on_end()
+        self._closed.set()
+        self.writer.close()
+
     def abort(self, cause: CutCause = CutCause.STOPPED, detail: str = "") -> None:
         """Abort the connection.
 
--- a/src/heathershunt/http/cuts.py
+++ b/src/heathershunt/http/cuts.py
@@ -85,6 +85,11 @@
         """Return whether a request has been read whose answer has not ended."""
         return self._request is not None
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the head of the answer was written."""
+        return self._has_begun
+
     def on_request(self, request: Request) -> None:
         """Record that a request was read whole."""
         self._request = request
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -16,6 +16,7 @@
     disable_nagle,
     is_readable,
 )
+from heathershunt.verdict import Refusal
 
 log = logbook.Logger("heathershunt.http")
 
@@ -178,10 +179,17 @@
         """Close the listening socket and abort the open connections."""
         self.close_now()
 
-    def close_now(self) -> None:
-        """Do the same as :meth:`close`, without a coroutine."""
+    def close_now(self, refusal: Refusal | None = None) -> None:
+        """Do the same as :meth:`close`, without a coroutine.
+
+        :param refusal: answer to the requests whose answer has not begun; without one,
+            their connections close.
+        """
         if self._server is None:
             return
         self._server.close()
         for connection in list(self._connections):
-            connection.abort()
+            if refusal is None:
+                connection.abort()
+            else:
+                connection.refuse_and_close(refusal)
--- a/tests/http/test_cuts.py
+++ b/tests/http/test_cuts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from heathershunt.http import CutCause, HttpServer, Response, StreamResponse
+from heathershunt.verdict import may_have_run
 
 REQUEST = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
 
@@ -94,3 +95,38 @@
     writer.close()
     await asyncio.sleep(0.05)
     assert cuts == []
+
+
+async def test_running_request_is_refused_as_the_process_stops(start):
+    # Guards against a request that was read whole and gets neither an answer nor a
+    # refusal, as its process ends.
+    server, cuts = await start(wait_forever)
+    reader, writer = await send(server)
+    await until(lambda: server.active_requests)
+    server.close_now(may_have_run(502, "Stopped", "the process stops"))
+    async with asyncio.timeout(1):
+        answer = await reader.read()
+    assert answer.startswith(b"HTTP/1.1 502 ")
+    assert b"connection: close" in answer.lower()
+    assert b"may_have_run" in answer
+    assert cuts == []
+    writer.close()
+
+
+async def test_answer_that_has_begun_is_not_completed_as_the_process_stops(start):
+    # Guards against a truncated answer that looks complete.
+    async def handle(request):
+        async def run(sink):
+            sink.write(b"part")
+            await asyncio.Event().wait()
+
+        return StreamResponse(200, {}, run)
+
+    server, cuts = await start(handle)
+    reader, writer = await send(server)
+    answer = await reader.readuntil(b"part")
+    server.close_now(may_have_run(502, "Stopped", "the process stops"))
+    answer += await reader.read()
+    assert answer.endswith(b"part\r\n")
+    assert [cut.cause for cut in cuts] == [CutCause.STOPPED]
+    writer.close()
