Try a successor at once when the silent run fails

A refused successor is tried again every 300 ms. When the silent run failed in that pause, the caller waited for its end, although nothing else was left for it: up to 300 ms more after the deadline, beside the examination of the chain. The pause now ends with the silent run.

Evidence: test_successor_is_tried_at_once_when_the_silent_run_fails failed before.

--- a/src/heathershunt/relay/handover.py
+++ b/src/heathershunt/relay/handover.py
@@ -63,15 +63,11 @@
             outcome = successor.result()
             if not isinstance(outcome, Refusal):
                 return outcome, False
-            successor = asyncio.ensure_future(_produce_later(produce, retry_ms))
+            # The end of the silent run ends the pause: nothing else is left then.
+            await asyncio.wait({waiting}, timeout=retry_ms / 1000)
+            if not waiting.done() or waiting.result() is None:
+                successor = asyncio.ensure_future(produce())
     finally:
         waiting.cancel()
         successor.cancel()
         await asyncio.wait({waiting, successor})
-
-
-async def _produce_later(
-    produce: Callable[[], Coroutine[None, None, T]], delay_ms: float
-) -> T:
-    await asyncio.sleep(delay_ms / 1000)
-    return await produce()
--- a/tests/relay/test_handover.py
+++ b/tests/relay/test_handover.py
@@ -78,3 +78,10 @@
     with pytest.raises(asyncio.CancelledError):
         await task
     assert sorted(ended) == ["new", "old"]
+
+
+async def test_successor_is_tried_at_once_when_the_silent_run_fails():
+    # Guards against a caller that waits for the next try though nothing else is left.
+    produce, _ = produce_in_turn((0, REFUSAL), (0, NEW))
+    async with asyncio.timeout(1):
+        assert await hand_over(after(30, None), produce, 5000) == (NEW, False)
