Keep a run whose first runner has left the list and still gives reports

A silent run was ended once its first runner had left the list and any runner of its chain gave no report. A runner that drains leaves the list while its runs go on, so a later runner that was silent for a moment ended the answer. The first runner itself must give no report now.

Evidence: test_run_of_a_runner_that_left_is_kept_while_a_later_one_is_silent failed before.

--- a/src/heathershunt/relay/pauses.py
+++ b/src/heathershunt/relay/pauses.py
@@ -56,8 +56,12 @@
             detail = self.reroute_reason(run.chain, faulty, paused_ms)
             if detail is not None:
                 raise RunPausedError(detail, faulty)
-        elif faulty is not None and not self._attempts.is_listed(run.chain.head):
-            raise StreamBrokenError(f"runner {run.chain.head.id} has ended")
+            return
+        head = run.chain.head
+        # A runner that drains leaves the list too, and its runs go on.
+        is_head_silent = faulty is not None and faulty.id == head.id
+        if is_head_silent and not self._attempts.is_listed(head):
+            raise StreamBrokenError(f"runner {head.id} has ended")
 
     def reroute_reason(
         self, chain: Chain, faulty: Target | None, paused_ms: float
--- a/tests/relay/test_pauses.py
+++ b/tests/relay/test_pauses.py
@@ -9,6 +9,7 @@
 from heathershunt.pipelines.chain import ChainPart
 from heathershunt.relay.events import StreamEvent
 from heathershunt.relay.pauses import PauseMonitor
+from heathershunt.relay.runs import StreamBrokenError
 from heathershunt.relay.timeouts import StreamTimeouts
 from tests.pipelines import engines
 
@@ -84,3 +85,13 @@
     second_ms = timeouts.recheck_ms
     assert pauses.next_check_ms(second_ms) == timeouts.reroute_ms - second_ms
     assert pauses.next_check_ms(timeouts.reroute_ms) == timeouts.reroute_ms
+
+
+def test_run_of_a_runner_that_left_is_kept_while_a_later_one_is_silent(pauses):
+    # Guards against an answer that ends as its first runner drains and leaves the list
+    # while another runner of its chain gives no report for a moment.
+    parts = [ChainPart(engines.runner(1), 0, 40), ChainPart(engines.runner(2), 40, 80)]
+    run = SimpleNamespace(chain=Chain.from_parts(parts), is_patient=True)
+    pauses.judge(run, engines.runner(2), 500)
+    with pytest.raises(StreamBrokenError):
+        pauses.judge(run, engines.runner(1), 500)
