Keep each silent run, also one that was started beside another

While a silent run was kept, its successor was dropped as soon as it was silent too, also after the first run had ended. Each silent run is now kept until another one has delivered; the races lie inside each other and end with the outermost. Sends, first runners and retries stay limited as before.

Evidence: both tests of test_repeated_silences failed before (the answer was cut at its deadline).

--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -87,8 +87,8 @@
             head_wait,
         )
         self._run: Run | None = None
-        # A silent run that is kept until another one has taken over.
-        self._held: Run | None = None
+        # Silent runs that are kept until another one has taken over, oldest first.
+        self._held: list[Run] = []
 
     # Runs
 
@@ -144,24 +144,29 @@
         try:
             return await waiting
         except RunPausedError as pause:
-            if self._held is not None:
-                self._starter.give_up(run, pause)
-                return None
             return await self._hand_over(run, pause)
 
     async def _hand_over(self, run: Run, pause: RunPausedError) -> Outcome:
-        """Keep a silent run, and start others until one of them delivers."""
+        """Keep a silent run, and start others until one of them delivers.
+
+        A successor that is silent too is kept in the same way, inside of this race.
+        """
         event = RunHeld(
             self._request.id, run.chain.head.id, self._progress.last_id, str(pause)
         )
         self._context.events.emit(event)
         self._starter.on_paused_run(run, pause)
         run.is_patient = True
-        self._held, self._run = run, None
+        self._held.append(run)
+        self._run = None
         outcome, is_regained = await hand_over(self._first_outcome(run), self._produce)
-        self._held = None
+        index = self._held.index(run)
+        # Later ones are left if this run ends the race that they are in.
+        _, *later = self._held[index:]
+        del self._held[index:]
         if is_regained:
-            self._starter.release(self._run)
+            for other in (*later, self._run):
+                self._starter.release(other)
             self._run = run
             run.is_patient = not self._spec.route.is_retryable
             self._on_regained(run)
@@ -252,5 +257,5 @@
 
     def close(self) -> None:
         """Close the connections to the first runners, which ends the runs there."""
-        for run in (self._run, self._held):
+        for run in (self._run, *self._held):
             self._starter.release(run)
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -268,12 +268,6 @@
         self._may_have_run = True
         self._attempts.avoided.add((pause.faulty or run.chain.head).id)
 
-    def give_up(self, run: Run, pause: RunPausedError) -> None:
-        """Log and release a run that is silent while another one is kept."""
-        self._log_broken(run, str(pause))
-        self.on_paused_run(run, pause)
-        self.release(run)
-
     def _log_broken(self, run: Run, detail: str) -> None:
         self.detail = detail
         event = StreamBroken(
--- /dev/null
+++ b/tests/gateway/test_repeated_silences.py
@@ -0,0 +1,38 @@
+"""Streams and calls whose second target is silent too, fails, or is never needed."""
+
+import asyncio
+
+from tests.gateway.test_silent_targets import head_of
+from tests.gateway.test_streams import ids
+
+
+def other_head(site):
+    """Return the first runner of the domain that the first run does not use."""
+    return site.targets["runner-b0" if head_of(site).domain == "a" else "runner-a0"]
+
+
+async def test_silent_successor_is_kept_if_no_further_retry_is_left(site):
+    # Guards against an answer that ends as the second run is dropped for a silence,
+    # though the first one does not go on and no third one can be started.
+    await site.add_gateway("vm-2", retry_budget_slack=4, retry_budget_ratio=0)
+    response = await site.open_stream(events=60, vm="vm-2")
+    first = await response.read_some()
+    head_of(site).fall_silent(9)
+    other_head(site).fall_silent(1.6)
+    body = first + await response.read()
+    assert ids(body) == list(range(1, 61))
+    assert len(site.runs()) == 2
+
+
+async def test_silent_successor_is_kept_once_the_first_run_has_ended(site):
+    # Guards against the same after the connection of the first run has ended.
+    await site.add_gateway("vm-2", retry_budget_slack=4, retry_budget_ratio=0)
+    response = await site.open_stream(events=60, vm="vm-2")
+    first = await response.read_some()
+    silent = head_of(site)
+    silent.fall_silent(9)
+    other_head(site).fall_silent(1.6)
+    await asyncio.sleep(0.3)
+    await silent.stop()
+    body = first + await response.read()
+    assert ids(body) == list(range(1, 61))
