Don't end a stream that has begun when a successor answers with a failure

A runner that was to go on with a stream and answered with a 4xx status of its own won the race against the silent run. Its answer cannot be passed on, as the caller has already received events, so the silent run was dropped and the answer ended. Such a reply now counts as a failure of that runner only, once events were passed on.

Evidence: test_stream_outlives_a_successor_that_answers_with_a_failure failed before.

--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -221,7 +221,10 @@
             self._on_rejection(run, was_sent_before)
             return False
         self._may_have_run = True
-        if head.request_id == self._request.id and head.status < SERVER_ERROR:
+        is_own = head.request_id == self._request.id
+        # It cannot be the answer once the caller has received events of another run.
+        may_answer = is_own and not self._progress.has_begun
+        if may_answer and head.status < SERVER_ERROR:
             left_ms = max(0, self._spec.deadline - self._context.clock.now())
             body = await read_error_body(run, left_ms)
             if body is not None and not head.is_success:
--- a/tests/gateway/test_repeated_silences.py
+++ b/tests/gateway/test_repeated_silences.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from heathershunt.http import Response
 from tests.gateway.test_silent_targets import head_of
 from tests.gateway.test_streams import ids
 
@@ -36,3 +37,23 @@
     await silent.stop()
     body = first + await response.read()
     assert ids(body) == list(range(1, 61))
+
+
+async def test_stream_outlives_a_successor_that_answers_with_a_failure(
+    site, monkeypatch
+):
+    # Guards against an answer that ends as the runner that is to go on with it answers
+    # with a status of its own.
+    async def fail(request):
+        fields = {
+            "heathershunt-request-id": request.headers["heathershunt-request-id"],
+            "heathershunt-response-signature": "receipt",
+        }
+        return Response(400, fields, b"no")
+
+    response = await site.open_stream(events=60)
+    first = await response.read_some()
+    monkeypatch.setattr(other_head(site), "_stream", fail)
+    head_of(site).fall_silent(1.3)
+    body = first + await response.read()
+    assert ids(body) == list(range(1, 61))
