Count a run that was not needed among the attempts of its stream

A successor that was released because the silent run went on was not counted, though its runner had received the request. In each silence of one stream another runner was tried: five runners ran a stream whose route allows two (BUDGET).

Evidence: test_runners_that_were_not_needed_count_as_attempts failed before.

--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -166,7 +166,7 @@
         del self._held[index:]
         if is_regained:
             for other in (*later, self._run):
-                self._starter.release(other)
+                self._starter.discard(other)
             self._run = run
             run.is_patient = not self._spec.route.is_retryable
             self._on_regained(run)
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -160,6 +160,14 @@
         else:
             cancel_request(run.sending)
 
+    def discard(self, run: Run | None) -> None:
+        """Release a run that is not needed; it may have reached its first runner."""
+        if run is None or run.is_released:
+            return
+        self.count_delivery(run)
+        self._may_have_run = True
+        self.release(run)
+
     # The head of the reply
 
     async def receive_head(self, run: Run) -> Response | bool:
--- a/tests/gateway/test_repeated_silences.py
+++ b/tests/gateway/test_repeated_silences.py
@@ -57,3 +57,30 @@
     head_of(site).fall_silent(1.3)
     body = first + await response.read()
     assert ids(body) == list(range(1, 61))
+
+
+async def test_runners_that_were_not_needed_count_as_attempts(site):
+    # Guards against a stream that runs at another runner in each silence of its first
+    # one, beyond ``max_attempts``.
+    for domain in "cde":
+        await site.add_target(f"runner-{domain}0", "engine", domain, "large", (0, 40))
+    registry = site.gateways["vm-1"].state.registry
+    await site.until(lambda: len(registry) == 11)
+    response = await site.open_stream(events=300)
+    first = await response.read_some()
+    silent = head_of(site)
+    for target in site.targets.values():
+        if target is not silent:
+            target.read_ms = 3000
+    reading = asyncio.create_task(response.read())
+    for _ in range(4):
+        silent.fall_silent(0.6)
+        await asyncio.sleep(0.9)
+        # The next silence finds a different successor.
+        for run in site.runs():
+            target = site.targets[run.runner]
+            if target is not silent and not target.is_draining:
+                target.is_draining = True
+                target.register()
+    assert ids(first + await reading) == list(range(1, 301))
+    assert len({run.runner for run in site.runs()}) <= 2
