Count the timeout of a repeatable call once

The target of a repeatable call that was silent to the end got two timeouts, one as the second send was due and one at the end, so it was ejected after two such calls in place of three.

Evidence: test_timeout_of_a_call_counts_once failed before.

--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -202,7 +202,8 @@
     ) -> Reply | None:
         """Return the reply of a silent target; ``None`` if it has no answer."""
         outcome = await exchange
-        self._record_outcome(call.request, target, outcome)
+        # Its timeout was counted when the second send was due.
+        self._record_outcome(call.request, target, outcome, counts_timeout=False)
         if isinstance(outcome, Err) or not _is_answer(outcome.ok_value, call.request):
             return None
         return outcome.ok_value
@@ -304,12 +305,19 @@
             if response is not None:
                 response.close()
 
-    def _record_outcome(self, request: CallerRequest, target: Target, outcome) -> None:
+    def _record_outcome(
+        self,
+        request: CallerRequest,
+        target: Target,
+        outcome: Result[Reply, TransportError],
+        counts_timeout: bool = True,
+    ) -> None:
         """Log the outcome of a send, and eject or readmit its target."""
         context = self._context
         if isinstance(outcome, Err):
             if outcome.err_value.detail == TIMEOUT_DETAIL:
-                context.suspects.record_timeout(target)
+                if counts_timeout:
+                    context.suspects.record_timeout(target)
             else:
                 context.suspects.eject(target)
             error = outcome.err_value
--- a/tests/gateway/test_repeated_silences.py
+++ b/tests/gateway/test_repeated_silences.py
@@ -84,3 +84,18 @@
                 target.register()
     assert ids(first + await reading) == list(range(1, 301))
     assert len({run.runner for run in site.runs()}) <= 2
+
+
+async def test_timeout_of_a_call_counts_once(site):
+    # Guards against a target that is ejected after two timeouts in place of three.
+    site.store.remove("servers/desk-b")
+    gateway = site.gateways["vm-1"]
+    await site.until(lambda: len(gateway.state.registry.of_service("desk")) == 1)
+    site.targets["desk-a"].fall_silent(9)
+    for _ in range(2):
+        status, _, _ = await site.call(
+            "GET", "/status/7", heathershunt_deadline_ms="300"
+        )
+        assert status == 504
+    (target,) = gateway.state.registry.of_service("desk")
+    assert not gateway.suspects.is_ejected(target)
