Wait for a silent target when a second one answers that it failed

The 5xx answer of the second target of a repeatable call ended the wait for the first one, which went on a moment later: the caller got a failure in place of an answer. The failure is now passed on only once the first target has failed too.

Evidence: test_failure_of_a_second_target_does_not_end_a_call failed before.

--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -67,7 +67,8 @@
     :ivar sends: sends that may have reached a target.
     :ivar connect_failures: sends that failed before any byte was sent.
     :ivar may_have_started: whether a target may have run the call.
-    :ivar is_held: whether a silent target is waited for while others are tried.
+    :ivar held: exchange with a silent target that is waited for while others are
+        tried; ``None`` without one.
 
     .. versionadded:: 0.8
     """
@@ -81,7 +82,7 @@
     sends: int = 0
     connect_failures: int = 0
     may_have_started: bool = False
-    is_held: bool = False
+    held: asyncio.Future | None = None
 
     @property
     def may_be_sent(self) -> bool:
@@ -160,6 +161,9 @@
             self._record_outcome(call.request, target, last)
             if not self._should_retry(call, last):
                 break
+        if call.held is not None and _is_server_error(last):
+            # The silent target may still give a better answer.
+            await asyncio.wait({call.held})
         return self._conclude(call, last)
 
     def _record_send(self, call: Call, target: Target) -> None:
@@ -174,7 +178,7 @@
         self, call: Call, exchange: asyncio.Future, left_ms: int
     ) -> bool:
         """Return whether an exchange ends before another target is to be tried."""
-        if not call.may_be_repeated or call.is_held:
+        if not call.may_be_repeated or call.held is not None:
             return True
         try:
             await asyncio.wait({exchange}, timeout=left_ms * EARLY_TRY_FRACTION / 1000)
@@ -190,7 +194,7 @@
         self._context.suspects.record_timeout(target)
         call.sends += 1
         call.may_have_started = True
-        call.is_held = True
+        call.held = exchange
         outcome, _ = await hand_over(
             self._held_reply(call, target, exchange),
             partial(self._try_targets, call),
@@ -356,6 +360,14 @@
         return may_have_run(502, "Target failed", detail)
 
 
+def _is_server_error(outcome: Result[Reply, TransportError] | None) -> bool:
+    """Return whether the outcome of a send is a target's answer that it failed."""
+    if not isinstance(outcome, Ok):
+        return False
+    head = outcome.ok_value.head
+    return not head.is_not_run and head.status >= SERVER_ERROR
+
+
 def _is_answer(reply: Reply, request: CallerRequest) -> bool:
     """Return whether a reply may be passed on as the answer to a request."""
     head = reply.head
--- a/tests/gateway/test_repeated_silences.py
+++ b/tests/gateway/test_repeated_silences.py
@@ -99,3 +99,13 @@
         assert status == 504
     (target,) = gateway.state.registry.of_service("desk")
     assert not gateway.suspects.is_ejected(target)
+
+
+async def test_failure_of_a_second_target_does_not_end_a_call(site):
+    # Guards against a failure in place of the answer that the silent target gives.
+    site.targets["desk-a"].fall_silent(1.3)
+    site.targets["desk-b"].answer = lambda request: Response(500, {}, b"failed")
+    status, _, body = await site.call(
+        "GET", "/status/7", heathershunt_deadline_ms="2000"
+    )
+    assert (status, body) == (200, b"done")
