Don't take a silence until the deadline for a crash

A run whose time had passed was examined like one whose connection had ended: if its first runner gave no report, the parts of its prompt were recorded as crashing, and the caller got its 504 up to 300 ms after the deadline. No later run can follow, so there is nothing to find out.

Evidence: test_silence_until_the_deadline_is_no_crash failed before.

--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -72,7 +72,7 @@
     async def start(self) -> Run | Refusal:
         """Send the stream to a chain; return its run, or why it is not sent."""
         context = self._context
-        if self._spec.deadline <= context.clock.now():
+        if self._is_late():
             return self._refusal(is_timeout=True)
         if self._attempts.sends >= MAX_SENDS or not self._may_run_again():
             return self._refusal()
@@ -89,6 +89,10 @@
             return self._refusal()
         return self._send(chain)
 
+    def _is_late(self) -> bool:
+        """Return whether the deadline has passed; such an end is no sign of a crash."""
+        return self._spec.deadline <= self._context.clock.now()
+
     def _may_run_again(self) -> bool:
         return self._spec.route.is_retryable or not self._may_have_run
 
@@ -215,7 +219,7 @@
             return
         self.count_delivery(run)
         self._may_have_run = True
-        if self._crashes.is_blocked():
+        if self._crashes.is_blocked() or self._is_late():
             return
         await self._crashes.on_broken_run(run)
         faulty = await self._context.diagnosis.find_faulty(run.chain)
@@ -266,6 +270,8 @@
         """Log and release a run that ended early, and avoid the runner at fault."""
         self._log_broken(run, str(error) or type(error).__name__)
         self.release(run)
+        if self._is_late():
+            return
         await self._crashes.on_broken_run(run)
         # The connection to the first runner also breaks when a later runner fails.
         faulty = await self._context.diagnosis.find_faulty(run.chain)
--- a/tests/gateway/test_repeated_silences.py
+++ b/tests/gateway/test_repeated_silences.py
@@ -1,6 +1,7 @@
 """Streams and calls whose second target is silent too, fails, or is never needed."""
 
 import asyncio
+import time
 
 from heathershunt.http import Response
 from tests.gateway.test_silent_targets import head_of
@@ -109,3 +110,29 @@
         "GET", "/status/7", heathershunt_deadline_ms="2000"
     )
     assert (status, body) == (200, b"done")
+
+
+async def test_silence_until_the_deadline_is_no_crash(site):
+    # Guards against a prompt that counts as the cause of a crash, and a caller that
+    # waits past its deadline, as a runner does not answer in time.
+    await site.add_gateway("vm-2", retry_budget_slack=0, retry_budget_ratio=0)
+    for target in site.targets.values():
+        target.read_ms = 100
+    recorded = []
+    guard = site.gateways["vm-2"].guard
+    guard.record_crash = lambda *crash: recorded.append(crash)
+    opening = asyncio.create_task(
+        site.open_stream(
+            vm="vm-2",
+            heathershunt_deadline_ms="1000",
+            heathershunt_prompt_prefix="5c1e07a2:40,00000001:40",
+        )
+    )
+    started = time.monotonic()
+    await site.until(lambda: bool(site.runs()))
+    for target in site.targets.values():
+        target.fall_silent(9)
+    response = await opening
+    assert response.status == 504
+    assert time.monotonic() - started < 1.25
+    assert recorded == []
