Give a repeatable call of the daemon its whole time if no other try follows

A try of a repeatable call got a third of the time that was left, also where no other address was there or no retry was left: the caller got 502 though its address went on a moment later. The time is now divided among the tries that may follow.

Evidence: test_idempotent_call_waits_for_its_only_address failed before.

--- a/src/heathershunt/services/addresses.py
+++ b/src/heathershunt/services/addresses.py
@@ -81,13 +81,18 @@
     def __init__(self) -> None:
         self._tokens = MAX_TOKENS
 
+    @property
+    def has_left(self) -> bool:
+        """Return whether a retry is left."""
+        return self._tokens >= CALLS_PER_RETRY
+
     def record_call(self) -> None:
         """Count one call."""
         self._tokens = min(MAX_TOKENS, self._tokens + 1)
 
     def take(self) -> bool:
         """Use up one retry, or return ``False`` if none is left."""
-        if self._tokens < CALLS_PER_RETRY:
+        if not self.has_left:
             return False
         self._tokens -= CALLS_PER_RETRY
         return True
--- a/src/heathershunt/services/dispatch.py
+++ b/src/heathershunt/services/dispatch.py
@@ -86,7 +86,8 @@
         sent = False
         while (address := self._choose(call.service, tried)) is not None:
             tried.append(address)
-            result = await self._try(call, address, deadline, idempotent, len(tried))
+            tries = self._tries_left(call.service, tried) if idempotent else 1
+            result = await self._try(call, address, deadline, tries)
             if isinstance(result, Ok):
                 outcome = CallOutcome(result.ok_value, Progress.ANSWERED)
                 if not idempotent or result.ok_value.status not in UNAVAILABLE_STATUSES:
@@ -117,6 +118,13 @@
         addresses = [a for a in self._addresses(service) if str(a) not in spent]
         return self._chooser.choose(addresses, tried, self._clock.now())
 
+    def _tries_left(self, service: str, tried: list[Address]) -> int:
+        """Return how many tries a call may still have, with the one that begins."""
+        if not self._budget.has_left:
+            return 1
+        untried = [a for a in self._addresses(service) if a not in tried]
+        return 1 + min(len(untried), MAX_TRIES - len(tried))
+
     async def _may_retry(self, tries: int, deadline: Millis) -> bool:
         delay = RETRY_DELAY_MS * 2**tries * self._random.uniform(0.5, 1.0)
         in_time = self._clock.now() + delay < deadline
@@ -145,15 +153,13 @@
         call: ServiceCall,
         address: Address,
         deadline: Millis,
-        idempotent: bool,
-        attempt: int,
+        tries: int,
     ) -> Result[Response, _Failure]:
         left = deadline - self._clock.now()
         if left <= 0:
             return Err(_Failure(Progress.NOT_SENT, "the deadline has passed"))
-        if idempotent:
-            # An address that does not answer must leave time for the remaining tries.
-            left = left // (MAX_TRIES + 1 - attempt)
+        # An address that does not answer must leave time for the remaining tries.
+        left //= tries
         self._chooser.start(address)
         healthy = None
         try:
