--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -161,16 +161,27 @@
     assert all("retry-after" in outcome.response.headers for outcome in refused)
 
 
+class Slow(Target):
+    """A server that answers after a silence."""
+
+    async def handle(self, request):
+        self.calls += 1
+        await asyncio.sleep(0.8)
+        return json_response(200, {})
+
+
 async def test_idempotent_call_waits_for_its_only_address():
     # Guards against a failure at a third of the caller's time, though no other address
     # is there and the silent one goes on.
-    class Slow(Target):
-        async def handle(self, request):
-            self.calls += 1
-            await asyncio.sleep(0.8)
-            return json_response(200, {})
-
     target = await Slow(200).start()
     outcome = await run([target], IDEMPOTENT, 1500)
     assert outcome.response.status == 200
     assert target.calls == 1
+
+
+async def test_idempotent_call_outlives_a_silence_of_all_addresses():
+    # Guards against a call that is taken from its silent address before another one has
+    # answered.
+    targets = [await Slow(200).start() for _ in range(3)]
+    outcome = await run(targets, IDEMPOTENT, 1500)
+    assert outcome.response.status == 200
