--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -67,7 +67,9 @@
     :ivar sends: sends that may have reached a target.
     :ivar connect_failures: sends that failed before any byte was sent.
     :ivar may_have_started: whether a target may have run the call.
-    :ivar is_held: whether a silent target is waited for while others are tried.
+    :ivar held: exchange with a silent target that is waited for while others are
+        tried; ``None`` without one.
+    :ivar is_denied: whether a retry was denied and logged.
 
     .. versionadded:: 0.8
     """
@@ -81,7 +83,8 @@
     sends: int = 0
     connect_failures: int = 0
     may_have_started: bool = False
-    is_held: bool = False
+    held: asyncio.Future | None = None
+    is_denied: bool = False
 
     @property
     def may_be_sent(self) -> bool:
@@ -150,7 +153,7 @@
             if target is None or left_ms <= 0:
                 break
             if call.sends and not context.budget.take(call.service, context.vm_count()):
-                context.events.emit(RetryDenied(call.request.id, call.service))
+                self._record_denial(call)
                 break
             self._record_send(call, target)
             exchange = asyncio.ensure_future(self._send(call, target, left_ms))
@@ -160,8 +163,18 @@
             self._record_outcome(call.request, target, last)
             if not self._should_retry(call, last):
                 break
+        if call.held is not None and _is_server_error(last):
+            # The silent target may still give a better answer.
+            await asyncio.wait({call.held})
         return self._conclude(call, last)
 
+    def _record_denial(self, call: Call) -> None:
+        """Log once that the budget allows no retry; a held call tries again."""
+        if not call.is_denied:
+            call.is_denied = True
+            event = RetryDenied(call.request.id, call.service)
+            self._context.events.emit(event)
+
     def _record_send(self, call: Call, target: Target) -> None:
         context, request = self._context, call.request
         call.tried.add(target.id)
@@ -174,7 +187,7 @@
         self, call: Call, exchange: asyncio.Future, left_ms: int
     ) -> bool:
         """Return whether an exchange ends before another target is to be tried."""
-        if not call.may_be_repeated or call.is_held:
+        if not call.may_be_repeated or call.held is not None:
             return True
         try:
             await asyncio.wait({exchange}, timeout=left_ms * EARLY_TRY_FRACTION / 1000)
@@ -190,7 +203,7 @@
         self._context.suspects.record_timeout(target)
         call.sends += 1
         call.may_have_started = True
-        call.is_held = True
+        call.held = exchange
         outcome, _ = await hand_over(
             self._held_reply(call, target, exchange),
             partial(self._try_targets, call),
@@ -202,7 +215,8 @@
     ) -> Reply | None:
         """Return the reply of a silent target; ``None`` if it has no answer."""
         outcome = await exchange
-        self._record_outcome(call.request, target, outcome)
+        # Its timeout was counted when the second send was due.
+        self._record_outcome(call.request, target, outcome, counts_timeout=False)
         if isinstance(outcome, Err) or not _is_answer(outcome.ok_value, call.request):
             return None
         return outcome.ok_value
@@ -304,12 +318,19 @@
             if response is not None:
                 response.close()
 
-    def _record_outcome(self, request: CallerRequest, target: Target, outcome) -> None:
+    def _record_outcome(
+        self,
+        request: CallerRequest,
+        target: Target,
+        outcome: Result[Reply, TransportError],
+        counts_timeout: bool = True,
+    ) -> None:
         """Log the outcome of a send, and eject or readmit its target."""
         context = self._context
         if isinstance(outcome, Err):
             if outcome.err_value.detail == TIMEOUT_DETAIL:
-                context.suspects.record_timeout(target)
+                if counts_timeout:
+                    context.suspects.record_timeout(target)
             else:
                 context.suspects.eject(target)
             error = outcome.err_value
@@ -348,6 +369,14 @@
         return may_have_run(502, "Target failed", detail)
 
 
+def _is_server_error(outcome: Result[Reply, TransportError] | None) -> bool:
+    """Return whether the outcome of a send is a target's answer that it failed."""
+    if not isinstance(outcome, Ok):
+        return False
+    head = outcome.ok_value.head
+    return not head.is_not_run and head.status >= SERVER_ERROR
+
+
 def _is_answer(reply: Reply, request: CallerRequest) -> bool:
     """Return whether a reply may be passed on as the answer to a request."""
     head = reply.head
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -64,18 +64,24 @@
         self._selection = selection
         self._head_wait = head_wait
         self._may_have_run = False
+        self._is_denied = False
         self.detail = "no chain of runners holds all layers"
         self._tokens = spec.job.tokens
 
     # Sending
 
-    async def start(self) -> Run | Refusal:
-        """Send the stream to a chain; return its run, or why it is not sent."""
-        context = self._context
-        if self._spec.deadline <= context.clock.now():
+    async def start(self, is_spare: bool = False) -> Run | Refusal:
+        """Send the stream to a chain; return its run, or why it is not sent.
+
+        :param is_spare: whether a silent run is kept that may still answer. It is tried
+            again and again, so no chain is searched for it without a retry.
+        """
+        if self._is_late():
             return self._refusal(is_timeout=True)
         if self._attempts.sends >= MAX_SENDS or not self._may_run_again():
             return self._refusal()
+        if is_spare and not self._may_take_retry():
+            return self._deny()
         chain = await self._selection.wait_for_chain()
         blocked = self._crashes.refusal(self._may_have_run)
         if blocked is not None:
@@ -85,13 +91,31 @@
                 self.detail = "all runners have the requests that they take"
             return self._refusal()
         if self._attempts.deliveries and not self._take_retry():
-            context.events.emit(RetryDenied(self._request.id, self._spec.service))
-            return self._refusal()
+            return self._deny()
         return self._send(chain)
 
+    def _deny(self) -> Refusal:
+        if not self._is_denied:
+            self._is_denied = True
+            event = RetryDenied(self._request.id, self._spec.service)
+            self._context.events.emit(event)
+        return self._refusal()
+
+    def _is_late(self) -> bool:
+        """Return whether the deadline has passed; such an end is no sign of a crash."""
+        return self._spec.deadline <= self._context.clock.now()
+
     def _may_run_again(self) -> bool:
         return self._spec.route.is_retryable or not self._may_have_run
 
+    def _may_take_retry(self) -> bool:
+        if self._attempts.has_reserved_retry:
+            return True
+        context = self._context
+        return context.budget.may_take(
+            self._spec.service, context.vm_count(), has_begun=self._progress.has_begun
+        )
+
     def _take_retry(self) -> bool:
         if self._attempts.use_reserved_retry():
             return True
@@ -160,6 +184,14 @@
         else:
             cancel_request(run.sending)
 
+    def discard(self, run: Run | None) -> None:
+        """Release a run that is not needed; it may have reached its first runner."""
+        if run is None or run.is_released:
+            return
+        self.count_delivery(run)
+        self._may_have_run = True
+        self.release(run)
+
     # The head of the reply
 
     async def receive_head(self, run: Run) -> Response | bool:
@@ -207,7 +239,7 @@
             return
         self.count_delivery(run)
         self._may_have_run = True
-        if self._crashes.is_blocked():
+        if self._crashes.is_blocked() or self._is_late():
             return
         await self._crashes.on_broken_run(run)
         faulty = await self._context.diagnosis.find_faulty(run.chain)
@@ -221,7 +253,10 @@
             self._on_rejection(run, was_sent_before)
             return False
         self._may_have_run = True
-        if head.request_id == self._request.id and head.status < SERVER_ERROR:
+        is_own = head.request_id == self._request.id
+        # It cannot be the answer once the caller has received events of another run.
+        may_answer = is_own and not self._progress.has_begun
+        if may_answer and head.status < SERVER_ERROR:
             left_ms = max(0, self._spec.deadline - self._context.clock.now())
             body = await read_error_body(run, left_ms)
             if body is not None and not head.is_success:
@@ -255,6 +290,8 @@
         """Log and release a run that ended early, and avoid the runner at fault."""
         self._log_broken(run, str(error) or type(error).__name__)
         self.release(run)
+        if self._is_late():
+            return
         await self._crashes.on_broken_run(run)
         # The connection to the first runner also breaks when a later runner fails.
         faulty = await self._context.diagnosis.find_faulty(run.chain)
@@ -268,12 +305,6 @@
         self._may_have_run = True
         self._attempts.avoided.add((pause.faulty or run.chain.head).id)
 
-    def give_up(self, run: Run, pause: RunPausedError) -> None:
-        """Log and release a run that is silent while another one is kept."""
-        self._log_broken(run, str(pause))
-        self.on_paused_run(run, pause)
-        self.release(run)
-
     def _log_broken(self, run: Run, detail: str) -> None:
         self.detail = detail
         event = StreamBroken(
