Count a runner as crashed by a prompt only if its process is known to have ended

Callers saw: a draft whose runners fell silent for 1.6 s before its first token ended with 502 "Prompt crashes runners", and later requests with its prompt were refused with 503, though every runner was sound.

Cause: after an epoch without a token the daemon asks its suspects for their incarnation, for 300 ms. No answer in that time counted as another incarnation, so as a crash. Two of them end the draft, and the part is blocked.

Now a runner has ended if its address refuses connections or a later incarnation answers. A reset counts as neither, and is asked about once more.

--- a/src/heathershunt/drafts/crashes.py
+++ b/src/heathershunt/drafts/crashes.py
@@ -60,6 +60,8 @@
     ) -> None:
         """Record an epoch without a token, if one of its runners has ended.
 
+        A runner that only fell silent says nothing about the prompt.
+
         :param started_at: time when the epoch began.
         """
         if not self._draft.may_have_started or not failure.is_confirmed:
@@ -68,14 +70,14 @@
             if stage.runner not in failure.suspects:
                 continue
             known = self._registry.states_by_runner.get(stage.runner)
-            before = known.report.incarnation if known else 0
-            if await self._engine.incarnation(stage) == before:
+            incarnation = known.report.incarnation if known else None
+            if not await self._engine.has_ended(stage, incarnation):
                 continue
             self._crashes += 1
             self._guard.record_crash(
                 self._draft.request.account,
                 self._parts,
-                RunnerCrash(stage.runner, before),
+                RunnerCrash(stage.runner, incarnation or 0),
                 started_at,
                 Evidence.BEGUN,
             )
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -21,6 +21,8 @@
 START_TIMEOUT_MS = 1000
 CANCEL_TIMEOUT_MS = 1000
 STATUS_TIMEOUT_MS = 300
+# A process that ends may still take a connection, which is then reset.
+STATUS_TRIES = 2
 MAX_LINE_BYTES = 1_048_576
 EMPTY_TRACE = msgspec.Raw(b"[]")
 
@@ -232,24 +234,29 @@
         except msgspec.ValidationError:
             return None
 
-    async def incarnation(self, stage: Stage) -> int | None:
-        """Return the incarnation of a stage's runner; ``None`` if it does not answer.
+    async def has_ended(self, stage: Stage, incarnation: int | None) -> bool:
+        """Return whether a runner's process is known to have ended.
 
-        The request uses a new connection.
+        It has if its address refuses connections, or if a later incarnation answers. A
+        runner that gives no answer may only be silent. The request uses a new
+        connection.
+
+        :param incarnation: incarnation of the process; ``None`` if it is not known.
         """
-        outcome = await self._http.request_json(
-            _parse_address(stage.address),
-            "GET",
-            "/v1/status",
-            timeout_ms=STATUS_TIMEOUT_MS,
-            fresh=True,
-        )
-        if isinstance(outcome, Err) or outcome.ok_value[0] != 200:
-            return None
-        try:
-            return msgspec.convert(outcome.ok_value[1], _StatusReply).incarnation
-        except msgspec.ValidationError:
-            return None
+        for _ in range(STATUS_TRIES):
+            outcome = await self._http.request_json(
+                _parse_address(stage.address),
+                "GET",
+                "/v1/status",
+                timeout_ms=STATUS_TIMEOUT_MS,
+                fresh=True,
+            )
+            if isinstance(outcome, Ok):
+                found = _incarnation(outcome.ok_value[1])
+                return None not in (found, incarnation) and found > incarnation
+            if outcome.err_value.is_refused:
+                return True
+        return False
 
     async def cancel(self, stage: Stage, run: str, epoch: int) -> None:
         """Cancel all epochs of a run up to ``epoch`` at a stage."""
@@ -261,6 +268,14 @@
         )
 
 
+def _incarnation(status: Any) -> int | None:
+    """Return the incarnation in a status, or ``None`` if the status is malformed."""
+    try:
+        return msgspec.convert(status, _StatusReply).incarnation
+    except msgspec.ValidationError:
+        return None
+
+
 def _open_body(spec: RunSpec, index: int) -> dict[str, Any]:
     return {
         "run": spec.run,
--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -45,12 +45,14 @@
 
     :param progress: ``NOT_SENT`` only if no byte was written to a socket.
     :param detail: method, address and cause of the failure.
+    :param is_refused: the address refused the connection, so no process listens there.
 
     .. versionadded:: 0.1
     """
 
     progress: Progress
     detail: str
+    is_refused: bool = False
 
 
 class ClientResponse:
@@ -171,7 +173,9 @@
             if isinstance(error, TimeoutError):
                 self.close_idle(address)
             reason = str(error) or type(error).__name__
-            return Err(TransportError(progress, f"{method} {address}: {reason}"))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            detail = f"{method} {address}: {reason}"
+            return Err(TransportError(progress, detail, is_refused))
         except BaseException:
             if connection is not None:
                 connection.close()
--- a/standins/process.py
+++ b/standins/process.py
@@ -39,6 +39,17 @@
         """Send SIGCONT to a suspended process."""
         self.send(signal.SIGCONT)
 
+    async def fall_silent(self, milliseconds: int) -> None:
+        """Suspend the process for a while, after which it goes on where it was.
+
+        Its connections stay open, and the kernel accepts new ones meanwhile.
+        """
+        self.pause()
+        try:
+            await asyncio.sleep(milliseconds / 1000)
+        finally:
+            self.resume()
+
     async def terminate(self) -> int:
         """Send SIGTERM, wait for the process to end and return its exit code."""
         self.send(signal.SIGTERM)
--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -121,3 +121,39 @@
     assert [line.event for line in lines] == ["opened", "token"]
     client.close()
     target.stop()
+
+
+STATUS = b'{"incarnation": 7}'
+
+
+async def _has_ended(script, incarnation):
+    target = ScriptedTarget(script)
+    client = HttpClient()
+    stage = Stage("runner-1", str(await target.start()), "", 0, 80)
+    if script is None:
+        target.stop()
+    ended = await EngineClient(client, SystemClock()).has_ended(stage, incarnation)
+    client.close()
+    target.stop()
+    return ended
+
+
+# Guards against prompts that are refused because sound runners, which gave no answer
+# for a second, are counted as crashed by them.
+async def test_silent_runner_is_not_taken_for_ended():
+    async def script(target, path, writer):
+        await asyncio.Event().wait()
+
+    assert not await _has_ended(script, 7)
+
+
+@pytest.mark.parametrize(("known", "ended"), [(7, False), (6, True), (None, False)])
+async def test_runner_with_a_later_incarnation_has_ended(known, ended):
+    async def script(target, path, writer):
+        await target.send(writer, answer(STATUS))
+
+    assert await _has_ended(script, known) is ended
+
+
+async def test_runner_that_refuses_connections_has_ended():
+    assert await _has_ended(None, 7)
