End a draft with a true refusal if its admission raises

Callers would see: an error in the gate, or in the line about the admission, ended the draft's task without a log line. The draft never ended: a stream got keep-alive comments for ever, a caller without a stream nothing at all, and the place in the queue stayed taken. An error of the execution was answered with may_have_run even if nothing had been started.

Cause: only the execution stood inside the block that turns errors into a refusal. Found by reading; no caller is known to have met it.

Evidence: test_draft_ends_with_a_true_refusal_after_an_error failed before for admit and admitted (TimeoutError after 1 s) and for run (may_have_run).

Now the whole task of a draft stands in that block, the refusal follows may_have_started, and the place is given back in any case. Measured: tests/drafts and tests/admission pass.

--- a/src/heathershunt/drafts/gate.py
+++ b/src/heathershunt/drafts/gate.py
@@ -77,7 +77,7 @@
         """Wait until ``ticket`` may run; return the refusal if it may not.
 
         An admitted ticket must be given back with ``release``. If the wait is
-        cancelled, the ticket leaves the queue or frees its place.
+        cancelled or raises, the ticket leaves the queue or frees its place.
         """
         now = self._clock.now()
         self._splitter.record(account.name)
@@ -95,10 +95,10 @@
         waiter = asyncio.get_running_loop().create_future()
         self._waiters_by_id[ticket.id] = waiter
         self._has_waiter.set()
-        self._admit_ready(queue)
         try:
+            self._admit_ready(queue)
             return await waiter
-        except asyncio.CancelledError:
+        except BaseException:
             if not queue.cancel(ticket.id):
                 queue.release(ticket, self._clock.now(), measured=False)
             raise
--- a/src/heathershunt/drafts/handler.py
+++ b/src/heathershunt/drafts/handler.py
@@ -128,6 +128,14 @@
         return draft
 
     async def _run(self, draft: Draft, account: ClientAccount) -> None:
+        try:
+            await self._admit_and_execute(draft, account)
+        except Exception:
+            # A draft that never ends would keep its callers waiting until a time-out.
+            log.exception("draft {} failed", draft.request_id)
+            draft.refuse(_failure_refusal(draft))
+
+    async def _admit_and_execute(self, draft: Draft, account: ClientAccount) -> None:
         request = draft.request
         cost = request.max_tokens - len(request.received)
         ticket = Ticket(
@@ -138,14 +146,9 @@
             draft.refuse(admitted.err_value)
             self._observer.refused(draft, admitted.err_value)
             return
-        self._observer.admitted(draft, self._clock.now())
         try:
+            self._observer.admitted(draft, self._clock.now())
             await self._executor.run(draft)
-        except Exception:
-            # A draft that never ends would keep its callers waiting until a time-out.
-            log.exception("draft {} failed", draft.request_id)
-            detail = "the draft ended by a fault of this VM"
-            draft.refuse(may_have_run(500, "Draft not finished", detail))
         finally:
             self._gate.release(ticket, request.model, is_complete=draft.is_complete)
 
@@ -220,6 +223,14 @@
         )
 
 
+def _failure_refusal(draft: Draft) -> Refusal:
+    """Return the refusal of a draft that ends by an error of this process."""
+    detail = "the draft ended by a fault of this VM"
+    if draft.may_have_started:
+        return may_have_run(500, "Draft not finished", detail)
+    return not_run(500, "Draft not started", detail)
+
+
 def _parse_body(data: bytes) -> Result[CompletionBody, Refusal]:
     try:
         return Ok(_decode_body(data))
