Fail the epoch if one of its tasks raises

Callers would see: a draft that never ends. After an error in the task that probes the stages no deadline is set again, so the draft waited until its caller left, and the log had no line. A first line of a runner that was nested too deeply raised through the epoch and ended the draft with 500, where another runner might have served it.

Cause: nobody looked at the outcome of the epoch's tasks, and of the two places that decode a line, and the one that decodes a trace, only one turned RecursionError into a malformed line. Found by reading.

Evidence: test_error_in_the_probes_fails_the_epoch (TimeoutError), test_line_that_is_nested_too_deeply_is_malformed (both cases) and test_trace_that_is_nested_too_deeply_is_malformed failed before.

Now an error of a task fails the epoch, without a suspect and with its traceback in the log, and the draft goes on with its next epoch.

--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -85,7 +85,7 @@
 
 _parse_address = lru_cache(maxsize=4096)(Address.from_text)
 _decode_line = msgspec.json.Decoder(StageLine).decode
-decode_trace = msgspec.json.Decoder(list[Any]).decode
+_decode_list = msgspec.json.Decoder(list[Any]).decode
 
 
 def _decode(line: bytes) -> StageLine:
@@ -95,6 +95,17 @@
         raise ValueError("a line of the stage is nested too deeply") from None
 
 
+def decode_trace(trace: bytes | msgspec.Raw) -> list[Any]:
+    """Return the decoded trace of a token.
+
+    :raises ValueError: if the trace is malformed or nested too deeply.
+    """
+    try:
+        return _decode_list(trace)
+    except RecursionError:
+        raise ValueError("the trace of a token is nested too deeply") from None
+
+
 class StageStream:
     """The open stream of one stage."""
 
@@ -117,7 +128,7 @@
             if data is None:
                 return []
             if not self._partial_line and data.find(b"\n") == len(data) - 1:
-                return [_decode_line(data)]
+                return [_decode(data)]
             lines = (self._partial_line + data).split(b"\n")
             self._partial_line = lines.pop()
             if len(self._partial_line) > MAX_LINE_BYTES:
--- a/src/heathershunt/drafts/epoch.py
+++ b/src/heathershunt/drafts/epoch.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
+import logbook
 import msgspec
 from result import Err, Ok, Result
 
@@ -27,6 +28,8 @@
 )
 from heathershunt.verdict import Progress
 
+log = logbook.Logger("heathershunt.drafts")
+
 MAX_PROBE_ROUNDS = 3
 # Part of the progress deadline in which every stage must answer if one of them has.
 SHORT_PROBE_FRACTION = 0.25
@@ -143,10 +146,8 @@
 
     async def _start(self, cached_positions: list[int]) -> Result[None, EpochFailure]:
         last = len(self._streams) - 1
-        self._tasks = [
-            asyncio.create_task(self._read_stream(stream, is_last=index == last))
-            for index, stream in enumerate(self._streams)
-        ]
+        for index, stream in enumerate(self._streams):
+            self._spawn(self._read_stream(stream, is_last=index == last))
         self._watch.deadline = self._clock.now() + self._first_token_limit_ms()
         self._monitor.register(self._watch)
         # Set before the call, since a call that is cancelled may have been sent.
@@ -233,7 +234,22 @@
             self._outcome.set_result(Err(failure))
 
     def _on_stall(self) -> None:
-        self._tasks.append(asyncio.create_task(self._probe_stages()))
+        self._spawn(self._probe_stages())
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run ``work`` until the epoch ends; an error in it fails the epoch."""
+        task = asyncio.create_task(work)
+        self._tasks.append(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        exc_info = (type(error), error, error.__traceback__)
+        log.error("run {} failed", self._spec.run, exc_info=exc_info)
+        detail = f"error while the run was read: {type(error).__name__}"
+        self._fail(set(), detail, is_confirmed=False)
 
     async def _probe_stages(self) -> None:
         """Probe all stages over new connections after a stall, before one is suspected.
--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -6,7 +6,12 @@
 import pytest
 
 from heathershunt.clock import SystemClock
-from heathershunt.drafts.engine import MAX_LINE_BYTES, EngineClient, RunSpec
+from heathershunt.drafts.engine import (
+    MAX_LINE_BYTES,
+    EngineClient,
+    RunSpec,
+    decode_trace,
+)
 from heathershunt.http import HttpClient
 from heathershunt.routing import Chain, Stage
 from tests.scripted import ScriptedTarget, answer, late_duplicates
@@ -157,3 +162,33 @@
 
 async def test_runner_that_refuses_connections_has_ended():
     assert await _has_ended(None, 7)
+
+
+# Short enough to be received at once, as most lines are.
+NESTED = b"[" * 5_000 + b"]" * 5_000
+NESTED_LINE = b'{"event": "token", "trace": %b}\n' % NESTED
+
+
+# Guards against drafts that end with an internal error because one runner sends a line
+# that is nested too deeply; the runner is at fault, and another one may do.
+@pytest.mark.parametrize("first", [OPENED_LINE, b""])
+async def test_line_that_is_nested_too_deeply_is_malformed(first):
+    async def script(target, path, writer):
+        await target.send(writer, RESPONSE_HEAD + _chunk(first or NESTED_LINE))
+        await asyncio.sleep(0.05)
+        await target.send(writer, _chunk(NESTED_LINE))
+        await asyncio.Event().wait()
+
+    target, client, outcome = await _open_stream(script)
+    if first:
+        with pytest.raises(ValueError, match="nested"):
+            await outcome.unwrap()[0].read_lines()
+    else:
+        assert "nested" in outcome.unwrap_err().detail
+    client.close()
+    target.stop()
+
+
+def test_trace_that_is_nested_too_deeply_is_malformed():
+    with pytest.raises(ValueError, match="nested"):
+        decode_trace(NESTED)
--- a/tests/drafts/test_epoch.py
+++ b/tests/drafts/test_epoch.py
@@ -200,3 +200,20 @@
         return next(steps)
 
     return probe
+
+
+class FailingProbes(PacedEngine):
+    """Engine whose stages are asked for their position in vain: the probe raises."""
+
+    async def probe(self, stage, run, timeout_ms):
+        raise KeyError("probe")
+
+
+# Guards against drafts that never end: after an error in the task that probes the
+# stages, no further deadline is set.
+async def test_error_in_the_probes_fails_the_epoch():
+    engine = FailingProbes([token(0), token(0)], pause_s=0.01, position=0)
+    draft, outcome = await run_paced(engine, floor_ms=100)
+    assert not draft.is_complete
+    assert not outcome.err_value.suspects
+    assert not outcome.err_value.is_confirmed
