--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -8,27 +8,31 @@
 import h11
 import logbook
 
+from heathershunt.http.cuts import (
+    AnswerError,
+    AnswerWatch,
+    CutCause,
+    CutHandler,
+    log_cut,
+)
+from heathershunt.http.heads import build_head
 from heathershunt.http.messages import (
     Request,
     Response,
     StreamResponse,
     problem_response,
 )
-from heathershunt.http.requests import (
-    HttpLimits,
-    RequestRejectedError,
-    build_request,
-)
+from heathershunt.http.reading import READ_BYTES, RequestReader
+from heathershunt.http.requests import HttpLimits, RequestRejectedError
 from heathershunt.http.transports import (
     CountingReader,
     is_receive_buffer_empty,
     limit_receive_size,
 )
-from heathershunt.verdict import not_run
+from heathershunt.verdict import may_have_run, not_run
 
 log = logbook.Logger("heathershunt.http")
 
-READ_BYTES = 65536
 WRITE_HIGH_WATER_BYTES = 262_144
 LINGER_MS = 2000
 # A drain waits for a connection without requests until this long after it was opened,
@@ -37,6 +41,8 @@
 # Pipelined bytes read while a request is served; beyond this, reading stops.
 MAX_PIPELINED_BYTES = 262_144
 
+FAILED = may_have_run(500, "Internal error", "The router failed to answer the request.")
+
 Handler = Callable[[Request], Awaitable[Response | StreamResponse]]
 
 
@@ -69,30 +75,28 @@
         handler: Handler,
         limits: Callable[[], HttpLimits],
         cancels_handlers: bool = False,
+        on_cut: CutHandler = log_cut,
     ) -> None:
         self.reader = reader
         self.writer = writer
         self._handler = handler
-        self._get_limits = limits
         self._cancels_handlers = cancels_handlers
+        self._answer = AnswerWatch(on_cut)
         self._task: asyncio.Task | None = None
         self.is_busy = False
         self._has_served = False
         self._opened_at = asyncio.get_running_loop().time()
         self._on_confirmed: Callable[[], None] | None = None
-        self._frames_chunks = False
         self._closed = asyncio.Event()
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
+        self._requests = RequestReader(
+            self._h11, reader, limits, self._send_continue, writer.transport
+        )
         limit_receive_size(writer.transport)
         writer.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
 
-    @property
-    def _limits(self) -> HttpLimits:
-        """Return the current limits, which may change while the connection is open."""
-        return self._get_limits()
-
     @property
     def is_pending(self) -> bool:
         """Return whether the connection may still need a response in a drain.
@@ -108,7 +112,7 @@
 
     def _has_next_request(self) -> bool:
         """Return whether bytes of the next request have been received."""
-        if self.reader.has_unread or self._h11.trailing_data[0]:
+        if self.reader.has_unread or self._requests.has_buffered:
             return True
         if self._h11.their_state is h11.SEND_BODY:
             return True
@@ -123,20 +127,34 @@
         except asyncio.CancelledError:
             # The watcher cancels the handler if the caller closes the connection.
             if not self._closed.is_set():
+                self._answer.cut(CutCause.STOPPED)
                 raise
-            self.abort()
+            self.abort(CutCause.CALLER_CLOSED)
         except RequestRejectedError as error:
             await self.reject(error.status, error.detail)
-        except (ConnectionError, TimeoutError, h11.LocalProtocolError):
-            self.abort()
+        except AnswerError as error:
+            self.abort(error.cause, str(error))
+        except h11.LocalProtocolError as error:
+            self.abort(CutCause.INVALID_ANSWER, str(error))
+        except (ConnectionError, TimeoutError) as error:
+            self.abort(CutCause.CALLER_CLOSED, str(error))
         finally:
+            if self._has_unread_request():
+                self._answer.cut_unread()
             self._closed.set()
             self.writer.close()
 
+    def _has_unread_request(self) -> bool:
+        """Return whether bytes of a request were received and not read."""
+        if self.reader.at_eof() or self._closed.is_set():
+            return False
+        return self.reader.has_unread or self._requests.has_buffered
+
     async def _serve_one(self, draining: Callable[[], bool]) -> bool:
         request = await self._read_request(draining)
         if request is None:
             return False
+        self._answer.on_request(request)
         self.is_busy = True
         if self._cancels_handlers:
             async with self._watching_peer():
@@ -180,102 +198,63 @@
         self._on_confirmed = None
 
     async def _read_request(self, draining: Callable[[], bool]) -> Request | None:
-        if not self._h11.trailing_data[0]:
+        if not self._requests.has_buffered:
             # A new connection gets a response to its first request even in a drain, so
             # that a late caller receives the address to send the request to instead.
             if draining() and self._has_served and not self._has_next_request():
                 return None
-            if not await self._wait_first_byte():
+            first = await self._requests.wait_first_bytes()
+            if first is None:
                 return None
-        try:
-            async with (
-                asyncio.timeout(self._limits.request_ms / 1000),
-                asyncio.timeout(self._limits.head_ms / 1000) as head_timeout,
-            ):
-                return await self._parse_request(head_timeout)
-        except TimeoutError:
-            raise RequestRejectedError(408, "The request took too long.") from None
-        except h11.RemoteProtocolError as error:
-            status = getattr(error, "error_status_hint", 400) or 400
-            raise RequestRejectedError(
-                status, f"The request is not valid HTTP/1.1: {error}."
-            ) from None
-
-    async def _wait_first_byte(self) -> bool:
-        try:
-            async with asyncio.timeout(self._limits.idle_ms / 1000):
-                data = await self.reader.read(READ_BYTES)
-        except TimeoutError:
-            return False
-        self._confirm()
-        if data:
-            self._h11.receive_data(data)
-        return bool(data)
-
-    async def _parse_request(self, head_timeout: asyncio.Timeout) -> Request | None:
-        head = None
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                self._send_continue()
-                self._h11.receive_data(await self.reader.read(READ_BYTES))
-            elif isinstance(event, h11.Request):
-                head = event
-                head_timeout.reschedule(None)
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._limits.body_bytes:
-                    limit = self._limits.body_bytes
-                    raise RequestRejectedError(
-                        413, f"The request body is larger than {limit} bytes."
-                    )
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return self._build_request(head, b"".join(parts))
-            else:
+            self._confirm()
+            if not first:
                 return None
+        return await self._requests.read()
 
     def _send_continue(self) -> None:
-        if self._h11.they_are_waiting_for_100_continue:
-            self.send(h11.InformationalResponse(status_code=100, headers=[]))
-
-    def _build_request(self, head: h11.Request, body: bytes) -> Request:
-        # h11 sends no chunks to HTTP/1.0 clients and no body in response to HEAD.
-        self._frames_chunks = head.http_version == b"1.1" and head.method != b"HEAD"
-        peer = self.writer.get_extra_info("peername")
-        return build_request(head, body, peer[0] if peer else "")
+        self.send(h11.InformationalResponse(status_code=100, headers=[]))
 
     async def _run_handler(self, request: Request) -> Response | StreamResponse:
+        """Return the handler's response, or an error response if it fails."""
         try:
             return await self._handler(request)
+        except asyncio.CancelledError:
+            # A handler that awaits a task which something else cancels raises this too,
+            # without a cancellation of its own.
+            if self._task.cancelling():
+                raise
+            log.exception("handler cancelled: {} {}", request.method, request.path)
         except Exception:
             log.exception("handler failed: {} {}", request.method, request.path)
-            raise ConnectionError("the handler failed") from None
+        return problem_response(FAILED)
 
     async def _respond(
         self, response: Response | StreamResponse, closing: Callable[[], bool]
     ) -> None:
-        headers = list(response.headers.items())
         # Pipelined requests are answered before the connection is closed.
-        if closing() and not self._has_next_request():
-            headers.append(("connection", "close"))
-        if isinstance(response, Response):
-            headers.append(("content-length", str(len(response.body))))
-            self._send_head(response.status, headers)
-            if response.body:
-                self.send(h11.Data(data=response.body))
-        else:
-            headers.append(("transfer-encoding", "chunked"))
-            try:
-                self._send_head(response.status, headers)
-                await self._run_stream(response)
-            finally:
-                if response.on_closed is not None:
-                    response.on_closed()
+        closes = closing() and not self._has_next_request()
+        try:
+            head = build_head(response, closes)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            log.error("answer cannot be written as HTTP/1.1: {}", error)
+            _release(response)
+            response = problem_response(FAILED)
+            head = build_head(response, closes)
+        try:
+            self.send(head)
+            self._answer.on_answer()
+            await self._write_body(response)
+        finally:
+            _release(response)
         self.send(h11.EndOfMessage())
         await self.writer.drain()
+        self._answer.on_end()
+
+    async def _write_body(self, response: Response | StreamResponse) -> None:
+        if isinstance(response, StreamResponse):
+            await self._run_stream(response)
+        elif response.body:
+            self.send(h11.Data(data=response.body))
 
     async def _run_stream(self, response: StreamResponse) -> None:
         try:
@@ -284,11 +263,20 @@
                 return
             async with self._watching_peer():
                 await response.run(_Stream(self))
-        except ConnectionError:
-            raise
+        except asyncio.CancelledError:
+            if self._task.cancelling():
+                raise
+            log.exception("streamed response cancelled")
+            detail = "a task of the streamed response was cancelled"
+            raise AnswerError(CutCause.STREAM_FAILED, detail) from None
+        except ConnectionError as error:
+            if self._is_caller_gone():
+                raise
+            raise AnswerError(CutCause.STREAM_FAILED, str(error)) from None
         except Exception:
             log.exception("streamed response failed")
-            raise ConnectionError("the streamed response failed") from None
+            detail = "the streamed response failed"
+            raise AnswerError(CutCause.STREAM_FAILED, detail) from None
 
     @asynccontextmanager
     async def _watching_peer(self):
@@ -321,15 +309,6 @@
             pipelined_bytes += len(data)
             self._h11.receive_data(data)
 
-    def _send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        self.send(
-            h11.Response(
-                status_code=status,
-                headers=[(name, text.encode("latin-1")) for name, text in headers],
-                reason=_reason_phrase(status).encode(),
-            )
-        )
-
     def send_body(self, data: bytes) -> None:
         """Write body bytes of a streamed response as one chunk.
 
@@ -337,14 +316,17 @@
         than the rest of a relayed token. The head and the end of the body still pass
         through h11, which keeps no state of an open chunk between two events.
         """
-        if not self._frames_chunks:
+        if not self._requests.allows_chunks:
             self.send(h11.Data(data=data))
         elif data:
             self._require_open()
             self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
 
+    def _is_caller_gone(self) -> bool:
+        return self._closed.is_set() or self.writer.transport.is_closing()
+
     def _require_open(self) -> None:
-        if self._closed.is_set() or self.writer.transport.is_closing():
+        if self._is_caller_gone():
             raise ConnectionResetError("the caller closed the connection")
 
     def send(self, event) -> None:
@@ -383,15 +365,17 @@
         else:
             self.writer.close()
 
-    def abort(self) -> None:
-        """Abort the connection."""
+    def abort(self, cause: CutCause = CutCause.STOPPED, detail: str = "") -> None:
+        """Abort the connection.
+
+        :param cause: cause to report if an answer is owed.
+        """
+        self._answer.cut(cause, detail)
         self._closed.set()
         self.writer.transport.abort()
 
 
-def _reason_phrase(status: int) -> str:
-    """Return the reason phrase, ``""`` for the unknown statuses of plain services."""
-    try:
-        return HTTPStatus(status).phrase
-    except ValueError:
-        return ""
+def _release(response: Response | StreamResponse) -> None:
+    """Tell the source of a streamed response that it is no longer needed."""
+    if isinstance(response, StreamResponse) and response.on_closed is not None:
+        response.on_closed()
