Log and count in the daemon each answer that is cut after its request was read

A connection that closed after a whole request and before the end of its answer left no trace in the daemon. Each is now one line and one count in heathershunt_answers_cut_total, with the cause and whether the answer had begun, by the hook of the HTTP server that the gateway uses too.

The logic is unchanged. The tests on silent runners now also check that no answer was cut.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -136,7 +136,9 @@
             self.vm_list.entry_vms,
         )
         self.operations.leases = self.placement.leases
-        self.callers = HttpServer(CallerRoutes(self).handle)
+        self.callers = HttpServer(
+            CallerRoutes(self).handle, on_cut=self.operations.on_cut
+        )
         self.is_shutting_down = False
         self._tasks: list[asyncio.Task] = []
 
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -9,7 +9,7 @@
 
 from heathershunt.bundle import Bundle, BundleError, SignedRoot, encode_file
 from heathershunt.daemon.status import daemon_status
-from heathershunt.http import Address, HttpServer, Response
+from heathershunt.http import Address, AnswerCut, CutCause, HttpServer, Response
 from heathershunt.logs.events import (
     LimitNamed,
     LimitWithdrawn,
@@ -154,6 +154,21 @@
             EventKind.LIMIT, what=event.name, target=event.target, per_s=per_s
         )
 
+    def on_cut(self, cut: AnswerCut) -> None:
+        """Log and count a caller's connection that closed before its answer's end."""
+        by_caller = cut.cause is CutCause.CALLER_CLOSED
+        request = cut.request
+        log.log(
+            logbook.INFO if by_caller else logbook.WARNING,
+            "connection closed before the end of an answer: {} {} cause={} begun={} {}",
+            request.method if request else "",
+            request.path if request else "",
+            cut.cause.value,
+            cut.has_begun,
+            cut.detail,
+        )
+        self.metrics.count_cut(cut.cause.value, cut.has_begun)
+
     def on_draining(self) -> None:
         """Record the start of the graceful shutdown."""
         running = self._daemon.draft_table.running
--- a/src/heathershunt/metrics/metrics.py
+++ b/src/heathershunt/metrics/metrics.py
@@ -33,6 +33,7 @@
         self._requests: Tally[tuple[str, str]] = Tally()
         self._epochs: Tally[str] = Tally()
         self._retries: Tally[str] = Tally()
+        self._cuts: Tally[tuple[str, bool]] = Tally()
         self._gauge_readers: list[tuple[Gauge, Callable[[], float]]] = []
         self._registry = Registry()
         self._requests_counter = self._counter("requests_total", "ended requests")
@@ -45,6 +46,10 @@
         self._retries_counter = self._counter(
             "retries_total", "retried attempts by cause"
         )
+        self._cuts_counter = self._counter(
+            "answers_cut_total",
+            "requests whose connection closed before the end of their answer",
+        )
         self._first_token = self._histogram(
             "first_token_seconds",
             "from the request to its first token",
@@ -80,6 +85,13 @@
         """Count a retried attempt by the cause of the retry."""
         self._retries[cause] += 1
 
+    def count_cut(self, cause: str, has_begun: bool) -> None:
+        """Count a connection that closed before the end of an answer, by its cause.
+
+        :param has_begun: whether the head of the answer was written.
+        """
+        self._cuts[cause, has_begun] += 1
+
     def observe_first_token(self, milliseconds: float) -> None:
         """Record the time from a request to its first token."""
         self._first_token.observe({}, milliseconds / MILLISECONDS_PER_SECOND)
@@ -113,6 +125,9 @@
             self._epochs_counter.set({"outcome": _escape_label(outcome)}, count)
         for cause, count in self._retries.items():
             self._retries_counter.set({"cause": _escape_label(cause)}, count)
+        for (cause, has_begun), count in self._cuts.items():
+            labels = {"cause": _escape_label(cause), "begun": str(has_begun).lower()}
+            self._cuts_counter.set(labels, count)
         for gauge, read in self._gauge_readers:
             gauge.set({}, read())
         body, headers = render(self._registry, [])
--- a/tests/integration/faults.py
+++ b/tests/integration/faults.py
@@ -1,6 +1,7 @@
 """Helpers of the tests that inject faults while a draft runs."""
 
 import asyncio
+import re
 
 from heathershunt.http import Address
 from standins.oracle import expected_tokens
@@ -52,6 +53,15 @@
     assert got.tokens == expected_tokens("m", version, LAYERS, prompt, count)
 
 
+async def answers_cut(deployment, vm="vm1"):
+    """Return how many answers a daemon reports as cut, by the cause."""
+    address = deployment.ports_by_daemon[vm].callers
+    outcome = await deployment.http.exchange(address, "GET", "/metrics")
+    text = outcome.unwrap()[1].decode()
+    found = re.findall(r"answers_cut_total\{.*cause=\"(\w+)\".*\} (\d+)", text)
+    return {cause: int(count) for cause, count in found}
+
+
 async def assert_layers_once(deployment, request_id, count):
     """Check in the engines' ledgers that no stage ran a position twice in an epoch.
 
--- a/tests/integration/test_drafts.py
+++ b/tests/integration/test_drafts.py
@@ -7,6 +7,7 @@
 from standins.caller import Caller
 from standins.launch import pipeline_specs
 from tests.integration.faults import (
+    answers_cut,
     assert_complete,
     assert_layers_once,
     busy_runner,
@@ -131,6 +132,20 @@
     assert_complete(got, PROMPT, 300)
 
 
+async def test_connection_that_closes_before_the_answer_ends_is_logged_and_counted(
+    fleet, address, caller
+):
+    """Without a line for each, a lost answer leaves no trace in the process."""
+    task, _ = await start_draft(caller, address, PROMPT, 300)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    async with asyncio.timeout(5):
+        while await answers_cut(fleet) != {"caller_closed": 1}:
+            await asyncio.sleep(0.05)
+    lines = fleet.processes_by_name["vm1"].log_text().splitlines()
+    assert sum("cause=caller_closed begun=True" in line for line in lines) == 1
+
+
 async def test_no_runner_for_a_stage_is_answered_at_once_as_not_run(
     fleet, address, caller
 ):
--- a/tests/integration/test_silent_runners.py
+++ b/tests/integration/test_silent_runners.py
@@ -9,6 +9,7 @@
 from standins.launch import pipeline_specs
 from tests.integration.conftest import LAYERS
 from tests.integration.faults import (
+    answers_cut,
     assert_complete,
     assert_layers_once,
     busy_runner,
@@ -72,6 +73,7 @@
     )
     assert_complete(await task, PROMPT, COUNT)
     await assert_layers_once(lone_fleet, seen.request_id, COUNT)
+    assert await answers_cut(lone_fleet) == {}
 
 
 # Guards against requests that are refused because a sound runner gave no sign for a
@@ -115,3 +117,4 @@
     )
     assert_complete(await task, PROMPT, COUNT)
     await assert_layers_once(fleet, seen.request_id, COUNT)
+    assert await answers_cut(fleet) == {}
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -16,6 +16,7 @@
     metrics.count_request(Verdict.RAN, "normal")
     metrics.count_epoch("opened")
     metrics.count_retry("reset")
+    metrics.count_cut("stopped", True)
     metrics.add_gauge("bundle_version", "version in force", lambda: 7)
     text = lines(metrics)
     label = 'account_class="normal",verdict="ran"'
@@ -23,6 +24,8 @@
     assert "heathershunt_tokens_total 3" in text
     assert 'heathershunt_epochs_total{outcome="opened"} 1' in text
     assert 'heathershunt_retries_total{cause="reset"} 1' in text
+    label = 'begun="true",cause="stopped"'
+    assert f"heathershunt_answers_cut_total{{{label}}} 1" in text
     assert "heathershunt_bundle_version 7" in text
     assert lines(metrics) == text
 
