Relay a draft over another link when the link to its VM breaks

Callers saw: an answer that another VM relayed was cut, without its end and without a refusal, when the link between the two VMs broke, was replaced by one that both sides dialled, was silent for 3 s, or had 1 MB unread behind a slow caller. The draft itself went on.

Cause: the relay copied bytes of one reply, and the error at the end of that reply went through the HTTP server, which aborts the connection.

Now only whole events are passed on, and after a broken reply the relay asks the same incarnation of the VM for what follows the last event. Within 2 s without success the stream ends with an error event, 410, may have run, and the way to go on. The end of an answer is passed on once, wherever the link breaks.

--- a/src/heathershunt/daemon/forwarding.py
+++ b/src/heathershunt/daemon/forwarding.py
@@ -12,23 +12,21 @@
 from result import Err, Ok, Result
 
 from heathershunt.bundle import ClientAccount
+from heathershunt.daemon.relay import RESUME_KIND, DraftRelay
 from heathershunt.http import (
     Response,
-    ResponseStream,
     StreamResponse,
     problem_response,
 )
-from heathershunt.peers import ForwardError, ForwardReply, ForwardRequest, ReplyStream
+from heathershunt.peers import ForwardError, ForwardRequest, ReplyStream
 from heathershunt.services import Claim, ClaimFailure, ServiceCall
-from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
+from heathershunt.verdict import Progress, Refusal, not_run
 
 if TYPE_CHECKING:
     from heathershunt.daemon.app import Daemon
 
-RESUME_KIND = "draft.resume"
 CALL_KIND = "service.call"
 CLAIM_KIND = "service.claim"
-RESUME_TIMEOUT_MS = 2000
 CLAIMED_STATUS = 200
 CLAIM_FAILED_STATUS = 409
 MAX_REPLY_BACKLOG_BYTES = 262_144
@@ -87,21 +85,14 @@
         self, request_id: str, after: int, account: ClientAccount
     ) -> Response | StreamResponse:
         """Relay the events of a draft after ``after`` from the VM that owns it."""
-        vm, incarnation, _ = request_id.rsplit(".", 2)
-        outcome = await self._daemon.fleet.forwarder.call(
-            vm,
-            RESUME_KIND,
-            headers={"id": request_id, "after": str(after), "account": account.name},
-            incarnation=int(incarnation),
-            timeout_ms=RESUME_TIMEOUT_MS,
-        )
-        if isinstance(outcome, Err):
-            refusal = outcome.err_value.refusal
-            return problem_response(refusal or _owner_unavailable(vm))
-        reply = outcome.ok_value
-        return StreamResponse(
-            reply.status, reply.headers, lambda stream: _relay(reply, stream)
+        relay = DraftRelay(
+            self._daemon.fleet.forwarder,
+            self._daemon.clock,
+            request_id,
+            after,
+            account.name,
         )
+        return await relay.answer()
 
     async def call(
         self, vm: str, incarnation: int, call: ServiceCall, key: str, timeout_ms: int
@@ -210,23 +201,3 @@
             await reply.start(CLAIMED_STATUS, {})
             await reply.write(cbor2.dumps(list(outcome.ok_value)))
         return None
-
-
-async def _relay(reply: ForwardReply, stream: ResponseStream) -> None:
-    """Copy a reply to the caller; if the reply breaks off, so does the response."""
-    closed = asyncio.create_task(stream.wait_closed())
-    closed.add_done_callback(lambda _: reply.cancel("the caller disconnected"))
-    try:
-        async for data in reply.chunks():
-            stream.write(data)
-            await stream.drain()
-    finally:
-        closed.cancel()
-
-
-def _owner_unavailable(vm: str) -> Refusal:
-    detail = (
-        f"{vm}, which ran this draft, is gone; repeat the request with the text of the "
-        "tokens received in heathershunt.received and the answer goes on after it"
-    )
-    return may_have_run(410, "Owner gone", detail)
--- a/src/heathershunt/drafts/sse.py
+++ b/src/heathershunt/drafts/sse.py
@@ -23,6 +23,8 @@
 KEEP_ALIVE_INTERVAL_MS = 1000
 KEEP_ALIVE_COMMENT = b": keep-alive\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
+# Part of the last event before DONE_EVENT, and of no other: texts have escaped quotes.
+FINAL_MARK = b'"finish_reason":"length"'
 
 
 def stream_answer(draft: Draft, after: int) -> StreamResponse:
@@ -66,7 +68,8 @@
     }
 
 
-def _error_event(refusal: Refusal) -> bytes:
+def error_event(refusal: Refusal) -> bytes:
+    """Return the event that ends the stream of a draft without a complete answer."""
     return b"event: error\ndata: " + problem_response(refusal).body + b"\n\n"
 
 
@@ -148,7 +151,7 @@
 
     def _write_end(self) -> None:
         if self._draft.refusal is not None:
-            self._stream.write(_error_event(self._draft.refusal))
+            self._stream.write(error_event(self._draft.refusal))
             return
         final = json.dumps(_chunk(self._draft, "", "length"), separators=(",", ":"))
         event = f"id: {self._position}\ndata: {final}\n\n".encode()
