Keep a silent try of an idempotent call while another address is tried

Callers saw: an idempotent call whose service gave no sign for 1.6 s was refused with 502, may have run, after a third of its time, where no other address was left or no retry in the budget. The service was sound and would have answered in time.

Cause: each try had a part of the time, and its connection was dropped at the end of that part, before it was asked whether another try may follow.

The cases with 0.8 s, calls that may not be repeated, keyed and forwarded calls passed before.

Now a part of the time without an answer ends the use of the address for new calls, and starts the next try beside the one that is silent. The first answer wins, and the others are dropped then. Each try may last until the deadline. A call that is not idempotent has one try after its first byte, as before.

Measured: tests/services and integration/test_silent_services.py pass.

--- a/src/heathershunt/services/addresses.py
+++ b/src/heathershunt/services/addresses.py
@@ -9,6 +9,8 @@
 
 MIN_EJECTION_MS = 1_000
 MAX_EJECTION_MS = 30_000
+# A try without an answer counts against its address only after at least this long.
+MIN_COUNTED_WAIT_MS = 500
 # One retry per five calls limits the extra load during an outage to 20 %.
 CALLS_PER_RETRY = 5
 MAX_TOKENS = 20 * CALLS_PER_RETRY
@@ -60,6 +62,17 @@
             self._failures.pop(address, None)
             self._ejected_until.pop(address, None)
             return
+        self._eject(address, now)
+
+    def suspect(self, address: Address, waited_ms: int, now: Millis) -> None:
+        """Eject an address for a while that has not answered a call, which goes on.
+
+        :param waited_ms: time without an answer.
+        """
+        if waited_ms >= MIN_COUNTED_WAIT_MS:
+            self._eject(address, now)
+
+    def _eject(self, address: Address, now: Millis) -> None:
         exponent = min(self._failures[address], 10)
         self._failures[address] += 1
         delay = min(MIN_EJECTION_MS * 2**exponent, MAX_EJECTION_MS)
--- a/src/heathershunt/services/dispatch.py
+++ b/src/heathershunt/services/dispatch.py
@@ -19,7 +19,11 @@
     TargetProcess,
     decode_limit,
 )
-from heathershunt.services.addresses import AddressChooser, CallRetryBudget
+from heathershunt.services.addresses import (
+    MIN_COUNTED_WAIT_MS,
+    AddressChooser,
+    CallRetryBudget,
+)
 from heathershunt.services.calls import (
     CallOutcome,
     ServiceCall,
@@ -31,9 +35,6 @@
 MAX_TRIES = 3
 RETRY_DELAY_MS = 20
 RETRY_AFTER_MS = 1_000
-# A try without an answer counts against its address only if its timeout was at least
-# this long.
-MIN_COUNTED_TIMEOUT_MS = 500
 MAX_ANSWER_BYTES = 8_388_608
 UNAVAILABLE_STATUSES = frozenset({502, 503, 504})
 KNOWN_STATUSES = frozenset(status.value for status in HTTPStatus)
@@ -77,30 +78,77 @@
         """Run one call and return its final outcome.
 
         An idempotent call may be retried after any failure; any other call only if no
-        byte of it was handed to a socket.
+        byte of it was handed to a socket. A try without an answer goes on until the
+        deadline or until another one is answered: its address may only be silent.
         """
         idempotent = service.is_idempotent(call.method, call.path)
         self._budget.record_call()
         tried: list[Address] = []
+        running: set[asyncio.Task] = set()
         outcome: CallOutcome | None = None
         sent = False
-        while (address := self._choose(call.service, tried)) is not None:
-            tried.append(address)
-            result = await self._try(call, address, deadline, idempotent, len(tried))
-            if isinstance(result, Ok):
-                outcome = CallOutcome(result.ok_value, Progress.ANSWERED)
-                if not idempotent or result.ok_value.status not in UNAVAILABLE_STATUSES:
-                    return outcome
-                sent = True
-            else:
-                failure = result.err_value
-                sent = sent or failure.progress is not Progress.NOT_SENT
-                outcome = self._failure_outcome(failure, sent, deadline)
-                if sent and not idempotent:
-                    return outcome
-            if not await self._may_retry(len(tried), deadline):
-                return outcome
-        return outcome or self._unsent_outcome(call.service)
+        try:
+            while True:
+                address = await self._next_address(call.service, tried, deadline)
+                if address is not None:
+                    tried.append(address)
+                    running.add(self._start_try(call, address, deadline))
+                elif not running:
+                    return outcome or self._unsent_outcome(call.service)
+                patience_ms = None
+                if idempotent and address is not None:
+                    patience_ms = self._patience_ms(len(tried), deadline)
+                results = await self._wait(running, patience_ms)
+                for result in results:
+                    outcome, sent = self._outcome(result, sent, deadline)
+                    if _is_final(result, idempotent, sent):
+                        return outcome
+                if not results:
+                    self._chooser.suspect(tried[-1], patience_ms, self._clock.now())
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def _next_address(
+        self, service: str, tried: list[Address], deadline: Millis
+    ) -> Address | None:
+        """Return the address of the next try, or ``None`` if there is to be none."""
+        address = self._choose(service, tried)
+        if address is None or not tried:
+            return address
+        return address if await self._may_retry(len(tried), deadline) else None
+
+    def _patience_ms(self, attempt: int, deadline: Millis) -> int:
+        """Return the time after which another address is tried as well."""
+        left = deadline - self._clock.now()
+        return max(1, left // (MAX_TRIES + 1 - attempt))
+
+    async def _wait(
+        self, running: set[asyncio.Task], patience_ms: int | None
+    ) -> list[Result[Response, _Failure]]:
+        """Wait for results, and remove their tries from ``running``.
+
+        :param patience_ms: longest wait; the result is empty after it.
+        """
+        timeout = None if patience_ms is None else patience_ms / 1000
+        done, _ = await asyncio.wait(
+            running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+        )
+        running -= done
+        return [task.result() for task in done]
+
+    def _outcome(
+        self, result: Result[Response, _Failure], sent: bool, deadline: Millis
+    ) -> tuple[CallOutcome, bool]:
+        """Return the outcome after one more result, and whether the call was sent.
+
+        :param sent: whether an earlier try was sent.
+        """
+        if isinstance(result, Ok):
+            return CallOutcome(result.ok_value, Progress.ANSWERED), True
+        failure = result.err_value
+        sent = sent or failure.progress is not Progress.NOT_SENT
+        return self._failure_outcome(failure, sent, deadline), sent
 
     def _unsent_outcome(self, service: str) -> CallOutcome:
         """Return the outcome of a call for which there was no address."""
@@ -140,20 +188,17 @@
             progress, status, "Service failed", failure.detail, after
         )
 
+    def _start_try(
+        self, call: ServiceCall, address: Address, deadline: Millis
+    ) -> asyncio.Task:
+        return asyncio.create_task(self._try(call, address, deadline))
+
     async def _try(
-        self,
-        call: ServiceCall,
-        address: Address,
-        deadline: Millis,
-        idempotent: bool,
-        attempt: int,
+        self, call: ServiceCall, address: Address, deadline: Millis
     ) -> Result[Response, _Failure]:
         left = deadline - self._clock.now()
         if left <= 0:
             return Err(_Failure(Progress.NOT_SENT, "the deadline has passed"))
-        if idempotent:
-            # An address that does not answer must leave time for the remaining tries.
-            left = left // (MAX_TRIES + 1 - attempt)
         self._chooser.start(address)
         healthy = None
         try:
@@ -201,6 +246,13 @@
             raise
 
 
+def _is_final(result: Result[Response, _Failure], idempotent: bool, sent: bool) -> bool:
+    """Return whether no other try may follow, or none is needed."""
+    if isinstance(result, Ok) and result.ok_value.status not in UNAVAILABLE_STATUSES:
+        return True
+    return sent and not idempotent
+
+
 def _process_at(address: Address) -> TargetProcess:
     return TargetProcess(str(address))
 
@@ -211,7 +263,7 @@
     if result.err_value.is_too_large:
         return True
     # One caller's short deadline must not eject an address for all callers.
-    return False if timeout_ms >= MIN_COUNTED_TIMEOUT_MS else None
+    return False if timeout_ms >= MIN_COUNTED_WAIT_MS else None
 
 
 async def _read_answer(response: ClientResponse) -> Result[Response, _Failure]:
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -10,7 +10,7 @@
 from heathershunt.http import Address, HttpClient, HttpServer, json_response
 from heathershunt.ratelimits import RATE_LIMIT_HEADER, LimitGuard, TargetProcess
 from heathershunt.services.addresses import AddressChooser, CallRetryBudget
-from heathershunt.services.dispatch import Dispatcher
+from heathershunt.services.dispatch import MAX_TRIES, Dispatcher
 from heathershunt.verdict import Progress
 from tests.scripted import ScriptedTarget, answer, late_duplicates
 from tests.services.doubles import service_call
@@ -46,11 +46,13 @@
     return Dispatcher(client, clock, lambda name: addresses, limits, source)
 
 
-async def run(targets, service, wait_ms=2000):
+async def run(targets, service, wait_ms=2000, *, has_budget=True):
     addresses = [target.address for target in targets]
     client = HttpClient()
     clock = SystemClock()
     dispatcher = make_dispatcher(addresses, client, clock)
+    while not has_budget and dispatcher._budget.take():
+        pass
     deadline = Millis(clock.now() + wait_ms)
     outcome = await dispatcher.run(service_call(), service, deadline)
     for target in targets:
@@ -159,3 +161,62 @@
     assert len(refused) >= 35
     assert all(outcome.progress is Progress.NOT_SENT for outcome in refused)
     assert all("retry-after" in outcome.response.headers for outcome in refused)
+
+
+class SilentTarget(Target):
+    """A server that answers nothing until some time after its first call."""
+
+    def __init__(self, silence_ms):
+        super().__init__(200)
+        self._silence_ms = silence_ms
+        self._ends_at = None
+
+    async def handle(self, request):
+        self.calls += 1
+        now = asyncio.get_running_loop().time()
+        if self._ends_at is None:
+            self._ends_at = now + self._silence_ms / 1000
+        await asyncio.sleep(max(0, self._ends_at - now))
+        return json_response(200, {})
+
+
+# Guards against calls that are refused with time left, because sound addresses gave no
+# answer for a second and no other address, or no retry, was left.
+@pytest.mark.parametrize("silence_ms", [800, 1600])
+@pytest.mark.parametrize("count", [1, 2, 4])
+@pytest.mark.parametrize("has_budget", [True, False])
+async def test_idempotent_call_waits_for_silent_addresses(
+    silence_ms, count, has_budget
+):
+    targets = [await SilentTarget(silence_ms).start() for _ in range(count)]
+    outcome = await run(targets, IDEMPOTENT, 3000, has_budget=has_budget)
+    assert outcome.response.status == 200
+    assert sum(target.calls for target in targets) <= min(count, MAX_TRIES)
+
+
+# Guards against a second run of a call that is not idempotent, and against a refusal of
+# it while its address is only silent.
+@pytest.mark.parametrize("silence_ms", [800, 1600])
+async def test_call_that_may_not_be_repeated_waits_for_its_address(silence_ms):
+    targets = [await SilentTarget(silence_ms).start() for _ in range(2)]
+    outcome = await run(targets, Service("orders"), 3000)
+    assert outcome.response.status == 200
+    assert sum(target.calls for target in targets) == 1
+
+
+# Guards against new calls that go to an address that is silent.
+async def test_silent_address_gets_no_new_calls():
+    client, clock = HttpClient(), SystemClock()
+    silent, sound = await SilentTarget(1600).start(), await Target(200).start()
+    dispatcher = make_dispatcher([silent.address], client, clock)
+    waiting = asyncio.create_task(
+        dispatcher.run(service_call(), IDEMPOTENT, Millis(clock.now() + 3000))
+    )
+    await asyncio.sleep(1.2)
+    dispatcher._addresses = lambda name: [silent.address, sound.address]
+    for _ in range(20):
+        deadline = Millis(clock.now() + 3000)
+        assert (await dispatcher.run(service_call(), IDEMPOTENT, deadline)).response
+    assert silent.calls == 1
+    assert (await waiting).response.status == 200
+    client.close()
