Refuse what a shutdown ends in place of closing its connections

Callers saw: a draft or a call that still ran at the drain limit, or at a second signal, lost its connection without an answer or a refusal.

Cause: the shutdown aborted the connections, and left the process, while handlers and streams were still waiting for their draft or call.

Evidence: test_request_that_a_shutdown_ends_is_refused failed before for one signal and for two: no problem document came.

Now drafts that run are refused by what is known of them, and callers that wait for a service get 503, may have run; then the process waits up to 500 ms for these to be sent.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -36,6 +36,8 @@
 
 HOUSEKEEPING_INTERVAL_MS = 1000
 DRAIN_POLL_INTERVAL_MS = 20
+# Time to send the refusals of what a shutdown ends.
+REFUSAL_FLUSH_MS = 500
 
 
 class Daemon:
@@ -210,7 +212,10 @@
         return bool(self.draft_table.undelivered(window) or running)
 
     async def shut_down(self) -> None:
-        """Refuse new work, finish running work up to the drain limit, then stop."""
+        """Refuse new work, finish running work up to the drain limit, then stop.
+
+        What still runs at the drain limit is refused.
+        """
         self.is_shutting_down = True
         self.fleet.set_leaving(self.settings.vm.name, True)
         self.operations.on_draining()
@@ -219,9 +224,18 @@
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
         while self._has_unfinished_work() and self.clock.now() < limit:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
+        await self.refuse_unfinished()
         await self.callers.close()
         await self.operations.close()
         await self.fleet.close()
         for task in self._tasks:
             task.cancel()
         self.http.close()
+
+    async def refuse_unfinished(self) -> None:
+        """Refuse the drafts and calls that still run, and send the refusals."""
+        self.draft_table.refuse_running()
+        self.services.stop_waiting()
+        limit = self.clock.now() + REFUSAL_FLUSH_MS
+        while self.callers.active_requests and self.clock.now() < limit:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
--- a/src/heathershunt/daemon/main.py
+++ b/src/heathershunt/daemon/main.py
@@ -26,6 +26,8 @@
 async def serve(settings: Settings) -> None:
     """Run one daemon until SIGTERM or SIGINT; a second signal ends the drain at once.
 
+    What then still runs is refused.
+
     :raises ListenError: if a listener cannot be bound.
     """
     daemon = Daemon(settings)
@@ -49,6 +51,8 @@
     draining = asyncio.create_task(daemon.shut_down())
     aborting = asyncio.create_task(abort.wait())
     await asyncio.wait({draining, aborting}, return_when="FIRST_COMPLETED")
+    if not draining.done():
+        await daemon.refuse_unfinished()
 
 
 def main() -> None:
--- a/src/heathershunt/drafts/draft.py
+++ b/src/heathershunt/drafts/draft.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from heathershunt.clock import Clock, Millis
-from heathershunt.verdict import Refusal, may_have_run
+from heathershunt.verdict import Refusal, may_have_run, not_run
 
 
 @dataclass(frozen=True)
@@ -168,6 +168,15 @@
             elif now - draft.ended_at > self._resume_window_ms:
                 del self.drafts_by_request[request_id]
 
+    def refuse_running(self) -> None:
+        """Refuse the drafts that have not ended, because this VM stops."""
+        detail = "this VM stopped before the answer was complete"
+        for draft in self.drafts_by_request.values():
+            if draft.may_have_started:
+                draft.refuse(may_have_run(503, "VM stopped", detail))
+            else:
+                draft.refuse(not_run(503, "VM stopped", detail))
+
     def _end_if_abandoned(self, draft: Draft, now: Millis) -> None:
         if draft.has_reader:
             draft.unread_since = None
--- a/src/heathershunt/services/handler.py
+++ b/src/heathershunt/services/handler.py
@@ -1,5 +1,6 @@
 """Callers' requests to plain services: ``/v1/services/{service}/{path}``."""
 
+import asyncio
 from collections.abc import Callable, Coroutine, Sequence
 
 from result import Result
@@ -52,6 +53,7 @@
         self._clock = clock
         self._keyed = KeyedCalls(dispatcher, table, issuer, claims, clock, forwarder)
         self._waiting_callers = 0
+        self._stopped = asyncio.Event()
 
     @classmethod
     def create(
@@ -86,6 +88,10 @@
         """Return the calls that a graceful shutdown waits for."""
         return self._waiting_callers + self._keyed.running
 
+    def stop_waiting(self) -> None:
+        """Refuse the calls that are waited for, because this VM stops."""
+        self._stopped.set()
+
     def set_peers(
         self,
         forwarder: Forwarder,
@@ -168,10 +174,15 @@
 
     async def _count(self, work: Coroutine[None, None, CallOutcome]) -> Response:
         self._waiting_callers += 1
+        running = asyncio.create_task(work)
+        stopped = asyncio.create_task(self._stopped.wait())
         try:
-            return (await work).response
+            await asyncio.wait({running, stopped}, return_when="FIRST_COMPLETED")
+            return (running.result() if running.done() else _stopped()).response
         finally:
             self._waiting_callers -= 1
+            running.cancel()
+            stopped.cancel()
 
 
 def _parse_call(request: Request, account: ClientAccount) -> ServiceCall | CallOutcome:
@@ -196,6 +207,11 @@
     )
 
 
+def _stopped() -> CallOutcome:
+    detail = "this VM stopped before the service answered"
+    return problem_outcome(Progress.SENT, 503, "VM stopped", detail)
+
+
 def _refuse(status: int, detail: str) -> CallOutcome:
     return problem_outcome(Progress.NOT_SENT, status, "Request refused", detail)
 
