Keep the background tasks of the daemon running after an error

Callers would see: nothing at all. If the task that checks the queues, or the one that looks for stalls, raised once, it was gone without a log line, and drafts waited without end: late tickets were never refused, capacities never updated, stalls never seen. Found by reading; no caller is known to have met it.

Cause: the tasks were started and never looked at again.

Now each is logged with its traceback and started again after 250 ms. tests/daemon/test_background.py has no counterpart on the code before, which had no such place. Measured: tests/daemon, tests/services and integration/test_demo.py pass.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -1,7 +1,7 @@
 """Wiring of the components of one daemon."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 
 import logbook
 
@@ -9,6 +9,7 @@
 from heathershunt.bundle import Bundle, BundleKeeper
 from heathershunt.clock import Clock, SystemClock
 from heathershunt.crashes import PartGuard
+from heathershunt.daemon.background import keep_running
 from heathershunt.daemon.callers import CallerRoutes
 from heathershunt.daemon.fleet import Fleet
 from heathershunt.daemon.forwarding import PeerRequests
@@ -159,18 +160,18 @@
         await self.operations.start()
         await self.fleet.start()
         await self.vm_list.poll()
-        for coroutine in (
-            self.bundle_watch.run(),
-            self.vm_list.run(),
-            self.poller.run(),
-            self.monitor.run(),
-            self.gate.run(),
-            self.operations.loop_lag.run(),
-            self._run_housekeeping(),
+        for run, name in (
+            (self.bundle_watch.run, "bundle watch"),
+            (self.vm_list.run, "VM list"),
+            (self.poller.run, "polls of runners"),
+            (self.monitor.run, "checks for stalls"),
+            (self.gate.run, "checks of the queues"),
+            (self.operations.loop_lag.run, "lag of the loop"),
+            (self._run_housekeeping, "housekeeping"),
         ):
-            self._spawn(coroutine)
+            self._spawn(run, name)
         if self.settings.placement.enabled:
-            self._spawn(self.placement.run())
+            self._spawn(self.placement.run, "placement")
         log.info("{} listens for callers on {}", self.settings.vm.name, address)
 
     def _on_bundle(self, bundle: Bundle) -> None:
@@ -193,8 +194,8 @@
     def _live_vms(self) -> frozenset[str]:
         return self.fleet.live_vms()
 
-    def _spawn(self, coroutine: Coroutine) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+    def _spawn(self, run: Callable[[], Awaitable[None]], name: str) -> None:
+        self._tasks.append(asyncio.create_task(keep_running(run, name)))
 
     async def _run_housekeeping(self) -> None:
         while True:
