Answer repeats of a keyed call whose service left the bundle

Callers saw: a bundle that leaves a service out came into force while a keyed call ran. The repeat with the same key got 404, not run, although its call was running or had run, at the VM that knew it.

Cause: the service was looked up in the bundle in force before the key was looked up in the table.

Now such a repeat gets the outcome of the run, which is waited for; a request with another key, or without one, is refused with 404 as before, and no run is started.

--- a/src/heathershunt/services/handler.py
+++ b/src/heathershunt/services/handler.py
@@ -133,10 +133,9 @@
         if isinstance(call, CallOutcome):
             return call.response
         service = bundle.services_by_name.get(call.service)
+        key = request.headers.get(KEY_HEADER)
         if service is None:
-            return _refusal_response(
-                404, f"the service {call.service!r} is not in the bundle"
-            )
+            return await self._count(self._answer_unknown(call, key))
         text = request.headers.get(DEADLINE_HEADER, str(service.timeout_ms))
         if not text.isascii() or not text.isdigit() or not 0 < len(text) <= 9:
             return _refusal_response(
@@ -144,7 +143,6 @@
             )
         wait_ms = min(int(text), service.timeout_ms, MAX_CALL_MS)
         deadline = Millis(self._clock.now() + wait_ms)
-        key = request.headers.get(KEY_HEADER)
         if key is None:
             return await self._count(self._dispatcher.run(call, service, deadline))
         if not 0 < len(key) <= MAX_KEY_CHARACTERS:
@@ -163,15 +161,22 @@
         """
         service = bundle.services_by_name.get(call.service)
         if service is None:
-            return _refusal_response(
-                404, f"the service {call.service!r} is not in the bundle"
-            )
+            return await self._count(self._answer_unknown(call, key))
         wait_ms = min(timeout_ms, service.timeout_ms, MAX_CALL_MS)
         deadline = Millis(self._clock.now() + wait_ms)
         return await self._count(
             self._keyed.answer(call, service, key, deadline, forwarded=True)
         )
 
+    async def _answer_unknown(self, call: ServiceCall, key: str | None) -> CallOutcome:
+        """Answer a call of a service that is not in the bundle in force.
+
+        A bundle may have left it out while calls ran: repeats get their outcome.
+        """
+        outcome = None if key is None else await self._keyed.join(call, key)
+        detail = f"the service {call.service!r} is not in the bundle"
+        return outcome or _refuse(404, detail)
+
     async def _count(self, work: Coroutine[None, None, CallOutcome]) -> Response:
         self._waiting_callers += 1
         running = asyncio.create_task(work)
--- a/src/heathershunt/services/keyed.py
+++ b/src/heathershunt/services/keyed.py
@@ -16,7 +16,7 @@
     ServiceCall,
     problem_outcome,
 )
-from heathershunt.services.claims import Claim, key_hash
+from heathershunt.services.claims import MAX_CALL_MS, Claim, key_hash
 from heathershunt.services.dispatch import RETRY_AFTER_MS, Dispatcher
 from heathershunt.services.home import ClaimRouter
 from heathershunt.services.issuer import (
@@ -105,6 +105,18 @@
 
         return await self._start_or_join(table_key, call, deadline, deadline, start)
 
+    async def join(self, call: ServiceCall, key: str) -> CallOutcome | None:
+        """Return the outcome of the run of ``key`` on this VM; ``None`` without one.
+
+        No run is started, so the service need not be known any more.
+        """
+        entry = self._table.find((call.account, key))
+        if entry is None:
+            return None
+        if entry.request_hash != call.request_hash():
+            return _conflict()
+        return await self._wait(entry, Millis(self._clock.now() + MAX_CALL_MS))
+
     async def _answer_issued(
         self,
         call: ServiceCall,
--- a/tests/integration/test_silent_services.py
+++ b/tests/integration/test_silent_services.py
@@ -107,3 +107,26 @@
     assert status == 200
     assert len(await ledger(system)) == 1
     assert await answers_cut(system, "vm2") == {}
+
+
+# Guards against callers that are told "not run" for a call that runs or ran, because a
+# bundle left its service out meanwhile.
+@pytest.mark.parametrize("silence_ms", [0, 1600])
+async def test_repeat_of_a_keyed_call_is_answered_after_its_service_left_the_bundle(
+    system, silence_ms
+):
+    headers = {"idempotency-key": "order-17"}
+    silent = asyncio.create_task(
+        system.processes_by_name["orders"].fall_silent(silence_ms)
+    )
+    await asyncio.sleep(0.05)
+    first = asyncio.create_task(send(system, "POST", ORDERS, **headers))
+    await asyncio.sleep(0.2)
+    await system.roll(demo_bundle(2) | {"services": []})
+    await system.wait_version(2)
+    repeated = await send(system, "POST", ORDERS, **headers)
+    assert repeated == await first
+    assert repeated[0] == 200
+    await silent
+    assert len(await ledger(system)) == 1
+    assert (await send(system, "POST", ORDERS))[0] == 404
