Forward a keyed call again when the link breaks under it

Callers saw: a keyed call that another VM forwarded to the VM of its key ended with 502 "Key owner gone", may have run, when the link between the two broke once, though that VM was alive and answered the call some moments later.

Cause: the end of the link was taken for the end of the VM.

Evidence: test_forwarded_call_is_answered_after_its_link_broke failed before with one cut and with two.

Now the call is forwarded to the same incarnation again, at most ten times 100 ms apart, and within its time. The owner has the key, so a request that comes again joins the run and starts no second one; another incarnation is not asked. A call that was sent once stays "may have run" if the VM is gone.

--- a/src/heathershunt/daemon/forwarding.py
+++ b/src/heathershunt/daemon/forwarding.py
@@ -5,7 +5,7 @@
 
 import asyncio
 from dataclasses import asdict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import cbor2
 import msgspec
@@ -30,6 +30,9 @@
 CLAIMED_STATUS = 200
 CLAIM_FAILED_STATUS = 409
 MAX_REPLY_BACKLOG_BYTES = 262_144
+# Together the time within which a link that broke under a call is to be open again.
+MAX_FORWARDS = 10
+FORWARD_DELAY_MS = 100
 
 
 class _PeerStream:
@@ -99,11 +102,37 @@
     ) -> Result[Response, Progress]:
         """Forward a keyed call to the VM that owns its key.
 
+        If the link breaks under the call, it is forwarded to the same incarnation once
+        more: the owner has the key and starts no second run.
+
         :returns: the response or refusal, or how far the call got if no reply came.
         """
-        body = cbor2.dumps({"call": asdict(call), "key": key, "timeout_ms": timeout_ms})
+        clock = self._daemon.clock
+        end = clock.now() + timeout_ms
+        body = {"call": asdict(call), "key": key}
+        progress = Progress.NOT_SENT
+        for _ in range(MAX_FORWARDS):
+            left = max(1, end - clock.now())
+            outcome = await self._forward_call(vm, incarnation, body, left)
+            if isinstance(outcome, Ok):
+                return outcome
+            if outcome.err_value is Progress.NOT_SENT and progress is not Progress.SENT:
+                return outcome
+            progress = Progress.SENT
+            if clock.now() + FORWARD_DELAY_MS >= end:
+                break
+            await asyncio.sleep(FORWARD_DELAY_MS / 1000)
+        return Err(progress)
+
+    async def _forward_call(
+        self, vm: str, incarnation: int, body: dict[str, Any], timeout_ms: int
+    ) -> Result[Response, Progress]:
         outcome = await self._daemon.fleet.forwarder.call(
-            vm, CALL_KIND, body=body, incarnation=incarnation, timeout_ms=timeout_ms
+            vm,
+            CALL_KIND,
+            body=cbor2.dumps({**body, "timeout_ms": timeout_ms}),
+            incarnation=incarnation,
+            timeout_ms=timeout_ms,
         )
         if isinstance(outcome, Err):
             refusal = outcome.err_value.refusal
