--- a/tests/integration/test_silent_runners.py
+++ b/tests/integration/test_silent_runners.py
@@ -118,3 +118,20 @@
     assert_complete(await task, PROMPT, COUNT)
     await assert_layers_once(fleet, seen.request_id, COUNT)
     assert await answers_cut(fleet) == {}
+
+
+# Guards against relayed answers that end because the VM of the draft gave no sign
+# for a second, in the middle of the answer or as it was asked for the rest.
+@each_silence
+async def test_relayed_answer_goes_on_after_a_silence_of_its_vm(fleet, silence_ms):
+    first = fleet.ports_by_daemon["vm1"].callers
+    other = fleet.ports_by_daemon["vm2"].callers
+    caller = Caller("parish-token")
+    task, seen = await start_draft(caller, first, PROMPT, COUNT)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    silent = asyncio.create_task(fleet.processes_by_name["vm1"].fall_silent(silence_ms))
+    await asyncio.sleep(0.05)
+    assert_complete(await caller.resume(other, seen), PROMPT, COUNT)
+    await silent
+    assert await answers_cut(fleet, "vm2") == {}
