Refuse drafts that wait for a model that a bundle has left out

Callers saw: a draft that waited in the queue while a bundle without its model came into force was kept waiting until its deadline was out of reach.

Cause: the capacity of such a queue became 0, and its tickets stayed.

Evidence: test_draft_that_waits_for_a_removed_model_is_refused_at_once failed before (TimeoutError).

Now the gate refuses them as the bundle comes into force, with 404, not run. Drafts that run go on. Measured: tests/drafts and tests/admission pass.

--- a/src/heathershunt/admission/queue.py
+++ b/src/heathershunt/admission/queue.py
@@ -217,6 +217,13 @@
         self._remove(ticket)
         return True
 
+    def cancel_all(self) -> list[Ticket]:
+        """Remove and return all waiting tickets."""
+        tickets = list(self._waiting_by_id.values())
+        for ticket in tickets:
+            self.cancel(ticket.id)
+        return tickets
+
     def expire(self, now: Millis) -> list[Ticket]:
         """Remove and return the waiting tickets whose deadline is out of reach."""
         self._remove_late(now)
--- a/src/heathershunt/drafts/gate.py
+++ b/src/heathershunt/drafts/gate.py
@@ -62,6 +62,7 @@
     def set_bundle(self, bundle: Bundle) -> None:
         """Apply the models of a bundle that came into force; call before ``admit``.
 
+        Drafts that wait for a model that the bundle leaves out are refused.
         The limits of an account are applied by ``admit``.
         """
         self._bundle = bundle
@@ -69,6 +70,11 @@
             if model not in self._queues_by_model:
                 config = AdmissionConfig(hold_ms=INITIAL_TOKEN_MS)
                 self._queues_by_model[model] = AdmissionQueue.from_config(config)
+        for model in self._queues_by_model.keys() - bundle.models_by_name.keys():
+            detail = f"the model {model!r} is no longer in the bundle"
+            refusal = not_run(404, "Model removed", detail)
+            for ticket in self._queues_by_model[model].cancel_all():
+                self._refuse(ticket, refusal)
         self._refresh_capacities()
 
     async def admit(
@@ -198,6 +204,9 @@
 
     def _refuse_late(self, queue: AdmissionQueue) -> None:
         for ticket in queue.expire(self._clock.now()):
-            waiter = self._waiters_by_id.get(ticket.id)
-            if waiter is not None and not waiter.done():
-                waiter.set_result(Err(queue.late_refusal()))
+            self._refuse(ticket, queue.late_refusal())
+
+    def _refuse(self, ticket: Ticket, refusal: Refusal) -> None:
+        waiter = self._waiters_by_id.get(ticket.id)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(Err(refusal))
