--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -21,6 +21,8 @@
 START_TIMEOUT_MS = 1000
 CANCEL_TIMEOUT_MS = 1000
 STATUS_TIMEOUT_MS = 300
+# A process that ends may still take a connection, which is then reset.
+STATUS_TRIES = 2
 MAX_LINE_BYTES = 1_048_576
 EMPTY_TRACE = msgspec.Raw(b"[]")
 
@@ -83,7 +85,7 @@
 
 _parse_address = lru_cache(maxsize=4096)(Address.from_text)
 _decode_line = msgspec.json.Decoder(StageLine).decode
-decode_trace = msgspec.json.Decoder(list[Any]).decode
+_decode_list = msgspec.json.Decoder(list[Any]).decode
 
 
 def _decode(line: bytes) -> StageLine:
@@ -93,6 +95,17 @@
         raise ValueError("a line of the stage is nested too deeply") from None
 
 
+def decode_trace(trace: bytes | msgspec.Raw) -> list[Any]:
+    """Return the decoded trace of a token.
+
+    :raises ValueError: if the trace is malformed or nested too deeply.
+    """
+    try:
+        return _decode_list(trace)
+    except RecursionError:
+        raise ValueError("the trace of a token is nested too deeply") from None
+
+
 class StageStream:
     """The open stream of one stage."""
 
@@ -115,7 +128,7 @@
             if data is None:
                 return []
             if not self._partial_line and data.find(b"\n") == len(data) - 1:
-                return [_decode_line(data)]
+                return [_decode(data)]
             lines = (self._partial_line + data).split(b"\n")
             self._partial_line = lines.pop()
             if len(self._partial_line) > MAX_LINE_BYTES:
@@ -232,24 +245,29 @@
         except msgspec.ValidationError:
             return None
 
-    async def incarnation(self, stage: Stage) -> int | None:
-        """Return the incarnation of a stage's runner; ``None`` if it does not answer.
+    async def has_ended(self, stage: Stage, incarnation: int | None) -> bool:
+        """Return whether a runner's process is known to have ended.
+
+        It has if its address refuses connections, or if a later incarnation answers. A
+        runner that gives no answer may only be silent. The request uses a new
+        connection.
 
-        The request uses a new connection.
+        :param incarnation: incarnation of the process; ``None`` if it is not known.
         """
-        outcome = await self._http.request_json(
-            _parse_address(stage.address),
-            "GET",
-            "/v1/status",
-            timeout_ms=STATUS_TIMEOUT_MS,
-            fresh=True,
-        )
-        if isinstance(outcome, Err) or outcome.ok_value[0] != 200:
-            return None
-        try:
-            return msgspec.convert(outcome.ok_value[1], _StatusReply).incarnation
-        except msgspec.ValidationError:
-            return None
+        for _ in range(STATUS_TRIES):
+            outcome = await self._http.request_json(
+                _parse_address(stage.address),
+                "GET",
+                "/v1/status",
+                timeout_ms=STATUS_TIMEOUT_MS,
+                fresh=True,
+            )
+            if isinstance(outcome, Ok):
+                found = _incarnation(outcome.ok_value[1])
+                return None not in (found, incarnation) and found > incarnation
+            if outcome.err_value.is_refused:
+                return True
+        return False
 
     async def cancel(self, stage: Stage, run: str, epoch: int) -> None:
         """Cancel all epochs of a run up to ``epoch`` at a stage."""
@@ -261,6 +279,14 @@
         )
 
 
+def _incarnation(status: Any) -> int | None:
+    """Return the incarnation in a status, or ``None`` if the status is malformed."""
+    try:
+        return msgspec.convert(status, _StatusReply).incarnation
+    except msgspec.ValidationError:
+        return None
+
+
 def _open_body(spec: RunSpec, index: int) -> dict[str, Any]:
     return {
         "run": spec.run,
--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -6,7 +6,12 @@
 import pytest
 
 from heathershunt.clock import SystemClock
-from heathershunt.drafts.engine import MAX_LINE_BYTES, EngineClient, RunSpec
+from heathershunt.drafts.engine import (
+    MAX_LINE_BYTES,
+    EngineClient,
+    RunSpec,
+    decode_trace,
+)
 from heathershunt.http import HttpClient
 from heathershunt.routing import Chain, Stage
 from tests.scripted import ScriptedTarget, answer, late_duplicates
@@ -121,3 +126,69 @@
     assert [line.event for line in lines] == ["opened", "token"]
     client.close()
     target.stop()
+
+
+STATUS = b'{"incarnation": 7}'
+
+
+async def _has_ended(script, incarnation):
+    target = ScriptedTarget(script)
+    client = HttpClient()
+    stage = Stage("runner-1", str(await target.start()), "", 0, 80)
+    if script is None:
+        target.stop()
+    ended = await EngineClient(client, SystemClock()).has_ended(stage, incarnation)
+    client.close()
+    target.stop()
+    return ended
+
+
+# Guards against prompts that are refused because sound runners, which gave no answer
+# for a second, are counted as crashed by them.
+async def test_silent_runner_is_not_taken_for_ended():
+    async def script(target, path, writer):
+        await asyncio.Event().wait()
+
+    assert not await _has_ended(script, 7)
+
+
+@pytest.mark.parametrize(("known", "ended"), [(7, False), (6, True), (None, False)])
+async def test_runner_with_a_later_incarnation_has_ended(known, ended):
+    async def script(target, path, writer):
+        await target.send(writer, answer(STATUS))
+
+    assert await _has_ended(script, known) is ended
+
+
+async def test_runner_that_refuses_connections_has_ended():
+    assert await _has_ended(None, 7)
+
+
+# Short enough to be received at once, as most lines are.
+NESTED = b"[" * 5_000 + b"]" * 5_000
+NESTED_LINE = b'{"event": "token", "trace": %b}\n' % NESTED
+
+
+# Guards against drafts that end with an internal error because one runner sends a line
+# that is nested too deeply; the runner is at fault, and another one may do.
+@pytest.mark.parametrize("first", [OPENED_LINE, b""])
+async def test_line_that_is_nested_too_deeply_is_malformed(first):
+    async def script(target, path, writer):
+        await target.send(writer, RESPONSE_HEAD + _chunk(first or NESTED_LINE))
+        await asyncio.sleep(0.05)
+        await target.send(writer, _chunk(NESTED_LINE))
+        await asyncio.Event().wait()
+
+    target, client, outcome = await _open_stream(script)
+    if first:
+        with pytest.raises(ValueError, match="nested"):
+            await outcome.unwrap()[0].read_lines()
+    else:
+        assert "nested" in outcome.unwrap_err().detail
+    client.close()
+    target.stop()
+
+
+def test_trace_that_is_nested_too_deeply_is_malformed():
+    with pytest.raises(ValueError, match="nested"):
+        decode_trace(NESTED)
