Bound the entries of targets where they are decoded

An entry of another writer with a number out of range was used as it stood. Here such an entry had these effects, each seen in a test that failed: - layers of 10^400: each search for a chain with it raised OverflowError, so streams got no answer; - born of 2^70, or negative: a note on this runner, once it failed, could not be encoded, which ended the exchange of loads between VMs for good; - weights of version 2^62: all other runners counted as outdated; - port 0, a host name, an id with a line break, which no header field holds.

An entry outside the bounds names no target; the others hold.

--- a/src/heathershunt/http/addresses.py
+++ b/src/heathershunt/http/addresses.py
@@ -8,6 +8,8 @@
     r"(?P<host>[0-9A-Za-z_:\[\]-]{1,63}(\.[0-9A-Za-z_-]{1,63}){0,9}):(?P<port>[0-9]{1,5})"
 )
 MAX_PORT = 65_535
+# Characters of a malformed address that an error quotes.
+MAX_QUOTED = 100
 
 
 @dataclass(frozen=True)
@@ -28,7 +30,7 @@
         """
         found = ADDRESS_TEXT.fullmatch(text)
         if found is None or int(found["port"]) > MAX_PORT:
-            raise ValueError(f"{text!r} is not of the form host:port")
+            raise ValueError(f"{text[:MAX_QUOTED]!r} is not of the form host:port")
         return cls(found["host"], int(found["port"]))
 
     def __str__(self) -> str:
--- a/src/heathershunt/platform/targets.py
+++ b/src/heathershunt/platform/targets.py
@@ -1,16 +1,20 @@
 """Decoder of the store entries in which targets describe themselves."""
 
+import ipaddress
+
 import msgspec
 
 from heathershunt.discovery import LayerRange, Target
 from heathershunt.http import Address
+from heathershunt.schema.decoding import MalformedError, brief, decode_untrusted
+from heathershunt.schema.fields import Count, Label, Layer, Name, Text, Version, Whole
 
 READY = "ready"
 DRAINING = "draining"
 
 
 class EntryError(ValueError):
-    """A store entry that is malformed or has an unknown state.
+    """A store entry that is malformed, out of bounds or has an unknown state.
 
     .. versionadded:: 0.2
     """
@@ -20,23 +24,23 @@
     """Range of layers in the entries and reports of runners."""
 
     # ``from`` is a keyword of Python.
-    first: int = msgspec.field(name="from")
+    first: Layer = msgspec.field(name="from")
     # The layer after the last one.
-    to: int
-    version: int = 0
+    to: Layer
+    version: Version = 0
 
 
 class _Entry(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int = 1
+    service: Label
+    address: Text
+    zone: Label
+    state: Text
+    slots: Count = 1
     # Start of the process in milliseconds since the Unix epoch.
-    born: int = 0
+    born: Whole = 0
     # Number of the heartbeat at which the entry changed last.
-    sequence: int = 0
-    kind: str | None = None
+    sequence: Whole = 0
+    kind: Label | None = None
     layers: LayersEntry | None = None
 
 
@@ -46,17 +50,21 @@
 def decode_target(target_id: str, raw: bytes) -> Target:
     """Decode the entry of a target.
 
-    :raises EntryError: if the entry is malformed or has an unknown state, as an entry
-        of another kind of writer does.
+    :param target_id: id of the process, which is also written into header fields.
+    :raises EntryError: if the entry or the id is malformed or out of bounds, or the
+        state is unknown, as in an entry of another kind of writer.
     """
     try:
-        entry = _decoder.decode(raw)
-        address = Address.from_text(entry.address)
-    except (ValueError, RecursionError) as error:
-        raise EntryError(f"entry of target {target_id!r}: {error}") from None
+        msgspec.convert(target_id, Name)
+        entry = decode_untrusted(_decoder.decode, raw)
+        address = _decode_address(entry.address)
+    except ValueError as error:
+        detail = brief(error)
+        raise EntryError(f"entry of target {brief(target_id)!r}: {detail}") from None
     if entry.state not in (READY, DRAINING):
+        state = brief(entry.state)
         raise EntryError(
-            f"entry of target {target_id!r}: unknown state {entry.state!r}"
+            f"entry of target {brief(target_id)!r}: unknown state {state!r}"
         )
     return Target(
         id=target_id,
@@ -72,8 +80,20 @@
     )
 
 
+def _decode_address(text: str) -> Address:
+    """Return the address of a target, which is an IP address and a port.
+
+    :raises ValueError: for any other text; a name would be looked up at each send.
+    """
+    address = Address.from_text(text)
+    ipaddress.ip_address(address.host.strip("[]"))
+    if address.port == 0:
+        raise MalformedError("the port is 0")
+    return address
+
+
 def decode_layers(layers: LayersEntry | None) -> LayerRange | None:
-    """Return the range of layers; ``None`` if it is missing, empty or negative."""
-    if layers is None or layers.to <= layers.first or layers.first < 0:
+    """Return the range of layers; ``None`` if it is missing or empty."""
+    if layers is None or layers.to <= layers.first:
         return None
     return LayerRange(layers.first, layers.to, layers.version)
--- /dev/null
+++ b/src/heathershunt/schema/fields.py
@@ -0,0 +1,44 @@
+"""Bounded types for fields that other processes write.
+
+The bounds are far beyond any real value. What is outside is malformed: a number too
+large for a float breaks sums and divisions, one of more than 64 bits cannot be sent to
+other VMs, and NaN compares as neither less nor greater.
+"""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+# Whole numbers up to this one are exact in JSON.
+MAX_WHOLE = 2**53
+MAX_TEXT_CHARACTERS = 255
+MAX_LAYERS = 100_000
+
+Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
+# Requests or tokens that a process has at a time.
+Count = Annotated[int, Meta(ge=0, le=10**9)]
+# Number of a layer, or of the layer after the last one.
+Layer = Annotated[int, Meta(ge=0, le=MAX_LAYERS)]
+# Version of a model's weights.
+Version = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
+Amount = Annotated[float, Meta(ge=0, le=1e15)]
+# A time as a multiple of the usual time.
+Factor = Annotated[float, Meta(ge=0, le=1e6)]
+Milliseconds = Annotated[float, Meta(ge=0, le=1e10)]
+# Age of a statement in milliseconds; clocks of two VMs may differ.
+Age = Annotated[int, Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+# Text that is only compared and logged.
+Text = Annotated[str, Meta(max_length=MAX_TEXT_CHARACTERS)]
+# The same without control characters, and not empty.
+Label = Annotated[
+    str,
+    Meta(
+        min_length=1,
+        max_length=MAX_TEXT_CHARACTERS,
+        pattern=r"\A[^\x00-\x1f\x7f]+\Z",
+    ),
+]
+# Name that is also written into header fields and paths: visible ASCII characters.
+Name = Annotated[
+    str, Meta(min_length=1, max_length=MAX_TEXT_CHARACTERS, pattern=r"\A[!-~]+\Z")
+]
