Keep following the store after a deeply nested entry

A configuration, an entry of a VM or an entry of crash evidence that is nested deeply makes the decoder raise RecursionError. It was caught for targets only: for the other kinds it ended the task that follows the store, without a line in the log. The VM then used its old view, and callers got 503 once it was too old; each VM that started met the same entry and never became ready.

All of these are now decoded through decode_untrusted(), which has one type of error. The entries of VMs and evidence have bounds as well: the text of an address of a VM reached callers unchecked.

--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -4,8 +4,6 @@
 import random
 from collections.abc import Callable, Sequence
 
-import logbook
-
 from heathershunt.clock import Clock, Millis
 from heathershunt.crashes.evidence import (
     CrashEvidence,
@@ -22,8 +20,6 @@
 MAX_PARTS_OF_PROMPT = 32
 MIN_RETRY_AFTER_MS = 1000
 
-log = logbook.Logger("heathershunt.crashes")
-
 
 class PartGuard:
     """Judges the parts of prompts by what the runs of this and other VMs showed.
@@ -167,12 +163,11 @@
         return len(self._judge.evidence_on(part))
 
     def on_entry(self, value: bytes) -> None:
-        """Add what a value of the store holds; a malformed one is skipped."""
-        try:
-            evidence = decode_entry(value, self._clock)
-        except ValueError as error:
-            log.warning("skipped a malformed entry of crashes: {}", error)
-            return
+        """Add what a value of the store holds.
+
+        :raises ValueError: if the value is malformed.
+        """
+        evidence = decode_entry(value, self._clock)
         now = self._clock.now()
         for item in evidence:
             self._judge.add(item, now)
--- a/src/heathershunt/crashes/messages.py
+++ b/src/heathershunt/crashes/messages.py
@@ -10,6 +10,8 @@
     RunnerCrash,
 )
 from heathershunt.crashes.judge import PartJudge
+from heathershunt.schema.decoding import decode_untrusted
+from heathershunt.schema.fields import Age, Text, Whole
 
 # Bounds the size of a message: evidence is some 80 bytes long, a sound part 15.
 MAX_EVIDENCE = 64
@@ -22,12 +24,12 @@
     .. versionadded:: 0.6
     """
 
-    account: str
-    part: str
-    runner: str
-    incarnation: int
-    sent_age_ms: int
-    crashed_age_ms: int
+    account: Text
+    part: Text
+    runner: Text
+    incarnation: Whole
+    sent_age_ms: Age
+    crashed_age_ms: Age
     has_begun: bool
 
     @classmethod
@@ -62,8 +64,8 @@
     .. versionadded:: 0.6
     """
 
-    part: str
-    age_ms: int
+    part: Text
+    age_ms: Age
 
 
 class _Entry(msgspec.Struct, frozen=True):
@@ -72,10 +74,13 @@
     :param written_at: wall time in milliseconds.
     """
 
-    written_at: int
+    written_at: Whole
     rows: list[EvidenceRow]
 
 
+_entry_decoder = msgspec.json.Decoder(_Entry)
+
+
 def encode_entry(evidence: list[CrashEvidence], clock: Clock) -> bytes:
     """Return a value for the store that holds evidence."""
     now = clock.now()
@@ -88,7 +93,7 @@
 
     :raises ValueError: if the value is malformed.
     """
-    entry = msgspec.json.decode(value, type=_Entry)
+    entry = decode_untrusted(_entry_decoder.decode, value)
     age_ms = max(0, clock.wall() - entry.written_at)
     written_at = Millis(clock.now() - age_ms)
     return [row.evidence(written_at) for row in entry.rows[:MAX_EVIDENCE]]
--- a/src/heathershunt/gateway/state.py
+++ b/src/heathershunt/gateway/state.py
@@ -24,6 +24,8 @@
 )
 from heathershunt.ratelimits import LimitGuard
 from heathershunt.relay import SuspectList
+from heathershunt.schema.decoding import MalformedError, brief, decode_untrusted
+from heathershunt.schema.fields import Name, Text
 
 MEMBER_PREFIX = "vm/"
 LEADER_KEY = "leader/placement"
@@ -114,7 +116,7 @@
                 if target is not None:
                     targets.append(target)
             elif entry.key.startswith(MEMBER_PREFIX):
-                member = _decode_member(entry)
+                member = self._decode_member(entry)
                 if member is not None:
                     members.append(member)
             else:
@@ -139,8 +141,7 @@
         elif key == KEPT_KEY:
             self._kept_version = self._on_configuration(entry)
         elif key.startswith(CRASHES_PREFIX):
-            if entry is not None:
-                self._guard.on_entry(entry.value)
+            self._on_crashes(entry)
         elif key == LEADER_KEY:
             self.leader = None if entry is None else (entry.value, entry.revision)
 
@@ -158,11 +159,22 @@
             target_id = entry.key.removeprefix(decoder.target_prefix)
             return decoder.target(target_id, entry.value)
         except ValueError as error:
-            log.warning("skipped the malformed entry {!r}: {}", entry.key, error)
+            self._log_malformed(entry.key, error)
             return None
 
+    def _decode_member(self, entry: Entry) -> Member | None:
+        try:
+            return _decode_member(entry)
+        except ValueError as error:
+            self._log_malformed(entry.key, error)
+            return None
+
+    def _log_malformed(self, key: str, error: ValueError) -> None:
+        """Log an entry that is skipped."""
+        log.warning("skipped the malformed entry {!r}: {}", brief(key), error)
+
     def _on_member_entry(self, vm: str, entry: Entry | None) -> None:
-        member = None if entry is None else _decode_member(entry)
+        member = None if entry is None else self._decode_member(entry)
         if member is not None:
             self.members.put(member)
         else:
@@ -170,6 +182,14 @@
             self._on_member_removal(vm)
         self._events.emit(MemberChanged(vm, member is not None))
 
+    def _on_crashes(self, entry: Entry | None) -> None:
+        if entry is None:
+            return
+        try:
+            self._guard.on_entry(entry.value)
+        except ValueError as error:
+            self._log_malformed(entry.key, error)
+
     def versions(self) -> KnownVersions:
         """Return the versions of the configuration that this VM sees."""
         in_force = self.catalog.version if self.catalog else 0
@@ -177,17 +197,19 @@
 
     def offer_configuration(self, raw: bytes) -> None:
         """Put a configuration of another VM in force if it is newer."""
-        self._put_in_force(raw, self._events.revision or 0)
+        self._put_in_force(raw, self._events.revision or 0, "configuration of a VM")
 
     def _on_configuration(self, entry: Entry | None) -> int:
         """Apply an entry with a configuration; return its version, 0 without one."""
-        return 0 if entry is None else self._put_in_force(entry.value, entry.revision)
+        if entry is None:
+            return 0
+        return self._put_in_force(entry.value, entry.revision, entry.key)
 
-    def _put_in_force(self, raw: bytes, revision: int) -> int:
+    def _put_in_force(self, raw: bytes, revision: int, source: str) -> int:
         try:
-            catalog = self._decoder.configuration(raw)
-        except ValueError as error:
-            log.error("skipped a malformed configuration: {}", error)
+            catalog = decode_untrusted(self._decoder.configuration, raw)
+        except MalformedError as error:
+            self._log_malformed(source, error)
             return 0
         if self.catalog is None or catalog.version > self.catalog.version:
             self.catalog = catalog
@@ -210,9 +232,12 @@
 
 
 class _MemberValue(msgspec.Struct):
-    callers: str
-    domain: str = ""
-    peers: str | None = None
+    callers: Text
+    domain: Text = ""
+    peers: Text | None = None
+
+
+_member_decoder = msgspec.json.Decoder(_MemberValue)
 
 
 def encode_member(callers: Address, domain: str, peers: Address) -> bytes:
@@ -220,12 +245,14 @@
     return msgspec.json.encode(_MemberValue(str(callers), domain, str(peers)))
 
 
-def _decode_member(entry: Entry) -> Member | None:
-    vm = entry.key.removeprefix(MEMBER_PREFIX)
-    try:
-        value = msgspec.json.decode(entry.value, type=_MemberValue)
-        peers = None if value.peers is None else Address.from_text(value.peers)
-    except ValueError as error:
-        log.warning("skipped the malformed entry of VM {!r}: {}", vm, error)
-        return None
+def _decode_member(entry: Entry) -> Member:
+    """Return the VM of an entry; raise ``ValueError`` if the entry is malformed."""
+    vm = msgspec.convert(entry.key.removeprefix(MEMBER_PREFIX), Name)
+    value = decode_untrusted(_member_decoder.decode, entry.value)
+    addresses = [Address.from_text(value.callers)]
+    if value.peers is not None:
+        addresses.append(Address.from_text(value.peers))
+    if not all(address.port for address in addresses):
+        raise MalformedError("a port is 0")
+    peers = addresses[1] if value.peers is not None else None
     return Member(vm, value.callers, value.domain, peers)
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Entries of the store that another writer left: they cost a log line, no more."""
 
+import asyncio
 import json
 import os
 
@@ -11,6 +12,7 @@
 from heathershunt.clock import ManualClock
 from heathershunt.coordination import Changes, Entry, Snapshot
 from heathershunt.crashes import PartGuard
+from heathershunt.gateway.configurations import KEPT_KEY
 from heathershunt.gateway.state import SiteState
 from heathershunt.logs import EventLog
 from heathershunt.pipelines import ChainChooser, LoadLedger, PaceTracker, PeerNotes
@@ -231,3 +233,34 @@
     site.exchange_notes()
     found = site.state.registry.get("odd")
     assert found is None or field == "layers"
+
+
+ODD_KEYS = (CONFIGURATION_KEY, KEPT_KEY, "vm/odd", "crashes/odd", "leader/placement")
+
+
+@pytest.mark.parametrize("as_snapshot", [True, False])
+@pytest.mark.parametrize("value", [*ODD_BYTES, NESTED_MEMBER])
+@pytest.mark.parametrize("key", ODD_KEYS)
+def test_odd_entry_of_another_kind_leaves_all_others_in_use(key, value, as_snapshot):
+    # Guards against a VM that no longer follows the store because of a deeply nested
+    # entry: the error of the decoder was none of those that were expected.
+    site = Site()
+    site.apply(sound_pairs(), True)
+    site.apply([(key, value), *sound_pairs()], as_snapshot)
+    site.chosen()
+    assert site.state.catalog.version == 1
+
+
+async def test_running_gateway_still_follows_the_store_after_odd_entries(site):
+    # Guards against a watch that ends: the VM would use an old configuration for ever.
+    for value in ODD_BYTES:
+        for key in (*ODD_KEYS[1:4], "servers/odd", "servers/a b"):
+            site.store.put(key, value)
+    site.store.put(CONFIGURATION_KEY, NESTED)
+    await asyncio.sleep(0.3)
+    site.store.put(CONFIGURATION_KEY, configuration(2))
+    state = site.gateways["vm-1"].state
+    await site.until(lambda: state.catalog.version == 2)
+    await site.add_gateway("vm-2")
+    assert (await site.call("GET", "/status/1", vm="vm-2"))[0] == 200
+    assert (await site.call("GET", "/status/1"))[0] == 200
