Limit the log lines about odd entries in rate and length

Before: 50 s of four odd entries that change each second wrote a line for each, and 3000 odd entries 6000 lines.

--- a/src/heathershunt/gateway/state.py
+++ b/src/heathershunt/gateway/state.py
@@ -13,7 +13,7 @@
 from heathershunt.gateway.configurations import KEPT_KEY, KnownVersions
 from heathershunt.gateway.ports import Decoder
 from heathershunt.http import Address
-from heathershunt.logs import EventLog
+from heathershunt.logs import EventLog, RepeatLimiter
 from heathershunt.logs.events import (
     ConfigurationInForce,
     MemberChanged,
@@ -60,6 +60,7 @@
         on_member_removal: Callable[[str], None],
     ) -> None:
         self._decoder = decoder
+        self._lines = RepeatLimiter(clock)
         self._suspects = suspects
         self._guard = guard
         self._limits = limits
@@ -170,8 +171,9 @@
             return None
 
     def _log_malformed(self, key: str, error: ValueError) -> None:
-        """Log an entry that is skipped."""
-        log.warning("skipped the malformed entry {!r}: {}", brief(key), error)
+        """Log an entry that is skipped, unless it was logged a short time ago."""
+        if self._lines.take(key):
+            log.warning("skipped the malformed entry {!r}: {}", brief(key), error)
 
     def _on_member_entry(self, vm: str, entry: Entry | None) -> None:
         member = None if entry is None else self._decode_member(entry)
--- a/src/heathershunt/logs/__init__.py
+++ b/src/heathershunt/logs/__init__.py
@@ -5,6 +5,7 @@
 from heathershunt.logs.held import HeldLines
 from heathershunt.logs.lines import EventLog
 from heathershunt.logs.rates import LineRateLimiter
+from heathershunt.logs.repeats import RepeatLimiter
 from heathershunt.logs.request_events import RequestEvent
 
 __all__ = [
@@ -13,6 +14,7 @@
     "HeldLines",
     "JsonHandler",
     "LineRateLimiter",
+    "RepeatLimiter",
     "RequestEvent",
     "log_handler",
 ]
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -251,6 +251,32 @@
     assert site.state.catalog.version == 1
 
 
+def test_odd_entry_that_is_written_each_second_is_logged_once_a_minute():
+    # Guards against a log that one writer of odd entries fills.
+    site = Site()
+    with logbook.TestHandler() as lines:
+        for _ in range(50):
+            for value in (b"{", odd_entry("slots", -1), odd_entry("state", "x" * 9999)):
+                site.apply([(TARGET_PREFIX + "odd", value)], False)
+                site.apply([("vm/odd", value)], False)
+                site.apply([("crashes/odd", value)], False)
+                site.apply([(CONFIGURATION_KEY, value)], False)
+            site.clock.advance(1000)
+    assert 4 <= len(lines.records) <= 12
+    assert all(len(record.message) <= 1000 for record in lines.records)
+
+
+def test_many_odd_entries_are_logged_within_a_bound():
+    # Guards against a log that grows with the number of odd entries.
+    site = Site()
+    pairs = [(f"{TARGET_PREFIX}odd-{number}", b"{") for number in range(3000)]
+    with logbook.TestHandler() as lines:
+        site.apply(sound_pairs() + pairs, True)
+        site.apply(sound_pairs() + pairs, True)
+    site.chosen()
+    assert 1 <= len(lines.records) <= 100
+
+
 async def test_running_gateway_still_follows_the_store_after_odd_entries(site):
     # Guards against a watch that ends: the VM would use an old configuration for ever.
     for value in ODD_BYTES:
