--- a/src/heathershunt/gateway/state.py
+++ b/src/heathershunt/gateway/state.py
@@ -151,7 +151,10 @@
             self.registry.remove(target_id)
             return
         target = self._decode_target(entry)
-        if target is not None:
+        if target is None:
+            # The next snapshot would remove it, as its entry names no target.
+            self.registry.remove(target_id)
+        else:
             self.registry.put(target)
 
     def _decode_target(self, entry: Entry) -> Target | None:
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -235,6 +235,18 @@
     assert found is None or field == "layers"
 
 
+def test_target_whose_entry_becomes_odd_is_not_used_any_longer():
+    # Guards against a target that is used from an entry that the store no longer holds:
+    # a later snapshot would remove it.
+    site = Site()
+    site.apply(
+        [*sound_pairs(), (TARGET_PREFIX + "other", odd_entry("version", "1"))], True
+    )
+    assert site.state.registry.get("other") is not None
+    site.apply([(TARGET_PREFIX + "other", b"{")], False)
+    assert site.state.registry.get("other") is None
+
+
 ODD_KEYS = (CONFIGURATION_KEY, KEPT_KEY, "vm/odd", "crashes/odd", "leader/placement")
 
 
