Use the newest weights of which runners hold all layers

One entry of a runner with a newer version of the weights hid all others: chains must not mix versions, and the newest one counted even if it lacked layers. All streams of the service were refused. The same happens for a while when a real new version is loaded. Layers that the model does not have were cut to those it has, so an entry with 0 to 100000 was a chain of its own.

Now the newest complete version counts, and a runner that claims layers beyond the model is left out of chains and plans.

Before: the three cases of the new test failed (no chain; a chain over the odd runner). Now they pass, with all tests of pipelines, relay and gateway.

--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -18,6 +18,7 @@
     find_cheapest,
     ranges_cover,
 )
+from heathershunt.pipelines.versions import has_valid_layers, of_newest_version
 
 # Time of a hop inside a failure domain, for each token.
 HOP_MS = 0.1
@@ -102,7 +103,7 @@
 
         :param avoided: ids of runners not to use.
         """
-        held = [runner.held for runner in _of_newest_version(runners, avoided)]
+        held = [runner.held for runner in of_newest_version(engine, runners, avoided)]
         ranges = ((layers.first, layers.end) for layers in held)
         return ranges_cover(ranges, engine.layers)
 
@@ -127,7 +128,7 @@
         :param needs_room: exclude chains with a runner that lacks room or a slot.
         :param barred_heads: ids of runners that must not come first.
         """
-        usable = _of_newest_version(runners, avoided)
+        usable = of_newest_version(engine, runners, avoided)
         if head is not None:
             heads = {head.runner.id}
         elif heads is not None:
@@ -164,10 +165,12 @@
         if chain.head.id in dead:
             return None
         in_chain = {part.runner.id for part in chain.parts}
+        spares = [r for r in runners if r.id not in in_chain | set(avoided)]
+        version = chain.head.held.version
         usable = [
             runner
-            for runner in _of_newest_version(runners, in_chain | set(avoided))
-            if runner.held.version == chain.head.held.version
+            for runner in spares
+            if has_valid_layers(engine, runner) and runner.held.version == version
         ]
         parts: list[ChainPart] = []
         for is_dead, run in groupby(chain.parts, lambda part: part.runner.id in dead):
@@ -342,15 +345,6 @@
     return HOP_MS * tokens, (HOP_MS + CROSS_DOMAIN_MS) * tokens
 
 
-def _of_newest_version(
-    runners: Iterable[Target], avoided: Collection[str]
-) -> list[Target]:
-    """Return the runners with the newest weights; a chain must not mix versions."""
-    usable = [r for r in runners if r.held is not None and r.id not in avoided]
-    version = max((runner.held.version for runner in usable), default=0)
-    return [runner for runner in usable if runner.held.version == version]
-
-
 def _sample_each_domain(runners: list[Target], needed: set[str]) -> list[Target]:
     """Return a random sample of each domain's runners, spread evenly over the layers.
 
--- a/src/heathershunt/pipelines/layout.py
+++ b/src/heathershunt/pipelines/layout.py
@@ -5,6 +5,7 @@
 
 from heathershunt.catalog import Engine
 from heathershunt.discovery import LayerRange, Target
+from heathershunt.pipelines.versions import has_valid_layers
 
 
 @dataclass(frozen=True)
@@ -62,13 +63,16 @@
     Runners that hold layers keep them, unless their domain lacks layers and other
     runners hold all of theirs too.
 
-    :param runners: runners that are not about to leave.
+    :param runners: runners that are not about to leave; those that claim layers that
+        the model does not have are left out.
     :param ordered: orders whose effect the runners do not report yet.
     """
     pending = {placement.runner.id: placement.layers for placement in ordered}
     by_domain: dict[str, list[Target]] = {}
     holders = [0] * engine.layers
     for runner in runners:
+        if runner.held is not None and not has_valid_layers(engine, runner):
+            continue
         by_domain.setdefault(runner.domain, []).append(runner)
         _add_copies(holders, _kept_layers(runner, pending), 1)
     plan: list[Placement] = []
--- a/tests/pipelines/test_chooser.py
+++ b/tests/pipelines/test_chooser.py
@@ -164,6 +164,23 @@
     assert chain.head.id == slow.id
 
 
+@pytest.mark.parametrize("newer", [(0, 30, 7), (20, 81, 1), (0, 100_000, 7)])
+def test_runner_that_claims_odd_layers_hides_no_others(engine, chooser, newer):
+    # Guards against one entry with a newer version, or with layers that the model does
+    # not have, after which no stream found a chain, or one with these layers.
+    sound = [
+        engines.runner(1, "large", held=(0, 40, 1)),
+        engines.runner(2, "large", held=(40, 80, 1)),
+        engines.runner(3, "large", held=(40, 80, 1)),
+    ]
+    odd = engines.runner(9, "unknown", held=newer)
+    runners = [odd, *sound]
+    assert chooser.has_layers(engine, runners)
+    chain = chooser.choose(engine, runners, JOB, 1)
+    assert "r09" not in {part.runner.id for part in chain.parts}
+    assert chooser.repair(engine, runners, JOB, 1, chain, {chain.parts[1].runner.id})
+
+
 def test_chain_does_not_mix_versions_of_weights(engine, runner, chooser):
     old = runner("large", held=(0, 80, 1))
     new = [runner(held=(0, 40, 2)), runner(held=(40, 80, 2))]
