Bound the messages between VMs, and keep their exchanges alive

The numbers in messages between VMs were unbounded: a row with a load of 2^64 or NaN, a pace of NaN, an age of 2^64 were added up and passed on by the VM that aggregates, and a mirror with a negative age made an old view look current. A message with a deeply nested field raised RecursionError, which ended the task that exchanges loads or news on the VM that received it.

All fields are bounded now, and every error of a decoder is a refused message or a failed call.

--- a/src/heathershunt/coordination/mirror.py
+++ b/src/heathershunt/coordination/mirror.py
@@ -26,6 +26,8 @@
     StoreFailure,
 )
 from heathershunt.http import Address, HttpClient, Request, Response
+from heathershunt.schema.decoding import MalformedError, decode_untrusted
+from heathershunt.schema.fields import Text, Whole
 from heathershunt.verdict import Progress
 
 _T = TypeVar("_T")
@@ -58,20 +60,23 @@
 
 
 class _Change(msgspec.Struct, array_like=True):
-    key: str
-    revision: int
+    key: Text
+    revision: Whole
     # ``None`` for a removed key.
     value: bytes | None
 
 
 class _Reply(msgspec.Struct, array_like=True):
-    revision: int
-    age_ms: int
+    revision: Whole
+    age_ms: Whole
     # Time for which the mirror waited for changes before it replied.
-    waited_ms: int
+    waited_ms: Whole
     changes: list[_Change]
 
 
+_decode_reply = msgspec.msgpack.Decoder(_Reply).decode
+
+
 class ViewMirror:
     """Keeps the last change of each key and serves the changes to followers.
 
@@ -299,8 +304,8 @@
             detail = f"mirror: status {status}"
             return self._avoid(upstream, StoreFailure.REJECTED, detail)
         try:
-            reply = msgspec.msgpack.decode(raw, type=_Reply)
-        except ValueError as error:
+            reply = decode_untrusted(_decode_reply, raw)
+        except MalformedError as error:
             detail = f"mirror: malformed reply: {error}"
             return self._avoid(upstream, StoreFailure.UNKNOWN, detail)
         if reply.age_ms > self._max_age_ms():
--- a/src/heathershunt/gateway/news.py
+++ b/src/heathershunt/gateway/news.py
@@ -8,7 +8,10 @@
 import msgspec
 from result import Err
 
+from heathershunt.clock import SystemClock
 from heathershunt.http import Address, HttpClient, Request, Response
+from heathershunt.logs import RepeatLimiter
+from heathershunt.schema.decoding import MalformedError, decode_untrusted
 
 CRASHES_PATH = "/crashes/"
 LIMITS_PATH = "/limits/"
@@ -61,7 +64,8 @@
         self._http = http
         self._path = path
         self._source = source
-        self._decoder = msgspec.msgpack.Decoder(digest_type)
+        self._decode = msgspec.msgpack.Decoder(digest_type).decode
+        self._lines = RepeatLimiter(SystemClock())
         self._recipients = recipients
         self._wake = asyncio.Event()
         source.on_news = self._wake.set
@@ -95,20 +99,25 @@
             return False
         status, raw = outcome.ok_value
         if status != 200:
-            log.warning("news of {} refused by {}: {}", self._path, address, status)
+            self._log(str(address), f"refused with status {status}")
             return False
         try:
-            self._source.merge(self._decoder.decode(raw))
-        except ValueError as error:
-            log.warning("malformed reply on {} from {}: {}", self._path, address, error)
+            self._source.merge(decode_untrusted(self._decode, raw))
+        except MalformedError as error:
+            self._log(str(address), f"malformed reply: {error}")
         return True
 
+    def _log(self, sender: str, detail: str) -> None:
+        """Log a failure of a VM, unless one was logged a short time ago."""
+        if self._lines.take(sender):
+            log.warning("news of {}, {}: {}", self._path, sender, detail)
+
     async def handle(self, request: Request) -> Response:
         """Answer the news of a VM with what this one knows; 400 if malformed."""
         try:
-            digest = self._decoder.decode(request.body)
-        except ValueError as error:
-            log.warning("malformed message on {}: {}", self._path, error)
+            digest = decode_untrusted(self._decode, request.body)
+        except MalformedError as error:
+            self._log("another VM", f"malformed message: {error}")
             return Response(400)
         self._source.merge(digest)
         return Response(200, {}, msgspec.msgpack.encode(self._source.digest()))
--- a/src/heathershunt/pipelines/load_exchange.py
+++ b/src/heathershunt/pipelines/load_exchange.py
@@ -12,12 +12,15 @@
 import msgspec
 from result import Err
 
-from heathershunt.clock import Clock, Millis
+from heathershunt.clock import Clock, Millis, SystemClock
 from heathershunt.crashes import CrashDigest, PartGuard
 from heathershunt.http import Address, HttpClient, Request, Response
+from heathershunt.logs import RepeatLimiter
 from heathershunt.pipelines.load import LoadLedger, RunnerLoad
 from heathershunt.pipelines.notes import PeerNotes, RunnerNote, merge_notes
 from heathershunt.ratelimits import LimitDigest, LimitGuard
+from heathershunt.schema.decoding import MalformedError, brief, decode_untrusted
+from heathershunt.schema.fields import Count, SignedAmount, Text
 
 log = logbook.Logger("heathershunt.pipelines")
 
@@ -33,10 +36,11 @@
 
 
 class _Row(msgspec.Struct, array_like=True):
-    runner: str
-    requests: int
-    head_requests: int
-    kv: float
+    runner: Text
+    requests: Count
+    head_requests: Count
+    # Sums of floats may end slightly below 0.
+    kv: SignedAmount
 
 
 class _LoadMessage(msgspec.Struct, array_like=True):
@@ -52,6 +56,9 @@
     limits: LimitDigest = LimitDigest()
 
 
+_decode = msgspec.msgpack.Decoder(_LoadMessage).decode
+
+
 class LoadAggregator:
     """Adds up the loads that VMs send, and merges their notes.
 
@@ -74,6 +81,7 @@
         self._limits = limits
         self._fleet_factor = fleet_factor
         self._message_by_vm: dict[str, tuple[Millis, _LoadMessage]] = {}
+        self._lines = RepeatLimiter(clock)
 
     def put(self, vm: str, message: _LoadMessage) -> None:
         """Replace the load and notes of a VM."""
@@ -101,9 +109,10 @@
         """Answer the message of a VM with the load of the others; 400 if malformed."""
         vm = request.path.removeprefix(LOAD_PATH)
         try:
-            message = msgspec.msgpack.decode(request.body, type=_LoadMessage)
-        except ValueError as error:
-            log.warning("malformed load message from VM {!r}: {}", vm, error)
+            message = decode_untrusted(_decode, request.body)
+        except MalformedError as error:
+            if self._lines.take(vm):
+                log.warning("malformed load message from VM {!r}: {}", brief(vm), error)
             return Response(400)
         self.put(vm, message)
         self._guard.merge(message.crashes)
@@ -149,6 +158,7 @@
         self._vm = vm
         self._aggregators = aggregators
         self._fleet_factor = fleet_factor
+        self._lines = RepeatLimiter(SystemClock())
 
     async def run(self) -> None:
         """Exchange loads until cancelled."""
@@ -204,14 +214,19 @@
             return None
         status, raw = outcome.ok_value
         if status != 200:
-            log.warning("no load reply from {}: status {}", address, status)
+            self._log(address, f"no load reply: status {status}")
             return None
         try:
-            return msgspec.msgpack.decode(raw, type=_LoadMessage)
-        except ValueError as error:
-            log.warning("malformed load reply from {}: {}", address, error)
+            return decode_untrusted(_decode, raw)
+        except MalformedError as error:
+            self._log(address, f"malformed load reply: {error}")
             return None
 
+    def _log(self, address: Address, detail: str) -> None:
+        """Log a failure of a VM, unless one was logged a short time ago."""
+        if self._lines.take(str(address)):
+            log.warning("{}: {}", address, detail)
+
 
 def _period_ms(fleet_factor: float) -> int:
     return EXCHANGE_PERIOD_MS if fleet_factor <= 1 else LARGE_FLEET_PERIOD_MS
--- a/src/heathershunt/pipelines/notes.py
+++ b/src/heathershunt/pipelines/notes.py
@@ -12,6 +12,7 @@
 from heathershunt.clock import Clock, Millis
 from heathershunt.logs import Event
 from heathershunt.logs.events import NoteReceived
+from heathershunt.schema.fields import Factor, Text, Whole
 
 USUAL_PACE = 1.0
 # Notes from other VMs are used for this long.
@@ -33,9 +34,9 @@
     .. versionadded:: 0.4
     """
 
-    runner: str
-    incarnation: int = 0
-    pace: float = USUAL_PACE
+    runner: Text
+    incarnation: Whole = 0
+    pace: Factor = USUAL_PACE
     is_failed: bool = False
 
 
--- a/src/heathershunt/ratelimits/header.py
+++ b/src/heathershunt/ratelimits/header.py
@@ -1,13 +1,20 @@
 """The header field in which targets of the daemon name their limit."""
 
-import math
 from collections.abc import Mapping
 
 import logbook
+import msgspec
+
+from heathershunt.clock import SystemClock
+from heathershunt.logs import RepeatLimiter
+from heathershunt.schema.fields import Amount
 
 RATE_LIMIT_HEADER = "rate-limit"
 
+MAX_QUOTED = 40
+
 log = logbook.Logger("heathershunt.ratelimits")
+_lines = RepeatLimiter(SystemClock())
 
 
 def decode_limit(headers: Mapping[str, str], name: str) -> float | None:
@@ -21,10 +28,8 @@
     if text is None:
         return None
     try:
-        per_s = float(text)
+        return msgspec.convert(float(text), Amount)
     except ValueError:
-        per_s = math.nan
-    if math.isfinite(per_s) and per_s >= 0:
-        return per_s
-    log.warning("malformed limit in an answer: {!r}", text[:40])
-    return None
+        if _lines.take(text[:MAX_QUOTED]):
+            log.warning("malformed limit in an answer: {!r}", text[:MAX_QUOTED])
+        return None
--- a/src/heathershunt/ratelimits/messages.py
+++ b/src/heathershunt/ratelimits/messages.py
@@ -7,6 +7,7 @@
 from heathershunt.clock import Millis
 from heathershunt.ratelimits.demand import DemandTable, KnownDemand
 from heathershunt.ratelimits.table import KnownLimit, LimitTable
+from heathershunt.schema.fields import Age, Amount, Text, Whole
 
 # Bounds the size of a message: a row is some 40 bytes long.
 MAX_LIMITS = 512
@@ -19,10 +20,10 @@
     .. versionadded:: 0.7
     """
 
-    target: str
-    incarnation: int
-    per_s: float | None
-    age_ms: int
+    target: Text
+    incarnation: Whole
+    per_s: Amount | None
+    age_ms: Age
 
     @property
     def is_valid(self) -> bool:
@@ -47,9 +48,9 @@
     .. versionadded:: 0.7
     """
 
-    vm: str
-    per_s: float
-    age_ms: int
+    vm: Text
+    per_s: Amount
+    age_ms: Age
 
 
 class LimitDigest(msgspec.Struct, array_like=True, frozen=True):
--- a/src/heathershunt/schema/fields.py
+++ b/src/heathershunt/schema/fields.py
@@ -22,6 +22,7 @@
 # Version of a model's weights.
 Version = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
 Amount = Annotated[float, Meta(ge=0, le=1e15)]
+SignedAmount = Annotated[float, Meta(ge=-1e15, le=1e15)]
 # A time as a multiple of the usual time.
 Factor = Annotated[float, Meta(ge=0, le=1e6)]
 Milliseconds = Annotated[float, Meta(ge=0, le=1e10)]
