Bound the reports of runners

A report with an order count of 4000 digits went into the next order, a pace of 10^308 or below 0 into all estimates and into notes to other VMs, layers of 10^400 into the plan. A runner with malformed reports wrote one line in the log for each of them. Now such a report counts as none, as other malformed ones, and its runner has one line a minute.

--- a/src/heathershunt/platform/runners.py
+++ b/src/heathershunt/platform/runners.py
@@ -8,8 +8,10 @@
 import msgspec
 from result import Err
 
+from heathershunt.clock import SystemClock
 from heathershunt.discovery import LayerRange, Target
 from heathershunt.http import HttpClient
+from heathershunt.logs import RepeatLimiter
 from heathershunt.pipelines import (
     Chain,
     OrderOutcome,
@@ -25,6 +27,8 @@
 )
 from heathershunt.platform.targets import LayersEntry, decode_layers
 from heathershunt.ratelimits import decode_limit
+from heathershunt.schema.decoding import MalformedError, decode_untrusted
+from heathershunt.schema.fields import Amount, Count, Factor, Text, Whole
 
 log = logbook.Logger("heathershunt.platform")
 
@@ -39,29 +43,29 @@
 
 
 class _StalledJob(msgspec.Struct):
-    id: str
+    id: Text
     # Address of the runner that the job waits for.
-    address: str
+    address: Text
 
 
 class _Report(msgspec.Struct):
-    born: int = 0
+    born: Whole = 0
     # Number of orders accepted since the start of the runner, unlike the counter in
     # its store entry.
-    sequence: int = 0
+    sequence: Whole = 0
     busy: bool = False
     layers: LayersEntry | None = None
-    running: int = 0
-    queued: int = 0
-    kv_used: float = 0.0
-    kv_total: float = 0.0
-    pace: float = 1.0
+    running: Count = 0
+    queued: Count = 0
+    kv_used: Amount = 0.0
+    kv_total: Amount = 0.0
+    pace: Factor = 1.0
     stalled: list[_StalledJob] = []
 
 
 class _ConflictReply(msgspec.Struct):
     # Address of the runner in the ordered chain that lacks its layers or free room.
-    address: str | None = None
+    address: Text | None = None
 
 
 @dataclass
@@ -78,7 +82,8 @@
         self.per_s = decode_limit(headers, RATE_LIMIT)
 
 
-_decoder = msgspec.json.Decoder(_Report)
+_decode_report = msgspec.json.Decoder(_Report).decode
+_decode_conflict = msgspec.json.Decoder(_ConflictReply).decode
 
 
 class RunnerClient:
@@ -89,6 +94,7 @@
 
     def __init__(self, http: HttpClient) -> None:
         self._http = http
+        self._lines = RepeatLimiter(SystemClock())
 
     async def report(self, runner: Target, timeout_ms: int) -> RunnerReport | None:
         """Return the state of a runner, ``None`` if it gave no valid report."""
@@ -110,10 +116,12 @@
             log.info("no report from {}: status {}", runner.id, status)
             return None
         try:
-            return _build_report(_decoder.decode(raw), limit.per_s)
-        except (ValueError, RecursionError) as error:
-            log.warning("malformed report of {}: {}", runner.id, error)
+            report = decode_untrusted(_decode_report, raw)
+        except MalformedError as error:
+            if self._lines.take(runner.id):
+                log.warning("malformed report of {}: {}", runner.id, error)
             return None
+        return _build_report(report, limit.per_s)
 
     async def place(
         self, runner: Target, layers: LayerRange, orders: int | None, fence: int
@@ -177,8 +185,8 @@
 def _faulty_address(raw: bytes) -> str | None:
     """Return the address of the runner that caused a conflict, if the reply has one."""
     try:
-        return msgspec.json.decode(raw, type=_ConflictReply).address
-    except (ValueError, RecursionError) as error:
+        return decode_untrusted(_decode_conflict, raw).address
+    except MalformedError as error:
         log.info("conflict reply without a valid runner address: {}", error)
         return None
 
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -1,3 +1,4 @@
+import logbook
 import pytest
 
 from heathershunt.http import Address, HttpClient, HttpServer, Response
@@ -42,3 +43,38 @@
 
 async def test_accepted_order_reports_no_faulty_runner(order):
     assert await order(200, b'{"address": "x"}') == OrderReply(OrderOutcome.DONE)
+
+
+ODD_REPORTS = [
+    b"",
+    b"null",
+    b'{"x":' + b"[" * 100_000,
+    b'{"pace":NaN}',
+    b'{"pace":1e308}',
+    b'{"pace":-1}',
+    b'{"kv_used":1e300}',
+    b'{"running":1' + b"0" * 30 + b"}",
+    b'{"queued":-1}',
+    b'{"born":-1}',
+    b'{"sequence":' + b"9" * 4000 + b"}",
+    b'{"layers":{"from":0,"to":1' + b"0" * 400 + b"}}",
+    b'{"stalled":[{"id":"' + b"x" * 5000 + b'","address":"10.0.0.1:7"}]}',
+]
+
+
+@pytest.mark.parametrize("body", ODD_REPORTS, ids=lambda body: repr(body)[:40])
+async def test_odd_report_counts_as_none(body):
+    # Guards against numbers of a faulty runner in estimates, orders and messages, and
+    # against a line in the log for each of its reports.
+    server = HttpServer(lambda request: answer([Response(200, {}, body)]))
+    await server.start("127.0.0.1", 0)
+    client = HttpClient()
+    runner = engines.runner(1, address=Address("127.0.0.1", server.port))
+    runners = RunnerClient(client)
+    with logbook.TestHandler() as lines:
+        for _ in range(3):
+            assert await runners.report(runner, 1000) is None
+    assert len(lines.records) == 1
+    assert len(lines.records[0].message) < 500
+    client.close()
+    await server.close()
