Refuse configurations with numbers out of bounds

A configuration's numbers were used as they stood once it came into force: a prefill rate of 0 divided by zero in each request, a priority of 10^400 or a name of an account outside Latin-1 did not fit a header field, a timeout of 10^308 ms is no number of milliseconds. Requests then ended without an answer. Such a configuration is now malformed: the one before stays in force, with one line in the log a minute. Bounds are far beyond real values, priorities below 0 count as 0 as before towards the router and now also towards runners.

Before: the property test failed at its first explicit examples (read_per_s, tenant name, timeout_ms). Now it passes.

--- a/src/heathershunt/platform/configuration.py
+++ b/src/heathershunt/platform/configuration.py
@@ -14,6 +14,20 @@
     WeightedService,
     hash_key,
 )
+from heathershunt.schema.fields import (
+    Amount,
+    Count,
+    Factor,
+    HeaderText,
+    Label,
+    Layer,
+    LongText,
+    Milliseconds,
+    PositiveAmount,
+    SignedAmount,
+    SignedWhole,
+    Whole,
+)
 
 ROUTE_KIND_BY_NAME = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -23,78 +37,79 @@
 
 
 class _TrafficShare(msgspec.Struct):
-    service: str
-    weight: float = 1.0
+    service: Label
+    weight: SignedAmount = 1.0
 
 
 class _Route(msgspec.Struct):
-    name: str
-    host: str
-    prefix: str
-    kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = 0
-    service: str | None = None
+    name: LongText
+    host: LongText
+    prefix: LongText
+    kind: LongText
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 0.0
+    priority: SignedWhole = 0
+    service: Label | None = None
     # If not empty, replaces ``service``: requests are distributed by weight.
     traffic_split: list[_TrafficShare] = []
-    max_attempts: int = 1
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
-    target_gap_ms: float = 0.0
+    target_gap_ms: Milliseconds = 0.0
 
 
 class _AcceleratorKind(msgspec.Struct):
-    name: str
-    mb: float
-    pace: float = 1.0
-    read_factor: float = 1.0
+    name: Label
+    mb: Amount
+    pace: Factor = 1.0
+    read_factor: Factor = 1.0
 
 
 class _Model(msgspec.Struct):
-    load_s: float = 0.0
+    load_s: Milliseconds = 0.0
 
 
 class _TypicalRequest(msgspec.Struct):
-    prompt: float = 0.0
-    answer: float = 0.0
+    prompt: Amount = 0.0
+    answer: Amount = 0.0
 
 
 class _Engine(msgspec.Struct):
-    step_ms: float
-    per_seq_ms: float = 0.0
+    step_ms: Milliseconds
+    per_seq_ms: Milliseconds = 0.0
     # Milliseconds that 1,000 tokens of context add to a step.
-    context_per_k: float = 0.0
+    context_per_k: Milliseconds = 0.0
     # Prompt tokens processed by prefill per second.
-    read_per_s: float = 1.0
-    kv_token_bytes: float = 0.0
-    layers: int = 0
-    layer_mb: float = 0.0
+    read_per_s: PositiveAmount = 1.0
+    kv_token_bytes: Amount = 0.0
+    layers: Layer = 0
+    layer_mb: Amount = 0.0
     models: list[_Model] = []
     kinds: list[_AcceleratorKind] = []
     usual: _TypicalRequest = msgspec.field(default_factory=_TypicalRequest)
 
 
 class _Service(msgspec.Struct):
-    name: str
+    name: Label
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 1_048_576
-    header_timeout_ms: float = 10_000
-    idle_timeout_ms: float = 75_000
+    max_header_bytes: Whole = 16_384
+    max_body_bytes: Whole = 1_048_576
+    header_timeout_ms: Milliseconds = 10_000
+    idle_timeout_ms: Milliseconds = 75_000
 
 
 class _Tenant(msgspec.Struct):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
+    # Sent to targets in a header field.
+    name: HeaderText
+    api_keys: list[LongText] = []
+    priority: SignedWhole | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Whole
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -107,7 +122,7 @@
 def decode_configuration(raw: bytes) -> Catalog:
     """Decode one version of the configuration.
 
-    :raises ValueError: if it is malformed.
+    :raises ValueError: if it is malformed or has a number out of bounds.
     """
     configuration = _decoder.decode(raw)
     limits = configuration.limits
--- a/src/heathershunt/platform/headers.py
+++ b/src/heathershunt/platform/headers.py
@@ -110,7 +110,7 @@
         if dispatch.chain is not None:
             fields.append((names.CHAIN, encode_chain(dispatch.chain).encode()))
         if dispatch.rank is not None:
-            fields.append((names.RANK, b"%d" % min(dispatch.rank, MAX_RANK)))
+            fields.append((names.RANK, b"%d" % min(max(0, dispatch.rank), MAX_RANK)))
         if dispatch.last_event_id is not None:
             fields.append((names.LAST_EVENT_ID, b"%d" % dispatch.last_event_id))
         fields.append((b"connection", b"close"))
--- a/src/heathershunt/schema/fields.py
+++ b/src/heathershunt/schema/fields.py
@@ -15,6 +15,7 @@
 MAX_LAYERS = 100_000
 
 Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
+SignedWhole = Annotated[int, Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 # Requests or tokens that a process has at a time.
 Count = Annotated[int, Meta(ge=0, le=10**9)]
 # Number of a layer, or of the layer after the last one.
@@ -22,14 +23,16 @@
 # Version of a model's weights.
 Version = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
 Amount = Annotated[float, Meta(ge=0, le=1e15)]
+PositiveAmount = Annotated[float, Meta(ge=1e-9, le=1e15)]
 SignedAmount = Annotated[float, Meta(ge=-1e15, le=1e15)]
 # A time as a multiple of the usual time.
 Factor = Annotated[float, Meta(ge=0, le=1e6)]
 Milliseconds = Annotated[float, Meta(ge=0, le=1e10)]
 # Age of a statement in milliseconds; clocks of two VMs may differ.
-Age = Annotated[int, Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+Age = SignedWhole
 # Text that is only compared and logged.
 Text = Annotated[str, Meta(max_length=MAX_TEXT_CHARACTERS)]
+LongText = Annotated[str, Meta(max_length=4096)]
 # The same without control characters, and not empty.
 Label = Annotated[
     str,
@@ -39,6 +42,15 @@
         pattern=r"\A[^\x00-\x1f\x7f]+\Z",
     ),
 ]
+# The same in characters that a header field may hold, as Latin-1.
+HeaderText = Annotated[
+    str,
+    Meta(
+        min_length=1,
+        max_length=MAX_TEXT_CHARACTERS,
+        pattern=r"\A[!-~\xa1-\xff]([ -~\xa0-\xff]*[!-~\xa1-\xff])?\Z",
+    ),
+]
 # Name that is also written into header fields and paths: visible ASCII characters.
 Name = Annotated[
     str, Meta(min_length=1, max_length=MAX_TEXT_CHARACTERS, pattern=r"\A[!-~]+\Z")
