Answer requests with huge numbers in their header fields

A token count of 400 digits was too large for the estimates, whose error ended the handler: the caller's connection closed without an answer, for some values after the head of a stream. Counts above 2^53 are malformed now, as is such a Last-Event-Id; longer time limits and length hints count as 2^53.

--- a/src/heathershunt/platform/headers.py
+++ b/src/heathershunt/platform/headers.py
@@ -1,6 +1,7 @@
 """Decoding and encoding of the platform's header fields in requests and replies."""
 
 import hashlib
+import math
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from heathershunt.platform.runners import encode_chain
 from heathershunt.ratelimits import decode_limit
 from heathershunt.relay import CallerRequest, Dispatch, ReplyHead
+from heathershunt.schema.fields import MAX_WHOLE
 from heathershunt.verdict import Refusal
 
 # Fields that concern one connection only (RFC 9110, section 7.6.1).
@@ -94,7 +96,7 @@
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             estimated_tokens=_parse_number(values, names.LENGTH_HINT),
-            last_event_id=_parse_number(values, names.LAST_EVENT_ID),
+            last_event_id=_parse_event_id(values),
             prompt_parts=_parse_prompt_parts(values.get(names.PROMPT_PARTS)),
         )
 
@@ -153,17 +155,26 @@
 
 
 def _parse_number(values: dict[bytes, bytes], name: bytes) -> int | None:
+    """Return a number between 0 and ``MAX_WHOLE``; others count as the nearest."""
     text = values.get(name)
     if text is None:
         return None
     try:
         number = float(text)
-        return max(0, int(number))
+        return min(MAX_WHOLE, max(0, int(number)))
     except (ValueError, OverflowError):
         message = f"header field {name.decode()} is not a number: {text[:40]!r}"
         raise RequestError(message) from None
 
 
+def _parse_event_id(values: dict[bytes, bytes]) -> int | None:
+    number = _parse_number(values, names.LAST_EVENT_ID)
+    if number == MAX_WHOLE:
+        # Another id must not be sent in its place.
+        raise RequestError(f"header field {names.LAST_EVENT_ID.decode()} is too large")
+    return number
+
+
 def _parse_token_counts(values: dict[bytes, bytes]) -> tuple[int, int]:
     """Return the prompt tokens and the limit of output tokens; zeros by default."""
     text = values.get(names.TOKEN_COUNTS)
@@ -171,10 +182,13 @@
         return 0, 0
     prompt_tokens, _, max_tokens = text.partition(b",")
     try:
-        return max(0, int(prompt_tokens)), max(0, int(max_tokens))
+        counts = max(0, int(prompt_tokens)), max(0, int(max_tokens))
     except ValueError:
+        counts = (math.inf, math.inf)
+    if max(counts) > MAX_WHOLE:
         message = f"header field {names.TOKEN_COUNTS.decode()} is malformed"
-        raise RequestError(message) from None
+        raise RequestError(message)
+    return counts
 
 
 def _parse_prompt_parts(value: bytes | None) -> tuple[str, ...]:
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -116,3 +116,26 @@
 
 async def test_body_beyond_the_limit_is_refused(site):
     assert (await site.call("POST", "/orders/7", b"x" * 10_001))[0] == 413
+
+
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("heathershunt_token_counts", "1" + "0" * 400 + ",20"),
+        ("heathershunt_token_counts", "700,1" + "0" * 400),
+        ("heathershunt_length_hint", "1e300"),
+        ("heathershunt_deadline_ms", "1e300"),
+        ("last_event_id", "1" + "0" * 400),
+        ("last_event_id", "1e300"),
+        ("heathershunt_deadline_ms", "1" + "0" * 4500),
+        ("heathershunt_length_hint", "nan"),
+        ("heathershunt_length_hint", "inf"),
+    ],
+)
+@pytest.mark.parametrize("path", ["/drafts/x", "/status/7"])
+async def test_huge_number_of_a_caller_gets_an_answer(site, path, field, value):
+    # Guards against a request without an answer: a number too large for a float ended
+    # its handler.
+    fields = {"heathershunt_token_counts": "700,20"} | {field: value}
+    status, _, _ = await site.call("POST", path, b"x", **fields)
+    assert status in (200, 400)
