Start background loops again after an error

The loops of the gateway and the daemon run in tasks that nobody awaits: an unexpected error ended one for good, without a line in the log, and the process went on without it. The watch of the store reads all entries again, as a part of the changes may be missing.

--- a/src/heathershunt/coordination/view.py
+++ b/src/heathershunt/coordination/view.py
@@ -99,7 +99,12 @@
         """Keep the view up to date until cancelled."""
         while True:
             started = self._clock.now()
-            error = await (self._load() if self.revision is None else self._watch())
+            try:
+                error = await (self._load() if self.revision is None else self._watch())
+            except Exception:
+                # The entries were applied in part, so all of them are read again.
+                self.revision = None
+                raise
             if error is None:
                 elapsed_ms = self._clock.now() - started
                 await asyncio.sleep(max(0, self._config.pause_ms - elapsed_ms) / 1000)
--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -1,11 +1,12 @@
 """Wiring of the components of one daemon."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 
 import logbook
 
 from heathershunt.admission import ShareConfig, ShareSplitter
+from heathershunt.background import keep_running
 from heathershunt.bundle import Bundle, BundleKeeper
 from heathershunt.clock import Clock, SystemClock
 from heathershunt.crashes import PartGuard
@@ -155,18 +156,18 @@
         await self.operations.start()
         await self.fleet.start()
         await self.vm_list.poll()
-        for coroutine in (
-            self.bundle_watch.run(),
-            self.vm_list.run(),
-            self.poller.run(),
-            self.monitor.run(),
-            self.gate.run(),
-            self.operations.loop_lag.run(),
-            self._run_housekeeping(),
+        for run in (
+            self.bundle_watch.run,
+            self.vm_list.run,
+            self.poller.run,
+            self.monitor.run,
+            self.gate.run,
+            self.operations.loop_lag.run,
+            self._run_housekeeping,
         ):
-            self._spawn(coroutine)
+            self._spawn(run)
         if self.settings.placement.enabled:
-            self._spawn(self.placement.run())
+            self._spawn(self.placement.run)
         log.info("{} listens for callers on {}", self.settings.vm.name, address)
 
     def _on_bundle(self, bundle: Bundle) -> None:
@@ -189,8 +190,8 @@
     def _live_vms(self) -> frozenset[str]:
         return self.fleet.live_vms()
 
-    def _spawn(self, coroutine: Coroutine) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+    def _spawn(self, run: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(keep_running(run)))
 
     async def _run_housekeeping(self) -> None:
         while True:
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -1,10 +1,11 @@
 """Composition of one gateway process."""
 
 import asyncio
-from collections.abc import Coroutine
+from functools import partial
 
 import logbook
 
+from heathershunt.background import keep_running
 from heathershunt.catalog import Catalog
 from heathershunt.clock import Clock
 from heathershunt.coordination import (
@@ -253,19 +254,20 @@
         ):
             await server.start(address.host, address.port)
         await self._metrics.start(listeners.callers.host, self.config.metrics_port)
-        for coroutine in (
-            self.view.run(),
-            self.keeper.run(),
-            self._inquiry.run(),
-            self._configuration_keeper.run(),
-            self.leadership.run(),
-            self.placer.run(),
-            *self._exchanges.tasks(),
-            self._evidence_keeper.run(),
-            self.relay_context.diagnosis.poll_slow_runners(self.state.registry.get),
-            self._tick(),
+        polls = self.relay_context.diagnosis.poll_slow_runners
+        for run in (
+            self.view.run,
+            self.keeper.run,
+            self._inquiry.run,
+            self._configuration_keeper.run,
+            self.leadership.run,
+            self.placer.run,
+            *self._exchanges.loops(),
+            self._evidence_keeper.run,
+            partial(polls, self.state.registry.get),
+            self._tick,
         ):
-            self._spawn(coroutine)
+            self._tasks.append(asyncio.create_task(keep_running(run)))
         self._events.emit(Started(str(listeners.callers)))
 
     async def shut_down(self) -> None:
@@ -307,9 +309,6 @@
             task.cancel()
         self._events.close()
 
-    def _spawn(self, coroutine: Coroutine) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
-
     async def _tick(self) -> None:
         """Update the state that depends on time alone, every ``TICK_MS``."""
         while True:
--- a/src/heathershunt/gateway/exchanges.py
+++ b/src/heathershunt/gateway/exchanges.py
@@ -1,6 +1,6 @@
 """Exchanges of one gateway with the other VMs, and their requests to it."""
 
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 
 from heathershunt.clock import Clock
 from heathershunt.crashes import CrashDigest, PartGuard
@@ -58,12 +58,10 @@
             ),
         }
 
-    def tasks(self) -> list[Coroutine]:
-        """Return the coroutines that run until they are cancelled."""
-        return [
-            self._loads.run(),
-            *(exchange.run() for exchange in self._news_by_path.values()),
-        ]
+    def loops(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the loops that run until they are cancelled."""
+        news = self._news_by_path.values()
+        return [self._loads.run, *(exchange.run for exchange in news)]
 
     async def handle(self, request: Request) -> Response | None:
         """Answer a request of another VM; ``None`` if it is not of an exchange."""
--- a/tests/coordination/test_view.py
+++ b/tests/coordination/test_view.py
@@ -161,3 +161,17 @@
     store.replies = [(0, snapshot(join(2, 5)))]
     await run_all(view, store)
     assert seen == ["snapshot", 2, "snapshot"]
+
+
+async def test_view_reads_all_entries_again_after_an_error(view, store, recorder):
+    # Guards against changes that are missing for ever: the revision had moved on when
+    # applying them failed.
+    def fail(changes):
+        raise RuntimeError("a change cannot be applied")
+
+    view._on_changes = fail
+    entry = Entry("a", b"", 2)
+    store.replies = [(0, snapshot()), (0, Ok(Changes((("a", entry),), 2, 0)))]
+    with pytest.raises(RuntimeError):
+        await view.run()
+    assert view.revision is None
