Bound the VM list and the reports of runners in the daemon

The daemon polls the VM list each second and each runner as often. Port 0, names with line breaks or of any length and an incarnation of 10^400 were accepted: with the latter, no later report of that runner could be newer, so the runner kept its old state for good, and the status for operators could not be encoded. Each odd entry or report wrote a line at each poll.

--- a/src/heathershunt/runners/poller.py
+++ b/src/heathershunt/runners/poller.py
@@ -10,8 +10,10 @@
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import Address, HttpClient
+from heathershunt.logs import RepeatLimiter
 from heathershunt.runners.registry import RunnerRegistry
 from heathershunt.runners.reports import RunnerReport, RunnerState
+from heathershunt.schema.decoding import brief
 from heathershunt.store import ListedVm, VmRole
 
 log = logbook.Logger("heathershunt.runners")
@@ -53,6 +55,7 @@
         self._polled_at_by_address: dict[str, Millis] = {}
         self._polls_by_address: Counter[str] = Counter()
         self._tasks: set[asyncio.Task] = set()
+        self._lines = RepeatLimiter(clock)
 
     @property
     def interval_ms(self) -> int:
@@ -107,7 +110,7 @@
         try:
             report = msgspec.convert(reply, RunnerReport)
         except msgspec.ValidationError as error:
-            log.warn("invalid status report from {}: {}", address, error)
+            self._log(address, "status report", error)
             return
         self._registry.record(self._state(address, report, sent))
         if with_events:
@@ -128,7 +131,12 @@
         try:
             view.apply(reply, self._clock.now())
         except msgspec.ValidationError as error:
-            log.warn("invalid cache events from {}: {}", address, error)
+            self._log(address, "cache events", error)
+
+    def _log(self, address: Address, what: str, error: Exception) -> None:
+        """Log an invalid reply, unless such a one was logged a short time ago."""
+        if self._lines.take(f"{address} {what}"):
+            log.warn("invalid {} from {}: {}", what, address, brief(error))
 
     async def _get(self, address: Address, target: str) -> object | None:
         outcome = await self._http.request_json(
--- a/src/heathershunt/runners/prefixes.py
+++ b/src/heathershunt/runners/prefixes.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from heathershunt.clock import Millis
+from heathershunt.schema.fields import Text, Whole
 
 WORDS_PER_BLOCK = 16
 MAX_PREFIXES_PER_RUNNER = 4096
@@ -34,9 +35,9 @@
 class CacheEvent:
     """One cache event of a runner; ``op`` is ``add`` or ``evict``."""
 
-    seq: int
-    op: str
-    prefix: str
+    seq: Whole
+    op: Text
+    prefix: Text
 
 
 @dataclass(frozen=True)
@@ -44,7 +45,7 @@
     """Events after a position, and the position to request the next ones from."""
 
     events: tuple[CacheEvent, ...]
-    next: int
+    next: Whole
 
 
 class PrefixCacheView:
--- a/src/heathershunt/runners/reports.py
+++ b/src/heathershunt/runners/reports.py
@@ -7,27 +7,25 @@
 
 from heathershunt.clock import Millis
 from heathershunt.http import Address
+from heathershunt.schema.fields import Layer, LongText, Text, Whole
 
-# The bounds are far beyond any real runner. They reject malformed reports, whose values
-# would break the comparison of chain costs: NaN compares as neither less nor greater.
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Duration = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
-Layer = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
 RunnerName = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+MAX_ADAPTERS = 4096
 
 
 @dataclass(frozen=True)
 class ReportedLoad:
     """Load of a runner at ``at_ms``, in milliseconds of the runner's wall clock."""
 
-    running: Count
-    queued: Count
-    batch_limit: Count
+    running: Whole
+    queued: Whole
+    batch_limit: Whole
     step_ms: Duration
     token_ms: Duration
     prefill_token_ms: Duration
-    kv_free_tokens: Count
-    at_ms: Count
+    kv_free_tokens: Whole
+    at_ms: Whole
 
 
 @dataclass(frozen=True)
@@ -41,20 +39,20 @@
     """
 
     runner: RunnerName
-    incarnation: int
-    kind: str
-    fence: int
+    incarnation: Whole
+    kind: Text
+    fence: Whole
     checks_fence: bool
     leaving: bool
-    vm: str
-    domain: str
-    model: str
-    version: str
-    adapters: tuple[str, ...]
+    vm: Text
+    domain: Text
+    model: Text
+    version: Text
+    adapters: Annotated[tuple[LongText, ...], msgspec.Meta(max_length=MAX_ADAPTERS)]
     first_layer: Layer
     end_layer: Layer
-    role: str
-    fabric: str
+    role: Text
+    fabric: Text
     load: ReportedLoad
 
 
--- a/src/heathershunt/schema/decoding.py
+++ b/src/heathershunt/schema/decoding.py
@@ -3,8 +3,19 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+import cbor2
+
 MAX_DETAIL_CHARACTERS = 200
 
+# Deep nesting is no ``ValueError`` for msgspec, and no error of ``cbor2`` is one.
+DECODER_ERRORS = (
+    ValueError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+    cbor2.CBORDecodeError,
+)
+
 T = TypeVar("T")
 
 
@@ -26,12 +37,11 @@
 def decode_untrusted(decode: Callable[[bytes], T], raw: bytes) -> T:
     """Return what ``decode`` makes of ``raw``.
 
-    Decoders raise errors of several types, for deep nesting even one that is no
-    ``ValueError``.
+    Decoders raise errors of several types.
 
     :raises MalformedError: if it cannot be decoded.
     """
     try:
         return decode(raw)
-    except (ValueError, TypeError, OverflowError, RecursionError) as error:
+    except DECODER_ERRORS as error:
         raise MalformedError(brief(error)) from None
--- a/src/heathershunt/schema/fields.py
+++ b/src/heathershunt/schema/fields.py
@@ -32,8 +32,12 @@
 Age = SignedWhole
 # Text that is only compared and logged.
 Text = Annotated[str, Meta(max_length=MAX_TEXT_CHARACTERS)]
+# The same without control characters.
+PlainText = Annotated[
+    str, Meta(max_length=MAX_TEXT_CHARACTERS, pattern=r"\A[^\x00-\x1f\x7f]*\Z")
+]
 LongText = Annotated[str, Meta(max_length=4096)]
-# The same without control characters, and not empty.
+# Plain text that is not empty.
 Label = Annotated[
     str,
     Meta(
--- a/src/heathershunt/store/vm_list.py
+++ b/src/heathershunt/store/vm_list.py
@@ -10,7 +10,11 @@
 import msgspec
 from result import Err
 
+from heathershunt.clock import SystemClock
 from heathershunt.http import Address, HttpClient
+from heathershunt.logs import RepeatLimiter
+from heathershunt.schema.decoding import brief
+from heathershunt.schema.fields import Label, PlainText, Text
 
 log = logbook.Logger("heathershunt.store")
 
@@ -37,12 +41,12 @@
     :param service: name of the plain service at this address, if there is one.
     """
 
-    vm: str
-    domain: str
-    state: str
+    vm: Label
+    domain: PlainText
+    state: Label
     role: VmRole
-    address: str
-    service: str | None = None
+    address: Text
+    service: Label | None = None
 
     @property
     def is_leaving(self) -> bool:
@@ -50,25 +54,12 @@
         return self.state != "live"
 
 
-def _valid_entries(raw: list[Any]) -> tuple[ListedVm, ...]:
-    """Return the well-formed entries, so that a malformed one hides no other VM.
-
-    :raises ValidationError: if no entry is well-formed.
-    """
-    entries = []
-    error = None
-    for item in raw:
-        try:
-            entry = msgspec.convert(item, ListedVm)
-            if entry.role is not VmRole.ENTRY:
-                Address.from_text(entry.address)
-            entries.append(entry)
-        except ValueError as cause:
-            error = cause
-            log.warn("malformed entry of the VM list ignored: {}", cause)
-    if error is not None and not entries:
-        raise msgspec.ValidationError(f"no entry is well-formed: {error}")
-    return tuple(entries)
+def _valid_entry(item: Any) -> ListedVm:
+    """Return a well-formed entry; raise ``ValueError`` for another one."""
+    entry = msgspec.convert(item, ListedVm)
+    if entry.role is not VmRole.ENTRY and not Address.from_text(entry.address).port:
+        raise ValueError("the port is 0")
+    return entry
 
 
 class VmList:
@@ -88,6 +79,7 @@
         self._http = http
         self._address = address
         self._on_change = on_change
+        self._lines = RepeatLimiter(SystemClock())
         self.entries: tuple[ListedVm, ...] = ()
 
     async def run(self) -> None:
@@ -101,19 +93,42 @@
         """Read the list once; a failure is logged and leaves the entries unchanged."""
         outcome = await self._http.request_json(self._address, "GET", "/v1/vms")
         if isinstance(outcome, Err):
-            log.warn("reading the VM list failed: {}", outcome.err_value.detail)
+            self._log("reading the VM list failed", outcome.err_value.detail)
             return
         status, reply = outcome.ok_value
         try:
             raw = reply["vms"] if status == 200 else None
-            entries = _valid_entries(msgspec.convert(raw, list[Any]))
+            entries = self._valid_entries(msgspec.convert(raw, list[Any]))
         except (msgspec.ValidationError, KeyError, TypeError) as error:
-            log.warn("invalid reply for the VM list ignored: {}", error)
+            self._log("invalid reply for the VM list ignored", error)
             return
         if entries != self.entries:
             self.entries = entries
             self._on_change(entries)
 
+    def _valid_entries(self, raw: list[Any]) -> tuple[ListedVm, ...]:
+        """Return the well-formed entries, so that a malformed one hides no other VM.
+
+        :raises ValidationError: if no entry is well-formed.
+        """
+        entries = []
+        error = None
+        for item in raw:
+            try:
+                entries.append(_valid_entry(item))
+            except ValueError as cause:
+                error = cause
+                self._log("malformed entry of the VM list ignored", cause)
+        if error is not None and not entries:
+            raise msgspec.ValidationError(f"no entry is well-formed: {error}")
+        return tuple(entries)
+
+    def _log(self, subject: str, detail: object) -> None:
+        """Log a failure, unless the same one was logged a short time ago."""
+        text = brief(detail)
+        if self._lines.take(f"{subject}: {text}"):
+            log.warn("{}: {}", subject, text)
+
     def entry_vms(self) -> list[str]:
         """Return the names of the VMs with role ``ENTRY`` that are not leaving."""
         return [
