Decode claims strictly, from the store and from other daemons

A value in place of claims was taken apart without checks of its types: a text of six characters was a claim, a time that was a text raised TypeError in the merge, a key that was a list raised it in the decoder. These errors ended the task that writes the claims of a shard. cbor2's errors are no ValueError, so a malformed reply of another daemon to a claim ended the handler of the caller's call, and a malformed request was answered as if it might have run.

Claims have typed, bounded fields now. A malformed shard refuses its calls as not run, with one line a minute, until it is mended: leaving out a single claim would let its call run a second time.

--- a/src/heathershunt/daemon/forwarding.py
+++ b/src/heathershunt/daemon/forwarding.py
@@ -19,6 +19,8 @@
     problem_response,
 )
 from heathershunt.peers import ForwardError, ForwardReply, ForwardRequest, ReplyStream
+from heathershunt.schema.decoding import brief, decode_untrusted
+from heathershunt.schema.fields import Whole
 from heathershunt.services import Claim, ClaimFailure, ServiceCall
 from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
 
@@ -144,7 +146,7 @@
         reply = outcome.ok_value
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                raw = cbor2.loads(await reply.read())
+                raw = decode_untrusted(cbor2.loads, await reply.read())
             if reply.status == CLAIM_FAILED_STATUS:
                 return Err(ClaimFailure(raw))
             return Ok(msgspec.convert(raw, Claim, builtin_types=(bytes,)))
@@ -180,11 +182,12 @@
     ) -> Refusal | None:
         bundle = self._daemon.keeper.bundle
         try:
-            raw = cbor2.loads(request.body)
+            raw = decode_untrusted(cbor2.loads, request.body)
             call = msgspec.convert(raw["call"], ServiceCall, builtin_types=(bytes,))
-            key, timeout_ms = str(raw["key"]), int(raw["timeout_ms"])
+            key = str(raw["key"])
+            timeout_ms = msgspec.convert(raw["timeout_ms"], Whole)
         except (ValueError, KeyError, TypeError, msgspec.ValidationError) as error:
-            return not_run(400, "Malformed request of a peer", str(error))
+            return not_run(400, "Malformed request of a peer", brief(error))
         if bundle is None:
             return not_run(503, "Not ready", "no bundle is in force here yet", 1000)
         services = self._daemon.services
@@ -197,11 +200,11 @@
         self, request: ForwardRequest, reply: ReplyStream
     ) -> Refusal | None:
         try:
-            raw = cbor2.loads(request.body)
+            raw = decode_untrusted(cbor2.loads, request.body)
             claim = msgspec.convert(raw["claim"], Claim, builtin_types=(bytes,))
-            timeout_ms = int(raw["timeout_ms"])
+            timeout_ms = msgspec.convert(raw["timeout_ms"], Whole)
         except (ValueError, KeyError, TypeError, msgspec.ValidationError) as error:
-            return not_run(400, "Malformed request of a peer", str(error))
+            return not_run(400, "Malformed request of a peer", brief(error))
         outcome = await self._daemon.services.claim_for_peer(claim, timeout_ms)
         if isinstance(outcome, Err):
             await reply.start(CLAIM_FAILED_STATUS, {})
--- a/src/heathershunt/services/batches.py
+++ b/src/heathershunt/services/batches.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from heathershunt.clock import Clock, Millis
+from heathershunt.logs import RepeatLimiter
 from heathershunt.services.claims import (
     CLAIM_RETENTION_MS,
     CLAIM_SHARDS,
@@ -133,6 +134,7 @@
         self._random = source or random.Random()
         self._shards_by_number: dict[int, _Shard] = {}
         self._unavailable_until = Millis(0)
+        self._lines = RepeatLimiter(clock)
         self.swaps = 0
         self.swap_conflicts = 0
 
@@ -252,7 +254,8 @@
         try:
             claims = shard.claims or self._with_remembered(shard)
         except ValueError as error:
-            log.error("store key {} holds no valid claims: {}", shard.key, error)
+            if self._lines.take(shard.key):
+                log.error("store key {} holds no valid claims: {}", shard.key, error)
             shard.stored = None
             return Err(ClaimFailure.STORE_UNAVAILABLE)
         wanted = [pending.claim for pending in batch]
--- a/src/heathershunt/services/claims.py
+++ b/src/heathershunt/services/claims.py
@@ -2,10 +2,13 @@
 
 import hashlib
 from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import cbor2
+import msgspec
 
+from heathershunt.schema.decoding import MalformedError, decode_untrusted
+from heathershunt.schema.fields import Text, Whole
 from heathershunt.services.table import DEDUPLICATION_WINDOW_MS
 
 # All VMs must map a key to the same shard, or a key could be claimed twice. The count
@@ -21,6 +24,9 @@
 # with a VM name of 64 bytes.
 MAX_CLAIMS_PER_SHARD = 7_000
 HASH_BYTES = 16
+MAX_HASH_BYTES = 64
+
+Hash = Annotated[bytes, msgspec.Meta(max_length=MAX_HASH_BYTES)]
 
 
 class Claim(NamedTuple):
@@ -34,12 +40,12 @@
     .. versionadded:: 0.1
     """
 
-    key: bytes
-    request: bytes
-    vm: str
-    incarnation: int
-    nonce: bytes
-    at_ms: int
+    key: Hash
+    request: Hash
+    vm: Text
+    incarnation: Whole
+    nonce: Hash
+    at_ms: Whole
 
 
 def key_hash(account: str, key: str) -> bytes:
@@ -71,12 +77,16 @@
     if value is None:
         return {}
     try:
-        claims = [Claim._make(fields) for fields in cbor2.loads(value)]
-    except (cbor2.CBORDecodeError, TypeError) as error:
+        claims = decode_untrusted(_decode_claims, value)
+    except MalformedError as error:
         raise ValueError(f"malformed shard of claims: {error}") from None
     return {claim.key: claim for claim in claims}
 
 
+def _decode_claims(value: bytes) -> list[Claim]:
+    return msgspec.convert(cbor2.loads(value), list[Claim], builtin_types=(bytes,))
+
+
 def merge_claims(
     held: Mapping[bytes, Claim],
     wanted: Iterable[Claim],
