Refuse revisions of the store that are out of bounds

A revision above 2^53 was taken as it stood. Its upper bits are the era of the store, so the daemon took it for one from after a restoration.

--- a/src/heathershunt/store/client.py
+++ b/src/heathershunt/store/client.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Annotated, Any, TypeVar
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import logbook
@@ -13,6 +13,7 @@
 
 from heathershunt.coordination.revisions import EraField, era_of, join, number_of
 from heathershunt.http import Address, HttpClient
+from heathershunt.schema.fields import Whole
 from heathershunt.verdict import Progress
 
 log = logbook.Logger("heathershunt.store")
@@ -28,7 +29,8 @@
 GONE = 410
 
 T = TypeVar("T")
-Revision = Annotated[int, msgspec.Meta(ge=0)]
+# With the era of the store, see ``heathershunt.coordination.revisions``.
+Revision = Whole
 
 
 class StoreFailure(Enum):
