Refuse demands of peers that are no amount

A demand of NaN, infinity or below 0 went into the division of limits between daemons: all shares of the account became NaN or negative on each daemon.

--- a/src/heathershunt/peers/messages.py
+++ b/src/heathershunt/peers/messages.py
@@ -14,6 +14,7 @@
     Suspicion,
     VmRecord,
 )
+from heathershunt.schema.fields import Amount
 
 PROTOCOL = 1
 MAX_MESSAGE_BYTES = 196_608
@@ -178,7 +179,8 @@
     vm: Name
     incarnation: Counter
     rates: Annotated[
-        tuple[tuple[Name, float], ...], msgspec.Meta(max_length=MAX_DEMANDS_PER_MESSAGE)
+        tuple[tuple[Name, Amount], ...],
+        msgspec.Meta(max_length=MAX_DEMANDS_PER_MESSAGE),
     ] = ()
 
 
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -3,6 +3,7 @@
 from hypothesis import given, strategies as st
 
 from heathershunt.peers import (
+    Demand,
     Forward,
     Heartbeat,
     MessageError,
@@ -71,3 +72,11 @@
         decode_message(data)
     except MessageError:
         pass
+
+
+@pytest.mark.parametrize("rate", [float("nan"), float("inf"), -1.0, 1e300])
+def test_odd_demand_of_a_peer_is_malformed(rate):
+    # Guards against shares of an account's limit that are no number on all VMs.
+    message = encode_message(Demand("vm2", 1, (("account", rate),)))
+    with pytest.raises(MessageError):
+        decode_message(message)
