Treat each odd line of a stage as an error of the stage

A deeply nested line that arrived in one piece, the usual case, raised RecursionError in the task that reads the stage: only the path for several lines turned it into an error of the stage. The draft then waited for its progress deadline, and nobody was at fault. Positions, epochs and incarnations of any size were accepted.

All lines pass the same decoder now, and their numbers are bounded.

--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -15,6 +15,8 @@
 from heathershunt.http import Address, ClientResponse, HttpClient, TransportError
 from heathershunt.ratelimits import RATE_LIMIT_HEADER, Statement, decode_limit
 from heathershunt.routing import Chain, Stage
+from heathershunt.schema.decoding import decode_untrusted
+from heathershunt.schema.fields import Position, Text, Whole
 from heathershunt.verdict import Progress
 
 OPEN_TIMEOUT_MS = 1000
@@ -32,18 +34,18 @@
     is not decoded.
     """
 
-    event: str
-    epoch: int = 0
-    position: int = -1
+    event: Text
+    epoch: Position = 0
+    position: Position = -1
     text: str = ""
     trace: msgspec.Raw = EMPTY_TRACE
     last: bool = False
     reason: str = ""
-    runner: str = ""
-    first_layer: int = -1
-    end_layer: int = -1
-    version: str = ""
-    kv_positions: int = 0
+    runner: Text = ""
+    first_layer: Position = -1
+    end_layer: Position = -1
+    version: Text = ""
+    kv_positions: Whole = 0
 
 
 @dataclass(frozen=True)
@@ -69,7 +71,7 @@
 
 
 class _StatusReply(msgspec.Struct):
-    incarnation: int
+    incarnation: Whole
 
 
 class _ProbeReply(msgspec.Struct):
@@ -78,19 +80,21 @@
     :param position: position of the last token that the stage has computed.
     """
 
-    position: int
+    position: Position
 
 
 _parse_address = lru_cache(maxsize=4096)(Address.from_text)
 _decode_line = msgspec.json.Decoder(StageLine).decode
-decode_trace = msgspec.json.Decoder(list[Any]).decode
+_decode_trace = msgspec.json.Decoder(list[Any]).decode
+
+
+def decode_trace(trace: msgspec.Raw) -> list[Any]:
+    """Return the parts of a trace; raise ``MalformedError`` if it is malformed."""
+    return decode_untrusted(_decode_trace, trace)
 
 
 def _decode(line: bytes) -> StageLine:
-    try:
-        return _decode_line(line)
-    except RecursionError:
-        raise ValueError("a line of the stage is nested too deeply") from None
+    return decode_untrusted(_decode_line, line)
 
 
 class StageStream:
@@ -115,7 +119,7 @@
             if data is None:
                 return []
             if not self._partial_line and data.find(b"\n") == len(data) - 1:
-                return [_decode_line(data)]
+                return [_decode(data)]
             lines = (self._partial_line + data).split(b"\n")
             self._partial_line = lines.pop()
             if len(self._partial_line) > MAX_LINE_BYTES:
--- a/src/heathershunt/drafts/epoch.py
+++ b/src/heathershunt/drafts/epoch.py
@@ -25,6 +25,7 @@
     ProgressMonitor,
     StreamWatch,
 )
+from heathershunt.schema.decoding import brief
 from heathershunt.verdict import Progress
 
 MAX_PROBE_ROUNDS = 3
@@ -181,7 +182,9 @@
                         self._accept_token(line, runner)
                     elif line.event == "end" and not self._draft.is_complete:
                         if is_last or line.reason != "done":
-                            self._fail({runner}, f"{runner} ended: {line.reason}")
+                            self._fail(
+                                {runner}, f"{runner} ended: {brief(line.reason)}"
+                            )
             if is_last:
                 self._fail({runner}, f"{runner} closed its stream")
         except (OSError, ValueError) as error:
--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -121,3 +121,81 @@
     assert [line.event for line in lines] == ["opened", "token"]
     client.close()
     target.stop()
+
+
+NESTED = b"[" * 5000
+BIG = b"9" * 4000
+ODD_LINES = [
+    b"{",
+    b"7",
+    b"null",
+    b"\xff",
+    NESTED,
+    b'{"event": "token", "x": ' + NESTED,
+    b'{"event": "token", "trace": ' + NESTED,
+    b'{"event": "token", "position": ' + BIG + b"}",
+    b'{"event": "token", "position": -7}',
+    b'{"event": "token", "epoch": ' + BIG + b"}",
+    b'{"event": "opened", "kv_positions": ' + BIG + b"}",
+    b'{"event": "opened", "first_layer": 1' + b"0" * 30 + b"}",
+]
+
+
+@pytest.mark.parametrize("rest", [b"", OPENED_LINE])
+@pytest.mark.parametrize("line", ODD_LINES, ids=lambda line: repr(line)[:30])
+async def test_odd_line_is_an_error_of_its_stage(line, rest):
+    # Guards against a draft that stalls, or ends without an answer: the error of the
+    # decoder ended the task that reads the stage.
+    async def script(target, path, writer):
+        await target.send(writer, RESPONSE_HEAD + _chunk(OPENED_LINE))
+        await asyncio.sleep(0.02)
+        await target.send(writer, _chunk(line + b"\n" + rest))
+        await asyncio.Event().wait()
+
+    target, client, outcome = await _open_stream(script)
+    stream, _ = outcome.unwrap()
+    with pytest.raises(ValueError):
+        async with asyncio.timeout(1):
+            await stream.read_lines()
+    client.close()
+    target.stop()
+
+
+@pytest.mark.parametrize("line", ODD_LINES, ids=lambda line: repr(line)[:30])
+async def test_odd_first_line_is_a_failed_open(line):
+    # Guards against the same as a stage opens a run.
+    async def script(target, path, writer):
+        await target.send(writer, RESPONSE_HEAD + _chunk(line + b"\n"))
+        await asyncio.Event().wait()
+
+    target, client, outcome = await _open_stream(script)
+    assert outcome.is_err()
+    assert len(outcome.err_value.detail) < 500
+    client.close()
+    target.stop()
+
+
+ODD_BODIES = [b"", b"null", b"7", b"{", NESTED, b'{"x":' + NESTED]
+
+
+@pytest.mark.parametrize("value", [b"-2", BIG, b"1.5", b"null", b"[]"])
+@pytest.mark.parametrize("name", [b"position", b"incarnation"])
+async def test_odd_answer_to_a_probe_counts_as_none(name, value):
+    # Guards against a probe that ends the epoch's task, and numbers that no later
+    # report can exceed.
+    odd = [*ODD_BODIES, b'{"%b":%b}' % (name, value)]
+    # Each body answers one question of both kinds.
+    bodies = [body for body in odd for _ in range(2)]
+
+    async def script(target, path, writer):
+        await target.send(writer, answer(bodies.pop()))
+
+    target = ScriptedTarget(script)
+    client = HttpClient()
+    stage = Stage("runner-1", str(await target.start()), "", 0, 80)
+    engine = EngineClient(client, SystemClock())
+    while bodies:
+        assert await engine.probe(stage, "run", 500) is None
+        assert await engine.incarnation(stage) is None
+    client.close()
+    target.stop()
--- a/tests/drafts/test_epoch.py
+++ b/tests/drafts/test_epoch.py
@@ -200,3 +200,16 @@
         return next(steps)
 
     return probe
+
+
+@pytest.mark.parametrize("depth", [400, 900, 2000])
+async def test_deeply_nested_trace_fails_the_epoch(depth):
+    # Guards against an epoch that no error ends: the decoder's ended its reader.
+    trace = "[" * depth + "]" * depth
+    try:
+        line = token(0, trace=trace)
+    except RecursionError:
+        return
+    async with asyncio.timeout(2):
+        _, outcome = await run_epoch([line])
+    assert outcome.is_err()
