Refuse odd numbers in replies of the platform's store

A revision of 2^40 or more has the bits of an era in it, so the gateway took the store for restored or passed on revisions that other VMs cannot decode; a negative one, or a lease of 10^300 ms, was accepted as well.

--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -4,7 +4,8 @@
 import base64
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from typing import Any
+from functools import partial
+from typing import Annotated, Any
 from urllib.parse import urlencode
 
 import msgspec
@@ -20,6 +21,7 @@
     StoreFailure,
 )
 from heathershunt.coordination.revisions import (
+    NUMBER_BITS,
     EraField,
     era_of,
     era_of_lease,
@@ -30,6 +32,8 @@
 )
 from heathershunt.http import Address, HttpClient
 from heathershunt.platform.names import STORE_ERA
+from heathershunt.schema.decoding import MalformedError, decode_untrusted
+from heathershunt.schema.fields import Milliseconds, Text
 from heathershunt.verdict import Progress
 
 CALL_TIMEOUT_MS = 700
@@ -39,6 +43,8 @@
 EARLY_END_TOLERANCE_MS = 20
 MAX_REPLY_BYTES = 4_194_304
 SUCCESS = 200
+# The store's own number, without the era.
+StoreRevision = Annotated[int, msgspec.Meta(ge=0, le=2**NUMBER_BITS - 1)]
 FAILURE_BY_STATUS = {
     404: StoreFailure.NO_LEASE,
     410: StoreFailure.HISTORY_LOST,
@@ -47,8 +53,8 @@
 
 
 class _Item(msgspec.Struct):
-    key: str
-    revision: int
+    key: Text
+    revision: StoreRevision
     value: str = ""
     tombstone: bool = False
 
@@ -57,25 +63,25 @@
     items: list[_Item]
     has_more: bool
     # Revision of the whole store when the page was read.
-    current_rev: int
+    current_rev: StoreRevision
 
 
 class _WatchReply(msgspec.Struct):
     events: list[_Item]
-    current_rev: int
+    current_rev: StoreRevision
 
 
 class _CommitReply(msgspec.Struct):
-    revision: int
+    revision: StoreRevision
 
 
 class _GrantReply(msgspec.Struct):
     lease: int
-    ttl_ms: float
+    ttl_ms: Milliseconds
 
 
 class _KeepReply(msgspec.Struct):
-    ttl_ms: float
+    ttl_ms: Milliseconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,8 +302,9 @@
         if reply_type is None:
             return Ok(_Answer(era, None))
         try:
-            return Ok(_Answer(era, msgspec.json.decode(raw, type=reply_type)))
-        except (ValueError, RecursionError) as error:
+            decode = partial(msgspec.json.decode, type=reply_type)
+            return Ok(_Answer(era, decode_untrusted(decode, raw)))
+        except MalformedError as error:
             detail = f"{method} {path}: malformed reply: {error}"
             return Err(StoreError(StoreFailure.UNKNOWN, detail))
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -105,3 +105,36 @@
     assert (await store.commit((), value)).unwrap() == 8
     assert (await store.grant_lease(100)).unwrap() == (3, 100)
     assert target.connections == 3
+
+
+ODD_REVISIONS = [-1, 2**40, 2**62, 10**400, 1.5, None, "1"]
+
+
+@pytest.mark.parametrize("revision", ODD_REVISIONS, ids=lambda item: repr(item)[:20])
+async def test_odd_revision_is_a_failed_call(start, revision):
+    # Guards against a revision whose upper bits count as an era, and which cannot be
+    # encoded for the VMs that follow this one.
+    item = {"key": "a", "revision": revision, "value": ""}
+    page = {"items": [item], "has_more": False, "current_rev": 5}
+    bodies = [
+        json.dumps(page).encode(),
+        json.dumps(page | {"items": [], "current_rev": revision}).encode(),
+        json.dumps({"events": [item], "current_rev": 5}).encode(),
+        json.dumps({"events": [], "current_rev": revision}).encode(),
+        json.dumps({"revision": revision}).encode(),
+    ]
+    store, _ = await start(*bodies)
+    assert (await store.read_all("")).is_err()
+    assert (await store.read_all("")).is_err()
+    assert (await store.watch("", 0, 0)).is_err()
+    assert (await store.watch("", 0, 0)).is_err()
+    assert (await store.commit((), (LeasedValue("k", b""),))).is_err()
+
+
+@pytest.mark.parametrize("ttl_ms", [-1, 1e300, "1", None])
+async def test_odd_time_to_live_is_a_failed_call(start, ttl_ms):
+    # Guards against a lease that is never renewed again.
+    body = json.dumps({"lease": 1, "ttl_ms": ttl_ms}).encode()
+    store, _ = await start(body, body)
+    assert (await store.grant_lease(1000)).is_err()
+    assert (await store.renew_lease(0)).is_err()
