--- a/src/heathershunt/daemon/forwarding.py
+++ b/src/heathershunt/daemon/forwarding.py
@@ -19,7 +19,8 @@
     problem_response,
 )
 from heathershunt.peers import ForwardError, ForwardReply, ForwardRequest, ReplyStream
-from heathershunt.schema.decoding import brief, decode_untrusted
+from heathershunt.schema.cbor import decode_cbor
+from heathershunt.schema.decoding import brief
 from heathershunt.schema.fields import Whole
 from heathershunt.services import Claim, ClaimFailure, ServiceCall
 from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
@@ -146,7 +147,7 @@
         reply = outcome.ok_value
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                raw = decode_untrusted(cbor2.loads, await reply.read())
+                raw = decode_cbor(await reply.read())
             if reply.status == CLAIM_FAILED_STATUS:
                 return Err(ClaimFailure(raw))
             return Ok(msgspec.convert(raw, Claim, builtin_types=(bytes,)))
@@ -182,7 +183,7 @@
     ) -> Refusal | None:
         bundle = self._daemon.keeper.bundle
         try:
-            raw = decode_untrusted(cbor2.loads, request.body)
+            raw = decode_cbor(request.body)
             call = msgspec.convert(raw["call"], ServiceCall, builtin_types=(bytes,))
             key = str(raw["key"])
             timeout_ms = msgspec.convert(raw["timeout_ms"], Whole)
@@ -200,7 +201,7 @@
         self, request: ForwardRequest, reply: ReplyStream
     ) -> Refusal | None:
         try:
-            raw = decode_untrusted(cbor2.loads, request.body)
+            raw = decode_cbor(request.body)
             claim = msgspec.convert(raw["claim"], Claim, builtin_types=(bytes,))
             timeout_ms = msgspec.convert(raw["timeout_ms"], Whole)
         except (ValueError, KeyError, TypeError, msgspec.ValidationError) as error:
--- a/src/heathershunt/schema/decoding.py
+++ b/src/heathershunt/schema/decoding.py
@@ -3,18 +3,10 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import cbor2
-
 MAX_DETAIL_CHARACTERS = 200
 
-# Deep nesting is no ``ValueError`` for msgspec, and no error of ``cbor2`` is one.
-DECODER_ERRORS = (
-    ValueError,
-    TypeError,
-    OverflowError,
-    RecursionError,
-    cbor2.CBORDecodeError,
-)
+# Deep nesting is no ``ValueError`` for msgspec.
+DECODER_ERRORS = (ValueError, TypeError, OverflowError, RecursionError)
 
 T = TypeVar("T")
 
--- a/src/heathershunt/services/claims.py
+++ b/src/heathershunt/services/claims.py
@@ -7,6 +7,7 @@
 import cbor2
 import msgspec
 
+from heathershunt.schema.cbor import decode_cbor
 from heathershunt.schema.decoding import MalformedError, decode_untrusted
 from heathershunt.schema.fields import Text, Whole
 from heathershunt.services.table import DEDUPLICATION_WINDOW_MS
@@ -84,7 +85,7 @@
 
 
 def _decode_claims(value: bytes) -> list[Claim]:
-    return msgspec.convert(cbor2.loads(value), list[Claim], builtin_types=(bytes,))
+    return msgspec.convert(decode_cbor(value), list[Claim], builtin_types=(bytes,))
 
 
 def merge_claims(
