Believe a refusal only if it is to the request that was sent

A refusal of a target (not executed, 421) counted whatever request id it had, as did a missing one. A call that a target was running could thus be reported as not run, or run at a second target, after a copy of an earlier refusal. Requests use a connection each, so a copy has to come on a new one; but nothing else than the id tells whose a reply is. A reply to another request now leaves open whether this one ran. A call that may be retried goes on at another target, which it did not after a 2xx to another request.

--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -204,6 +204,9 @@
                     return outcome
                 response = outcome.ok_value
                 head = self._context.wire.reply_head(response)
+                error = head.error_unless_to(request.id)
+                if error is not None:
+                    return Err(error)
                 self._context.limits.record(
                     target, Statement(head.limit_per_s, sent_at)
                 )
@@ -270,8 +273,7 @@
             return refuse(wire, refusal, request)
         reply = last.ok_value
         head = reply.head
-        is_mismatched = head.request_id != request.id
-        if is_mismatched or (head.is_success and not head.has_signature):
-            refusal = may_have_run(502, "Target failed", "the reply is not for this id")
+        if head.is_success and not head.has_signature:
+            refusal = may_have_run(502, "Target failed", "the reply has no signature")
             return refuse(wire, refusal, request)
         return reply.response()
--- a/src/heathershunt/relay/messages.py
+++ b/src/heathershunt/relay/messages.py
@@ -6,9 +6,9 @@
 
 from heathershunt.clock import Millis
 from heathershunt.discovery import Target
-from heathershunt.http import ClientResponse, Response
+from heathershunt.http import ClientResponse, Response, TransportError
 from heathershunt.pipelines import Chain
-from heathershunt.verdict import Refusal
+from heathershunt.verdict import Progress, Refusal
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +97,16 @@
     limit_per_s: float | None
     headers: Mapping[str, str]
 
+    def error_unless_to(self, request_id: str) -> TransportError | None:
+        """Return an error unless the reply is to the request with this id.
+
+        Nothing that it says counts then, in particular not that a request was not run:
+        a target may send a reply to an earlier request once more.
+        """
+        if self.request_id == request_id:
+            return None
+        return TransportError(Progress.SENT, "the reply is not to this request")
+
     @property
     def is_success(self) -> bool:
         """Return whether the status says that the request succeeded."""
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -189,14 +189,19 @@
             self._drop_run()
             await self._on_send_failure(run, outcome.err_value)
             return False
+        run.response = outcome.ok_value
+        run.head = context.wire.reply_head(run.response)
+        error = run.head.error_unless_to(request.id)
+        if error is not None:
+            self._drop_run()
+            await self._on_send_failure(run, error)
+            return False
         self._attempts.deliveries += 1
         was_sent_before = self._attempts.has_head(chain.head)
         self._attempts.add_head(chain.head)
-        run.response = outcome.ok_value
-        run.head = context.wire.reply_head(run.response)
         statement = Statement(run.head.limit_per_s, run.sent_at)
         context.limits.record(chain.head, statement)
-        if run.head.status == SUCCESS and run.head.request_id == request.id:
+        if run.head.status == SUCCESS:
             self._may_have_run = True
             return True
         return await self._on_failure_reply(run, was_sent_before)
@@ -237,7 +242,7 @@
             self._context.diagnosis.check_rejection(runner)
             return False
         self._may_have_run = True
-        if head.request_id == self._request.id and head.status < SERVER_ERROR:
+        if head.status < SERVER_ERROR:
             left_ms = max(0, self._spec.deadline - self._context.clock.now())
             body = await read_error_body(run, left_ms)
             self._drop_run()
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -130,6 +130,10 @@
         if self.is_unresponsive:
             await asyncio.sleep(3600)
         response = await self._answer(request)
+        request_id = request.headers.get("heathershunt-request-id")
+        if request_id is not None and isinstance(response, Response):
+            own = {"heathershunt-request-id": request_id}
+            response = replace(response, headers=own | response.headers)
         if self.limit_per_s is None:
             return response
         headers = {**response.headers, "server-limit": str(self.limit_per_s)}
--- /dev/null
+++ b/tests/gateway/test_answers_of_others.py
@@ -0,0 +1,85 @@
+"""Answers that are not to the request that was sent: no statement of theirs counts."""
+
+import pytest
+
+from heathershunt.http import Response
+
+REFUSED = {"heathershunt-not-executed": "1"}
+OTHER = {"heathershunt-request-id": "other"}
+NO_ID = {"heathershunt-request-id": ""}
+
+
+def spy(site, *names):
+    """Have the named targets record a run and answer as ``answer`` says."""
+    runs = []
+
+    def install(answer):
+        for name in names:
+            target = site.targets[name]
+
+            async def handle(request, target=target):
+                if request.path in ("/report", "/order"):
+                    return await type(target)._answer(target, request)
+                runs.append(request.headers["heathershunt-request-id"])
+                return answer(request)
+
+            target._answer = handle
+
+    return runs, install
+
+
+@pytest.mark.parametrize("headers", [OTHER, NO_ID], ids=["other", "none"])
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+async def test_refusal_of_another_call_says_nothing_of_this_one(site, status, headers):
+    # Guards against a call that a target runs and whose caller is told that it was not
+    # run, or that runs at a second target: the refusal was the copy of an earlier one.
+    runs, install = spy(site, "desk-a", "desk-b")
+    install(lambda request: Response(status, REFUSED | headers, b"full"))
+    got, _, body = await site.call("POST", "/orders/7", b"order")
+    assert got == 502
+    assert body != b"full"
+    assert len(runs) == 1
+
+
+@pytest.mark.parametrize("headers", [OTHER, NO_ID], ids=["other", "none"])
+@pytest.mark.parametrize("status", [400, 421, 429, 503])
+async def test_refusal_of_another_stream_says_nothing_of_this_one(
+    site, status, headers
+):
+    # Guards against the same for a stream.
+    runs, install = spy(site, *(name for name in site.targets if "runner" in name))
+    install(lambda request: Response(status, REFUSED | headers, b"full"))
+    got, _, body = await site.call(
+        "POST", "/drafts/x", b"p", heathershunt_token_counts="700,20"
+    )
+    assert got in (502, 504)
+    assert body != b"full"
+    assert runs
+
+
+@pytest.mark.parametrize("status", [429, 503])
+async def test_refusal_of_this_call_is_tried_elsewhere_and_counts(site, status):
+    runs, install = spy(site, "desk-a", "desk-b")
+
+    def answer(request):
+        own = {"heathershunt-request-id": request.headers["heathershunt-request-id"]}
+        return Response(status, REFUSED | own, b"full")
+
+    install(answer)
+    got, headers, _ = await site.call("POST", "/orders/7", b"order")
+    assert got == 503
+    assert float(headers["retry-after"]) > 0
+
+
+async def test_call_that_may_be_retried_goes_on_after_another_one_s_answer(site):
+    runs, install = spy(site, "desk-a", "desk-b")
+
+    def answer(request):
+        own = {"heathershunt-request-id": request.headers["heathershunt-request-id"]}
+        headers = OTHER if len(runs) == 1 else own
+        return Response(200, headers | {"heathershunt-response-signature": "s"}, b"ok")
+
+    install(answer)
+    got, _, body = await site.call("GET", "/status/7")
+    assert (got, body) == (200, b"ok")
+    assert len(runs) == 2
