Send a stream that may not be resumed only once

A route's streams may run a second time only if they are resumable. The check was made for streams that had begun, not before the first event: after a lost connection, a 500, an answer to another request or a stream without events, a stream of such a route was sent up to eight times. Now it is sent again only if the runner said that it had not run it. It is not left at a mere pause either, as another chain cannot take it over.

The fixture of the tests of pauses described a route whose streams may not be resumed, but tested when they are; its route is resumable now, and a further test is for the other kind.

--- a/src/heathershunt/relay/pauses.py
+++ b/src/heathershunt/relay/pauses.py
@@ -46,11 +46,14 @@
         """Return why a chain without events is to be left; ``None`` to keep it.
 
         Another chain has to process all tokens again, so a slow one is left late, and
-        only while another first runner is allowed and a retry is left.
+        only while another first runner is allowed and a retry is left. A stream that
+        may not be sent again is left to a chain that has no fault.
         """
         if faulty is not None:
             return f"runner {faulty.id} does not answer"
         context = self._context
+        if not self._spec.route.is_retryable:
+            return None
         if paused_ms < self._timeouts.reroute_ms or not self._attempts.may_reroute(
             chain.head
         ):
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -126,7 +126,7 @@
         left_ms = self._spec.deadline - context.clock.now()
         if left_ms <= 0:
             return self._fail(True)
-        if self._attempts.sends >= MAX_SENDS:
+        if self._attempts.sends >= MAX_SENDS or not self._may_send():
             return self._fail(False)
         chain = await self._selection.wait_for_chain()
         refused = self._crashes.refusal(self._may_have_run)
@@ -142,6 +142,10 @@
             return self._fail(False)
         return await self._send(chain, left_ms)
 
+    def _may_send(self) -> bool:
+        """Return whether the stream may be sent, if need be once more."""
+        return self._spec.route.is_retryable or not self._may_have_run
+
     def _take_retry(self) -> bool:
         if self._attempts.use_reserved_retry():
             return True
--- a/tests/gateway/test_answers_of_others.py
+++ b/tests/gateway/test_answers_of_others.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from heathershunt.http import Response
+from heathershunt.http import Response, StreamResponse
+from tests.gateway.site import configuration
 
 REFUSED = {"heathershunt-not-executed": "1"}
 OTHER = {"heathershunt-request-id": "other"}
@@ -83,3 +84,43 @@
     got, _, body = await site.call("GET", "/status/7")
     assert (got, body) == (200, b"ok")
     assert len(runs) == 2
+
+
+def lose(request):
+    raise ConnectionError("the reply is lost")
+
+
+def send_no_event(request):
+    async def write(sink):
+        pass
+
+    own = {"heathershunt-request-id": request.headers["heathershunt-request-id"]}
+    return StreamResponse(200, own, write)
+
+
+@pytest.mark.parametrize(
+    "answer, statuses",
+    [
+        (lambda request: Response(404, OTHER, b"x"), {502, 504}),
+        (lambda request: Response(503, OTHER, b"x"), {502, 504}),
+        (lambda request: Response(500, {}, b"x"), {502, 504}),
+        (lambda request: Response(503, {}, b"x"), {502, 504}),
+        (lambda request: Response(404, {}, b"x"), {404}),
+        (lose, {502, 504}),
+        (send_no_event, {502, 504}),
+    ],
+)
+async def test_stream_that_may_not_be_resumed_is_sent_once(site, answer, statuses):
+    # Guards against a stream that runs twice: an answer or a loss that leaves open
+    # whether it ran let it be sent to the next runner.
+    changed = configuration(2)
+    changed["routes"][0]["resumable"] = False
+    site.store.put("op/config", changed)
+    await site.until(lambda: site.gateways["vm-1"].state.catalog.version == 2)
+    runs, install = spy(site, *(name for name in site.targets if "runner" in name))
+    install(answer)
+    got, _, _ = await site.call(
+        "POST", "/drafts/x", b"p", heathershunt_token_counts="700,20"
+    )
+    assert got in statuses
+    assert len(runs) == 1
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -12,7 +12,9 @@
 from heathershunt.relay.progress import StreamProgress
 from tests.pipelines import engines
 
-ROUTE = Route("r", "h", "/r/", RouteKind.STREAM, (), 5000, 500, max_attempts=2)
+ROUTE = Route(
+    "r", "h", "/r/", RouteKind.STREAM, (), 5000, 500, is_resumable=True, max_attempts=2
+)
 REQUEST = CallerRequest("id", "POST", "h", "/r/x", (), b"", 0)
 
 
--- a/tests/relay/test_pauses.py
+++ b/tests/relay/test_pauses.py
@@ -1,5 +1,6 @@
 """When a chain that sends no events is examined and when it is left."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -29,6 +30,18 @@
     assert pauses.reroute_reason(chain, None, 1300) is not None
 
 
+def test_slow_chain_of_a_stream_that_is_sent_once_is_kept(
+    spec, attempts, progress, context, chain
+):
+    # Guards against a stream that is broken off at a pause, though it may not be sent
+    # again and its runners are sound.
+    context.budget = SimpleNamespace(may_reroute=lambda service, vms: True)
+    once = replace(spec, route=replace(spec.route, is_resumable=False))
+    pauses = PauseMonitor(context, once, attempts, progress)
+    assert pauses.reroute_reason(chain, None, 5000) is None
+    assert pauses.reroute_reason(chain, engines.runner(1), 300) is not None
+
+
 def test_slow_chain_is_kept_when_no_retry_is_left(pauses, context, chain):
     # Case: half of the runners are lost in a burst and all chains are slow. A stream
     # that leaves its chain without a retry fails, though the chain would serve it.
