Pass 408, 429 and 503 on only with the statement of a refusal

Callers take these statuses as a promise that the request did not run. A target that ran it and answered with one of them, without the statement that belongs to a refusal, had its answer passed on as it came. The caller now gets a 502 of the router, without the target's signature.

--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -20,7 +20,13 @@
 )
 from heathershunt.ratelimits import Statement
 from heathershunt.relay.context import RelayContext
-from heathershunt.relay.messages import CallerRequest, Dispatch, ReplyHead, refuse
+from heathershunt.relay.messages import (
+    NOT_RUN_STATUSES,
+    CallerRequest,
+    Dispatch,
+    ReplyHead,
+    refuse,
+)
 from heathershunt.verdict import Progress, may_have_run, not_run
 
 CONNECT_MS = 250
@@ -37,8 +43,6 @@
 REQUEST_TIMEOUT_SLACK_MS = 1000
 RETRY_AFTER_MS = 300
 SERVER_ERROR = 500
-# Statuses that state that the request was not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BODY_ERRORS = (OSError, ValueError, h11.RemoteProtocolError)
 TIMEOUT_DETAIL = "no complete answer in time"
 
@@ -276,4 +280,7 @@
         if head.is_success and not head.has_signature:
             refusal = may_have_run(502, "Target failed", "the reply has no signature")
             return refuse(wire, refusal, request)
+        if not head.may_be_passed_on:
+            refusal = may_have_run(502, "Target failed", f"it replied {head.status}")
+            return refuse(wire, refusal, request)
         return reply.response()
--- a/src/heathershunt/relay/messages.py
+++ b/src/heathershunt/relay/messages.py
@@ -10,6 +10,9 @@
 from heathershunt.pipelines import Chain
 from heathershunt.verdict import Progress, Refusal
 
+# Statuses that state that the request was not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -107,6 +110,14 @@
             return None
         return TransportError(Progress.SENT, "the reply is not to this request")
 
+    @property
+    def may_be_passed_on(self) -> bool:
+        """Return whether the caller may get the status of a reply that was run.
+
+        Some statuses state that the request was not run.
+        """
+        return self.status not in NOT_RUN_STATUSES
+
     @property
     def is_success(self) -> bool:
         """Return whether the status says that the request succeeded."""
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -246,7 +246,7 @@
             self._context.diagnosis.check_rejection(runner)
             return False
         self._may_have_run = True
-        if head.status < SERVER_ERROR:
+        if head.status < SERVER_ERROR and head.may_be_passed_on:
             left_ms = max(0, self._spec.deadline - self._context.clock.now())
             body = await read_error_body(run, left_ms)
             self._drop_run()
--- a/tests/gateway/test_answers_of_others.py
+++ b/tests/gateway/test_answers_of_others.py
@@ -124,3 +124,22 @@
     )
     assert got in statuses
     assert len(runs) == 1
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize(
+    "path, name", [("/orders/7", "desk"), ("/drafts/x", "runner"), ("/open/7", "desk")]
+)
+async def test_status_of_a_refusal_without_its_statement_is_not_passed_on(
+    site, path, name, status
+):
+    # Guards against a caller that sends a request again though it ran: these statuses
+    # state that it did not, and a target that ran it may answer with one.
+    runs, install = spy(site, *(n for n in site.targets if name in n))
+    install(lambda request: Response(status, {}, b"x"))
+    got, headers, body = await site.call(
+        "POST", path, b"p", heathershunt_token_counts="700,20"
+    )
+    assert got in (502, 504)
+    assert body != b"x"
+    assert "heathershunt-response-signature" not in headers
