Use a connection for each start, cancellation, poll and VM list

The daemon's replies of stages, runners and the VM list name no request. On a kept connection, a copy of an earlier refusal of a start was taken for the answer to the next start: the draft counted as not run, and its caller was told so, while the stage ran it. A copy of an earlier VM list or report made each later one a poll old, so that a VM that had left got new work. They now use a connection each, as the runs, orders and probes do.

--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -204,6 +204,9 @@
             f"/v1/runs/{quote(spec.run)}/start",
             {"epoch": spec.epoch, "kv_positions": kv_positions},
             timeout_ms=START_TIMEOUT_MS,
+            # Replies do not name their run: a copy of an earlier refusal would tell
+            # that this run has not started.
+            fresh=True,
         )
         if isinstance(outcome, Err):
             return outcome
@@ -262,6 +265,7 @@
             "DELETE",
             f"/v1/runs/{quote(run)}?epoch={epoch}",
             timeout_ms=CANCEL_TIMEOUT_MS,
+            fresh=True,
         )
 
 
--- a/src/heathershunt/runners/poller.py
+++ b/src/heathershunt/runners/poller.py
@@ -139,8 +139,9 @@
             log.warn("invalid {} from {}: {}", what, address, brief(error))
 
     async def _get(self, address: Address, target: str) -> object | None:
+        # On a kept connection, a copy of the last report would be taken for this one.
         outcome = await self._http.request_json(
-            address, "GET", target, timeout_ms=STATUS_TIMEOUT_MS
+            address, "GET", target, timeout_ms=STATUS_TIMEOUT_MS, fresh=True
         )
         if isinstance(outcome, Err) or outcome.ok_value[0] != 200:
             return None
--- a/src/heathershunt/store/vm_list.py
+++ b/src/heathershunt/store/vm_list.py
@@ -91,7 +91,10 @@
 
     async def poll(self) -> None:
         """Read the list once; a failure is logged and leaves the entries unchanged."""
-        outcome = await self._http.request_json(self._address, "GET", "/v1/vms")
+        # On a kept connection, a copy of the last list would be taken for this one.
+        outcome = await self._http.request_json(
+            self._address, "GET", "/v1/vms", fresh=True
+        )
         if isinstance(outcome, Err):
             self._log("reading the VM list failed", outcome.err_value.detail)
             return
--- a/tests/daemon/test_odd_entries.py
+++ b/tests/daemon/test_odd_entries.py
@@ -11,7 +11,8 @@
 from heathershunt.http import Address, HttpClient, HttpServer, Response
 from heathershunt.routing import InFlight
 from heathershunt.runners import RunnerPoller, RunnerRegistry
-from heathershunt.store import VmList
+from heathershunt.store import ListedVm, VmList, VmRole
+from tests.scripted import ScriptedTarget, answer, late_duplicates
 
 NESTED = "[" * 100_000
 BIG = 10**400
@@ -226,3 +227,32 @@
     await vms.poller._poll_events(vms.address, "r1")
     assert vms.registry.prefixes("r1").position == 0
     assert not vms.registry.prefixes("r1").seen_by_hash
+
+
+async def test_copies_of_earlier_answers_are_not_taken_for_later_ones():
+    # Guards against a VM list or a report that is one poll old on each poll, as its
+    # sender wrote an earlier one once more: a VM that left would get new work.
+    def listing(state):
+        return answer(json.dumps({"vms": [SOUND[0] | {"state": state}]}).encode())
+
+    target = ScriptedTarget(late_duplicates(map(listing, ("live", "leaving"))))
+    client = HttpClient()
+    vms = VmList(client, await target.start(), lambda entries: None)
+    await vms.poll()
+    await vms.poll()
+    assert vms.entries[0].is_leaving
+    target.stop()
+    reports = [REPORT | {"incarnation": number} for number in (1, 2)]
+    bodies = [json.dumps(report).encode() for report in reports]
+    target = ScriptedTarget(late_duplicates(map(answer, bodies)))
+    registry = RunnerRegistry(InFlight())
+    poller = RunnerPoller(client, SystemClock(), registry, tuple)
+    address = str(await target.start())
+    entry = ListedVm("vm2", "a", "live", VmRole.RUNNER, address)
+    for number in (1, 2):
+        # Without the request for cache events.
+        poller._polls_by_address[address] = 1
+        await poller._poll(entry)
+        assert registry.states_by_runner["r1"].report.incarnation == number
+    client.close()
+    target.stop()
--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -199,3 +199,37 @@
         assert await engine.incarnation(stage) is None
     client.close()
     target.stop()
+
+
+def reply(status, body=b"{}"):
+    return b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+async def test_refusal_of_an_earlier_start_is_not_taken_for_a_later_one():
+    # Guards against a caller who is told that a draft was not run while a stage runs
+    # it: the stage wrote the refusal of another run's start once more.
+    replies = [reply(409), reply(200), reply(503), reply(200), reply(200)]
+    target = ScriptedTarget(late_duplicates(replies))
+    client = HttpClient()
+    stage = Stage("runner-1", str(await target.start()), "", 0, 80)
+    engine = EngineClient(client, SystemClock())
+    outcomes = []
+    for number in range(4):
+        spec = RunSpec(
+            f"run-{number}",
+            1,
+            Chain(1, "m", "1", None, (stage,)),
+            "prompt",
+            (),
+            0,
+            10,
+            1,
+            0,
+            1000,
+        )
+        outcomes.append((await engine.start(spec, [0])).is_ok())
+    assert outcomes == [False, True, False, True]
+    await engine.cancel(stage, "run", 1)
+    assert target.connections == 5
+    client.close()
+    target.stop()
