Check that a resumed run goes on with the stream

A stream that had begun and broke off was resumed with whatever the next runner answered under a 200. Callers got the text of an error, or a whole head, in the middle of their stream if it came with a blank line or as data without an id; events after a gap; a stream that ended as complete after an empty answer, a text, or events that the caller had already. Answers without a signature or of another content type were taken as well. An error of the kind 4xx was waited for to its end, and then ended the stream.

The head has to be that of a signed event stream now. The first new event has to follow the last one, if all ids so far were consecutive; events without ids and text that is no event break the run, comments are left out, and the end counts only after a new event. After any other answer the next runner is tried, and the caller's stream breaks off if there is none.

An empty answer also comes from a runner that is to resume a stream after its last event. It cannot be told from a faulty one, so such a stream breaks off.

--- a/src/heathershunt/relay/messages.py
+++ b/src/heathershunt/relay/messages.py
@@ -12,6 +12,7 @@
 
 # Statuses that state that the request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+EVENT_STREAM = "text/event-stream"
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +119,18 @@
         """
         return self.status not in NOT_RUN_STATUSES
 
+    @property
+    def is_final_error(self) -> bool:
+        """Return whether the reply is an error of the request for any runner."""
+        return 400 <= self.status < 500 and self.may_be_passed_on
+
+    @property
+    def starts_stream(self) -> bool:
+        """Return whether events of a run follow; a reply without a type may do so."""
+        content_type = self.headers.get("content-type", EVENT_STREAM)
+        is_stream = content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+        return self.status == 200 and self.has_signature and is_stream
+
     @property
     def is_success(self) -> bool:
         """Return whether the status says that the request succeeded."""
--- a/src/heathershunt/relay/progress.py
+++ b/src/heathershunt/relay/progress.py
@@ -2,6 +2,7 @@
 
 from heathershunt.clock import Clock, GapEstimator, Millis
 from heathershunt.relay.events import StreamEvent
+from heathershunt.relay.resumption import ResumePoint
 
 
 class StreamProgress:
@@ -24,6 +25,14 @@
         self.last_gap_ms = 0
         self.longest_gap_ms = 0
         self._gaps: GapEstimator | None = None
+        self._are_ids_consecutive = True
+
+    @property
+    def resume_point(self) -> ResumePoint | None:
+        """Return where a new run has to go on; ``None`` if no event was sent yet."""
+        if not self.has_begun or self.last_id is None:
+            return None
+        return ResumePoint(self.last_id, self._are_ids_consecutive)
 
     @property
     def p99_gap_ms(self) -> float | None:
@@ -47,6 +56,7 @@
             if event.id is not None:
                 if self.last_id is not None and event.id <= self.last_id:
                     continue
+                self._are_ids_consecutive &= event.id == (self.last_id or 0) + 1
                 self.last_id = event.id
             new_data.append(event.data)
         if new_data:
--- a/src/heathershunt/relay/runs.py
+++ b/src/heathershunt/relay/runs.py
@@ -10,13 +10,7 @@
 from heathershunt.pipelines import Chain
 from heathershunt.relay.events import EventSplitter, StreamEvent
 from heathershunt.relay.messages import ReplyHead
-
-
-class StreamBrokenError(ConnectionError):
-    """A stream that ends before its last event.
-
-    .. versionadded:: 0.2
-    """
+from heathershunt.relay.resumption import ResumePoint, StreamBrokenError
 
 
 @dataclass(slots=True)
@@ -25,6 +19,8 @@
 
     :param tokens: tokens that the load ledger counts for the run.
     :param sent_at: time when the run was sent.
+    :param resumed: where the run goes on with a stream that has begun; ``None`` for
+        one that starts the stream.
     :param response: reply of the first runner; ``None`` until its head arrives.
     :param head: decoded head of the reply.
     :ivar events: number of events that this run has sent.
@@ -35,6 +31,7 @@
     chain: Chain
     tokens: float
     sent_at: Millis
+    resumed: ResumePoint | None = None
     response: ClientResponse | None = None
     head: ReplyHead | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
@@ -44,15 +41,22 @@
         """Return the events that are complete now; ``None`` at the end of the stream.
 
         :param data: bytes received; ``None`` at the end of the stream.
-        :raises StreamBrokenError: if the stream ends inside an event.
+        :raises StreamBrokenError: if the stream ends inside an event, or does not go on
+            with the one that has begun.
         """
         if data is not None:
             events = self.splitter.feed(data)
+            if self.resumed is not None:
+                events = [self.resumed.checked(event) for event in events]
             self.events += len(events)
             return events
         if self.splitter.has_partial:
             raise StreamBrokenError("the stream ends inside an event")
-        return self.splitter.end() or None
+        comments = self.splitter.end()
+        if self.resumed is not None:
+            self.resumed.check_end(comments)
+            return None
+        return comments or None
 
 
 def cancel_request(task: asyncio.Future) -> None:
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -47,7 +47,6 @@
 RETRY_AFTER_MS = 500
 BACKLOG_BYTES = 65_536
 SUCCESS = 200
-SERVER_ERROR = 500
 
 
 class StreamSession:
@@ -175,7 +174,8 @@
             )
         )
         self._attempts.sends += 1
-        run = self._run = Run(chain, self._tokens, context.clock.now())
+        resumed = self._progress.resume_point
+        run = self._run = Run(chain, self._tokens, context.clock.now(), resumed)
         context.ledger.add(chain, self._tokens)
         context.limits.record_send(chain.head)
         sending = context.http.request(
@@ -205,7 +205,7 @@
         self._attempts.add_head(chain.head)
         statement = Statement(run.head.limit_per_s, run.sent_at)
         context.limits.record(chain.head, statement)
-        if run.head.status == SUCCESS:
+        if run.head.starts_stream:
             self._may_have_run = True
             return True
         return await self._on_failure_reply(run, was_sent_before)
@@ -246,11 +246,11 @@
             self._context.diagnosis.check_rejection(runner)
             return False
         self._may_have_run = True
-        if head.status < SERVER_ERROR and head.may_be_passed_on:
+        if head.is_final_error and not self._progress.has_begun:
             left_ms = max(0, self._spec.deadline - self._context.clock.now())
             body = await read_error_body(run, left_ms)
             self._drop_run()
-            if body is not None and not head.is_success:
+            if body is not None:
                 return Response(head.status, head.headers, body)
         self._refusal_detail = f"runner {chain.head.id}: status {head.status}"
         self._avoid(chain.head)
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -88,6 +88,7 @@
         self._store = store
         self._targets_by_address = targets_by_address
         self._chain_by_request: dict[str, str] = {}
+        self._stream_epoch = 0
         self._server = HttpServer(self._handle, cancels_handlers=True)
 
     async def start(self) -> None:
@@ -126,6 +127,10 @@
             return None
         return {"from": self.layers[0], "to": self.layers[1], "version": 1}
 
+    def stop_streams(self) -> None:
+        """Break off the streams that run now; the target goes on."""
+        self._stream_epoch += 1
+
     async def _handle(self, request: Request) -> Response | StreamResponse:
         if self.is_unresponsive:
             await asyncio.sleep(3600)
@@ -223,7 +228,10 @@
         async def write(sink: ResponseStream) -> None:
             if self._is_deadly(request):
                 await self._crash(sink)
+            epoch = self._stream_epoch
             for number in range(first, last + 1):
+                if epoch != self._stream_epoch:
+                    raise ConnectionError("the stream is broken off")
                 await self._wait_for_chain(request_id)
                 run.events.append(number)
                 run.chains.append(self._chain_by_request[request_id])
