Show that drafts of the daemon take no part of a failing answer

Failing answers to the open of a stage (errors with a body, 204, text, garbage, an early end), and lines that do not go on with a draft (positions that are missing, too far or come again, no trace, an error, an early end): no text of theirs is in the draft, and it does not end as complete.

--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -233,3 +233,36 @@
     assert target.connections == 5
     client.close()
     target.stop()
+
+
+def _stream(body):
+    return RESPONSE_HEAD + _chunk(body) + b"0\r\n\r\n" if body else reply(200, b"")
+
+
+FAILING_ANSWERS = {
+    "400": reply(400, b'{"error": "x"}'),
+    "409": reply(409, OPENED_LINE),
+    "500": reply(500, OPENED_LINE),
+    "503": reply(503, OPENED_LINE),
+    "204": b"HTTP/1.1 204 X\r\n\r\n",
+    "text": _stream(b"Internal error\n\n"),
+    "html": _stream(b"<html>\n<body>\n"),
+    "text without an end": _stream(b"Internal error"),
+    "garbage": b"\x16\x03\x01 no answer\r\n\r\n",
+    "cut in a line": RESPONSE_HEAD + _chunk(b'{"event": "ope'),
+}
+
+
+@pytest.mark.parametrize("name", FAILING_ANSWERS)
+async def test_failing_answer_to_an_open_is_none_of_its_lines(name):
+    # Guards against a draft that goes on with the text of an error, or counts as open.
+    async def script(target, path, writer):
+        await target.send(writer, FAILING_ANSWERS[name])
+        writer.close()
+
+    target, client, outcome = await _open_stream(script)
+    if outcome.is_ok():
+        stream, lines = outcome.ok_value
+        assert lines == []
+    client.close()
+    target.stop()
--- a/tests/drafts/test_epoch.py
+++ b/tests/drafts/test_epoch.py
@@ -213,3 +213,39 @@
     async with asyncio.timeout(2):
         _, outcome = await run_epoch([line])
     assert outcome.is_err()
+
+
+TOO_FAR = token(5)
+NO_POSITION = StageLine("token", 1, trace=msgspec.Raw(TRACE.encode()), text="error")
+NO_TRACE = StageLine("token", 1, 0, "error", last=True)
+ERROR = StageLine("error", reason="the engine has failed")
+END = StageLine("end", 1, reason="failed")
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [TOO_FAR],
+        [NO_POSITION, TOO_FAR],
+        [NO_TRACE],
+        [ERROR, END],
+        [END],
+        [StageLine("end", 1, reason="done")],
+        [token(0, epoch=0, last=True), END],
+    ],
+)
+async def test_lines_that_do_not_go_on_with_a_draft_are_no_part_of_it(lines):
+    # Guards against an error's text in a caller's draft, against tokens that are
+    # missing, and against a draft that ends as if it were complete.
+    draft, outcome = await run_epoch(lines)
+    assert draft.tokens == []
+    assert not draft.is_complete
+    assert outcome.is_err()
+
+
+async def test_stage_that_starts_over_repeats_no_token():
+    # Guards against tokens that come twice after a draft has moved to another chain.
+    lines = [token(0), token(0), token(0), token(1, last=True)]
+    draft, _ = await run_epoch(lines)
+    assert draft.tokens == ["t", "t"]
+    assert draft.is_complete
