--- a/src/heathershunt/coordination/mirror.py
+++ b/src/heathershunt/coordination/mirror.py
@@ -128,7 +128,8 @@
 
     async def handle(self, request: Request) -> Response:
         """Answer a follower's request for a snapshot or for changes."""
-        if self._age_ms() is None or not self._revision:
+        age_ms = self._age_ms()
+        if age_ms is None or not self._revision:
             return Response(503)
         if request.path == SNAPSHOT_PATH:
             return self._reply(-1, 0)
@@ -144,7 +145,7 @@
             return Response(GONE)
         # The follower rejects a view older than max_age_ms, so the reply must not wait
         # until the view is that old.
-        left_ms = max(0, max_age_ms - self._age_ms())
+        left_ms = max(0, max_age_ms - age_ms)
         started = asyncio.get_running_loop().time()
         await self._wait_for_changes(after, min(wait_ms, left_ms))
         waited_ms = int((asyncio.get_running_loop().time() - started) * 1000)
@@ -219,7 +220,11 @@
             detail = f"mirror: revision {reply.revision} is outdated"
             return self._avoid(upstream, StoreFailure.REJECTED, detail)
         self._newest_revision = reply.revision
-        entries = tuple(Entry(c.key, c.value, c.revision) for c in reply.changes)
+        entries = tuple(
+            Entry(c.key, c.value, c.revision)
+            for c in reply.changes
+            if c.value is not None
+        )
         return Ok(Snapshot(entries, reply.revision, reply.age_ms))
 
     async def watch(
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -217,7 +217,7 @@
 
     def close_idle_connections(self, stage: Stage) -> None:
         """Close the idle connections to a stage; after a stall they may be dead too."""
-        self._http.close_idle(stage.address)
+        self._http.close_idle(_parse_address(stage.address))
 
     async def probe(self, stage: Stage, run: str, timeout_ms: int) -> int | None:
         """Return the position of the last token that a stage has computed.
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -1,6 +1,7 @@
 """Composition of one gateway process."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import logbook
@@ -255,7 +256,7 @@
             await server.start(address.host, address.port)
         await self._metrics.start(listeners.callers.host, self.config.metrics_port)
         polls = self.relay_context.diagnosis.poll_slow_runners
-        for run in (
+        loops: tuple[Callable[[], Awaitable[None]], ...] = (
             self.view.run,
             self.keeper.run,
             self._inquiry.run,
@@ -266,7 +267,8 @@
             self._evidence_keeper.run,
             partial(polls, self.state.registry.get),
             self._tick,
-        ):
+        )
+        for run in loops:
             self._tasks.append(asyncio.create_task(keep_running(run)))
         self._events.emit(Started(str(listeners.callers)))
 
--- a/src/heathershunt/gateway/news.py
+++ b/src/heathershunt/gateway/news.py
@@ -64,7 +64,8 @@
         self._http = http
         self._path = path
         self._source = source
-        self._decode = msgspec.msgpack.Decoder(digest_type).decode
+        decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(digest_type)
+        self._decode = decoder.decode
         self._lines = RepeatLimiter(SystemClock())
         self._recipients = recipients
         self._wake = asyncio.Event()
--- a/src/heathershunt/platform/headers.py
+++ b/src/heathershunt/platform/headers.py
@@ -1,7 +1,6 @@
 """Decoding and encoding of the platform's header fields in requests and replies."""
 
 import hashlib
-import math
 
 import msgspec
 
@@ -184,8 +183,8 @@
     try:
         counts = max(0, int(prompt_tokens)), max(0, int(max_tokens))
     except ValueError:
-        counts = (math.inf, math.inf)
-    if max(counts) > MAX_WHOLE:
+        counts = None
+    if counts is None or max(counts) > MAX_WHOLE:
         message = f"header field {names.TOKEN_COUNTS.decode()} is malformed"
         raise RequestError(message)
     return counts
--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -348,7 +348,7 @@
 
 def _encode_put(value: LeasedValue) -> dict[str, Any]:
     encoded = base64.b64encode(value.value).decode("ascii")
-    row = {"key": value.key, "value": encoded}
+    row: dict[str, Any] = {"key": value.key, "value": encoded}
     if value.lease:
         row["lease"] = number_of_lease(value.lease)
     return row
--- a/src/heathershunt/ratelimits/guard.py
+++ b/src/heathershunt/ratelimits/guard.py
@@ -32,8 +32,13 @@
 class Process(Protocol):
     """A process that takes requests: its id and the time when it started."""
 
-    id: str
-    incarnation: int
+    @property
+    def id(self) -> str:
+        """Return the id of the process."""
+
+    @property
+    def incarnation(self) -> int:
+        """Return the wall time in milliseconds when the process started."""
 
 
 class LimitGuard:
@@ -107,7 +112,7 @@
 
         :param waiting: requests that wait for these targets already.
         """
-        waits = [self._wait_for(target.id) for target in targets]
+        waits: list[float] = [self._wait_for(target.id) for target in targets]
         if not waits:
             return None
         if all(waits) and waiting:
