--- a/src/heathershunt/coordination/mirror.py
+++ b/src/heathershunt/coordination/mirror.py
@@ -26,6 +26,8 @@
     StoreFailure,
 )
 from heathershunt.http import Address, HttpClient, Request, Response
+from heathershunt.schema.decoding import MalformedError, decode_untrusted
+from heathershunt.schema.fields import Text, Whole
 from heathershunt.verdict import Progress
 
 _T = TypeVar("_T")
@@ -58,20 +60,23 @@
 
 
 class _Change(msgspec.Struct, array_like=True):
-    key: str
-    revision: int
+    key: Text
+    revision: Whole
     # ``None`` for a removed key.
     value: bytes | None
 
 
 class _Reply(msgspec.Struct, array_like=True):
-    revision: int
-    age_ms: int
+    revision: Whole
+    age_ms: Whole
     # Time for which the mirror waited for changes before it replied.
-    waited_ms: int
+    waited_ms: Whole
     changes: list[_Change]
 
 
+_decode_reply = msgspec.msgpack.Decoder(_Reply).decode
+
+
 class ViewMirror:
     """Keeps the last change of each key and serves the changes to followers.
 
@@ -123,7 +128,8 @@
 
     async def handle(self, request: Request) -> Response:
         """Answer a follower's request for a snapshot or for changes."""
-        if self._age_ms() is None or not self._revision:
+        age_ms = self._age_ms()
+        if age_ms is None or not self._revision:
             return Response(503)
         if request.path == SNAPSHOT_PATH:
             return self._reply(-1, 0)
@@ -139,7 +145,7 @@
             return Response(GONE)
         # The follower rejects a view older than max_age_ms, so the reply must not wait
         # until the view is that old.
-        left_ms = max(0, max_age_ms - self._age_ms())
+        left_ms = max(0, max_age_ms - age_ms)
         started = asyncio.get_running_loop().time()
         await self._wait_for_changes(after, min(wait_ms, left_ms))
         waited_ms = int((asyncio.get_running_loop().time() - started) * 1000)
@@ -214,7 +220,11 @@
             detail = f"mirror: revision {reply.revision} is outdated"
             return self._avoid(upstream, StoreFailure.REJECTED, detail)
         self._newest_revision = reply.revision
-        entries = tuple(Entry(c.key, c.value, c.revision) for c in reply.changes)
+        entries = tuple(
+            Entry(c.key, c.value, c.revision)
+            for c in reply.changes
+            if c.value is not None
+        )
         return Ok(Snapshot(entries, reply.revision, reply.age_ms))
 
     async def watch(
@@ -299,8 +309,8 @@
             detail = f"mirror: status {status}"
             return self._avoid(upstream, StoreFailure.REJECTED, detail)
         try:
-            reply = msgspec.msgpack.decode(raw, type=_Reply)
-        except ValueError as error:
+            reply = decode_untrusted(_decode_reply, raw)
+        except MalformedError as error:
             detail = f"mirror: malformed reply: {error}"
             return self._avoid(upstream, StoreFailure.UNKNOWN, detail)
         if reply.age_ms > self._max_age_ms():
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -15,6 +15,8 @@
 from heathershunt.http import Address, ClientResponse, HttpClient, TransportError
 from heathershunt.ratelimits import RATE_LIMIT_HEADER, Statement, decode_limit
 from heathershunt.routing import Chain, Stage
+from heathershunt.schema.decoding import decode_untrusted
+from heathershunt.schema.fields import Position, Text, Whole
 from heathershunt.verdict import Progress
 
 OPEN_TIMEOUT_MS = 1000
@@ -34,18 +36,18 @@
     is not decoded.
     """
 
-    event: str
-    epoch: int = 0
-    position: int = -1
+    event: Text
+    epoch: Position = 0
+    position: Position = -1
     text: str = ""
     trace: msgspec.Raw = EMPTY_TRACE
     last: bool = False
     reason: str = ""
-    runner: str = ""
-    first_layer: int = -1
-    end_layer: int = -1
-    version: str = ""
-    kv_positions: int = 0
+    runner: Text = ""
+    first_layer: Position = -1
+    end_layer: Position = -1
+    version: Text = ""
+    kv_positions: Whole = 0
 
 
 @dataclass(frozen=True)
@@ -71,7 +73,7 @@
 
 
 class _StatusReply(msgspec.Struct):
-    incarnation: int
+    incarnation: Whole
 
 
 class _ProbeReply(msgspec.Struct):
@@ -80,30 +82,21 @@
     :param position: position of the last token that the stage has computed.
     """
 
-    position: int
+    position: Position
 
 
 _parse_address = lru_cache(maxsize=4096)(Address.from_text)
 _decode_line = msgspec.json.Decoder(StageLine).decode
-_decode_list = msgspec.json.Decoder(list[Any]).decode
-
-
-def _decode(line: bytes) -> StageLine:
-    try:
-        return _decode_line(line)
-    except RecursionError:
-        raise ValueError("a line of the stage is nested too deeply") from None
+_decode_trace = msgspec.json.Decoder(list[Any]).decode
 
 
 def decode_trace(trace: bytes | msgspec.Raw) -> list[Any]:
-    """Return the decoded trace of a token.
+    """Return the parts of a trace; raise ``MalformedError`` if it is malformed."""
+    return decode_untrusted(_decode_trace, trace)
 
-    :raises ValueError: if the trace is malformed or nested too deeply.
-    """
-    try:
-        return _decode_list(trace)
-    except RecursionError:
-        raise ValueError("the trace of a token is nested too deeply") from None
+
+def _decode(line: bytes) -> StageLine:
+    return decode_untrusted(_decode_line, line)
 
 
 class StageStream:
@@ -213,6 +206,9 @@
             f"/v1/runs/{quote(spec.run)}/start",
             {"epoch": spec.epoch, "kv_positions": kv_positions},
             timeout_ms=START_TIMEOUT_MS,
+            # Replies do not name their run: a copy of an earlier refusal would tell
+            # that this run has not started.
+            fresh=True,
         )
         if isinstance(outcome, Err):
             return outcome
@@ -223,7 +219,7 @@
 
     def close_idle_connections(self, stage: Stage) -> None:
         """Close the idle connections to a stage; after a stall they may be dead too."""
-        self._http.close_idle(stage.address)
+        self._http.close_idle(_parse_address(stage.address))
 
     async def probe(self, stage: Stage, run: str, timeout_ms: int) -> int | None:
         """Return the position of the last token that a stage has computed.
@@ -276,6 +272,7 @@
             "DELETE",
             f"/v1/runs/{quote(run)}?epoch={epoch}",
             timeout_ms=CANCEL_TIMEOUT_MS,
+            fresh=True,
         )
 
 
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -22,7 +22,13 @@
 from heathershunt.ratelimits import Statement
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.handover import hand_over
-from heathershunt.relay.messages import CallerRequest, Dispatch, ReplyHead, refuse
+from heathershunt.relay.messages import (
+    NOT_RUN_STATUSES,
+    CallerRequest,
+    Dispatch,
+    ReplyHead,
+    refuse,
+)
 from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
 
 CONNECT_MS = 250
@@ -40,8 +46,6 @@
 REQUEST_TIMEOUT_SLACK_MS = 1000
 RETRY_AFTER_MS = 300
 SERVER_ERROR = 500
-# Statuses that state that the request was not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BODY_ERRORS = (OSError, ValueError, h11.RemoteProtocolError)
 TIMEOUT_DETAIL = "no complete answer in time"
 
@@ -217,7 +221,7 @@
         outcome = await exchange
         # Its timeout was counted when the second send was due.
         self._record_outcome(call.request, target, outcome, counts_timeout=False)
-        if isinstance(outcome, Err) or not _is_answer(outcome.ok_value, call.request):
+        if isinstance(outcome, Err) or not _is_answer(outcome.ok_value):
             return None
         return outcome.ok_value
 
@@ -304,6 +308,9 @@
                     return outcome
                 response = outcome.ok_value
                 head = self._context.wire.reply_head(response)
+                error = head.error_unless_to(request.id)
+                if error is not None:
+                    return Err(error)
                 self._context.limits.record(
                     target, Statement(head.limit_per_s, sent_at)
                 )
@@ -350,9 +357,13 @@
     ) -> Reply | Refusal:
         """Return the reply for the caller, or why there is none."""
         if isinstance(last, Ok) and not last.ok_value.head.is_not_run:
-            if _is_answer(last.ok_value, call.request):
+            head = last.ok_value.head
+            if _is_answer(last.ok_value):
                 return last.ok_value
-            return may_have_run(502, "Target failed", "the reply is not for this id")
+            detail = f"it replied {head.status}"
+            if head.is_success:
+                detail = "the reply has no signature"
+            return may_have_run(502, "Target failed", detail)
         limit_wait_ms = self._limits_wait_ms(call) if not call.sends else None
         detail = "no target takes the request"
         if limit_wait_ms:
@@ -377,9 +388,9 @@
     return not head.is_not_run and head.status >= SERVER_ERROR
 
 
-def _is_answer(reply: Reply, request: CallerRequest) -> bool:
-    """Return whether a reply may be passed on as the answer to a request."""
+def _is_answer(reply: Reply) -> bool:
+    """Return whether a reply may be passed on as the answer to its request."""
     head = reply.head
-    if head.is_not_run or head.request_id != request.id:
-        return False
-    return head.has_signature or not head.is_success
+    if head.is_success:
+        return head.has_signature and not head.is_not_run
+    return head.may_be_passed_on and not head.is_not_run
--- a/src/heathershunt/relay/messages.py
+++ b/src/heathershunt/relay/messages.py
@@ -6,9 +6,13 @@
 
 from heathershunt.clock import Millis
 from heathershunt.discovery import Target
-from heathershunt.http import ClientResponse, Response
+from heathershunt.http import ClientResponse, Response, TransportError
 from heathershunt.pipelines import Chain
-from heathershunt.verdict import Refusal
+from heathershunt.verdict import Progress, Refusal
+
+# Statuses that state that the request was not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+EVENT_STREAM = "text/event-stream"
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +101,36 @@
     limit_per_s: float | None
     headers: Mapping[str, str]
 
+    def error_unless_to(self, request_id: str) -> TransportError | None:
+        """Return an error unless the reply is to the request with this id.
+
+        Nothing that it says counts then, in particular not that a request was not run:
+        a target may send a reply to an earlier request once more.
+        """
+        if self.request_id == request_id:
+            return None
+        return TransportError(Progress.SENT, "the reply is not to this request")
+
+    @property
+    def may_be_passed_on(self) -> bool:
+        """Return whether the caller may get the status of a reply that was run.
+
+        Some statuses state that the request was not run.
+        """
+        return self.status not in NOT_RUN_STATUSES
+
+    @property
+    def is_final_error(self) -> bool:
+        """Return whether the reply is an error of the request for any runner."""
+        return 400 <= self.status < 500 and self.may_be_passed_on
+
+    @property
+    def starts_stream(self) -> bool:
+        """Return whether events of a run follow; a reply without a type may do so."""
+        content_type = self.headers.get("content-type", EVENT_STREAM)
+        is_stream = content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+        return self.status == 200 and self.has_signature and is_stream
+
     @property
     def is_success(self) -> bool:
         """Return whether the status says that the request succeeded."""
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -34,7 +34,6 @@
 MAX_SENDS = 8
 RETRY_AFTER_MS = 500
 SUCCESS = 200
-SERVER_ERROR = 500
 
 
 class RunStarter:
@@ -170,6 +169,7 @@
             self._tokens,
             context.clock.now(),
             asyncio.ensure_future(sending),
+            resumed=self._progress.resume_point,
             is_patient=not self._spec.route.is_retryable,
         )
 
@@ -206,13 +206,18 @@
             await self._on_send_failure(run, outcome.err_value)
             return False
         context, head_runner = self._context, run.chain.head
-        was_sent_before = self._attempts.has_head(head_runner) and not run.is_delivered
-        self.count_delivery(run)
         run.response = outcome.ok_value
         run.head = context.wire.reply_head(run.response)
+        error = run.head.error_unless_to(self._request.id)
+        if error is not None:
+            self.release(run)
+            await self._on_send_failure(run, error)
+            return False
+        was_sent_before = self._attempts.has_head(head_runner) and not run.is_delivered
+        self.count_delivery(run)
         statement = Statement(run.head.limit_per_s, run.sent_at)
         context.limits.record(head_runner, statement)
-        if run.head.status == SUCCESS and run.head.request_id == self._request.id:
+        if run.head.starts_stream:
             self._may_have_run = True
             if self._progress.has_begun:
                 event = StreamResumed(self._request.id, self._progress.last_id)
@@ -253,13 +258,11 @@
             self._on_rejection(run, was_sent_before)
             return False
         self._may_have_run = True
-        is_own = head.request_id == self._request.id
         # It cannot be the answer once the caller has received events of another run.
-        may_answer = is_own and not self._progress.has_begun
-        if may_answer and head.status < SERVER_ERROR:
+        if head.is_final_error and not self._progress.has_begun:
             left_ms = max(0, self._spec.deadline - self._context.clock.now())
             body = await read_error_body(run, left_ms)
-            if body is not None and not head.is_success:
+            if body is not None:
                 self.release(run)
                 return Response(head.status, head.headers, body)
         self.detail = f"runner {chain.head.id}: status {head.status}"
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -91,6 +91,7 @@
         self._store = store
         self._targets_by_address = targets_by_address
         self._chain_by_request: dict[str, str] = {}
+        self._stream_epoch = 0
         self._server = HttpServer(self._handle, cancels_handlers=True)
 
     async def start(self) -> None:
@@ -138,12 +139,20 @@
             return None
         return {"from": self.layers[0], "to": self.layers[1], "version": 1}
 
+    def stop_streams(self) -> None:
+        """Break off the streams that run now; the target goes on."""
+        self._stream_epoch += 1
+
     async def _handle(self, request: Request) -> Response | StreamResponse:
         if self.is_unresponsive:
             await asyncio.sleep(3600)
         await self.wait_out_silence()
         response = await self._answer(request)
         await self.wait_out_silence()
+        request_id = request.headers.get("heathershunt-request-id")
+        if request_id is not None and isinstance(response, Response):
+            own = {"heathershunt-request-id": request_id}
+            response = replace(response, headers=own | response.headers)
         if self.limit_per_s is None:
             return response
         headers = {**response.headers, "server-limit": str(self.limit_per_s)}
@@ -234,7 +243,10 @@
         async def write(sink: ResponseStream) -> None:
             if self._is_deadly(request):
                 await self._crash(sink)
+            epoch = self._stream_epoch
             for number in range(first, last + 1):
+                if epoch != self._stream_epoch:
+                    raise ConnectionError("the stream is broken off")
                 await self._wait_for_chain(request_id)
                 await self._wait_out_silence_of_chain(request_id)
                 run.events.append(number)
--- a/tests/daemon/test_background.py
+++ b/tests/daemon/test_background.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from heathershunt.daemon.background import keep_running
+from heathershunt.background import keep_running
 
 
 # Guards against callers that wait for ever because the task that checks the queues, or
@@ -16,12 +16,12 @@
             raise KeyError("model")
 
     async with asyncio.timeout(5):
-        await keep_running(run, "checks")
+        await keep_running(run)
     assert len(starts) == 3
 
 
 async def test_background_task_can_be_cancelled():
-    task = asyncio.create_task(keep_running(asyncio.Event().wait, "checks"))
+    task = asyncio.create_task(keep_running(asyncio.Event().wait))
     await asyncio.sleep(0)
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
