Log whether a target's process ended under a plain call

For plain calls the lines said that a connection had closed, and nothing of the target's process: a crash, a lost answer and a target that was leaving looked alike, and the calls that ended targets had nothing in common in the lines.

call_broken has the state of the process (a refused connection or another incarnation: crashed; not if it was draining or its entry was gone) and a key that is equal for repeats of a request. The key is a hash of method, target, account and body. Nothing is decided on it yet.

--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -246,6 +246,20 @@
             if response is not None:
                 response.close_unless_read()
 
+    async def accepts(self, address: Address, connect_ms: float) -> bool | None:
+        """Return whether a process accepts connections at an address.
+
+        :return: ``False`` if a connection is refused; ``None`` if that is not known.
+        """
+        try:
+            connection = await self._acquire(address, True, connect_ms)
+        except ConnectionRefusedError:
+            return False
+        except (OSError, TimeoutError):
+            return None
+        connection.close()
+        return True
+
     async def _acquire(
         self, address: Address, fresh: bool, connect_ms: float = CONNECT_TIMEOUT_MS
     ) -> ClientConnection:
--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -34,6 +34,7 @@
     request_events.Sent,
     request_events.SendFailed,
     request_events.SendRejected,
+    request_events.CallBroken,
     request_events.RetryDenied,
     request_events.PauseExamined,
     request_events.ChainReplaced,
--- a/src/heathershunt/logs/request_events.py
+++ b/src/heathershunt/logs/request_events.py
@@ -124,6 +124,23 @@
     status: int
 
 
+@dataclass(frozen=True)
+class CallBroken(RequestEvent):
+    """A target broke off a plain call before its answer was complete.
+
+    :param ending: ``crashed`` if the process ended unannounced, ``left`` if it was
+        leaving, ``runs`` if it accepts connections, ``unknown`` otherwise.
+    :param key: key of evidence, equal for requests that repeat each other.
+    """
+
+    name: ClassVar[str] = "call_broken"
+    sentence: ClassVar[str] = "{target} broke the call off; its process: {ending}"
+    outcome_field: ClassVar[str | None] = "ending"
+    target: str
+    ending: str
+    key: str
+
+
 @dataclass(frozen=True)
 class RetryDenied(RequestEvent):
     """The retry budget that the VMs share is used up, so there was no retry."""
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -9,9 +9,11 @@
 
 from heathershunt.catalog import Route
 from heathershunt.clock import Millis
+from heathershunt.crashes import request_key
 from heathershunt.discovery import Target
 from heathershunt.http import Response, TransportError
 from heathershunt.logs.request_events import (
+    CallBroken,
     CallEnded,
     RetryDenied,
     SendFailed,
@@ -20,6 +22,7 @@
 )
 from heathershunt.ratelimits import Statement
 from heathershunt.relay.context import RelayContext
+from heathershunt.relay.endings import find_ending
 from heathershunt.relay.messages import CallerRequest, Dispatch, ReplyHead, refuse
 from heathershunt.verdict import Progress, may_have_run, not_run
 
@@ -102,6 +105,8 @@
             try_ms = int(left_ms * EARLY_TRY_FRACTION) if may_retry else left_ms
             last = await self._send(request, target, account, left_ms, try_ms)
             self._record_outcome(request, target, last)
+            if _is_broken_off(last):
+                await self._report_broken(request, target, account)
             if isinstance(last, Err):
                 if last.err_value.progress is Progress.NOT_SENT:
                     connect_failures += 1
@@ -238,6 +243,15 @@
         else:
             context.suspects.record_success(target)
 
+    async def _report_broken(
+        self, request: CallerRequest, target: Target, account: str | None
+    ) -> None:
+        """Log whether the process of a target ended under a call."""
+        context = self._context
+        ending = await find_ending(target, context.registry, context.http)
+        key = request_key(request.method, request.target, account, request.body)
+        context.events.emit(CallBroken(request.id, target.id, ending.value, key))
+
     def _answer(
         self,
         request: CallerRequest,
@@ -275,3 +289,11 @@
             refusal = may_have_run(502, "Target failed", "the reply is not for this id")
             return refuse(wire, refusal, request)
         return reply.response()
+
+
+def _is_broken_off(outcome: Result[Reply, TransportError]) -> bool:
+    """Return whether a target received a call and closed its connection too early."""
+    if not isinstance(outcome, Err):
+        return False
+    error = outcome.err_value
+    return error.progress is Progress.SENT and error.detail != TIMEOUT_DETAIL
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -17,6 +17,8 @@
 
 EVENT_MS = 5
 STALL_MS = 1500
+# Time between the report that a target leaves and its end.
+LEAVE_MS = 200
 JSON_TYPE = {"content-type": "application/json"}
 
 
@@ -50,6 +52,9 @@
     :ivar stalls_after: id of the event after which streams send no further one.
     :ivar deadly_part: id of a part of a prompt; the runner crashes when it begins to
         write an answer on it. ``None`` without one.
+    :ivar deadly_body: body of a plain call; the target crashes when it begins to run
+        such a call. ``None`` without one.
+    :ivar leaves_first: whether the target reports that it leaves before it crashes.
     :ivar limit_per_s: requests a second that the target names in its answers; ``None``
         for no limit.
     :ivar arrivals: times at which requests other than reports and orders arrived, in
@@ -82,6 +87,8 @@
         self.stalls_after: int | None = None
         self.trickle = b""
         self.deadly_part: str | None = None
+        self.deadly_body: bytes | None = None
+        self.leaves_first = False
         self.limit_per_s: float | None = None
         self.heartbeats = 1
         self.arrivals: list[float] = []
@@ -145,6 +152,8 @@
             return self._handle_order(msgspec.json.decode(request.body))
         self.arrivals.append(asyncio.get_running_loop().time())
         if self.kind is None:
+            if request.body == self.deadly_body:
+                await self._crash_at_call()
             return self._handle_call(request)
         return await self._stream(request)
 
@@ -241,6 +250,15 @@
         ids = [entry.partition(":")[0] for entry in parts.split(",")]
         return self.deadly_part in ids
 
+    async def _crash_at_call(self) -> None:
+        """End as a process does that dies, without a byte of an answer."""
+        if self.leaves_first:
+            self.is_draining = True
+            self.register()
+            await asyncio.sleep(LEAVE_MS / 1000)
+        await self.stop()
+        await asyncio.sleep(3600)
+
     async def _crash(self, sink: ResponseStream) -> None:
         """Send the head of the reply and end as a process does that dies."""
         sink.write(b"")
