Refuse plain calls that crash their targets, as prompts are

Cause: the evidence on crashes and its decision know parts of prompts. A request without a prompt had no key of evidence, so the relay of calls could ask nobody: its retry, the caller's repeat and the next caller's request were each sent.

The key of a request without a prompt is a hash of its method, target, account and body. The same decision, exchange and entries in the store take it in place of a part. A call that its target broke off is evidence if the target's process has ended: it refuses connections or has restarted, and was neither draining nor gone from the store. An answer of any status clears the key. The check before a send is shared with streams (Witness): 503 if nothing was sent, else 502.

--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -62,6 +62,11 @@
         """Return the number of blocked parts, counted for each account."""
         return len(self._blocked)
 
+    @property
+    def has_evidence(self) -> bool:
+        """Return whether any request or part of a prompt is suspected."""
+        return self._judge.has_evidence
+
     # Requests
 
     def draw(self) -> float:
@@ -100,6 +105,14 @@
         if blocked_before - self._blocked:
             self.on_news()
 
+    def record_answer(self, key: str) -> None:
+        """Record that a request with a key of its own was answered.
+
+        Most requests come once, so only those that are suspected are recorded.
+        """
+        if self._judge.is_suspected(key):
+            self.record_writing((key,))
+
     def record_crash(
         self,
         account: str | None,
--- a/src/heathershunt/crashes/judge.py
+++ b/src/heathershunt/crashes/judge.py
@@ -135,6 +135,15 @@
             self._sound_at_by_part.popitem(last=False)
         return self._settle(part, at)
 
+    @property
+    def has_evidence(self) -> bool:
+        """Return whether there is evidence on any part."""
+        return bool(self._evidence_by_part)
+
+    def is_suspected(self, part: str) -> bool:
+        """Return whether there is or was evidence on a part."""
+        return part in self._suspected_at_by_part
+
     def is_sound(self, part: str) -> bool:
         """Return whether a run has written on a part."""
         return part in self._sound_at_by_part
--- /dev/null
+++ b/src/heathershunt/relay/call_crashes.py
@@ -0,0 +1,56 @@
+"""What one plain call shows about itself, and whether it may be sent."""
+
+from functools import cached_property
+
+from heathershunt.clock import Millis
+from heathershunt.crashes import Block, Evidence, RunnerCrash, request_key
+from heathershunt.discovery import Target
+from heathershunt.logs.request_events import CallBroken
+from heathershunt.relay.crashes import Witness
+from heathershunt.relay.endings import Ending, find_ending
+
+
+class CallWitness(Witness):
+    """Reports the crashes of one call's targets, and checks the call.
+
+    .. versionadded:: 0.8
+    """
+
+    @cached_property
+    def _key(self) -> str:
+        request = self._request
+        return request_key(request.method, request.target, self._account, request.body)
+
+    @property
+    def _parts(self) -> tuple[str, ...]:
+        return (self._key,)
+
+    def _block(self) -> Block | None:
+        # Without any evidence, the body need not be hashed.
+        return super()._block() if self._guard.has_evidence else None
+
+    def on_answered(self) -> None:
+        """Record that a target ran the call to an end."""
+        if self._guard.has_evidence:
+            self._guard.record_answer(self._key)
+
+    async def on_broken_off(self, target: Target, sent_at: Millis) -> None:
+        """Report a call that its target broke off, if the target's process ended.
+
+        What had begun at the target is not known, so all calls that it had count as
+        begun: those that are sound are cleared by their next answer.
+        """
+        context = self._context
+        ending = await find_ending(target, context.registry, context.http)
+        event = CallBroken(self._request.id, target.id, ending.value, self._key)
+        context.events.emit(event)
+        if ending is not Ending.CRASHED:
+            return
+        self._crashes += 1
+        self._guard.record_crash(
+            self._account,
+            self._parts,
+            RunnerCrash(target.id, target.incarnation),
+            sent_at,
+            Evidence.BEGUN,
+        )
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -9,11 +9,9 @@
 
 from heathershunt.catalog import Route
 from heathershunt.clock import Millis
-from heathershunt.crashes import request_key
 from heathershunt.discovery import Target
 from heathershunt.http import Response, TransportError
 from heathershunt.logs.request_events import (
-    CallBroken,
     CallEnded,
     RetryDenied,
     SendFailed,
@@ -21,10 +19,10 @@
     Sent,
 )
 from heathershunt.ratelimits import Statement
+from heathershunt.relay.call_crashes import CallWitness
 from heathershunt.relay.context import RelayContext
-from heathershunt.relay.endings import find_ending
 from heathershunt.relay.messages import CallerRequest, Dispatch, ReplyHead, refuse
-from heathershunt.verdict import Progress, may_have_run, not_run
+from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
 
 CONNECT_MS = 250
 # Fraction of the remaining time for a try of an idempotent call that is not the last.
@@ -84,12 +82,17 @@
         context = self._context
         context.budget.record_request(service)
         context.limits.record_request()
+        witness = CallWitness(context, request, account)
+        refused: Refusal | None = None
         tried: set[str] = set()
         sends = connect_failures = 0
         may_have_started = False
         last: Result[Reply, TransportError] | None = None
         while sends < route.max_attempts and connect_failures < MAX_CONNECT_FAILURES:
             await self._wait_for_limits(service, tried, deadline)
+            refused = witness.refusal(may_have_started)
+            if refused is not None:
+                break
             target = self._choose_target(service, tried)
             left_ms = deadline - context.clock.now()
             if target is None or left_ms <= 0:
@@ -103,10 +106,11 @@
             context.events.emit(Sent(request.id, target.id, (), sends, waited_ms))
             may_retry = route.is_retryable and sends + 1 < route.max_attempts
             try_ms = int(left_ms * EARLY_TRY_FRACTION) if may_retry else left_ms
+            sent_at = context.clock.now()
             last = await self._send(request, target, account, left_ms, try_ms)
             self._record_outcome(request, target, last)
             if _is_broken_off(last):
-                await self._report_broken(request, target, account)
+                await witness.on_broken_off(target, sent_at)
             if isinstance(last, Err):
                 if last.err_value.progress is Progress.NOT_SENT:
                     connect_failures += 1
@@ -118,6 +122,8 @@
                 continue
             sends += 1
             head = last.ok_value.head
+            if not head.is_not_run and head.request_id == request.id:
+                witness.on_answered()
             should_retry = head.is_not_run or (
                 route.is_retryable and head.status >= SERVER_ERROR
             )
@@ -125,7 +131,10 @@
                 break
             may_have_started |= not head.is_not_run
         wait_ms = self._limits_wait_ms(service, tried) if not sends else None
-        response = self._answer(request, last, deadline, may_have_started, wait_ms)
+        if refused is not None:
+            response = refuse(context.wire, refused, request)
+        else:
+            response = self._answer(request, last, deadline, may_have_started, wait_ms)
         event = CallEnded(
             request.id,
             status=response.status,
@@ -243,15 +252,6 @@
         else:
             context.suspects.record_success(target)
 
-    async def _report_broken(
-        self, request: CallerRequest, target: Target, account: str | None
-    ) -> None:
-        """Log whether the process of a target ended under a call."""
-        context = self._context
-        ending = await find_ending(target, context.registry, context.http)
-        key = request_key(request.method, request.target, account, request.body)
-        context.events.emit(CallBroken(request.id, target.id, ending.value, key))
-
     def _answer(
         self,
         request: CallerRequest,
--- a/src/heathershunt/relay/crashes.py
+++ b/src/heathershunt/relay/crashes.py
@@ -1,59 +1,95 @@
-"""What one stream shows about the parts of its prompt, and whether it may be sent."""
+"""What one request shows about its keys of evidence, and whether it may be sent."""
 
 import asyncio
 
 from heathershunt.crashes import Block, Evidence, RunnerCrash
 from heathershunt.logs.request_events import PartRefused, RunCrashed
 from heathershunt.relay.context import RelayContext
+from heathershunt.relay.messages import CallerRequest
 from heathershunt.relay.runs import Run
 from heathershunt.relay.spec import StreamSpec
 from heathershunt.verdict import Refusal, may_have_run, not_run
 
-# Runners that may end as a stream begins at them, whatever its prompt has in common
-# with others.
-MAX_CRASHES_PER_STREAM = 2
+# Targets that may end as a request begins at them, whatever it has in common with
+# others.
+MAX_CRASHES_PER_REQUEST = 2
 BLOCKED_DETAIL = "a part of the prompt crashes runners"
 
 
-class CrashWitness:
-    """Reports the crashes of one stream's runners, and checks the stream's prompt.
+class Witness:
+    """Checks one request by the evidence on its keys.
 
-    .. versionadded:: 0.6
+    :param request: request of a caller.
+    :param account: name of the client account; ``None`` on public routes.
+    :cvar blocked_title: title of the refusal of a request that was not sent.
+    :cvar blocked_detail: reason of a refusal, before the key that is blocked.
+    :cvar crashed_detail: reason of a refusal after crashes alone.
+
+    .. versionadded:: 0.8
     """
 
-    def __init__(self, context: RelayContext, spec: StreamSpec) -> None:
+    blocked_title = "Request blocked"
+    blocked_detail = "the request crashes its targets"
+    crashed_detail = "targets crashed as the request began"
+
+    def __init__(
+        self, context: RelayContext, request: CallerRequest, account: str | None
+    ) -> None:
         self._context = context
         self._guard = context.guard
-        self._spec = spec
-        self._parts = spec.request.prompt_parts
+        self._request = request
+        self._account = account
         self._draw = context.guard.draw()
         self._crashes = 0
 
+    @property
+    def _parts(self) -> tuple[str, ...]:
+        """Return the keys of evidence of the request."""
+        raise NotImplementedError
+
     def is_blocked(self) -> bool:
-        """Return whether the stream is not to be sent, or not again."""
-        return self._crashes >= MAX_CRASHES_PER_STREAM or self._block() is not None
+        """Return whether the request is not to be sent, or not again."""
+        return self._crashes >= MAX_CRASHES_PER_REQUEST or self._block() is not None
 
     def _block(self) -> Block | None:
-        return self._guard.block(self._spec.account, self._parts, self._draw)
+        return self._guard.block(self._account, self._parts, self._draw)
 
     def refusal(self, has_been_sent: bool) -> Refusal | None:
-        """Return the answer to a stream that is not to be sent; else ``None``.
+        """Return the answer to a request that is not to be sent; else ``None``.
 
-        :param has_been_sent: whether a runner may have run the stream already.
+        :param has_been_sent: whether a target may have run the request already.
         """
         block = self._block()
-        if block is None and self._crashes < MAX_CRASHES_PER_STREAM:
+        if block is None and self._crashes < MAX_CRASHES_PER_REQUEST:
             return None
-        detail = "runners crashed as the stream began"
+        detail = self.crashed_detail
         left_ms = None
         if block is not None:
             left_ms = self._guard.left_ms(block)
-            detail = f"{BLOCKED_DETAIL}: {block.part}"
-            event = PartRefused(self._spec.request.id, block.part, left_ms)
+            detail = f"{self.blocked_detail}: {block.part}"
+            event = PartRefused(self._request.id, block.part, left_ms)
             self._context.events.emit(event)
         if has_been_sent or left_ms is None:
             return may_have_run(502, "Runner failed", detail)
-        return not_run(503, "Prompt blocked", detail, left_ms)
+        return not_run(503, self.blocked_title, detail, left_ms)
+
+
+class CrashWitness(Witness):
+    """Reports the crashes of one stream's runners, and checks the stream's prompt.
+
+    .. versionadded:: 0.6
+    """
+
+    blocked_title = "Prompt blocked"
+    blocked_detail = BLOCKED_DETAIL
+    crashed_detail = "runners crashed as the stream began"
+
+    def __init__(self, context: RelayContext, spec: StreamSpec) -> None:
+        super().__init__(context, spec.request, spec.account)
+
+    @property
+    def _parts(self) -> tuple[str, ...]:
+        return self._request.prompt_parts
 
     async def wait_for(self, task: asyncio.Future, timeout_ms: float) -> bool:
         """Wait for a reply's head, and return whether it is there.
@@ -86,14 +122,14 @@
             return
         evidence = Evidence.WAITING if run.head is None else Evidence.BEGUN
         has_begun = evidence is Evidence.BEGUN
-        event = RunCrashed(self._spec.request.id, head.id, has_begun)
+        event = RunCrashed(self._request.id, head.id, has_begun)
         self._context.events.emit(event)
         if has_begun:
             # Sent again only if others have written on all parts that they share.
             is_known = self._guard.are_sound(self._parts[:-1])
-            self._crashes += 1 if is_known else MAX_CRASHES_PER_STREAM
+            self._crashes += 1 if is_known else MAX_CRASHES_PER_REQUEST
         self._guard.record_crash(
-            self._spec.account,
+            self._account,
             self._parts,
             RunnerCrash(head.id, head.incarnation),
             run.sent_at,
