Keep the order of crashes whatever the delays of messages are

Cause: a message gives ages, so each adds its delay to the times. Two crashes count separately only if the second run was sent after the first crash. A retry is sent 1 ms after it; where the message on the first crash took longer than the one on the second, the receiver saw them in the wrong order and counted one. It kept the times of the first message for good.

The earliest times of all messages on a crash are kept now. A digest with the second crash repeats the first one, so the receiver's order is that of the sender, also through other VMs and whatever the order of the messages.

--- a/src/heathershunt/crashes/evidence.py
+++ b/src/heathershunt/crashes/evidence.py
@@ -1,7 +1,7 @@
 """Evidence that a runner ended under runs that had no event yet, and its weight."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from heathershunt.clock import Millis
@@ -66,6 +66,20 @@
     crashed_at: Millis
     evidence: Evidence
 
+    def merged(self, other: "CrashEvidence") -> "CrashEvidence":
+        """Return what this and another message on the same run and crash say together.
+
+        Each message adds its delay to the times, so the earliest ones are nearest to
+        the truth. A message on a later crash repeats this one, so the order in which
+        the sender saw the two also holds after different delays.
+        """
+        return replace(
+            self,
+            sent_at=min(self.sent_at, other.sent_at),
+            crashed_at=min(self.crashed_at, other.crashed_at),
+            evidence=max(self.evidence, other.evidence, key=lambda item: item.value),
+        )
+
 
 def score(items: Iterable[CrashEvidence]) -> float:
     """Return the largest weight of crashes that followed each other.
--- a/src/heathershunt/crashes/judge.py
+++ b/src/heathershunt/crashes/judge.py
@@ -100,20 +100,31 @@
             return False
         self._suspected_at_by_part[part] = now
         self._suspected_at_by_part.move_to_end(part)
-        if item.crashed_at <= self._sound_at_by_part.get(part, item.crashed_at - 1):
-            return False
-        known = self._evidence_by_part.setdefault(part, {})
+        known = self._evidence_by_part.get(part, {})
         crash_key = (item.key, item.crash)
         before = known.get(crash_key)
-        if before is not None and before.evidence.value >= item.evidence.value:
+        merged = item if before is None else before.merged(item)
+        if merged == before:
             return False
-        known[crash_key] = item
+        sound_at = self._sound_at_by_part.get(part)
+        if sound_at is not None and merged.crashed_at <= sound_at:
+            return self._drop(part, crash_key)
+        known = self._evidence_by_part.setdefault(part, known)
+        known[crash_key] = merged
         if len(known) > MAX_EVIDENCE_PER_PART:
             del known[min(known, key=lambda key: known[key].crashed_at)]
         self._evidence_by_part.move_to_end(part)
         self._drop_excess_parts()
         return True
 
+    def _drop(self, part: str, crash_key: tuple[PartKey, RunnerCrash]) -> bool:
+        """Drop evidence that turned out to be older than a run that wrote."""
+        known = self._evidence_by_part.get(part, {})
+        dropped = known.pop(crash_key, None)
+        if dropped is not None and not known:
+            del self._evidence_by_part[part]
+        return False
+
     def _drop_excess_parts(self) -> None:
         """Drop the oldest part, if possible one that crashed a single runner."""
         limit = self._config.max_parts
