--- a/src/heathershunt/crashes/keys.py
+++ b/src/heathershunt/crashes/keys.py
@@ -20,3 +20,8 @@
         digest.update(field.encode("utf-8", "surrogateescape") + b"\0")
     digest.update(body)
     return REQUEST_PREFIX + digest.hexdigest()[:DIGEST_CHARACTERS]
+
+
+def is_request_key(key: str) -> bool:
+    """Return whether a key stands for a single request, not for a part of prompts."""
+    return key.startswith(REQUEST_PREFIX)
