Refuse plain calls of the daemon that crash their targets

Each call, with an idempotency key or without, is checked before each send by the decision that drafts use, with a key of its own. An address that was still listed and refuses connections after it broke a call off is evidence; a lost answer of a process that goes on is none, nor is an address that was leaving. A refusal is 503 with the verdict not_run if nothing was sent, else 502.

The dispatcher of tests/services/test_dispatch.py is given a guard; its checks are the same.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -115,6 +115,7 @@
             self.clock,
             self.vm_list.service_addresses,
             self.limits,
+            self.guard,
         )
         self.store.on_restored = self.services.on_store_restored
         self.fleet = Fleet(self)
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -142,7 +142,7 @@
         self.timeline.record(EventKind.FAULT, what="bundle refused", why=str(error))
 
     def on_part(self, event: PartBlocked | PartTrusted) -> None:
-        """Record that drafts with a part of a prompt are refused, or run again."""
+        """Record that requests with a part or key are refused, or sent again."""
         self.timeline.record(
             EventKind.PROMPT, what=event.name, part=event.part, account=event.account
         )
--- a/src/heathershunt/services/dispatch.py
+++ b/src/heathershunt/services/dispatch.py
@@ -11,6 +11,7 @@
 
 from heathershunt.bundle import Service
 from heathershunt.clock import Clock, Millis
+from heathershunt.crashes import PartGuard
 from heathershunt.http import Address, ClientResponse, HttpClient, Response
 from heathershunt.ratelimits import (
     RATE_LIMIT_HEADER,
@@ -26,6 +27,7 @@
     problem_outcome,
     response_headers,
 )
+from heathershunt.services.crashes import AddressEnds, CallCrashes
 from heathershunt.verdict import Progress
 
 MAX_TRIES = 3
@@ -44,6 +46,7 @@
     progress: Progress
     detail: str
     is_too_large: bool = False
+    is_broken_off: bool = False
 
 
 class Dispatcher:
@@ -51,6 +54,7 @@
 
     :param addresses: gives the addresses of a service that are not leaving.
     :param limits: keeps to the limits that addresses name.
+    :param guard: refuses calls that crash their targets.
 
     .. versionadded:: 0.1
     """
@@ -61,12 +65,15 @@
         clock: Clock,
         addresses: Callable[[str], Sequence[Address]],
         limits: LimitGuard,
+        guard: PartGuard,
         source: random.Random | None = None,
     ) -> None:
         self._http = http
         self._clock = clock
         self._addresses = addresses
         self._limits = limits
+        self._guard = guard
+        self._ends = AddressEnds(clock)
         self._random = source or random.Random()
         self._chooser = AddressChooser(self._random)
         self._budget = CallRetryBudget()
@@ -81,13 +88,21 @@
         """
         idempotent = service.is_idempotent(call.method, call.path)
         self._budget.record_call()
+        crashes = CallCrashes(
+            call, self._guard, self._ends, self._http, self._addresses
+        )
         tried: list[Address] = []
         outcome: CallOutcome | None = None
         sent = False
         while (address := self._choose(call.service, tried)) is not None:
+            refused = crashes.refusal(sent)
+            if refused is not None:
+                return refused
             tried.append(address)
+            sent_at = self._clock.now()
             result = await self._try(call, address, deadline, idempotent, len(tried))
             if isinstance(result, Ok):
+                crashes.on_answered()
                 outcome = CallOutcome(result.ok_value, Progress.ANSWERED)
                 if not idempotent or result.ok_value.status not in UNAVAILABLE_STATUSES:
                     return outcome
@@ -95,6 +110,8 @@
             else:
                 failure = result.err_value
                 sent = sent or failure.progress is not Progress.NOT_SENT
+                if failure.is_broken_off:
+                    await crashes.on_broken_off(address, sent_at)
                 outcome = self._failure_outcome(failure, sent, deadline)
                 if sent and not idempotent:
                     return outcome
@@ -185,7 +202,10 @@
         )
         if isinstance(outcome, Err):
             error = outcome.err_value
-            return Err(_Failure(error.progress, error.detail))
+            is_broken_off = error.progress is Progress.SENT and self._clock.now() < end
+            return Err(
+                _Failure(error.progress, error.detail, is_broken_off=is_broken_off)
+            )
         response = outcome.ok_value
         per_s = decode_limit(response.headers, RATE_LIMIT_HEADER)
         self._limits.record(process, Statement(per_s, sent_at))
@@ -195,7 +215,9 @@
         except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
             response.close()
             reason = str(error) or type(error).__name__
-            return Err(_Failure(Progress.SENT, f"{address}: answer lost: {reason}"))
+            detail = f"{address}: answer lost: {reason}"
+            is_broken_off = not isinstance(error, TimeoutError)
+            return Err(_Failure(Progress.SENT, detail, is_broken_off=is_broken_off))
         except BaseException:
             response.close()
             raise
--- a/src/heathershunt/services/handler.py
+++ b/src/heathershunt/services/handler.py
@@ -6,6 +6,7 @@
 
 from heathershunt.bundle import Bundle, ClientAccount
 from heathershunt.clock import Clock, Millis
+from heathershunt.crashes import PartGuard
 from heathershunt.http import Address, HttpClient, Request, Response
 from heathershunt.ratelimits import LimitGuard
 from heathershunt.services.batches import ClaimBatcher, ClaimFailure, SwapStore
@@ -63,14 +64,16 @@
         clock: Clock,
         addresses: Callable[[str], Sequence[Address]],
         limits: LimitGuard,
+        guard: PartGuard,
     ) -> "ServiceHandler":
         """Return a handler with the default limits.
 
         :param addresses: gives the addresses of a service that are not leaving.
         :param limits: keeps to the limits that addresses name.
+        :param guard: refuses calls that crash their targets.
         """
         return cls(
-            Dispatcher(http, clock, addresses, limits),
+            Dispatcher(http, clock, addresses, limits, guard),
             KeyTable(),
             KeyIssuer(vm, incarnation, clock),
             ClaimRouter(ClaimBatcher(store, clock), clock, vm),
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -7,6 +7,7 @@
 
 from heathershunt.bundle import Call, Service
 from heathershunt.clock import Millis, SystemClock
+from heathershunt.crashes import PartGuard
 from heathershunt.http import Address, HttpClient, HttpServer, json_response
 from heathershunt.ratelimits import RATE_LIMIT_HEADER, LimitGuard, TargetProcess
 from heathershunt.services.addresses import AddressChooser, CallRetryBudget
@@ -42,8 +43,9 @@
 
 def make_dispatcher(addresses, client, clock):
     limits = LimitGuard(clock, "vm-1", list, TargetProcess, print)
+    guard = PartGuard(clock, print, lambda: 1)
     source = random.Random(3)
-    return Dispatcher(client, clock, lambda name: addresses, limits, source)
+    return Dispatcher(client, clock, lambda name: addresses, limits, guard, source)
 
 
 async def run(targets, service, wait_ms=2000):
