Let streams leave first runners that have ended, whatever their number

Cause: a stream may go to the first runners that its route allows, two here, and runners that have ended counted for as long as the store listed them, some 3 s. The limit is for runners that may still run the request; the users' rule does not count those that ended.

When a run breaks off, a shared connection attempt in the background shows if the process still accepts connections.

--- a/src/heathershunt/discovery/registry.py
+++ b/src/heathershunt/discovery/registry.py
@@ -7,6 +7,10 @@
 from heathershunt.discovery.outage import OUTAGE_GRACE_MS
 from heathershunt.discovery.target import Target
 
+# A cut link may refuse connections as an ended process does, so an end is forgotten if
+# the target stays listed.
+END_MEMORY_MS = 10_000
+
 
 class TargetRegistry:
     """Targets by id and by service, as listed in the store.
@@ -27,6 +31,7 @@
         self._by_id: dict[str, Target] = {}
         self._missing_since: dict[str, Millis] = {}
         self._ids_by_service: dict[str, set[str]] = {}
+        self._ended_by_id: dict[str, tuple[int, Millis]] = {}
         self._recovered_at: Millis | None = None
         self._copies = OldCopies(clock)
 
@@ -102,6 +107,22 @@
         for target in self._copies.expire():
             self._put(target)
 
+    def record_end(self, target: Target) -> None:
+        """Record that the process of a target was seen to have ended.
+
+        Its entry stays in the store until it expires or the target starts again.
+        """
+        if target.incarnation:
+            end = (target.incarnation, self._clock.now())
+            self._ended_by_id[target.id] = end
+
+    def has_ended(self, target: Target) -> bool:
+        """Return whether the process of a target was seen to have ended."""
+        incarnation, at = self._ended_by_id.get(target.id, (None, Millis(0)))
+        if incarnation != target.incarnation:
+            return False
+        return self._clock.now() - at < END_MEMORY_MS
+
     def _is_recovering(self) -> bool:
         if self._recovered_at is None:
             return False
@@ -109,6 +130,7 @@
 
     def _drop(self, target_id: str) -> None:
         self._missing_since.pop(target_id, None)
+        self._ended_by_id.pop(target_id, None)
         target = self._by_id.pop(target_id, None)
         if target is not None:
             self._copies.on_removed(target)
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -68,6 +68,7 @@
 from heathershunt.ratelimits.runners import CountedRunners
 from heathershunt.relay import (
     Diagnosis,
+    Endings,
     RelayContext,
     SuspectList,
     WindowBudget,
@@ -206,6 +207,7 @@
             diagnosis=Diagnosis(
                 clock, runners, self.suspects, paces, self.limits.may_check
             ),
+            endings=Endings(state.registry, http),
             events=events,
             guard=self.guard,
             limits=self.limits,
--- a/src/heathershunt/relay/__init__.py
+++ b/src/heathershunt/relay/__init__.py
@@ -4,6 +4,7 @@
 from heathershunt.relay.calls import CallRelay
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.diagnosis import Diagnosis
+from heathershunt.relay.endings import Endings
 from heathershunt.relay.messages import (
     CallerRequest,
     Dispatch,
@@ -20,6 +21,7 @@
     "CallerRequest",
     "Diagnosis",
     "Dispatch",
+    "Endings",
     "RelayContext",
     "ReplyHead",
     "StreamRelay",
--- a/src/heathershunt/relay/attempts.py
+++ b/src/heathershunt/relay/attempts.py
@@ -61,6 +61,8 @@
         return heads is None or bool(heads - {head.id})
 
     def _is_listed(self, runner: Target) -> bool:
-        """Return whether a runner is still listed and has not restarted."""
+        """Return whether a runner is still listed and has not ended or restarted."""
         known = self._registry.get(runner.id)
-        return known is not None and known.incarnation == runner.incarnation
+        if known is None or known.incarnation != runner.incarnation:
+            return False
+        return not self._registry.has_ended(runner)
--- a/src/heathershunt/relay/call_crashes.py
+++ b/src/heathershunt/relay/call_crashes.py
@@ -7,7 +7,7 @@
 from heathershunt.discovery import Target
 from heathershunt.logs.request_events import CallBroken
 from heathershunt.relay.crashes import Witness
-from heathershunt.relay.endings import Ending, find_ending
+from heathershunt.relay.endings import Ending
 
 
 class CallWitness(Witness):
@@ -41,7 +41,7 @@
         begun: those that are sound are cleared by their next answer.
         """
         context = self._context
-        ending = await find_ending(target, context.registry, context.http)
+        ending = await context.endings.find(target)
         event = CallBroken(self._request.id, target.id, ending.value, self._key)
         context.events.emit(event)
         if ending is not Ending.CRASHED:
--- a/src/heathershunt/relay/context.py
+++ b/src/heathershunt/relay/context.py
@@ -12,6 +12,7 @@
 from heathershunt.ratelimits import LimitGuard
 from heathershunt.relay.budget import WindowBudget
 from heathershunt.relay.diagnosis import Diagnosis
+from heathershunt.relay.endings import Endings
 from heathershunt.relay.messages import TargetWire
 from heathershunt.relay.suspects import SuspectList
 
@@ -38,6 +39,7 @@
     chooser: ChainChooser
     runners: RunnerApi
     diagnosis: Diagnosis
+    endings: Endings
     events: EventLog
     guard: PartGuard
     limits: LimitGuard
--- a/src/heathershunt/relay/crashes.py
+++ b/src/heathershunt/relay/crashes.py
@@ -114,9 +114,10 @@
 
     async def on_broken_run(self, run: Run) -> None:
         """Report a run that ended without an event, if its first runner ended too."""
+        head = run.chain.head
+        self._context.endings.check(head)
         if run.events:
             return
-        head = run.chain.head
         now = self._context.clock.now()
         if not await self._context.diagnosis.has_ended(head, now):
             return
--- a/src/heathershunt/relay/endings.py
+++ b/src/heathershunt/relay/endings.py
@@ -1,5 +1,6 @@
-"""How the process of a target stands after it broke off a plain call."""
+"""How the process of a target stands after it broke off a request."""
 
+import asyncio
 from enum import Enum
 
 from heathershunt.discovery import Target, TargetRegistry
@@ -25,21 +26,47 @@
     UNKNOWN = "unknown"
 
 
-async def find_ending(
-    target: Target, registry: TargetRegistry, http: HttpClient
-) -> Ending:
-    """Return how the process of a target stands, which is looked up once.
+class Endings:
+    """Finds out how the processes of targets stand that broke requests off.
 
     A health check would wait for a free slot, so a connection is opened instead.
 
-    :param target: target as it was listed when the call was sent.
+    .. versionadded:: 0.8
     """
-    known = registry.get(target.id)
-    if known is None or known.is_draining or registry.is_missing(target.id):
-        return Ending.LEFT
-    if known.incarnation != target.incarnation:
-        return Ending.CRASHED
-    accepts = await http.accepts(target.address, CONNECT_MS)
-    if accepts is None:
-        return Ending.UNKNOWN
-    return Ending.RUNS if accepts else Ending.CRASHED
+
+    def __init__(self, registry: TargetRegistry, http: HttpClient) -> None:
+        self._registry = registry
+        self._http = http
+        self._checks_by_id: dict[str, asyncio.Task] = {}
+
+    async def find(self, target: Target) -> Ending:
+        """Return how the process of a target stands.
+
+        :param target: target as it was listed when the request was sent.
+        """
+        known = self._registry.get(target.id)
+        if known is None or known.is_draining or self._registry.is_missing(target.id):
+            return Ending.LEFT
+        if known.incarnation != target.incarnation:
+            return Ending.CRASHED
+        accepts = await self._accepts(target)
+        if accepts is None:
+            return Ending.UNKNOWN
+        return Ending.RUNS if accepts else Ending.CRASHED
+
+    def check(self, target: Target) -> None:
+        """Look in the background whether a process has ended, and record an end.
+
+        The requests that a target broke off together share one check.
+        """
+        is_checked = target.id in self._checks_by_id
+        if not is_checked and not self._registry.has_ended(target):
+            task = asyncio.create_task(self._accepts(target))
+            self._checks_by_id[target.id] = task
+            task.add_done_callback(lambda _: self._checks_by_id.pop(target.id, None))
+
+    async def _accepts(self, target: Target) -> bool | None:
+        accepts = await self._http.accepts(target.address, CONNECT_MS)
+        if accepts is False:
+            self._registry.record_end(target)
+        return accepts
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -170,8 +170,11 @@
         """
         if not self._was_sent:
             return None
-        backed_off = self._ids_of(self._context.suspects.is_backed_off)
-        return self._choose_excluding(backed_off, needs_room=False)
+        suspects, registry = self._context.suspects, self._context.registry
+        unusable = self._ids_of(
+            lambda runner: suspects.is_backed_off(runner) or registry.has_ended(runner)
+        )
+        return self._choose_excluding(unusable, needs_room=False)
 
     @property
     def _was_sent(self) -> bool:
--- a/tests/relay/test_attempts.py
+++ b/tests/relay/test_attempts.py
@@ -54,6 +54,15 @@
     assert attempts.allowed_heads() is None
 
 
+def test_runner_that_was_seen_to_have_ended_does_not_count(attempts, send_to, registry):
+    # Guards against streams that may not go on as their runners ended, whose entries
+    # stay in the store for some seconds.
+    first, second = engines.runner(1, incarnation=5), engines.runner(2, incarnation=5)
+    send_to(first, second)
+    registry.record_end(first)
+    assert attempts.allowed_heads() is None
+
+
 def test_first_runner_does_not_count_when_a_later_one_rejects(attempts, send_to):
     first, second = engines.runner(1), engines.runner(2)
     send_to(first, second)
