Know streams without parts of a prompt by the request itself

Such a stream gets the key that plain calls have, and its first event clears it. Its evidence also counts, by half, where the runner ended before the reply's head: it is the request itself that comes again.

A plain call is known by its own key alone, whatever parts of a prompt its caller names: those can be other ones each time. Both tests are new; the one on streams fails without the key.

--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -14,6 +14,7 @@
     RunnerCrash,
 )
 from heathershunt.crashes.judge import Block, PartJudge
+from heathershunt.crashes.keys import is_request_key
 from heathershunt.crashes.messages import CrashDigest, decode_entry, encode_entry
 from heathershunt.logs import Event
 from heathershunt.logs.events import PartBlocked, PartTrusted
@@ -123,11 +124,11 @@
     ) -> None:
         """Record that a runner ended under a run that had sent no event.
 
-        Of a run that was waiting only the parts that others share count: the rest
-        says nothing about other requests.
+        Of a run that was waiting only what comes again counts: the parts that others
+        share, and the request itself if it has no prompt.
         """
         now = self._clock.now()
-        if evidence is Evidence.WAITING:
+        if evidence is Evidence.WAITING and not all(map(is_request_key, parts)):
             parts = parts[:-1]
         for part in parts[:MAX_PARTS_OF_PROMPT]:
             key = PartKey(account or "", part)
--- a/src/heathershunt/relay/call_crashes.py
+++ b/src/heathershunt/relay/call_crashes.py
@@ -1,9 +1,7 @@
 """What one plain call shows about itself, and whether it may be sent."""
 
-from functools import cached_property
-
 from heathershunt.clock import Millis
-from heathershunt.crashes import Block, Evidence, RunnerCrash, request_key
+from heathershunt.crashes import Evidence, RunnerCrash
 from heathershunt.discovery import Target
 from heathershunt.logs.request_events import CallBroken
 from heathershunt.relay.crashes import Witness
@@ -16,24 +14,6 @@
     .. versionadded:: 0.8
     """
 
-    @cached_property
-    def _key(self) -> str:
-        request = self._request
-        return request_key(request.method, request.target, self._account, request.body)
-
-    @property
-    def _parts(self) -> tuple[str, ...]:
-        return (self._key,)
-
-    def _block(self) -> Block | None:
-        # Without any evidence, the body need not be hashed.
-        return super()._block() if self._guard.has_evidence else None
-
-    def on_answered(self) -> None:
-        """Record that a target ran the call to an end."""
-        if self._guard.has_evidence:
-            self._guard.record_answer(self._key)
-
     async def on_broken_off(self, target: Target, sent_at: Millis) -> None:
         """Report a call that its target broke off, if the target's process ended.
 
--- a/src/heathershunt/relay/crashes.py
+++ b/src/heathershunt/relay/crashes.py
@@ -1,8 +1,9 @@
 """What one request shows about its keys of evidence, and whether it may be sent."""
 
 import asyncio
+from functools import cached_property
 
-from heathershunt.crashes import Block, Evidence, RunnerCrash
+from heathershunt.crashes import Block, Evidence, RunnerCrash, request_key
 from heathershunt.logs.request_events import PartRefused, RunCrashed
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.messages import CallerRequest
@@ -21,6 +22,7 @@
 
     :param request: request of a caller.
     :param account: name of the client account; ``None`` on public routes.
+    :param prompt_parts: ids of the parts of the prompt, if the request has a prompt.
     :cvar blocked_title: title of the refusal of a request that was not sent.
     :cvar blocked_detail: reason of a refusal, before the key that is blocked.
     :cvar crashed_detail: reason of a refusal after crashes alone.
@@ -33,27 +35,47 @@
     crashed_detail = "targets crashed as the request began"
 
     def __init__(
-        self, context: RelayContext, request: CallerRequest, account: str | None
+        self,
+        context: RelayContext,
+        request: CallerRequest,
+        account: str | None,
+        prompt_parts: tuple[str, ...] = (),
     ) -> None:
         self._context = context
         self._guard = context.guard
         self._request = request
         self._account = account
+        self._prompt_parts = prompt_parts
         self._draw = context.guard.draw()
         self._crashes = 0
 
+    @cached_property
+    def _key(self) -> str:
+        request = self._request
+        return request_key(request.method, request.target, self._account, request.body)
+
     @property
     def _parts(self) -> tuple[str, ...]:
-        """Return the keys of evidence of the request."""
-        raise NotImplementedError
+        """Return the keys of evidence: parts of the prompt, else the request itself."""
+        return self._prompt_parts or (self._key,)
 
     def is_blocked(self) -> bool:
         """Return whether the request is not to be sent, or not again."""
         return self._crashes >= MAX_CRASHES_PER_REQUEST or self._block() is not None
 
     def _block(self) -> Block | None:
+        # Without any evidence, the body need not be hashed.
+        if not self._guard.has_evidence:
+            return None
         return self._guard.block(self._account, self._parts, self._draw)
 
+    def on_answered(self) -> None:
+        """Record that a target ran the request, or wrote on its prompt."""
+        if self._prompt_parts:
+            self._guard.record_writing(self._prompt_parts)
+        elif self._guard.has_evidence:
+            self._guard.record_answer(self._key)
+
     def refusal(self, has_been_sent: bool) -> Refusal | None:
         """Return the answer to a request that is not to be sent; else ``None``.
 
@@ -85,11 +107,8 @@
     crashed_detail = "runners crashed as the stream began"
 
     def __init__(self, context: RelayContext, spec: StreamSpec) -> None:
-        super().__init__(context, spec.request, spec.account)
-
-    @property
-    def _parts(self) -> tuple[str, ...]:
-        return self._request.prompt_parts
+        request = spec.request
+        super().__init__(context, request, spec.account, request.prompt_parts)
 
     async def wait_for(self, task: asyncio.Future, timeout_ms: float) -> bool:
         """Wait for a reply's head, and return whether it is there.
@@ -99,9 +118,8 @@
         now = self._context.clock.now
         deadline = now() + timeout_ms
         while True:
-            waiting = {task, self._guard.next_block()} if self._parts else {task}
             await asyncio.wait(
-                waiting,
+                {task, self._guard.next_block()},
                 timeout=max(0.0, deadline - now()) / 1000,
                 return_when=asyncio.FIRST_COMPLETED,
             )
@@ -110,7 +128,7 @@
 
     def on_writing(self) -> None:
         """Record that a run of the stream sent its first event."""
-        self._guard.record_writing(self._parts)
+        self.on_answered()
 
     async def on_broken_run(self, run: Run) -> None:
         """Report a run that ended without an event, if its first runner ended too."""
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -52,8 +52,8 @@
     :ivar stalls_after: id of the event after which streams send no further one.
     :ivar deadly_part: id of a part of a prompt; the runner crashes when it begins to
         write an answer on it. ``None`` without one.
-    :ivar deadly_body: body of a plain call; the target crashes when it begins to run
-        such a call. ``None`` without one.
+    :ivar deadly_body: body of a request; the target crashes when it begins to run one
+        with it. ``None`` without one.
     :ivar leaves_first: whether the target reports that it leaves before it crashes.
     :ivar limit_per_s: requests a second that the target names in its answers; ``None``
         for no limit.
@@ -246,6 +246,8 @@
         return StreamResponse(200, headers, write)
 
     def _is_deadly(self, request: Request) -> bool:
+        if request.body == self.deadly_body:
+            return True
         parts = request.headers.get("heathershunt-prompt-prefix", "")
         ids = [entry.partition(":")[0] for entry in parts.split(",")]
         return self.deadly_part in ids
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -57,3 +57,15 @@
     status, headers, _ = await send(site, SHARED, DEADLY)
     assert status == 503
     assert float(headers["retry-after"]) > 0
+
+
+# Guards against streams that name no part of their prompt, of which nothing is known.
+async def test_stream_without_parts_stops_reaching_runners(site):
+    await add_first_runners(site)
+    for target in site.targets.values():
+        target.deadly_body = b"prompt"
+    for _ in range(6):
+        response = await site.open_stream(events=5)
+        await response.read()
+    assert crashes(site) <= MAX_CRASHES
+    assert response.status == 503
--- a/tests/gateway/test_deadly_calls.py
+++ b/tests/gateway/test_deadly_calls.py
@@ -107,3 +107,12 @@
     status, _, _ = await site.call("POST", "/orders/7", DEADLY)
     assert status == 502
     assert not site.gateways["vm-1"].guard.blocked_count
+
+
+# Guards against calls that hide by naming parts of a prompt, other ones each time.
+async def test_parts_that_a_call_names_do_not_count(site, desks):
+    for number in range(4):
+        parts = {"heathershunt_prompt_prefix": f"{number:08x}:40"}
+        status, _, _ = await site.call("POST", "/orders/7", DEADLY, **parts)
+    assert crashes(desks) < MAX_CRASHES
+    assert status == 503
