--- a/src/heathershunt/crashes/judge.py
+++ b/src/heathershunt/crashes/judge.py
@@ -14,6 +14,9 @@
 # Share of the requests that are sent although a part is blocked, where another part
 # explains its crashes: a sound part must not wait long in a large fleet.
 MIN_UNCERTAIN_SHARE = 0.1
+# A single request may come at all VMs at once, and of such a wave one at most should be
+# sent. Parts of prompts come in requests that are sent one after the other.
+REQUEST_TRY_FRACTION = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +81,8 @@
         share = 1 / max(1, vm_count)
         if self.is_explained:
             return max(share, MIN_UNCERTAIN_SHARE)
+        if is_request_key(self.part):
+            share *= REQUEST_TRY_FRACTION
         return share if self.is_simultaneous or now >= self.until else 0.0
 
 
