Let operators list and lift the blocks of a daemon

An operator saw a block in the timeline and could end it only by waiting, also after a new version of the service had mended the cause. The operators' listener lists the blocks with the rest of their time, and lifts those of a part or key: it then counts as sound, as after a run that wrote on it, and takes three crashes in sequence to be blocked again. The command line has no command for it yet, and the gateway, which has no operators' listener, only shows blocks in its log and its gauge.

--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -93,6 +93,29 @@
         """
         return max(MIN_RETRY_AFTER_MS, block.until - self._clock.now())
 
+    # Operators
+
+    def blocks(self) -> list[dict[str, str | int]]:
+        """Return the blocks for operators, as JSON values."""
+        now, found = self._clock.now(), []
+        for key in sorted(self._blocked, key=lambda key: (key.part, key.account)):
+            block = self._judge.block(key.account, (key.part,), now)
+            if block is not None:
+                row = {"part": key.part, "account": key.account}
+                found.append(row | {"left_ms": max(0, block.until - now)})
+        return found
+
+    def lift(self, part: str) -> bool:
+        """End the blocks of a part or key for all accounts; return whether it had any.
+
+        It counts as sound from now on, as after a run that wrote on it: it is blocked
+        again after three crashes that follow each other.
+        """
+        was_blocked = self.is_blocked(part)
+        if was_blocked:
+            self.record_writing((part,))
+        return was_blocked
+
     # Runs
 
     def record_writing(self, parts: Sequence[str]) -> None:
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -61,6 +61,8 @@
             roll=lambda data: roll_file(data, daemon.keeper, daemon.store),
             drain=lambda name: self._set_leaving(name, True),
             admit=lambda name: self._set_leaving(name, False),
+            blocks=lambda: daemon.guard.blocks(),
+            lift=lambda part: daemon.guard.lift(part),
         )
         access = OperatorAccess(daemon.settings.operators.key_sha256)
         routes = OperatorRoutes(access, hooks)
--- a/src/heathershunt/operators/routes.py
+++ b/src/heathershunt/operators/routes.py
@@ -46,6 +46,8 @@
     :param roll: checks a bundle file and writes it to the store.
     :param drain: marks the named VM as leaving.
     :param admit: marks the named VM, if it is leaving, as live again.
+    :param blocks: returns the requests that are refused as they crash their targets.
+    :param lift: ends the blocks of a part or key; returns whether it had any.
 
     .. versionadded:: 0.1
     """
@@ -56,6 +58,8 @@
     roll: Callable[[bytes], Awaitable[Result[SignedRoot, Refusal]]]
     drain: Callable[[str], Awaitable[Result[None, Refusal]]]
     admit: Callable[[str], Awaitable[Result[None, Refusal]]]
+    blocks: Callable[[], list[dict[str, str | int]]]
+    lift: Callable[[str], bool]
 
 
 @dataclass(frozen=True)
@@ -65,6 +69,13 @@
     vm: str
 
 
+@dataclass(frozen=True)
+class PartBody:
+    """Body of a request to lift the blocks of a part or key."""
+
+    part: str
+
+
 class OperatorRoutes:
     """Checks the operator key of requests and routes them to their handlers.
 
@@ -88,6 +99,8 @@
             ("POST", "/v1/operator/bundles"): self._roll,
             ("POST", "/v1/operator/drain"): self._drain,
             ("POST", "/v1/operator/admit"): self._admit,
+            ("GET", "/v1/operator/blocks"): self._blocks,
+            ("POST", "/v1/operator/blocks/lift"): self._lift,
         }
         handler = handlers.get((request.method, request.path))
         if handler is None:
@@ -143,18 +156,27 @@
     async def _admit(self, request: Request) -> Response:
         return await self._change_vm(request, self._hooks.admit, "live")
 
+    async def _blocks(self, request: Request) -> Response:
+        return _large_json_response({"blocks": self._hooks.blocks()})
+
+    async def _lift(self, request: Request) -> Response:
+        body = _decode(request, PartBody)
+        if isinstance(body, Response):
+            return body
+        if not self._hooks.lift(body.part):
+            return _problem(404, f"{body.part!r} is not blocked here")
+        return json_response(200, {"part": body.part, "state": "lifted"})
+
     async def _change_vm(
         self,
         request: Request,
         change: Callable[[str], Awaitable[Result[None, Refusal]]],
         state: str,
     ) -> Response:
-        try:
-            vm = msgspec.json.decode(request.body, type=VmBody).vm
-        except RecursionError:
-            return _problem(400, "the JSON is nested too deeply")
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return _problem(400, str(error))
+        body = _decode(request, VmBody)
+        if isinstance(body, Response):
+            return body
+        vm = body.vm
         outcome = await change(vm)
         if isinstance(outcome, Err):
             return problem_response(outcome.err_value)
@@ -167,6 +189,16 @@
     return Response(200, {"content-type": "application/json"}, body)
 
 
+def _decode(request: Request, body_type: type) -> Any:
+    """Return the body of a request, or the response to one that is malformed."""
+    try:
+        return msgspec.json.decode(request.body, type=body_type)
+    except RecursionError:
+        return _problem(400, "the JSON is nested too deeply")
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return _problem(400, str(error))
+
+
 def _problem(status: int, detail: str) -> Response:
     titles = {400: "Request refused", 404: "Not found"}
     return problem_response(not_run(status, titles[status], detail))
