Report failed tests that garbage collection hid from pytest

A test that failed was missing in the counts, and the run exited with 0: "1 passed" of two (pytest -n 2 tests/gateway/test_crashing_requests.py, with the key of streams without parts taken out). While Python 3.11.6 parses the source of a failed test for the report, garbage is collected; the finalizers of asyncio's StreamWriter run then, and the parser ends with "AST constructor recursion depth mismatch". pytest-xdist prints an INTERNALERROR for the report and goes on.

No garbage is collected while a report is made.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,5 @@
+import gc
+
 import pytest
 from hypothesis import settings
 
@@ -9,6 +11,20 @@
 settings.load_profile("fixed")
 
 
+@pytest.hookimpl(wrapper=True, tryfirst=True)
+def pytest_runtest_makereport(item, call):
+    """Report a test while no garbage is collected.
+
+    Finalizers that run while Python 3.11 parses the source of a failed test break the
+    parser, and pytest-xdist then loses the failure and exits with 0.
+    """
+    gc.disable()
+    try:
+        return (yield)
+    finally:
+        gc.enable()
+
+
 @pytest.fixture
 def clock():
     return ManualClock()
