--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -61,6 +61,8 @@
             roll=lambda data: roll_file(data, daemon.keeper, daemon.store),
             drain=lambda name: self._set_leaving(name, True),
             admit=lambda name: self._set_leaving(name, False),
+            blocks=lambda: daemon.guard.blocks(),
+            lift=lambda part: daemon.guard.lift(part),
         )
         access = OperatorAccess(daemon.settings.operators.key_sha256)
         routes = OperatorRoutes(access, hooks)
@@ -142,7 +144,7 @@
         self.timeline.record(EventKind.FAULT, what="bundle refused", why=str(error))
 
     def on_part(self, event: PartBlocked | PartTrusted) -> None:
-        """Record that drafts with a part of a prompt are refused, or run again."""
+        """Record that requests with a part or key are refused, or sent again."""
         self.timeline.record(
             EventKind.PROMPT, what=event.name, part=event.part, account=event.account
         )
--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -230,6 +230,8 @@
             if self._task.cancelling():
                 raise
             log.exception("handler cancelled: {} {}", request.method, request.path)
+        except AnswerError:
+            raise
         except Exception:
             log.exception("handler failed: {} {}", request.method, request.path)
         return problem_response(FAILED)
--- a/src/heathershunt/http/cuts.py
+++ b/src/heathershunt/http/cuts.py
@@ -31,7 +31,9 @@
 
 
 class AnswerError(Exception):
-    """An answer that cannot be completed.
+    """An answer that cannot be completed, so that its connection closes.
+
+    A handler that raises it gives no answer, as a stand-in of a server that fails.
 
     .. versionadded:: 0.8
     """
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -20,6 +20,7 @@
     Sent,
 )
 from heathershunt.ratelimits import Statement
+from heathershunt.relay.call_crashes import CallWitness
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.handover import hand_over
 from heathershunt.relay.messages import (
@@ -67,6 +68,7 @@
     """One call of a caller, and what was tried for it.
 
     :param deadline: time by which the caller must have the response.
+    :param witness: reports crashes of the call's targets.
     :ivar tried: ids of the targets that the call was sent to.
     :ivar sends: sends that may have reached a target.
     :ivar connect_failures: sends that failed before any byte was sent.
@@ -83,6 +85,7 @@
     service: str
     account: str | None
     deadline: Millis
+    witness: CallWitness
     tried: set[str] = field(default_factory=set)
     sends: int = 0
     connect_failures: int = 0
@@ -127,7 +130,8 @@
         context = self._context
         context.budget.record_request(service)
         context.limits.record_request()
-        call = Call(request, route, service, account, deadline)
+        witness = CallWitness(context, request, account)
+        call = Call(request, route, service, account, deadline, witness)
         outcome = await self._try_targets(call)
         if isinstance(outcome, Refusal):
             response = refuse(context.wire, outcome, request)
@@ -152,6 +156,9 @@
         last: Result[Reply, TransportError] | None = None
         while call.may_be_sent and call.connect_failures < MAX_CONNECT_FAILURES:
             await self._wait_for_limits(call)
+            refused = call.witness.refusal(call.may_have_started)
+            if refused is not None:
+                return refused
             target = self._choose_target(call)
             left_ms = call.deadline - context.clock.now()
             if target is None or left_ms <= 0:
@@ -160,11 +167,13 @@
                 self._record_denial(call)
                 break
             self._record_send(call, target)
+            sent_at = context.clock.now()
             exchange = asyncio.ensure_future(self._send(call, target, left_ms))
             if not await self._is_done_early(call, exchange, left_ms):
-                return await self._hand_over(call, target, exchange)
+                return await self._hand_over(call, target, exchange, sent_at)
             last = await exchange
             self._record_outcome(call.request, target, last)
+            await _report(call.witness, target, sent_at, last)
             if not self._should_retry(call, last):
                 break
         if call.held is not None and _is_server_error(last):
@@ -201,7 +210,7 @@
         return exchange.done()
 
     async def _hand_over(
-        self, call: Call, target: Target, exchange: asyncio.Future
+        self, call: Call, target: Target, exchange: asyncio.Future, sent_at: Millis
     ) -> Reply | Refusal:
         """Wait for a silent target, and try others meanwhile."""
         self._context.suspects.record_timeout(target)
@@ -209,18 +218,19 @@
         call.may_have_started = True
         call.held = exchange
         outcome, _ = await hand_over(
-            self._held_reply(call, target, exchange),
+            self._held_reply(call, target, exchange, sent_at),
             partial(self._try_targets, call),
         )
         return outcome
 
     async def _held_reply(
-        self, call: Call, target: Target, exchange: asyncio.Future
+        self, call: Call, target: Target, exchange: asyncio.Future, sent_at: Millis
     ) -> Reply | None:
         """Return the reply of a silent target; ``None`` if it has no answer."""
         outcome = await exchange
         # Its timeout was counted when the second send was due.
         self._record_outcome(call.request, target, outcome, counts_timeout=False)
+        await _report(call.witness, target, sent_at, outcome)
         if isinstance(outcome, Err) or not _is_answer(outcome.ok_value):
             return None
         return outcome.ok_value
@@ -394,3 +404,22 @@
     if head.is_success:
         return head.has_signature and not head.is_not_run
     return head.may_be_passed_on and not head.is_not_run
+
+
+async def _report(
+    witness: CallWitness,
+    target: Target,
+    sent_at: Millis,
+    outcome: Result[Reply, TransportError],
+) -> None:
+    """Report what the outcome of a send shows about the call."""
+    if isinstance(outcome, Ok):
+        if not outcome.ok_value.head.is_not_run:
+            witness.on_answered()
+    elif _is_broken_off(outcome.err_value):
+        await witness.on_broken_off(target, sent_at)
+
+
+def _is_broken_off(error: TransportError) -> bool:
+    """Return whether a target received a call and closed its connection too early."""
+    return error.progress is Progress.SENT and error.detail != TIMEOUT_DETAIL
--- a/src/heathershunt/services/dispatch.py
+++ b/src/heathershunt/services/dispatch.py
@@ -11,6 +11,7 @@
 
 from heathershunt.bundle import Service
 from heathershunt.clock import Clock, Millis
+from heathershunt.crashes import PartGuard
 from heathershunt.http import Address, ClientResponse, HttpClient, Response
 from heathershunt.ratelimits import (
     RATE_LIMIT_HEADER,
@@ -30,6 +31,7 @@
     problem_outcome,
     response_headers,
 )
+from heathershunt.services.crashes import AddressEnds, CallCrashes
 from heathershunt.verdict import Progress
 
 MAX_TRIES = 3
@@ -45,6 +47,18 @@
     progress: Progress
     detail: str
     is_too_large: bool = False
+    is_broken_off: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Try:
+    """One send of a call.
+
+    :param sent_at: time when it began.
+    """
+
+    address: Address
+    sent_at: Millis
 
 
 class Dispatcher:
@@ -52,6 +66,7 @@
 
     :param addresses: gives the addresses of a service that are not leaving.
     :param limits: keeps to the limits that addresses name.
+    :param guard: refuses calls that crash their targets.
 
     .. versionadded:: 0.1
     """
@@ -62,12 +77,15 @@
         clock: Clock,
         addresses: Callable[[str], Sequence[Address]],
         limits: LimitGuard,
+        guard: PartGuard,
         source: random.Random | None = None,
     ) -> None:
         self._http = http
         self._clock = clock
         self._addresses = addresses
         self._limits = limits
+        self._guard = guard
+        self._ends = AddressEnds(clock)
         self._random = source or random.Random()
         self._chooser = AddressChooser(self._random)
         self._budget = CallRetryBudget()
@@ -83,23 +101,33 @@
         """
         idempotent = service.is_idempotent(call.method, call.path)
         self._budget.record_call()
+        crashes = CallCrashes(
+            call, self._guard, self._ends, self._http, self._addresses
+        )
         tried: list[Address] = []
-        running: set[asyncio.Task] = set()
+        running: dict[asyncio.Task, _Try] = {}
         outcome: CallOutcome | None = None
         sent = False
         try:
             while True:
-                address = await self._next_address(call.service, tried, deadline)
+                refused = crashes.refusal(sent or bool(running))
+                if refused is not None and not running:
+                    return refused
+                address = None
+                if refused is None:
+                    address = await self._next_address(call.service, tried, deadline)
                 if address is not None:
                     tried.append(address)
-                    running.add(self._start_try(call, address, deadline))
+                    task = self._start_try(call, address, deadline)
+                    running[task] = _Try(address, self._clock.now())
                 elif not running:
                     return outcome or self._unsent_outcome(call.service)
                 patience_ms = None
                 if idempotent and address is not None:
                     patience_ms = self._patience_ms(len(tried), deadline)
                 results = await self._wait(running, patience_ms)
-                for result in results:
+                for try_, result in results:
+                    await _report(crashes, try_, result)
                     outcome, sent = self._outcome(result, sent, deadline)
                     if _is_final(result, idempotent, sent):
                         return outcome
@@ -124,8 +152,8 @@
         return max(1, left // (MAX_TRIES + 1 - attempt))
 
     async def _wait(
-        self, running: set[asyncio.Task], patience_ms: int | None
-    ) -> list[Result[Response, _Failure]]:
+        self, running: dict[asyncio.Task, _Try], patience_ms: int | None
+    ) -> list[tuple[_Try, Result[Response, _Failure]]]:
         """Wait for results, and remove their tries from ``running``.
 
         :param patience_ms: longest wait; the result is empty after it.
@@ -134,8 +162,7 @@
         done, _ = await asyncio.wait(
             running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
         )
-        running -= done
-        return [task.result() for task in done]
+        return [(running.pop(task), task.result()) for task in done]
 
     def _outcome(
         self, result: Result[Response, _Failure], sent: bool, deadline: Millis
@@ -230,7 +257,10 @@
         )
         if isinstance(outcome, Err):
             error = outcome.err_value
-            return Err(_Failure(error.progress, error.detail))
+            is_broken_off = error.progress is Progress.SENT and self._clock.now() < end
+            return Err(
+                _Failure(error.progress, error.detail, is_broken_off=is_broken_off)
+            )
         response = outcome.ok_value
         per_s = decode_limit(response.headers, RATE_LIMIT_HEADER)
         self._limits.record(process, Statement(per_s, sent_at))
@@ -240,12 +270,24 @@
         except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
             response.close()
             reason = str(error) or type(error).__name__
-            return Err(_Failure(Progress.SENT, f"{address}: answer lost: {reason}"))
+            detail = f"{address}: answer lost: {reason}"
+            is_broken_off = not isinstance(error, TimeoutError)
+            return Err(_Failure(Progress.SENT, detail, is_broken_off=is_broken_off))
         except BaseException:
             response.close()
             raise
 
 
+async def _report(
+    crashes: CallCrashes, try_: _Try, result: Result[Response, _Failure]
+) -> None:
+    """Report what the outcome of a try shows about the call."""
+    if isinstance(result, Ok):
+        crashes.on_answered()
+    elif result.err_value.is_broken_off:
+        await crashes.on_broken_off(try_.address, try_.sent_at)
+
+
 def _is_final(result: Result[Response, _Failure], idempotent: bool, sent: bool) -> bool:
     """Return whether no other try may follow, or none is needed."""
     if isinstance(result, Ok) and result.ok_value.status not in UNAVAILABLE_STATUSES:
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -57,3 +57,23 @@
     status, headers, _ = await send(site, SHARED, DEADLY)
     assert status == 503
     assert float(headers["retry-after"]) > 0
+
+
+# Guards against streams that name no part of their prompt, of which nothing is known.
+async def test_stream_without_parts_stops_reaching_runners(site):
+    await add_first_runners(site)
+    for target in site.targets.values():
+        target.deadly_body = b"prompt"
+    outcomes = [await send_without_parts(site) for _ in range(6)]
+    assert crashes(site) <= MAX_CRASHES
+    assert outcomes[-1] == 503
+
+
+async def send_without_parts(site):
+    """Send one stream whose caller names no parts; return its status."""
+    response = await site.open_stream(events=5)
+    try:
+        await response.read()
+    except OSError:
+        return 0
+    return response.status
