Claim the leader's key if its value is no claim

The key of the placement is free when the lease of its leader has ended. A value that another writer left there has no such lease, so no VM ever planned for the runners again.

Before: the 6 new cases with such values failed. Now they pass, and a claim of another VM is left alone.

--- a/src/heathershunt/coordination/leader.py
+++ b/src/heathershunt/coordination/leader.py
@@ -16,7 +16,7 @@
     Store,
     StoreFailure,
 )
-from heathershunt.logs import Event
+from heathershunt.logs import Event, RepeatLimiter
 from heathershunt.logs.events import LeadershipLost, LeadershipTaken
 
 log = logbook.Logger("heathershunt.coordination")
@@ -38,6 +38,17 @@
     jitter_ms: int = 300
 
 
+def _is_claim(held: tuple[bytes, int] | None) -> bool:
+    """Return whether a key holds a value that some process may have claimed it with.
+
+    A value of another writer has no lease that ends: it would stay for ever.
+    """
+    if held is None:
+        return False
+    vm, _, lease = held[0].rpartition(b"/")
+    return bool(vm) and lease.isdigit()
+
+
 class Leadership:
     """Claims a key under the lease of this process whenever the key is free.
 
@@ -69,6 +80,7 @@
         self._holder = holder
         self._emit = emit
         self._was_leader = False
+        self._lines = RepeatLimiter(clock)
         self._claimed_lease: int | None = None
         self.fencing_token = 0
 
@@ -87,10 +99,10 @@
             if held is not None and not self.is_leader:
                 self._adopt(*held)
             self._emit_change()
-            if held is not None or not self._keeper.is_valid or self._is_paused:
+            if _is_claim(held) or not self._keeper.is_valid or self._is_paused:
                 continue
             await asyncio.sleep(random.uniform(0, config.jitter_ms) / 1000)
-            if self._holder() is None and not self.is_leader:
+            if not _is_claim(self._holder()) and not self.is_leader:
                 await self._claim()
 
     def pause_claims(self, pause_ms: int) -> None:
@@ -119,8 +131,12 @@
         lease = self._keeper.lease
         if lease is None:
             return
+        held = self._holder()
+        revision = 0 if held is None else held[1]
+        if held is not None and self._lines.take(self._config.key):
+            log.warning("claiming {}: its value is no claim", self._config.key)
         outcome = await self._store.commit(
-            (Expectation(self._config.key, 0),),
+            (Expectation(self._config.key, revision),),
             (LeasedValue(self._config.key, self._value(), lease),),
         )
         if isinstance(outcome, Err):
--- a/tests/coordination/test_leader.py
+++ b/tests/coordination/test_leader.py
@@ -5,6 +5,7 @@
 import pytest
 
 from heathershunt.coordination import Leadership, LeadershipConfig
+from heathershunt.coordination.store import Expectation
 
 PAUSE_MS = 2500
 
@@ -52,3 +53,30 @@
     clock.advance(PAUSE_MS)
     await run_briefly(leadership)
     assert store.claims == 1
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"vm-2", b"/7", b"vm-2/x", b"[" * 999])
+async def test_key_of_another_writer_is_claimed(store, clock, value):
+    # Guards against runners that nobody plans for any longer: a value of another writer
+    # has no lease that ends, so the key was never free again.
+    expected = []
+
+    async def commit(expectations, values):
+        expected.extend(expectations)
+        raise asyncio.CancelledError
+
+    store.commit = commit
+    config = LeadershipConfig("leader", poll_ms=1, jitter_ms=0)
+    leadership = Leadership(
+        store, Keeper(), clock, config, "vm-1", lambda: (value, 5), print
+    )
+    await run_briefly(leadership)
+    assert expected == [Expectation("leader", 5)]
+
+
+async def test_key_of_another_leader_is_left_alone(store, clock):
+    config = LeadershipConfig("leader", poll_ms=1, jitter_ms=0)
+    held = (b"vm-2/7", 5)
+    leadership = Leadership(store, Keeper(), clock, config, "vm-1", lambda: held, print)
+    await run_briefly(leadership)
+    assert store.claims == 0
