--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -49,17 +49,16 @@
     )
     silences = SilencePlan(site, random.Random(f"{seed}-silences"))
     plans = [plan, changes, silences] if site.extent.is_wide else [plan]
-    lag = LagMeter(site.spans)
+    lag = LagMeter(site)
+    measuring = asyncio.create_task(lag.run())
     try:
         failures = await _wait_served(callers, START_SECONDS)
         sending = mixed if site.extent.is_wide else callers
         calling = asyncio.create_task(sending.run())
-        measuring = asyncio.create_task(lag.run())
         await asyncio.gather(*(item.run(seconds) for item in plans))
         sending.is_stopping = True
         await calling
         sending.is_stopping = False
-        measuring.cancel()
         failures += await _wait_served(callers, RECOVERY_SECONDS)
         findings = check(site, mixed.exchanges, mixed.channels)
         failures += findings.violations
@@ -68,7 +67,10 @@
         failures += _crashes(site)
         _print_summary(seed, callers, mixed, plans, failures)
         if mixed.exchanges:
+            names = ["", *site.gateways]
+            waited = {name or "soak": f"{site.waits.total(name):.1f}" for name in names}
             print(f"  largest lag of the soak {lag.largest_ms:.0f} ms", end="")
+            print(f", seconds without a processor: {waited}", end="")
             print(f", without a whole answer: {dict(findings.excuses)}", flush=True)
         if failures:
             log = sorted(line for item in (*plans, lag) for line in item.log)
@@ -76,6 +78,7 @@
             _save_logs(site, seed)
         return failures
     finally:
+        measuring.cancel()
         callers.client.close()
         await site.stop()
 
--- a/soak/channels.py
+++ b/soak/channels.py
@@ -26,6 +26,7 @@
     :ivar end: how: ``answer``, ``closed``, ``reset``, ``given up`` or ``malformed``.
     :ivar is_after_close: whether an answer before it on its connection said ``close``.
     :ivar previous: the request before it on its connection.
+    :ivar opened_at: time at which its connection was opened.
     """
 
     id: str
@@ -41,6 +42,7 @@
     is_abandoned: bool = False
     is_after_close: bool = False
     previous: "Exchange | None" = None
+    opened_at: float = 0.0
     whole_at: float | None = None
     due_from: float = 0.0
     status: int | None = None
@@ -89,6 +91,7 @@
         self._waiting: list[tuple[Exchange, h11.Connection, asyncio.Event]] = []
         self._said_close = False
         self._last_end = 0.0
+        self._opened_at = 0.0
         self._reading: asyncio.Task | None = None
 
     async def open(self, port: int) -> bool:
@@ -101,6 +104,7 @@
         except (OSError, TimeoutError):
             return False
         self.is_open = True
+        self._opened_at = asyncio.get_running_loop().time()
         self._reading = asyncio.create_task(self._read())
         return True
 
@@ -111,6 +115,7 @@
         connection = h11.Connection(h11.CLIENT)
         ended = asyncio.Event()
         exchange.gateway = self.gateway
+        exchange.opened_at = self._opened_at
         exchange.is_after_close = self._said_close
         exchange.previous, self._last = self._last, exchange
         self._waiting.append((exchange, connection, ended))
--- a/soak/site.py
+++ b/soak/site.py
@@ -12,6 +12,7 @@
 from heathershunt.http import Address
 from soak.configurations import SiteConfiguration
 from soak.plain_targets import PlainTarget
+from soak.processor import ProcessorWaits
 from soak.seeds import FIRST_SEED_WITH_CHANGES, MANY_GATEWAYS_EVERY
 from soak.spans import SpanLog
 from standins.layer_runner import TargetStandIn
@@ -133,6 +134,11 @@
         self.is_paused = False
         self._process.send_signal(signal.SIGCONT)
 
+    @property
+    def pid(self) -> int | None:
+        """Return the id of the process; ``None`` before its first start."""
+        return None if self._process is None else self._process.pid
+
     def hang_up(self) -> None:
         """Send SIGHUP to the process; before it serves, that would end it."""
         has_started = self.log_text().count(STARTED) == self._starts
@@ -171,6 +177,7 @@
     """The store, targets, proxies and gateways of one soak run.
 
     :ivar spans: times at which faults acted.
+    :ivar waits: how long the gateways waited for a processor.
     :ivar settings: the configuration and all versions of it.
     """
 
@@ -184,6 +191,7 @@
         self.gateways: dict[str, GatewayProcess] = {}
         self.keys = ["key-1", "key-2"]
         self.spans = SpanLog()
+        self.waits = ProcessorWaits()
         self.settings = SiteConfiguration(self.extent.is_wide)
         self._folder = tempfile.TemporaryDirectory()
 
