Keep the run of a silent stage while no other chain can take over

Callers saw: an answer whose runners gave no sign for 0.8 s went on only by a new epoch at the same runners, with a gap of up to a second more, as the one that was opened first met the same silence.

Cause: a stage without an answer to a probe failed the epoch, and its run was dropped, before it was asked whether another chain exists. A probe did not tell silence from a stage that has lost the run.

Now silence makes a runner suspect for new epochs, and ends a run only if a chain without the silent runners exists, or 5 s after the last token. A stage that answers that it does not have the run, or refuses the connection, fails the epoch at once, as before. Where suspects have to be used, those of the last epoch come last. Layers run once in an epoch as before, as no second one begins.

--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from functools import lru_cache
 from typing import Any
 from urllib.parse import quote
@@ -70,6 +71,19 @@
     deadline_ms: int
 
 
+class ProbeFailure(Enum):
+    """Why a probe of a stage gave no position.
+
+    ``SILENT``: no answer came in time, as from a process that stands still for a while.
+    ``NO_RUN``: the stage does not have the run, or nothing listens at its address.
+
+    .. versionadded:: 0.8
+    """
+
+    SILENT = "silent"
+    NO_RUN = "no run"
+
+
 class _StatusReply(msgspec.Struct):
     incarnation: int
 
@@ -225,11 +239,12 @@
         """Close the idle connections to a stage; after a stall they may be dead too."""
         self._http.close_idle(stage.address)
 
-    async def probe(self, stage: Stage, run: str, timeout_ms: int) -> int | None:
+    async def probe(
+        self, stage: Stage, run: str, timeout_ms: int
+    ) -> int | ProbeFailure:
         """Return the position of the last token that a stage has computed.
 
-        The request uses a new connection. ``None`` if the stage gives no valid answer
-        within ``timeout_ms`` or does not have the run.
+        The request uses a new connection.
         """
         outcome = await self._http.request_json(
             _parse_address(stage.address),
@@ -238,12 +253,16 @@
             timeout_ms=timeout_ms,
             fresh=True,
         )
-        if isinstance(outcome, Err) or outcome.ok_value[0] != 200:
-            return None
+        if isinstance(outcome, Err):
+            is_refused = outcome.err_value.is_refused
+            return ProbeFailure.NO_RUN if is_refused else ProbeFailure.SILENT
+        status, reply = outcome.ok_value
+        if status != 200:
+            return ProbeFailure.NO_RUN
         try:
-            return msgspec.convert(outcome.ok_value[1], _ProbeReply).position
+            return msgspec.convert(reply, _ProbeReply).position
         except msgspec.ValidationError:
-            return None
+            return ProbeFailure.NO_RUN
 
     async def has_ended(self, stage: Stage, incarnation: int | None) -> bool:
         """Return whether a runner's process is known to have ended.
--- a/src/heathershunt/drafts/epoch.py
+++ b/src/heathershunt/drafts/epoch.py
@@ -16,6 +16,7 @@
 from heathershunt.drafts.draft import Draft
 from heathershunt.drafts.engine import (
     EngineClient,
+    ProbeFailure,
     RunSpec,
     StageLine,
     StageStream,
@@ -36,6 +37,9 @@
 # Limit for the first token of every epoch but the first, in progress deadlines; it is
 # at most ``FIRST_TOKEN_LIMIT_MS``, the limit of the first epoch.
 RECOVERY_DEADLINE_FACTOR = 2
+# A chain that cannot be replaced is waited for while stages of it are silent, for up to
+# this long after its last token.
+SILENCE_LIMIT_MS = 5000
 
 
 @dataclass(frozen=True)
@@ -60,6 +64,8 @@
     :param estimator: estimate of the gap between tokens, shared by the drafts of a
         model.
     :param on_first_token: called once, when this epoch's first token is accepted.
+    :param on_silence: called with runners that answer no probe; returns whether a chain
+        without them can take over.
 
     .. versionadded:: 0.1
     """
@@ -73,6 +79,7 @@
         estimator: GapEstimator,
         clock: Clock,
         on_first_token: Callable[[], None] = lambda: None,
+        on_silence: Callable[[frozenset[str]], bool] = lambda runners: True,
     ) -> None:
         self._draft = draft
         self._spec = spec
@@ -81,6 +88,8 @@
         self._estimator = estimator
         self._clock = clock
         self._on_first_token = on_first_token
+        self._on_silence = on_silence
+        self._progress_at = clock.now()
         self._streams: list[StageStream] = []
         self._tasks: list[asyncio.Task] = []
         self._outcome: asyncio.Future = asyncio.get_running_loop().create_future()
@@ -223,7 +232,7 @@
         now = self._clock.now()
         if self._last_token_at is not None:
             self._estimator.observe(now - self._last_token_at)
-        self._last_token_at = now
+        self._last_token_at = self._progress_at = now
         self._probe_rounds = 0
         self._stalled_positions = []
         self._watch.deadline = now + self._estimator.stall_timeout_ms()
@@ -254,10 +263,11 @@
     async def _probe_stages(self) -> None:
         """Probe all stages over new connections after a stall, before one is suspected.
 
-        The epoch fails if a stage does not answer, if the last stage has computed
-        tokens that its stream did not deliver, if no stage has moved since the last
-        round of probes, or after ``MAX_PROBE_ROUNDS`` rounds without a token. Otherwise
-        the deadline is extended.
+        The epoch fails if a stage does not have the run, if one does not answer and
+        another chain can take over, if the last stage has computed tokens that its
+        stream did not deliver, if no stage has moved since the last round of probes, or
+        after ``MAX_PROBE_ROUNDS`` rounds without a token. Otherwise the deadline is
+        extended.
         """
         stages = self._spec.chain.stages
         self._probe_rounds += 1
@@ -267,9 +277,13 @@
         positions = await self._probe_positions()
         if len(self._draft.tokens) != token_count or self._outcome.done():
             return
-        silent = {s.runner for s, p in zip(stages, positions, strict=True) if p is None}
-        if silent:
-            self._fail(silent, f"no answer to a probe from {', '.join(silent)}")
+        failures_by_runner = {
+            stage.runner: position
+            for stage, position in zip(stages, positions, strict=True)
+            if isinstance(position, ProbeFailure)
+        }
+        if failures_by_runner:
+            self._handle_failed_probes(failures_by_runner)
         elif positions[-1] >= token_count:
             self._fail(set(), "the stream went silent while the stage goes on")
         elif (
@@ -285,8 +299,23 @@
             wait_ms = self._estimator.stall_timeout_ms() * 2 ** (self._probe_rounds - 1)
             self._watch.deadline = self._clock.now() + wait_ms
 
-    async def _probe_positions(self) -> list[int | None]:
-        """Return the position of each stage, ``None`` for one that does not answer.
+    def _handle_failed_probes(
+        self, failures_by_runner: dict[str, ProbeFailure]
+    ) -> None:
+        """Fail the epoch, or wait for stages that are silent and cannot be replaced."""
+        runners = frozenset(failures_by_runner)
+        now = self._clock.now()
+        is_silent = ProbeFailure.NO_RUN not in failures_by_runner.values()
+        may_wait = is_silent and now - self._progress_at < SILENCE_LIMIT_MS
+        if self._on_silence(runners) or not may_wait:
+            self._fail(runners, f"no answer to a probe from {', '.join(runners)}")
+            return
+        # A round without an answer says nothing about the progress of the stages.
+        self._probe_rounds -= 1
+        self._watch.deadline = now + self._estimator.stall_timeout_ms()
+
+    async def _probe_positions(self) -> list[int | ProbeFailure]:
+        """Return the position of each stage, or why its probe gave none.
 
         The probes end after a quarter of the progress deadline if one stage has
         answered by then, because the network and this process then work. If none has,
@@ -304,7 +333,8 @@
             done, _ = await asyncio.wait(probes, timeout=short_s)
             if not done:
                 await asyncio.wait(probes, return_when="FIRST_COMPLETED")
-            return [probe.result() if probe.done() else None for probe in probes]
+            silent = ProbeFailure.SILENT
+            return [probe.result() if probe.done() else silent for probe in probes]
         finally:
             for probe in probes:
                 probe.cancel()
--- a/src/heathershunt/drafts/execution.py
+++ b/src/heathershunt/drafts/execution.py
@@ -186,7 +186,8 @@
     ) -> Result[Chain, NoChain]:
         """Choose a chain, if possible without ejected and suspected runners.
 
-        If there is none, ejected runners are allowed, and then suspects as well.
+        If there is none, ejected runners are allowed, then suspects of earlier epochs,
+        and at last those of the last one.
         :param keep: runners of the last epoch that are not suspected.
         :param last_suspects: suspects of this draft's last epoch.
         """
@@ -194,7 +195,12 @@
         suspects = self._suspects(now) | last_suspects
         chosen = None
         # A wrongly suspected runner may be the only one left that holds its layers.
-        for exclude in (suspects | self._ejection.excluded(now), suspects, frozenset()):
+        for exclude in (
+            suspects | self._ejection.excluded(now),
+            suspects,
+            last_suspects,
+            frozenset(),
+        ):
             chosen = self._choose_without(draft, exclude, keep)
             if isinstance(chosen, Ok):
                 self._count_run(chosen.ok_value)
@@ -245,6 +251,11 @@
             crashes.on_first_token()
             self._observer.first_token(draft, self._clock.now())
 
+        def on_silence(silent: frozenset[str]) -> bool:
+            self._suspect(silent)
+            keep = frozenset(chain.runners()) - silent
+            return isinstance(self._choose_without(draft, silent, keep), Ok)
+
         draft.epoch += 1
         request = draft.request
         spec = RunSpec(
@@ -267,6 +278,7 @@
             self._estimators_by_model[request.model],
             self._clock,
             on_first_token,
+            on_silence,
         )
         runners = chain.runners()
         now = self._clock.now()
@@ -303,11 +315,16 @@
             else:
                 self._ejection.abandoned(runner)
 
-    def _record_failure(self, draft: Draft, failure: EpochFailure) -> None:
+    def _suspect(self, runners: frozenset[str]) -> None:
+        """Avoid runners for new epochs for a while, as long as there are others."""
         until = Millis(self._clock.now() + SUSPICION_MS)
-        for runner in failure.suspects if failure.is_confirmed else ():
+        for runner in runners:
             suspicion = _Suspicion(until, self._incarnation(runner))
             self._suspicions_by_runner[runner] = suspicion
+
+    def _record_failure(self, draft: Draft, failure: EpochFailure) -> None:
+        if failure.is_confirmed:
+            self._suspect(failure.suspects)
         self._observer.epoch_failed(draft, failure, self._clock.now())
         log.warn(
             "draft {} epoch {} failed at position {}: {}",
--- a/tests/drafts/test_epoch.py
+++ b/tests/drafts/test_epoch.py
@@ -6,7 +6,7 @@
 
 from heathershunt.clock import GapEstimator, Millis, SystemClock
 from heathershunt.drafts.draft import Draft, DraftRequest
-from heathershunt.drafts.engine import RunSpec, StageLine
+from heathershunt.drafts.engine import ProbeFailure, RunSpec, StageLine
 from heathershunt.drafts.epoch import Epoch
 from heathershunt.drafts.progress import ProgressMonitor
 from heathershunt.routing import Chain, Stage
@@ -157,7 +157,7 @@
         return self._position
 
 
-async def run_paced(engine, floor_ms):
+async def run_paced(engine, floor_ms, on_silence=lambda runners: True):
     chain = Chain(1, "m", "v1", None, STAGES)
     spec = RunSpec("run", 1, chain, "prompt", (), 0, 2, 0, 1, 0)
     draft = Draft("vm1.1.1", REQUEST, Millis(0))
@@ -165,7 +165,7 @@
     monitor = ProgressMonitor(clock)
     monitoring = asyncio.create_task(monitor.run())
     estimator = GapEstimator(floor_ms, 34)
-    epoch = Epoch(draft, spec, engine, monitor, estimator, clock)
+    epoch = Epoch(draft, spec, engine, monitor, estimator, clock, on_silence=on_silence)
     try:
         async with asyncio.timeout(10):
             return draft, await epoch.run()
@@ -217,3 +217,37 @@
     assert not draft.is_complete
     assert not outcome.err_value.suspects
     assert not outcome.err_value.is_confirmed
+
+
+# Guards against runs that are dropped because a sound stage gave no sign for a second,
+# where no other chain can take over; a stage that has lost the run is not waited for.
+@pytest.mark.parametrize(
+    ("failure", "has_other_chain", "goes_on"),
+    [
+        (ProbeFailure.SILENT, False, True),
+        (ProbeFailure.SILENT, True, False),
+        (ProbeFailure.NO_RUN, False, False),
+    ],
+)
+async def test_run_of_a_silent_stage_is_kept_without_another_chain(
+    failure, has_other_chain, goes_on
+):
+    engine = PacedEngine([token(0), token(1, last=True)], 1.2, position=failure)
+    asked = []
+
+    def on_silence(runners):
+        asked.append(runners)
+        return has_other_chain
+
+    draft, outcome = await run_paced(engine, 100, on_silence)
+    assert draft.is_complete is goes_on
+    assert outcome.is_ok() is goes_on
+    assert asked[0] == {"r0", "r1"}
+
+
+# Guards against drafts that wait for ever for a stage that stays silent.
+async def test_stage_that_stays_silent_fails_the_epoch(monkeypatch):
+    monkeypatch.setattr("heathershunt.drafts.epoch.SILENCE_LIMIT_MS", 500)
+    engine = PacedEngine([token(0), token(0)], 0.01, position=ProbeFailure.SILENT)
+    _, outcome = await run_paced(engine, 100, lambda runners: False)
+    assert outcome.err_value.suspects == {"r0", "r1"}
--- a/tests/integration/test_silent_runners.py
+++ b/tests/integration/test_silent_runners.py
@@ -72,7 +72,8 @@
         fall_silent(lone_fleet, stages, silence_ms), lone_fleet.roll(changed_bundle())
     )
     assert_complete(await task, PROMPT, COUNT)
-    await assert_layers_once(lone_fleet, seen.request_id, COUNT)
+    passes = await assert_layers_once(lone_fleet, seen.request_id, COUNT)
+    assert {epoch for _, epoch in passes} == {1}
     assert await answers_cut(lone_fleet) == {}
 
 
