--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -9,6 +9,7 @@
 from heathershunt.drafts.engine import (
     MAX_LINE_BYTES,
     EngineClient,
+    ProbeFailure,
     RunSpec,
     decode_trace,
 )
@@ -266,7 +267,7 @@
     stage = Stage("runner-1", str(await target.start()), "", 0, 80)
     engine = EngineClient(client, SystemClock())
     while bodies:
-        assert await engine.probe(stage, "run", 500) is None
+        assert isinstance(await engine.probe(stage, "run", 500), ProbeFailure)
         assert not await engine.has_ended(stage, 7)
     client.close()
     target.stop()
