--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -4,8 +4,6 @@
 import random
 from collections.abc import Callable, Sequence
 
-import logbook
-
 from heathershunt.clock import Clock, Millis
 from heathershunt.crashes.evidence import (
     CrashEvidence,
@@ -14,6 +12,7 @@
     RunnerCrash,
 )
 from heathershunt.crashes.judge import Block, PartJudge
+from heathershunt.crashes.keys import is_request_key
 from heathershunt.crashes.messages import CrashDigest, decode_entry, encode_entry
 from heathershunt.logs import Event
 from heathershunt.logs.events import PartBlocked, PartTrusted
@@ -22,8 +21,6 @@
 MAX_PARTS_OF_PROMPT = 32
 MIN_RETRY_AFTER_MS = 1000
 
-log = logbook.Logger("heathershunt.crashes")
-
 
 class PartGuard:
     """Judges the parts of prompts by what the runs of this and other VMs showed.
@@ -62,6 +59,11 @@
         """Return the number of blocked parts, counted for each account."""
         return len(self._blocked)
 
+    @property
+    def has_evidence(self) -> bool:
+        """Return whether any request or part of a prompt is suspected."""
+        return self._judge.has_evidence
+
     # Requests
 
     def draw(self) -> float:
@@ -87,6 +89,29 @@
         """
         return max(MIN_RETRY_AFTER_MS, block.until - self._clock.now())
 
+    # Operators
+
+    def blocks(self) -> list[dict[str, str | int]]:
+        """Return the blocks for operators, as JSON values."""
+        now, found = self._clock.now(), []
+        for key in sorted(self._blocked, key=lambda key: (key.part, key.account)):
+            block = self._judge.block(key.account, (key.part,), now)
+            if block is not None:
+                row = {"part": key.part, "account": key.account}
+                found.append(row | {"left_ms": max(0, block.until - now)})
+        return found
+
+    def lift(self, part: str) -> bool:
+        """End the blocks of a part or key for all accounts; return whether it had any.
+
+        It counts as sound from now on, as after a run that wrote on it: it is blocked
+        again after three crashes that follow each other.
+        """
+        was_blocked = self.is_blocked(part)
+        if was_blocked:
+            self.record_writing((part,))
+        return was_blocked
+
     # Runs
 
     def record_writing(self, parts: Sequence[str]) -> None:
@@ -100,6 +125,14 @@
         if blocked_before - self._blocked:
             self.on_news()
 
+    def record_answer(self, key: str) -> None:
+        """Record that a request with a key of its own was answered.
+
+        Most requests come once, so only those that are suspected are recorded.
+        """
+        if self._judge.is_suspected(key):
+            self.record_writing((key,))
+
     def record_crash(
         self,
         account: str | None,
@@ -110,11 +143,11 @@
     ) -> None:
         """Record that a runner ended under a run that had sent no event.
 
-        Of a run that was waiting only the parts that others share count: the rest
-        says nothing about other requests.
+        Of a run that was waiting only what comes again counts: the parts that others
+        share, and the request itself if it has no prompt.
         """
         now = self._clock.now()
-        if evidence is Evidence.WAITING:
+        if evidence is Evidence.WAITING and not all(map(is_request_key, parts)):
             parts = parts[:-1]
         for part in parts[:MAX_PARTS_OF_PROMPT]:
             key = PartKey(account or "", part)
@@ -167,12 +200,11 @@
         return len(self._judge.evidence_on(part))
 
     def on_entry(self, value: bytes) -> None:
-        """Add what a value of the store holds; a malformed one is skipped."""
-        try:
-            evidence = decode_entry(value, self._clock)
-        except ValueError as error:
-            log.warning("skipped a malformed entry of crashes: {}", error)
-            return
+        """Add what a value of the store holds.
+
+        :raises ValueError: if the value is malformed.
+        """
+        evidence = decode_entry(value, self._clock)
         now = self._clock.now()
         for item in evidence:
             self._judge.add(item, now)
--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -1,11 +1,12 @@
 """Wiring of the components of one daemon."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 
 import logbook
 
 from heathershunt.admission import ShareConfig, ShareSplitter
+from heathershunt.background import keep_running
 from heathershunt.bundle import Bundle, BundleKeeper
 from heathershunt.clock import Clock, SystemClock
 from heathershunt.crashes import PartGuard
@@ -36,6 +37,8 @@
 
 HOUSEKEEPING_INTERVAL_MS = 1000
 DRAIN_POLL_INTERVAL_MS = 20
+# Time to send the refusals of what a shutdown ends.
+REFUSAL_FLUSH_MS = 500
 
 
 class Daemon:
@@ -115,6 +118,7 @@
             self.clock,
             self.vm_list.service_addresses,
             self.limits,
+            self.guard,
         )
         self.store.on_restored = self.services.on_store_restored
         self.fleet = Fleet(self)
@@ -136,7 +140,9 @@
             self.vm_list.entry_vms,
         )
         self.operations.leases = self.placement.leases
-        self.callers = HttpServer(CallerRoutes(self).handle)
+        self.callers = HttpServer(
+            CallerRoutes(self).handle, on_cut=self.operations.on_cut
+        )
         self.is_shutting_down = False
         self._tasks: list[asyncio.Task] = []
 
@@ -155,18 +161,18 @@
         await self.operations.start()
         await self.fleet.start()
         await self.vm_list.poll()
-        for coroutine in (
-            self.bundle_watch.run(),
-            self.vm_list.run(),
-            self.poller.run(),
-            self.monitor.run(),
-            self.gate.run(),
-            self.operations.loop_lag.run(),
-            self._run_housekeeping(),
+        for run in (
+            self.bundle_watch.run,
+            self.vm_list.run,
+            self.poller.run,
+            self.monitor.run,
+            self.gate.run,
+            self.operations.loop_lag.run,
+            self._run_housekeeping,
         ):
-            self._spawn(coroutine)
+            self._spawn(run)
         if self.settings.placement.enabled:
-            self._spawn(self.placement.run())
+            self._spawn(self.placement.run)
         log.info("{} listens for callers on {}", self.settings.vm.name, address)
 
     def _on_bundle(self, bundle: Bundle) -> None:
@@ -189,8 +195,8 @@
     def _live_vms(self) -> frozenset[str]:
         return self.fleet.live_vms()
 
-    def _spawn(self, coroutine: Coroutine) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+    def _spawn(self, run: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(keep_running(run)))
 
     async def _run_housekeeping(self) -> None:
         while True:
@@ -208,7 +214,10 @@
         return bool(self.draft_table.undelivered(window) or running)
 
     async def shut_down(self) -> None:
-        """Refuse new work, finish running work up to the drain limit, then stop."""
+        """Refuse new work, finish running work up to the drain limit, then stop.
+
+        What still runs at the drain limit is refused.
+        """
         self.is_shutting_down = True
         self.fleet.set_leaving(self.settings.vm.name, True)
         self.operations.on_draining()
@@ -217,9 +226,18 @@
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
         while self._has_unfinished_work() and self.clock.now() < limit:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
+        await self.refuse_unfinished()
         await self.callers.close()
         await self.operations.close()
         await self.fleet.close()
         for task in self._tasks:
             task.cancel()
         self.http.close()
+
+    async def refuse_unfinished(self) -> None:
+        """Refuse the drafts and calls that still run, and send the refusals."""
+        self.draft_table.refuse_running()
+        self.services.stop_waiting()
+        limit = self.clock.now() + REFUSAL_FLUSH_MS
+        while self.callers.active_requests and self.clock.now() < limit:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
--- a/src/heathershunt/daemon/forwarding.py
+++ b/src/heathershunt/daemon/forwarding.py
@@ -5,33 +5,37 @@
 
 import asyncio
 from dataclasses import asdict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import cbor2
 import msgspec
 from result import Err, Ok, Result
 
 from heathershunt.bundle import ClientAccount
+from heathershunt.daemon.relay import RESUME_KIND, DraftRelay
 from heathershunt.http import (
     Response,
-    ResponseStream,
     StreamResponse,
     problem_response,
 )
-from heathershunt.peers import ForwardError, ForwardReply, ForwardRequest, ReplyStream
+from heathershunt.peers import ForwardError, ForwardRequest, ReplyStream
+from heathershunt.schema.cbor import decode_cbor
+from heathershunt.schema.decoding import brief
+from heathershunt.schema.fields import Whole
 from heathershunt.services import Claim, ClaimFailure, ServiceCall
-from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
+from heathershunt.verdict import Progress, Refusal, not_run
 
 if TYPE_CHECKING:
     from heathershunt.daemon.app import Daemon
 
-RESUME_KIND = "draft.resume"
 CALL_KIND = "service.call"
 CLAIM_KIND = "service.claim"
-RESUME_TIMEOUT_MS = 2000
 CLAIMED_STATUS = 200
 CLAIM_FAILED_STATUS = 409
 MAX_REPLY_BACKLOG_BYTES = 262_144
+# Together the time within which a link that broke under a call is to be open again.
+MAX_FORWARDS = 10
+FORWARD_DELAY_MS = 100
 
 
 class _PeerStream:
@@ -87,32 +91,51 @@
         self, request_id: str, after: int, account: ClientAccount
     ) -> Response | StreamResponse:
         """Relay the events of a draft after ``after`` from the VM that owns it."""
-        vm, incarnation, _ = request_id.rsplit(".", 2)
-        outcome = await self._daemon.fleet.forwarder.call(
-            vm,
-            RESUME_KIND,
-            headers={"id": request_id, "after": str(after), "account": account.name},
-            incarnation=int(incarnation),
-            timeout_ms=RESUME_TIMEOUT_MS,
-        )
-        if isinstance(outcome, Err):
-            refusal = outcome.err_value.refusal
-            return problem_response(refusal or _owner_unavailable(vm))
-        reply = outcome.ok_value
-        return StreamResponse(
-            reply.status, reply.headers, lambda stream: _relay(reply, stream)
+        relay = DraftRelay(
+            self._daemon.fleet.forwarder,
+            self._daemon.clock,
+            request_id,
+            after,
+            account.name,
         )
+        return await relay.answer()
 
     async def call(
         self, vm: str, incarnation: int, call: ServiceCall, key: str, timeout_ms: int
     ) -> Result[Response, Progress]:
         """Forward a keyed call to the VM that owns its key.
 
+        If the link breaks under the call, it is forwarded to the same incarnation once
+        more: the owner has the key and starts no second run.
+
         :returns: the response or refusal, or how far the call got if no reply came.
         """
-        body = cbor2.dumps({"call": asdict(call), "key": key, "timeout_ms": timeout_ms})
+        clock = self._daemon.clock
+        end = clock.now() + timeout_ms
+        body = {"call": asdict(call), "key": key}
+        progress = Progress.NOT_SENT
+        for _ in range(MAX_FORWARDS):
+            left = max(1, end - clock.now())
+            outcome = await self._forward_call(vm, incarnation, body, left)
+            if isinstance(outcome, Ok):
+                return outcome
+            if outcome.err_value is Progress.NOT_SENT and progress is not Progress.SENT:
+                return outcome
+            progress = Progress.SENT
+            if clock.now() + FORWARD_DELAY_MS >= end:
+                break
+            await asyncio.sleep(FORWARD_DELAY_MS / 1000)
+        return Err(progress)
+
+    async def _forward_call(
+        self, vm: str, incarnation: int, body: dict[str, Any], timeout_ms: int
+    ) -> Result[Response, Progress]:
         outcome = await self._daemon.fleet.forwarder.call(
-            vm, CALL_KIND, body=body, incarnation=incarnation, timeout_ms=timeout_ms
+            vm,
+            CALL_KIND,
+            body=cbor2.dumps({**body, "timeout_ms": timeout_ms}),
+            incarnation=incarnation,
+            timeout_ms=timeout_ms,
         )
         if isinstance(outcome, Err):
             refusal = outcome.err_value.refusal
@@ -144,7 +167,7 @@
         reply = outcome.ok_value
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                raw = cbor2.loads(await reply.read())
+                raw = decode_cbor(await reply.read())
             if reply.status == CLAIM_FAILED_STATUS:
                 return Err(ClaimFailure(raw))
             return Ok(msgspec.convert(raw, Claim, builtin_types=(bytes,)))
@@ -180,11 +203,12 @@
     ) -> Refusal | None:
         bundle = self._daemon.keeper.bundle
         try:
-            raw = cbor2.loads(request.body)
+            raw = decode_cbor(request.body)
             call = msgspec.convert(raw["call"], ServiceCall, builtin_types=(bytes,))
-            key, timeout_ms = str(raw["key"]), int(raw["timeout_ms"])
+            key = str(raw["key"])
+            timeout_ms = msgspec.convert(raw["timeout_ms"], Whole)
         except (ValueError, KeyError, TypeError, msgspec.ValidationError) as error:
-            return not_run(400, "Malformed request of a peer", str(error))
+            return not_run(400, "Malformed request of a peer", brief(error))
         if bundle is None:
             return not_run(503, "Not ready", "no bundle is in force here yet", 1000)
         services = self._daemon.services
@@ -197,11 +221,11 @@
         self, request: ForwardRequest, reply: ReplyStream
     ) -> Refusal | None:
         try:
-            raw = cbor2.loads(request.body)
+            raw = decode_cbor(request.body)
             claim = msgspec.convert(raw["claim"], Claim, builtin_types=(bytes,))
-            timeout_ms = int(raw["timeout_ms"])
+            timeout_ms = msgspec.convert(raw["timeout_ms"], Whole)
         except (ValueError, KeyError, TypeError, msgspec.ValidationError) as error:
-            return not_run(400, "Malformed request of a peer", str(error))
+            return not_run(400, "Malformed request of a peer", brief(error))
         outcome = await self._daemon.services.claim_for_peer(claim, timeout_ms)
         if isinstance(outcome, Err):
             await reply.start(CLAIM_FAILED_STATUS, {})
@@ -210,23 +234,3 @@
             await reply.start(CLAIMED_STATUS, {})
             await reply.write(cbor2.dumps(list(outcome.ok_value)))
         return None
-
-
-async def _relay(reply: ForwardReply, stream: ResponseStream) -> None:
-    """Copy a reply to the caller; if the reply breaks off, so does the response."""
-    closed = asyncio.create_task(stream.wait_closed())
-    closed.add_done_callback(lambda _: reply.cancel("the caller disconnected"))
-    try:
-        async for data in reply.chunks():
-            stream.write(data)
-            await stream.drain()
-    finally:
-        closed.cancel()
-
-
-def _owner_unavailable(vm: str) -> Refusal:
-    detail = (
-        f"{vm}, which ran this draft, is gone; repeat the request with the text of the "
-        "tokens received in heathershunt.received and the answer goes on after it"
-    )
-    return may_have_run(410, "Owner gone", detail)
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -9,7 +9,7 @@
 
 from heathershunt.bundle import Bundle, BundleError, SignedRoot, encode_file
 from heathershunt.daemon.status import daemon_status
-from heathershunt.http import Address, HttpServer, Response
+from heathershunt.http import Address, AnswerCut, CutCause, HttpServer, Response
 from heathershunt.logs.events import (
     LimitNamed,
     LimitWithdrawn,
@@ -61,6 +61,8 @@
             roll=lambda data: roll_file(data, daemon.keeper, daemon.store),
             drain=lambda name: self._set_leaving(name, True),
             admit=lambda name: self._set_leaving(name, False),
+            blocks=lambda: daemon.guard.blocks(),
+            lift=lambda part: daemon.guard.lift(part),
         )
         access = OperatorAccess(daemon.settings.operators.key_sha256)
         routes = OperatorRoutes(access, hooks)
@@ -142,7 +144,7 @@
         self.timeline.record(EventKind.FAULT, what="bundle refused", why=str(error))
 
     def on_part(self, event: PartBlocked | PartTrusted) -> None:
-        """Record that drafts with a part of a prompt are refused, or run again."""
+        """Record that requests with a part or key are refused, or sent again."""
         self.timeline.record(
             EventKind.PROMPT, what=event.name, part=event.part, account=event.account
         )
@@ -154,6 +156,21 @@
             EventKind.LIMIT, what=event.name, target=event.target, per_s=per_s
         )
 
+    def on_cut(self, cut: AnswerCut) -> None:
+        """Log and count a caller's connection that closed before its answer's end."""
+        by_caller = cut.cause is CutCause.CALLER_CLOSED
+        request = cut.request
+        log.log(
+            logbook.INFO if by_caller else logbook.WARNING,
+            "connection closed before the end of an answer: {} {} cause={} begun={} {}",
+            request.method if request else "",
+            request.path if request else "",
+            cut.cause.value,
+            cut.has_begun,
+            cut.detail,
+        )
+        self.metrics.count_cut(cut.cause.value, cut.has_begun)
+
     def on_draining(self) -> None:
         """Record the start of the graceful shutdown."""
         running = self._daemon.draft_table.running
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from functools import lru_cache
 from typing import Any
 from urllib.parse import quote
@@ -15,12 +16,16 @@
 from heathershunt.http import Address, ClientResponse, HttpClient, TransportError
 from heathershunt.ratelimits import RATE_LIMIT_HEADER, Statement, decode_limit
 from heathershunt.routing import Chain, Stage
+from heathershunt.schema.decoding import decode_untrusted
+from heathershunt.schema.fields import Position, Text, Whole
 from heathershunt.verdict import Progress
 
 OPEN_TIMEOUT_MS = 1000
 START_TIMEOUT_MS = 1000
 CANCEL_TIMEOUT_MS = 1000
 STATUS_TIMEOUT_MS = 300
+# A process that ends may still take a connection, which is then reset.
+STATUS_TRIES = 2
 MAX_LINE_BYTES = 1_048_576
 EMPTY_TRACE = msgspec.Raw(b"[]")
 
@@ -32,18 +37,18 @@
     is not decoded.
     """
 
-    event: str
-    epoch: int = 0
-    position: int = -1
+    event: Text
+    epoch: Position = 0
+    position: Position = -1
     text: str = ""
     trace: msgspec.Raw = EMPTY_TRACE
     last: bool = False
     reason: str = ""
-    runner: str = ""
-    first_layer: int = -1
-    end_layer: int = -1
-    version: str = ""
-    kv_positions: int = 0
+    runner: Text = ""
+    first_layer: Position = -1
+    end_layer: Position = -1
+    version: Text = ""
+    kv_positions: Whole = 0
 
 
 @dataclass(frozen=True)
@@ -68,8 +73,21 @@
     deadline_ms: int
 
 
+class ProbeFailure(Enum):
+    """Why a probe of a stage gave no position.
+
+    ``SILENT``: no answer came in time, as from a process that stands still for a while.
+    ``NO_RUN``: the stage does not have the run, or nothing listens at its address.
+
+    .. versionadded:: 0.8
+    """
+
+    SILENT = "silent"
+    NO_RUN = "no run"
+
+
 class _StatusReply(msgspec.Struct):
-    incarnation: int
+    incarnation: Whole
 
 
 class _ProbeReply(msgspec.Struct):
@@ -78,19 +96,21 @@
     :param position: position of the last token that the stage has computed.
     """
 
-    position: int
+    position: Position
 
 
 _parse_address = lru_cache(maxsize=4096)(Address.from_text)
 _decode_line = msgspec.json.Decoder(StageLine).decode
-decode_trace = msgspec.json.Decoder(list[Any]).decode
+_decode_trace = msgspec.json.Decoder(list[Any]).decode
+
+
+def decode_trace(trace: bytes | msgspec.Raw) -> list[Any]:
+    """Return the parts of a trace; raise ``MalformedError`` if it is malformed."""
+    return decode_untrusted(_decode_trace, trace)
 
 
 def _decode(line: bytes) -> StageLine:
-    try:
-        return _decode_line(line)
-    except RecursionError:
-        raise ValueError("a line of the stage is nested too deeply") from None
+    return decode_untrusted(_decode_line, line)
 
 
 class StageStream:
@@ -115,7 +135,7 @@
             if data is None:
                 return []
             if not self._partial_line and data.find(b"\n") == len(data) - 1:
-                return [_decode_line(data)]
+                return [_decode(data)]
             lines = (self._partial_line + data).split(b"\n")
             self._partial_line = lines.pop()
             if len(self._partial_line) > MAX_LINE_BYTES:
@@ -200,6 +220,9 @@
             f"/v1/runs/{quote(spec.run)}/start",
             {"epoch": spec.epoch, "kv_positions": kv_positions},
             timeout_ms=START_TIMEOUT_MS,
+            # Replies do not name their run: a copy of an earlier refusal would tell
+            # that this run has not started.
+            fresh=True,
         )
         if isinstance(outcome, Err):
             return outcome
@@ -210,13 +233,14 @@
 
     def close_idle_connections(self, stage: Stage) -> None:
         """Close the idle connections to a stage; after a stall they may be dead too."""
-        self._http.close_idle(stage.address)
+        self._http.close_idle(_parse_address(stage.address))
 
-    async def probe(self, stage: Stage, run: str, timeout_ms: int) -> int | None:
+    async def probe(
+        self, stage: Stage, run: str, timeout_ms: int
+    ) -> int | ProbeFailure:
         """Return the position of the last token that a stage has computed.
 
-        The request uses a new connection. ``None`` if the stage gives no valid answer
-        within ``timeout_ms`` or does not have the run.
+        The request uses a new connection.
         """
         outcome = await self._http.request_json(
             _parse_address(stage.address),
@@ -225,31 +249,40 @@
             timeout_ms=timeout_ms,
             fresh=True,
         )
-        if isinstance(outcome, Err) or outcome.ok_value[0] != 200:
-            return None
+        if isinstance(outcome, Err):
+            is_refused = outcome.err_value.is_refused
+            return ProbeFailure.NO_RUN if is_refused else ProbeFailure.SILENT
+        status, reply = outcome.ok_value
+        if status != 200:
+            return ProbeFailure.NO_RUN
         try:
-            return msgspec.convert(outcome.ok_value[1], _ProbeReply).position
+            return msgspec.convert(reply, _ProbeReply).position
         except msgspec.ValidationError:
-            return None
+            return ProbeFailure.NO_RUN
 
-    async def incarnation(self, stage: Stage) -> int | None:
-        """Return the incarnation of a stage's runner; ``None`` if it does not answer.
+    async def has_ended(self, stage: Stage, incarnation: int | None) -> bool:
+        """Return whether a runner's process is known to have ended.
 
-        The request uses a new connection.
+        It has if its address refuses connections, or if a later incarnation answers. A
+        runner that gives no answer may only be silent. The request uses a new
+        connection.
+
+        :param incarnation: incarnation of the process; ``None`` if it is not known.
         """
-        outcome = await self._http.request_json(
-            _parse_address(stage.address),
-            "GET",
-            "/v1/status",
-            timeout_ms=STATUS_TIMEOUT_MS,
-            fresh=True,
-        )
-        if isinstance(outcome, Err) or outcome.ok_value[0] != 200:
-            return None
-        try:
-            return msgspec.convert(outcome.ok_value[1], _StatusReply).incarnation
-        except msgspec.ValidationError:
-            return None
+        for _ in range(STATUS_TRIES):
+            outcome = await self._http.request_json(
+                _parse_address(stage.address),
+                "GET",
+                "/v1/status",
+                timeout_ms=STATUS_TIMEOUT_MS,
+                fresh=True,
+            )
+            if isinstance(outcome, Ok):
+                found = _incarnation(outcome.ok_value[1])
+                return None not in (found, incarnation) and found > incarnation
+            if outcome.err_value.is_refused:
+                return True
+        return False
 
     async def cancel(self, stage: Stage, run: str, epoch: int) -> None:
         """Cancel all epochs of a run up to ``epoch`` at a stage."""
@@ -258,9 +291,18 @@
             "DELETE",
             f"/v1/runs/{quote(run)}?epoch={epoch}",
             timeout_ms=CANCEL_TIMEOUT_MS,
+            fresh=True,
         )
 
 
+def _incarnation(status: Any) -> int | None:
+    """Return the incarnation in a status, or ``None`` if the status is malformed."""
+    try:
+        return msgspec.convert(status, _StatusReply).incarnation
+    except msgspec.ValidationError:
+        return None
+
+
 def _open_body(spec: RunSpec, index: int) -> dict[str, Any]:
     return {
         "run": spec.run,
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -1,10 +1,12 @@
 """Composition of one gateway process."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import logbook
 
+from heathershunt.background import keep_running
 from heathershunt.catalog import Catalog
 from heathershunt.clock import Clock
 from heathershunt.coordination import (
@@ -70,11 +72,13 @@
 from heathershunt.ratelimits.runners import CountedRunners
 from heathershunt.relay import (
     Diagnosis,
+    Endings,
     RelayContext,
     SuspectList,
     WindowBudget,
     WindowBudgetConfig,
 )
+from heathershunt.verdict import may_have_run
 
 log = logbook.Logger("heathershunt.gateway")
 
@@ -88,6 +92,9 @@
 # Part of the grace time that is reserved for closing connections.
 STOP_MARGIN_MS = 500
 DRAIN_POLL_MS = 50
+# Requests that arrive so shortly before the end of the grace time are refused.
+LATE_REQUEST_MS = 500
+STOPPED = may_have_run(502, "VM stopped", "the VM stopped before the answer")
 
 
 class Gateway:
@@ -208,6 +215,7 @@
             diagnosis=Diagnosis(
                 clock, runners, self.suspects, paces, self.limits.may_check
             ),
+            endings=Endings(state.registry, http),
             events=events,
             guard=self.guard,
             limits=self.limits,
@@ -257,19 +265,21 @@
         ):
             await server.start(address.host, address.port)
         await self._metrics.start(listeners.callers.host, self.config.metrics_port)
-        for coroutine in (
-            self.view.run(),
-            self.keeper.run(),
-            self._inquiry.run(),
-            self._configuration_keeper.run(),
-            self.leadership.run(),
-            self.placer.run(),
-            *self._exchanges.tasks(),
-            self._evidence_keeper.run(),
-            self.relay_context.diagnosis.poll_slow_runners(self.state.registry.get),
-            self._tick(),
-        ):
-            self._spawn(coroutine)
+        polls = self.relay_context.diagnosis.poll_slow_runners
+        loops: tuple[Callable[[], Awaitable[None]], ...] = (
+            self.view.run,
+            self.keeper.run,
+            self._inquiry.run,
+            self._configuration_keeper.run,
+            self.leadership.run,
+            self.placer.run,
+            *self._exchanges.loops(),
+            self._evidence_keeper.run,
+            partial(polls, self.state.registry.get),
+            self._tick,
+        )
+        for run in loops:
+            self._tasks.append(asyncio.create_task(keep_running(run)))
         self._events.emit(Started(str(listeners.callers)))
 
     async def shut_down(self) -> None:
@@ -287,6 +297,7 @@
         accepting_until = started + ACCEPT_AFTER_STOP_MS
         is_accepting = True
         while (now := self._clock.now()) < deadline:
+            self.request_handler.is_stopping = now >= deadline - LATE_REQUEST_MS
             if is_accepting and now >= accepting_until:
                 self._callers.stop_accepting()
                 is_accepting = False
@@ -299,8 +310,8 @@
 
     def stop_now(self) -> None:
         """Close all listeners and connections and cancel the background tasks."""
+        self._callers.close_now(STOPPED)
         for server in (
-            self._callers,
             self._readiness,
             self._directory,
             self._peers,
@@ -311,9 +322,6 @@
             task.cancel()
         self._events.close()
 
-    def _spawn(self, coroutine: Coroutine) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
-
     async def _tick(self) -> None:
         """Update the state that depends on time alone, every ``TICK_MS``."""
         while True:
--- a/src/heathershunt/gateway/news.py
+++ b/src/heathershunt/gateway/news.py
@@ -1,6 +1,7 @@
 """Exchange between VMs of what they have seen, as soon as there is something new."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
@@ -8,13 +9,19 @@
 import msgspec
 from result import Err
 
+from heathershunt.clock import SystemClock
 from heathershunt.http import Address, HttpClient, Request, Response
+from heathershunt.logs import RepeatLimiter
+from heathershunt.schema.decoding import MalformedError, decode_untrusted
 
 CRASHES_PATH = "/crashes/"
 LIMITS_PATH = "/limits/"
 EXCHANGE_TIMEOUT_MS = 300
-# Time between two rounds, which bounds the messages while much happens.
+# In each period at most this many rounds are sent, which bounds the messages while much
+# happens. A request crashes a second target right after the first, as it is retried, so
+# the news of both must go out at once.
 ROUND_PERIOD_MS = 250
+ROUNDS_PER_PERIOD = 2
 MAX_REPLY_BYTES = 65_536
 
 log = logbook.Logger("heathershunt.gateway")
@@ -61,18 +68,25 @@
         self._http = http
         self._path = path
         self._source = source
-        self._decoder = msgspec.msgpack.Decoder(digest_type)
+        decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(digest_type)
+        self._decode = decoder.decode
+        self._lines = RepeatLimiter(SystemClock())
         self._recipients = recipients
         self._wake = asyncio.Event()
         source.on_news = self._wake.set
 
     async def run(self) -> None:
         """Send news whenever there are some, until cancelled."""
+        now = asyncio.get_running_loop().time
+        started: deque[float] = deque(maxlen=ROUNDS_PER_PERIOD)
         while True:
             await self._wake.wait()
+            if len(started) == ROUNDS_PER_PERIOD:
+                next_at = started[0] + ROUND_PERIOD_MS / 1000
+                await asyncio.sleep(max(0.0, next_at - now()))
             self._wake.clear()
+            started.append(now())
             await asyncio.gather(*map(self._send_to_first, self._recipients()))
-            await asyncio.sleep(ROUND_PERIOD_MS / 1000)
 
     async def _send_to_first(self, addresses: Sequence[Address]) -> None:
         for address in addresses:
@@ -95,20 +109,25 @@
             return False
         status, raw = outcome.ok_value
         if status != 200:
-            log.warning("news of {} refused by {}: {}", self._path, address, status)
+            self._log(str(address), f"refused with status {status}")
             return False
         try:
-            self._source.merge(self._decoder.decode(raw))
-        except ValueError as error:
-            log.warning("malformed reply on {} from {}: {}", self._path, address, error)
+            self._source.merge(decode_untrusted(self._decode, raw))
+        except MalformedError as error:
+            self._log(str(address), f"malformed reply: {error}")
         return True
 
+    def _log(self, sender: str, detail: str) -> None:
+        """Log a failure of a VM, unless one was logged a short time ago."""
+        if self._lines.take(sender):
+            log.warning("news of {}, {}: {}", self._path, sender, detail)
+
     async def handle(self, request: Request) -> Response:
         """Answer the news of a VM with what this one knows; 400 if malformed."""
         try:
-            digest = self._decoder.decode(request.body)
-        except ValueError as error:
-            log.warning("malformed message on {}: {}", self._path, error)
+            digest = decode_untrusted(self._decode, request.body)
+        except MalformedError as error:
+            self._log("another VM", f"malformed message: {error}")
             return Response(400)
         self._source.merge(digest)
         return Response(200, {}, msgspec.msgpack.encode(self._source.digest()))
--- a/src/heathershunt/http/cuts.py
+++ b/src/heathershunt/http/cuts.py
@@ -31,7 +31,9 @@
 
 
 class AnswerError(Exception):
-    """An answer that cannot be completed.
+    """An answer that cannot be completed, so that its connection closes.
+
+    A handler that raises it gives no answer, as a stand-in of a server that fails.
 
     .. versionadded:: 0.8
     """
@@ -85,6 +87,11 @@
         """Return whether a request has been read whose answer has not ended."""
         return self._request is not None
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the head of the answer was written."""
+        return self._has_begun
+
     def on_request(self, request: Request) -> None:
         """Record that a request was read whole."""
         self._request = request
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -20,9 +20,16 @@
     Sent,
 )
 from heathershunt.ratelimits import Statement
+from heathershunt.relay.call_crashes import CallWitness
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.handover import hand_over
-from heathershunt.relay.messages import CallerRequest, Dispatch, ReplyHead, refuse
+from heathershunt.relay.messages import (
+    NOT_RUN_STATUSES,
+    CallerRequest,
+    Dispatch,
+    ReplyHead,
+    refuse,
+)
 from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
 
 CONNECT_MS = 250
@@ -40,8 +47,6 @@
 REQUEST_TIMEOUT_SLACK_MS = 1000
 RETRY_AFTER_MS = 300
 SERVER_ERROR = 500
-# Statuses that state that the request was not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BODY_ERRORS = (OSError, ValueError, h11.RemoteProtocolError)
 TIMEOUT_DETAIL = "no complete answer in time"
 
@@ -63,11 +68,14 @@
     """One call of a caller, and what was tried for it.
 
     :param deadline: time by which the caller must have the response.
+    :param witness: reports crashes of the call's targets.
     :ivar tried: ids of the targets that the call was sent to.
     :ivar sends: sends that may have reached a target.
     :ivar connect_failures: sends that failed before any byte was sent.
     :ivar may_have_started: whether a target may have run the call.
-    :ivar is_held: whether a silent target is waited for while others are tried.
+    :ivar held: exchange with a silent target that is waited for while others are
+        tried; ``None`` without one.
+    :ivar is_denied: whether a retry was denied and logged.
 
     .. versionadded:: 0.8
     """
@@ -77,11 +85,13 @@
     service: str
     account: str | None
     deadline: Millis
+    witness: CallWitness
     tried: set[str] = field(default_factory=set)
     sends: int = 0
     connect_failures: int = 0
     may_have_started: bool = False
-    is_held: bool = False
+    held: asyncio.Future | None = None
+    is_denied: bool = False
 
     @property
     def may_be_sent(self) -> bool:
@@ -120,7 +130,8 @@
         context = self._context
         context.budget.record_request(service)
         context.limits.record_request()
-        call = Call(request, route, service, account, deadline)
+        witness = CallWitness(context, request, account)
+        call = Call(request, route, service, account, deadline, witness)
         outcome = await self._try_targets(call)
         if isinstance(outcome, Refusal):
             response = refuse(context.wire, outcome, request)
@@ -145,23 +156,38 @@
         last: Result[Reply, TransportError] | None = None
         while call.may_be_sent and call.connect_failures < MAX_CONNECT_FAILURES:
             await self._wait_for_limits(call)
+            refused = call.witness.refusal(call.may_have_started)
+            if refused is not None:
+                return refused
             target = self._choose_target(call)
             left_ms = call.deadline - context.clock.now()
             if target is None or left_ms <= 0:
                 break
             if call.sends and not context.budget.take(call.service, context.vm_count()):
-                context.events.emit(RetryDenied(call.request.id, call.service))
+                self._record_denial(call)
                 break
             self._record_send(call, target)
+            sent_at = context.clock.now()
             exchange = asyncio.ensure_future(self._send(call, target, left_ms))
             if not await self._is_done_early(call, exchange, left_ms):
-                return await self._hand_over(call, target, exchange)
+                return await self._hand_over(call, target, exchange, sent_at)
             last = await exchange
             self._record_outcome(call.request, target, last)
+            await _report(call.witness, target, sent_at, last)
             if not self._should_retry(call, last):
                 break
+        if call.held is not None and _is_server_error(last):
+            # The silent target may still give a better answer.
+            await asyncio.wait({call.held})
         return self._conclude(call, last)
 
+    def _record_denial(self, call: Call) -> None:
+        """Log once that the budget allows no retry; a held call tries again."""
+        if not call.is_denied:
+            call.is_denied = True
+            event = RetryDenied(call.request.id, call.service)
+            self._context.events.emit(event)
+
     def _record_send(self, call: Call, target: Target) -> None:
         context, request = self._context, call.request
         call.tried.add(target.id)
@@ -174,7 +200,7 @@
         self, call: Call, exchange: asyncio.Future, left_ms: int
     ) -> bool:
         """Return whether an exchange ends before another target is to be tried."""
-        if not call.may_be_repeated or call.is_held:
+        if not call.may_be_repeated or call.held is not None:
             return True
         try:
             await asyncio.wait({exchange}, timeout=left_ms * EARLY_TRY_FRACTION / 1000)
@@ -184,26 +210,28 @@
         return exchange.done()
 
     async def _hand_over(
-        self, call: Call, target: Target, exchange: asyncio.Future
+        self, call: Call, target: Target, exchange: asyncio.Future, sent_at: Millis
     ) -> Reply | Refusal:
         """Wait for a silent target, and try others meanwhile."""
         self._context.suspects.record_timeout(target)
         call.sends += 1
         call.may_have_started = True
-        call.is_held = True
+        call.held = exchange
         outcome, _ = await hand_over(
-            self._held_reply(call, target, exchange),
+            self._held_reply(call, target, exchange, sent_at),
             partial(self._try_targets, call),
         )
         return outcome
 
     async def _held_reply(
-        self, call: Call, target: Target, exchange: asyncio.Future
+        self, call: Call, target: Target, exchange: asyncio.Future, sent_at: Millis
     ) -> Reply | None:
         """Return the reply of a silent target; ``None`` if it has no answer."""
         outcome = await exchange
-        self._record_outcome(call.request, target, outcome)
-        if isinstance(outcome, Err) or not _is_answer(outcome.ok_value, call.request):
+        # Its timeout was counted when the second send was due.
+        self._record_outcome(call.request, target, outcome, counts_timeout=False)
+        await _report(call.witness, target, sent_at, outcome)
+        if isinstance(outcome, Err) or not _is_answer(outcome.ok_value):
             return None
         return outcome.ok_value
 
@@ -290,6 +318,9 @@
                     return outcome
                 response = outcome.ok_value
                 head = self._context.wire.reply_head(response)
+                error = head.error_unless_to(request.id)
+                if error is not None:
+                    return Err(error)
                 self._context.limits.record(
                     target, Statement(head.limit_per_s, sent_at)
                 )
@@ -304,12 +335,19 @@
             if response is not None:
                 response.close()
 
-    def _record_outcome(self, request: CallerRequest, target: Target, outcome) -> None:
+    def _record_outcome(
+        self,
+        request: CallerRequest,
+        target: Target,
+        outcome: Result[Reply, TransportError],
+        counts_timeout: bool = True,
+    ) -> None:
         """Log the outcome of a send, and eject or readmit its target."""
         context = self._context
         if isinstance(outcome, Err):
             if outcome.err_value.detail == TIMEOUT_DETAIL:
-                context.suspects.record_timeout(target)
+                if counts_timeout:
+                    context.suspects.record_timeout(target)
             else:
                 context.suspects.eject(target)
             error = outcome.err_value
@@ -329,9 +367,13 @@
     ) -> Reply | Refusal:
         """Return the reply for the caller, or why there is none."""
         if isinstance(last, Ok) and not last.ok_value.head.is_not_run:
-            if _is_answer(last.ok_value, call.request):
+            head = last.ok_value.head
+            if _is_answer(last.ok_value):
                 return last.ok_value
-            return may_have_run(502, "Target failed", "the reply is not for this id")
+            detail = f"it replied {head.status}"
+            if head.is_success:
+                detail = "the reply has no signature"
+            return may_have_run(502, "Target failed", detail)
         limit_wait_ms = self._limits_wait_ms(call) if not call.sends else None
         detail = "no target takes the request"
         if limit_wait_ms:
@@ -348,9 +390,36 @@
         return may_have_run(502, "Target failed", detail)
 
 
-def _is_answer(reply: Reply, request: CallerRequest) -> bool:
-    """Return whether a reply may be passed on as the answer to a request."""
-    head = reply.head
-    if head.is_not_run or head.request_id != request.id:
+def _is_server_error(outcome: Result[Reply, TransportError] | None) -> bool:
+    """Return whether the outcome of a send is a target's answer that it failed."""
+    if not isinstance(outcome, Ok):
         return False
-    return head.has_signature or not head.is_success
+    head = outcome.ok_value.head
+    return not head.is_not_run and head.status >= SERVER_ERROR
+
+
+def _is_answer(reply: Reply) -> bool:
+    """Return whether a reply may be passed on as the answer to its request."""
+    head = reply.head
+    if head.is_success:
+        return head.has_signature and not head.is_not_run
+    return head.may_be_passed_on and not head.is_not_run
+
+
+async def _report(
+    witness: CallWitness,
+    target: Target,
+    sent_at: Millis,
+    outcome: Result[Reply, TransportError],
+) -> None:
+    """Report what the outcome of a send shows about the call."""
+    if isinstance(outcome, Ok):
+        if not outcome.ok_value.head.is_not_run:
+            witness.on_answered()
+    elif _is_broken_off(outcome.err_value):
+        await witness.on_broken_off(target, sent_at)
+
+
+def _is_broken_off(error: TransportError) -> bool:
+    """Return whether a target received a call and closed its connection too early."""
+    return error.progress is Progress.SENT and error.detail != TIMEOUT_DETAIL
--- a/src/heathershunt/relay/pauses.py
+++ b/src/heathershunt/relay/pauses.py
@@ -56,8 +56,12 @@
             detail = self.reroute_reason(run.chain, faulty, paused_ms)
             if detail is not None:
                 raise RunPausedError(detail, faulty)
-        elif faulty is not None and not self._attempts.is_listed(run.chain.head):
-            raise StreamBrokenError(f"runner {run.chain.head.id} has ended")
+            return
+        head = run.chain.head
+        # A runner that drains leaves the list too, and its runs go on.
+        is_head_silent = faulty is not None and faulty.id == head.id
+        if is_head_silent and not self._attempts.is_listed(head):
+            raise StreamBrokenError(f"runner {head.id} has ended")
 
     def reroute_reason(
         self, chain: Chain, faulty: Target | None, paused_ms: float
@@ -65,11 +69,14 @@
         """Return why a chain without events is to be left; ``None`` to keep it.
 
         Another chain has to process all tokens again, so a slow one is left late, and
-        only while another first runner is allowed and a retry is left.
+        only while another first runner is allowed and a retry is left. A stream that
+        may not be sent again is left to a chain that has no fault.
         """
         if faulty is not None:
             return f"runner {faulty.id} does not answer"
         context = self._context
+        if not self._spec.route.is_retryable:
+            return None
         if paused_ms < self._timeouts.reroute_ms or not self._attempts.may_reroute(
             chain.head
         ):
--- a/src/heathershunt/services/handler.py
+++ b/src/heathershunt/services/handler.py
@@ -1,11 +1,13 @@
 """Callers' requests to plain services: ``/v1/services/{service}/{path}``."""
 
+import asyncio
 from collections.abc import Callable, Coroutine, Sequence
 
 from result import Result
 
 from heathershunt.bundle import Bundle, ClientAccount
 from heathershunt.clock import Clock, Millis
+from heathershunt.crashes import PartGuard
 from heathershunt.http import Address, HttpClient, Request, Response
 from heathershunt.ratelimits import LimitGuard
 from heathershunt.services.batches import ClaimBatcher, ClaimFailure, SwapStore
@@ -52,6 +54,7 @@
         self._clock = clock
         self._keyed = KeyedCalls(dispatcher, table, issuer, claims, clock, forwarder)
         self._waiting_callers = 0
+        self._stopped = asyncio.Event()
 
     @classmethod
     def create(
@@ -63,14 +66,16 @@
         clock: Clock,
         addresses: Callable[[str], Sequence[Address]],
         limits: LimitGuard,
+        guard: PartGuard,
     ) -> "ServiceHandler":
         """Return a handler with the default limits.
 
         :param addresses: gives the addresses of a service that are not leaving.
         :param limits: keeps to the limits that addresses name.
+        :param guard: refuses calls that crash their targets.
         """
         return cls(
-            Dispatcher(http, clock, addresses, limits),
+            Dispatcher(http, clock, addresses, limits, guard),
             KeyTable(),
             KeyIssuer(vm, incarnation, clock),
             ClaimRouter(ClaimBatcher(store, clock), clock, vm),
@@ -86,6 +91,10 @@
         """Return the calls that a graceful shutdown waits for."""
         return self._waiting_callers + self._keyed.running
 
+    def stop_waiting(self) -> None:
+        """Refuse the calls that are waited for, because this VM stops."""
+        self._stopped.set()
+
     def set_peers(
         self,
         forwarder: Forwarder,
@@ -127,10 +136,9 @@
         if isinstance(call, CallOutcome):
             return call.response
         service = bundle.services_by_name.get(call.service)
+        key = request.headers.get(KEY_HEADER)
         if service is None:
-            return _refusal_response(
-                404, f"the service {call.service!r} is not in the bundle"
-            )
+            return await self._count(self._answer_unknown(call, key))
         text = request.headers.get(DEADLINE_HEADER, str(service.timeout_ms))
         if not text.isascii() or not text.isdigit() or not 0 < len(text) <= 9:
             return _refusal_response(
@@ -138,7 +146,6 @@
             )
         wait_ms = min(int(text), service.timeout_ms, MAX_CALL_MS)
         deadline = Millis(self._clock.now() + wait_ms)
-        key = request.headers.get(KEY_HEADER)
         if key is None:
             return await self._count(self._dispatcher.run(call, service, deadline))
         if not 0 < len(key) <= MAX_KEY_CHARACTERS:
@@ -157,21 +164,33 @@
         """
         service = bundle.services_by_name.get(call.service)
         if service is None:
-            return _refusal_response(
-                404, f"the service {call.service!r} is not in the bundle"
-            )
+            return await self._count(self._answer_unknown(call, key))
         wait_ms = min(timeout_ms, service.timeout_ms, MAX_CALL_MS)
         deadline = Millis(self._clock.now() + wait_ms)
         return await self._count(
             self._keyed.answer(call, service, key, deadline, forwarded=True)
         )
 
+    async def _answer_unknown(self, call: ServiceCall, key: str | None) -> CallOutcome:
+        """Answer a call of a service that is not in the bundle in force.
+
+        A bundle may have left it out while calls ran: repeats get their outcome.
+        """
+        outcome = None if key is None else await self._keyed.join(call, key)
+        detail = f"the service {call.service!r} is not in the bundle"
+        return outcome or _refuse(404, detail)
+
     async def _count(self, work: Coroutine[None, None, CallOutcome]) -> Response:
         self._waiting_callers += 1
+        running = asyncio.create_task(work)
+        stopped = asyncio.create_task(self._stopped.wait())
         try:
-            return (await work).response
+            await asyncio.wait({running, stopped}, return_when="FIRST_COMPLETED")
+            return (running.result() if running.done() else _stopped()).response
         finally:
             self._waiting_callers -= 1
+            running.cancel()
+            stopped.cancel()
 
 
 def _parse_call(request: Request, account: ClientAccount) -> ServiceCall | CallOutcome:
@@ -196,6 +215,11 @@
     )
 
 
+def _stopped() -> CallOutcome:
+    detail = "this VM stopped before the service answered"
+    return problem_outcome(Progress.SENT, 503, "VM stopped", detail)
+
+
 def _refuse(status: int, detail: str) -> CallOutcome:
     return problem_outcome(Progress.NOT_SENT, status, "Request refused", detail)
 
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -17,6 +17,8 @@
 
 EVENT_MS = 5
 STALL_MS = 1500
+# Time between the report that a target leaves and its end.
+LEAVE_MS = 200
 JSON_TYPE = {"content-type": "application/json"}
 
 
@@ -50,6 +52,9 @@
     :ivar stalls_after: id of the event after which streams send no further one.
     :ivar deadly_part: id of a part of a prompt; the runner crashes when it begins to
         write an answer on it. ``None`` without one.
+    :ivar deadly_body: body of a request; the target crashes when it begins to run one
+        with it. ``None`` without one.
+    :ivar leaves_first: whether the target reports that it leaves before it crashes.
     :ivar limit_per_s: requests a second that the target names in its answers; ``None``
         for no limit.
     :ivar arrivals: times at which requests other than reports and orders arrived, in
@@ -84,6 +89,8 @@
         self.stalls_after: int | None = None
         self.trickle = b""
         self.deadly_part: str | None = None
+        self.deadly_body: bytes | None = None
+        self.leaves_first = False
         self.limit_per_s: float | None = None
         self.silent_until = 0.0
         self.heartbeats = 1
@@ -91,6 +98,7 @@
         self._store = store
         self._targets_by_address = targets_by_address
         self._chain_by_request: dict[str, str] = {}
+        self._stream_epoch = 0
         self._server = HttpServer(self._handle, cancels_handlers=True)
 
     async def start(self) -> None:
@@ -138,12 +146,20 @@
             return None
         return {"from": self.layers[0], "to": self.layers[1], "version": 1}
 
+    def stop_streams(self) -> None:
+        """Break off the streams that run now; the target goes on."""
+        self._stream_epoch += 1
+
     async def _handle(self, request: Request) -> Response | StreamResponse:
         if self.is_unresponsive:
             await asyncio.sleep(3600)
         await self.wait_out_silence()
         response = await self._answer(request)
         await self.wait_out_silence()
+        request_id = request.headers.get("heathershunt-request-id")
+        if request_id is not None and isinstance(response, Response):
+            own = {"heathershunt-request-id": request_id}
+            response = replace(response, headers=own | response.headers)
         if self.limit_per_s is None:
             return response
         headers = {**response.headers, "server-limit": str(self.limit_per_s)}
@@ -159,6 +175,8 @@
             return self._handle_order(msgspec.json.decode(request.body))
         self.arrivals.append(asyncio.get_running_loop().time())
         if self.kind is None:
+            if request.body == self.deadly_body:
+                await self._crash_at_call()
             return self._handle_call(request)
         return await self._stream(request)
 
@@ -234,7 +252,10 @@
         async def write(sink: ResponseStream) -> None:
             if self._is_deadly(request):
                 await self._crash(sink)
+            epoch = self._stream_epoch
             for number in range(first, last + 1):
+                if epoch != self._stream_epoch:
+                    raise ConnectionError("the stream is broken off")
                 await self._wait_for_chain(request_id)
                 await self._wait_out_silence_of_chain(request_id)
                 run.events.append(number)
@@ -253,10 +274,21 @@
         return StreamResponse(200, headers, write)
 
     def _is_deadly(self, request: Request) -> bool:
+        if request.body == self.deadly_body:
+            return True
         parts = request.headers.get("heathershunt-prompt-prefix", "")
         ids = [entry.partition(":")[0] for entry in parts.split(",")]
         return self.deadly_part in ids
 
+    async def _crash_at_call(self) -> None:
+        """End as a process does that dies, without a byte of an answer."""
+        if self.leaves_first:
+            self.is_draining = True
+            self.register()
+            await asyncio.sleep(LEAVE_MS / 1000)
+        await self.stop()
+        await asyncio.sleep(3600)
+
     async def _crash(self, sink: ResponseStream) -> None:
         """Send the head of the reply and end as a process does that dies."""
         sink.write(b"")
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from heathershunt.http import HttpServer, Request, Response
+from heathershunt.http import AnswerError, CutCause, HttpServer, Request, Response
 
 PAGE_ITEMS = 50
 # Leases are large numbers, unlike revisions.
@@ -160,7 +160,9 @@
         response = await calls[name](request, argument)
         if self.lost_replies and name == "kv-txn":
             self.lost_replies -= 1
-            raise ConnectionError("injected fault: the reply is lost")
+            raise AnswerError(
+                CutCause.STREAM_FAILED, "injected fault: the reply is lost"
+            )
         return response
 
     async def _get(self, request: Request, _) -> Response:
--- a/tests/relay/test_pauses.py
+++ b/tests/relay/test_pauses.py
@@ -1,5 +1,6 @@
 """When a chain that sends no events is examined and when it is left."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -9,6 +10,7 @@
 from heathershunt.pipelines.chain import ChainPart
 from heathershunt.relay.events import StreamEvent
 from heathershunt.relay.pauses import PauseMonitor
+from heathershunt.relay.runs import StreamBrokenError
 from heathershunt.relay.timeouts import StreamTimeouts
 from tests.pipelines import engines
 
@@ -29,6 +31,18 @@
     assert pauses.reroute_reason(chain, None, 1300) is not None
 
 
+def test_slow_chain_of_a_stream_that_is_sent_once_is_kept(
+    spec, attempts, progress, context, chain
+):
+    # Guards against a stream that is broken off at a pause, though it may not be sent
+    # again and its runners are sound.
+    context.budget = SimpleNamespace(may_reroute=lambda service, vms: True)
+    once = replace(spec, route=replace(spec.route, is_resumable=False))
+    pauses = PauseMonitor(context, once, attempts, progress)
+    assert pauses.reroute_reason(chain, None, 5000) is None
+    assert pauses.reroute_reason(chain, engines.runner(1), 300) is not None
+
+
 def test_slow_chain_is_kept_when_no_retry_is_left(pauses, context, chain):
     # Case: half of the runners are lost in a burst and all chains are slow. A stream
     # that leaves its chain without a retry fails, though the chain would serve it.
@@ -84,3 +98,13 @@
     second_ms = timeouts.recheck_ms
     assert pauses.next_check_ms(second_ms) == timeouts.reroute_ms - second_ms
     assert pauses.next_check_ms(timeouts.reroute_ms) == timeouts.reroute_ms
+
+
+def test_run_of_a_runner_that_left_is_kept_while_a_later_one_is_silent(pauses):
+    # Guards against an answer that ends as its first runner drains and leaves the list
+    # while another runner of its chain gives no report for a moment.
+    parts = [ChainPart(engines.runner(1), 0, 40), ChainPart(engines.runner(2), 40, 80)]
+    run = SimpleNamespace(chain=Chain.from_parts(parts), is_patient=True)
+    pauses.judge(run, engines.runner(2), 500)
+    with pytest.raises(StreamBrokenError):
+        pauses.judge(run, engines.runner(1), 500)
