Read in all answers whether a target leaves or asks for a pause

Callers saw requests sent to targets that had said in their answers that they leave or want a pause: nothing read Server-Leaving, nor Retry-After of a refusal.

platform/notices.py decodes both once, from the head of every answer: replies, reports and orders, failed ones too.

The client keeps all header fields of a response, as the mapping by name holds only the last of repeated ones.

--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -56,6 +56,10 @@
 class ClientResponse:
     """Response head, and a body that can be read once.
 
+    :ivar fields: all header fields in the received order, including repeated ones, with
+        names in lower case.
+    :ivar headers: the same by name; of repeated ones, the last.
+
     .. versionadded:: 0.1
     """
 
@@ -64,10 +68,11 @@
         self._connection = connection
         self._is_read = False
         self.status = connection.response.status_code
-        self.headers: Mapping[str, str] = {
-            name.decode("ascii"): value.decode("latin-1")
+        self.fields = tuple(
+            (name.decode("ascii"), value.decode("latin-1"))
             for name, value in connection.response.headers
-        }
+        )
+        self.headers: Mapping[str, str] = dict(self.fields)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield body bytes as they arrive.
@@ -205,7 +210,7 @@
         headers: HeaderFields | None = None,
         limit: int = MAX_JSON_BYTES,
         correlated: bool = False,
-        on_headers: Callable[[Mapping[str, str]], None] | None = None,
+        on_head: Callable[[ClientResponse], None] | None = None,
         **options,
     ) -> Result[tuple[int, bytes], TransportError]:
         """Send a request and return the status and the whole body.
@@ -214,7 +219,7 @@
         :param correlated: reject a response that does not repeat the id of this
             request. Only for servers of this project whose handlers are wrapped by
             :func:`~heathershunt.http.correlation.correlated`.
-        :param on_headers: called with the header fields of the response.
+        :param on_head: called with the response before its body is read.
         :param options: as for :meth:`request`; the time limit includes the body.
         """
         timeout_ms = options.get("timeout_ms", REQUEST_TIMEOUT_MS)
@@ -235,8 +240,8 @@
                     response.headers.get(CORRELATION_HEADER),
                 ):
                     raise WrongAnswerError("the answer is to another request")
-                if on_headers is not None:
-                    on_headers(response.headers)
+                if on_head is not None:
+                    on_head(response)
                 return Ok((response.status, await response.read(limit)))
         except EXCHANGE_ERRORS as error:
             reason = str(error) or type(error).__name__
--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -1,6 +1,6 @@
 """All types of events and their names, for programs that read logs."""
 
-from heathershunt.logs import events, request_events
+from heathershunt.logs import availability_events, events, request_events
 from heathershunt.logs.events import Event
 
 EVENT_TYPES: tuple[type[Event], ...] = (
@@ -25,6 +25,9 @@
     events.PartTrusted,
     events.LimitNamed,
     events.LimitWithdrawn,
+    availability_events.TargetLeaving,
+    availability_events.TargetPaused,
+    availability_events.TargetsPassedOver,
     events.LeadershipTaken,
     events.LeadershipLost,
     events.OrderAnswered,
--- a/src/heathershunt/pipelines/runners.py
+++ b/src/heathershunt/pipelines/runners.py
@@ -1,11 +1,14 @@
 """The interface through which the gateway calls the runners of a model engine."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
+from heathershunt.availability import Notice
 from heathershunt.discovery import LayerRange, Target
 from heathershunt.pipelines.chain import Chain
+from heathershunt.ratelimits import AnswerKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,9 +87,14 @@
 class RunnerApi(Protocol):
     """Calls to a runner other than inference requests.
 
+    :ivar on_notice: called with a runner and what an answer of it says of its
+        availability, whatever the answer is otherwise.
+
     .. versionadded:: 0.2
     """
 
+    on_notice: Callable[[Target, Notice, AnswerKind], None]
+
     async def report(self, runner: Target, timeout_ms: int) -> RunnerReport | None:
         """Return the state of a runner; ``None`` if it does not answer in time."""
 
--- a/src/heathershunt/platform/headers.py
+++ b/src/heathershunt/platform/headers.py
@@ -7,6 +7,7 @@
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import ClientResponse, Request, Response
 from heathershunt.platform import names
+from heathershunt.platform.notices import notice_of
 from heathershunt.platform.runners import encode_chain
 from heathershunt.ratelimits import decode_limit
 from heathershunt.relay import CallerRequest, Dispatch, ReplyHead
@@ -129,6 +130,7 @@
             ),
             faulty_address=headers.get(names.FAULTY_RUNNER.decode()),
             limit_per_s=decode_limit(headers, names.RATE_LIMIT),
+            notice=notice_of(response),
             headers={
                 name: value
                 for name, value in headers.items()
--- a/src/heathershunt/platform/names.py
+++ b/src/heathershunt/platform/names.py
@@ -25,6 +25,10 @@
 FAULTY_RUNNER = b"at-server"
 # Requests a second that a target takes from all VMs together.
 RATE_LIMIT = "server-limit"
+# Set to 1 by a target that takes no more requests.
+LEAVING = "server-leaving"
+# Id of the process that answered, in some answers.
+TARGET_ID = "heathershunt-instance-id"
 AUTHORIZATION = b"authorization"
 AUTHORIZATION_SCHEME = "Token"
 HOST = b"host"
--- a/src/heathershunt/platform/runners.py
+++ b/src/heathershunt/platform/runners.py
@@ -1,6 +1,6 @@
 """Client for the reports of and the orders to the platform's model runners."""
 
-from collections.abc import Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -8,8 +8,9 @@
 import msgspec
 from result import Err
 
+from heathershunt.availability import Notice
 from heathershunt.discovery import LayerRange, Target
-from heathershunt.http import HttpClient
+from heathershunt.http import ClientResponse, HttpClient
 from heathershunt.pipelines import (
     Chain,
     OrderOutcome,
@@ -23,8 +24,9 @@
     RATE_LIMIT,
     REPORT_PATH,
 )
+from heathershunt.platform.notices import notice_of
 from heathershunt.platform.targets import LayersEntry, decode_layers
-from heathershunt.ratelimits import decode_limit
+from heathershunt.ratelimits import AnswerKind, decode_limit
 
 log = logbook.Logger("heathershunt.platform")
 
@@ -65,17 +67,20 @@
 
 
 @dataclass
-class _LimitField:
-    """The limit that the header fields of an answer name.
+class _AnswerHead:
+    """What the head of an answer says, whatever its status and body are.
 
-    :ivar per_s: as in :class:`~heathershunt.pipelines.RunnerReport`.
+    :ivar limit_per_s: as in :class:`~heathershunt.pipelines.RunnerReport`.
+    :ivar notice: what it says of the availability of the runner.
     """
 
-    per_s: float | None = None
+    limit_per_s: float | None = None
+    notice: Notice = Notice()
 
-    def read(self, headers: Mapping[str, str]) -> None:
-        """Take the limit from the header fields."""
-        self.per_s = decode_limit(headers, RATE_LIMIT)
+    def read(self, response: ClientResponse) -> None:
+        """Take the values from the header fields."""
+        self.limit_per_s = decode_limit(response.headers, RATE_LIMIT)
+        self.notice = notice_of(response)
 
 
 _decoder = msgspec.json.Decoder(_Report)
@@ -84,22 +89,37 @@
 class RunnerClient:
     """Calls to runners over HTTP, each on a new connection.
 
+    :ivar on_notice: called with a runner and what an answer of it says of its
+        availability, whatever the answer is otherwise.
+
     .. versionadded:: 0.2
     """
 
     def __init__(self, http: HttpClient) -> None:
         self._http = http
+        self.on_notice: Callable[[Target, Notice, AnswerKind], None] = (
+            lambda runner, notice, kind: None
+        )
 
     async def report(self, runner: Target, timeout_ms: int) -> RunnerReport | None:
         """Return the state of a runner, ``None`` if it gave no valid report."""
-        limit = _LimitField()
+        head = _AnswerHead()
+        report = await self._fetch_report(runner, timeout_ms, head)
+        # Under the same id, another process may have been started meanwhile.
+        if report is None or _is_same_process(runner, report):
+            self.on_notice(runner, head.notice, AnswerKind.REPORT)
+        return report
+
+    async def _fetch_report(
+        self, runner: Target, timeout_ms: int, head: _AnswerHead
+    ) -> RunnerReport | None:
         outcome = await self._http.exchange(
             runner.address,
             "GET",
             REPORT_PATH,
             timeout_ms=timeout_ms,
             limit=MAX_REPLY_BYTES,
-            on_headers=limit.read,
+            on_head=head.read,
             fresh=True,
         )
         if isinstance(outcome, Err):
@@ -110,7 +130,7 @@
             log.info("no report from {}: status {}", runner.id, status)
             return None
         try:
-            return _build_report(_decoder.decode(raw), limit.per_s)
+            return _build_report(_decoder.decode(raw), head.limit_per_s)
         except (ValueError, RecursionError) as error:
             log.warning("malformed report of {}: {}", runner.id, error)
             return None
@@ -145,7 +165,7 @@
         return await self._order(runner, payload)
 
     async def _order(self, runner: Target, payload: dict[str, Any]) -> OrderReply:
-        limit = _LimitField()
+        head = _AnswerHead()
         outcome = await self._http.exchange(
             runner.address,
             "POST",
@@ -157,13 +177,14 @@
             body=msgspec.json.encode(payload),
             timeout_ms=ORDER_TIMEOUT_MS,
             limit=MAX_REPLY_BYTES,
-            on_headers=limit.read,
+            on_head=head.read,
             fresh=True,
         )
+        self.on_notice(runner, head.notice, AnswerKind.ORDER)
         if isinstance(outcome, Err):
             detail = outcome.err_value.detail
             log.warning("no reply to the order to {}: {}", runner.id, detail)
-            return OrderReply(OrderOutcome.UNKNOWN, limit_per_s=limit.per_s)
+            return OrderReply(OrderOutcome.UNKNOWN, limit_per_s=head.limit_per_s)
         status, raw = outcome.ok_value
         if status not in OUTCOME_BY_STATUS:
             log.warning("order to {}: status {}: {}", runner.id, status, raw[:200])
@@ -171,7 +192,14 @@
         address = (
             _faulty_address(raw) if order_outcome is OrderOutcome.CONFLICT else None
         )
-        return OrderReply(order_outcome, address, limit.per_s)
+        return OrderReply(order_outcome, address, head.limit_per_s)
+
+
+def _is_same_process(runner: Target, report: RunnerReport) -> bool:
+    """Return whether the listed process answered, as far as the starts are known."""
+    if not (runner.incarnation and report.incarnation):
+        return True
+    return runner.incarnation == report.incarnation
 
 
 def _faulty_address(raw: bytes) -> str | None:
--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -276,7 +276,7 @@
             body=body,
             timeout_ms=timeout_ms,
             limit=MAX_REPLY_BYTES,
-            on_headers=era_field.read,
+            on_head=lambda response: era_field.read(response.headers),
             fresh=fresh,
         )
         if isinstance(outcome, Err):
--- a/src/heathershunt/relay/messages.py
+++ b/src/heathershunt/relay/messages.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from heathershunt.availability import Notice
 from heathershunt.clock import Millis
 from heathershunt.discovery import Target
 from heathershunt.http import ClientResponse, Response
@@ -84,6 +85,7 @@
         ``None`` if none is named.
     :param limit_per_s: requests a second that the target takes from all VMs together;
         ``None`` if it names no limit.
+    :param notice: what the reply says of the target's availability.
     :param headers: header fields to pass back to the caller.
 
     .. versionadded:: 0.2
@@ -95,6 +97,7 @@
     is_not_run: bool
     faulty_address: str | None
     limit_per_s: float | None
+    notice: Notice
     headers: Mapping[str, str]
 
     @property
