Send nothing new to targets that leave or asked for a pause

Calls, streams and the placer ask the table of targets that leave or pause by their answers, before limits and health. Where none is left, callers are refused at once with the time until the first pause ends. Runs that are on such a target go on, and may still be repaired. Runners are not polled because they asked for a pause.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from heathershunt.availability import AvailabilityTable
 from heathershunt.catalog import Catalog
 from heathershunt.clock import Clock
 from heathershunt.coordination import (
@@ -20,6 +21,7 @@
 )
 from heathershunt.coordination.revisions import era_of
 from heathershunt.crashes import EvidenceKeeper, PartGuard
+from heathershunt.discovery import Target
 from heathershunt.gateway.caller_limits import caller_limits
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.configurations import (
@@ -119,6 +121,10 @@
             lambda target_id: self.state.registry.get(target_id),
             events.emit,
         )
+        self.availability = AvailabilityTable(
+            clock, lambda target_id: self.state.registry.get(target_id), events.emit
+        )
+        ports.runners.on_notice = self.availability.record
         state = self.state = SiteState(
             ports.decoder,
             clock,
@@ -204,11 +210,17 @@
             chooser=ChainChooser(ledger, paces),
             runners=runners,
             diagnosis=Diagnosis(
-                clock, runners, self.suspects, paces, self.limits.may_check
+                clock,
+                runners,
+                self.suspects,
+                paces,
+                self._may_check,
+                self.availability.is_paused,
             ),
             events=events,
             guard=self.guard,
             limits=self.limits,
+            availability=self.availability,
             vm_count=self._vm_count,
             domain=config.domain,
         )
@@ -219,11 +231,12 @@
             runners,
             clock,
             state.engines,
-            state.placement_candidates,
+            self._placement_candidates,
             lambda: self.leadership.is_leader and not self.is_leaving,
             lambda: self.leadership.fencing_token,
             self.suspects.is_ejected,
             events.emit,
+            is_paused=self.availability.is_paused,
         )
         self._callers = HttpServer(self._handle_caller, cancels_handlers=True)
         self._readiness = HttpServer(self._handle_readiness)
@@ -239,6 +252,8 @@
             is_leader=lambda: self.leadership.is_leader,
             blocked_parts=lambda: self.guard.blocked_count,
             limited_targets=lambda: self.limits.limited_count,
+            leaving_targets=lambda: self.availability.leaving_count,
+            paused_targets=lambda: self.availability.paused_count,
         )
         self._metrics = MetricsServer(self.metrics)
 
@@ -316,6 +331,7 @@
             self.state.expire()
             self.guard.expire()
             self.limits.update()
+            self.availability.expire()
             is_ready = self._is_ready()
             if is_ready != self.directory.accepts_callers:
                 self.directory.accepts_callers = is_ready
@@ -365,6 +381,15 @@
         if vm == self.config.vm and self.directory.accepts_callers:
             self.keeper.publish()
 
+    def _may_check(self, target: Target) -> bool:
+        """Return whether a runner may be polled though no stream waits for it."""
+        return self.limits.may_check(target) and not self.availability.is_paused(target)
+
+    def _placement_candidates(self, service: str) -> list[Target]:
+        """Return the runners of a service that may be ordered to hold layers."""
+        runners = self.state.placement_candidates(service)
+        return [r for r in runners if not self.availability.is_leaving(r)]
+
     def _vm_count(self) -> int:
         return max(1, len(self.state.members))
 
--- a/src/heathershunt/gateway/gauges.py
+++ b/src/heathershunt/gateway/gauges.py
@@ -14,6 +14,8 @@
     is_leader: Callable[[], bool],
     blocked_parts: Callable[[], int],
     limited_targets: Callable[[], int],
+    leaving_targets: Callable[[], int],
+    paused_targets: Callable[[], int],
 ) -> None:
     """Add the gauges of one gateway to its metrics.
 
@@ -22,6 +24,8 @@
     :param is_leader: returns whether this VM orders placements.
     :param blocked_parts: returns the number of blocked parts, by client account.
     :param limited_targets: returns the number of targets that name a limit.
+    :param leaving_targets: returns the number of targets that leave by their answers.
+    :param paused_targets: returns the number of targets that asked for a pause.
     """
     for name, doc, read in (
         ("view_age_ms", "age of the view of the store", view_age_ms),
@@ -48,5 +52,15 @@
             "targets that name a limit on the requests a second",
             limited_targets,
         ),
+        (
+            "leaving_targets",
+            "targets that leave by their answers",
+            leaving_targets,
+        ),
+        (
+            "paused_targets",
+            "targets that asked this VM for a pause that is not over",
+            paused_targets,
+        ),
     ):
         metrics.add_gauge(name, doc, read)
--- a/src/heathershunt/pipelines/placer.py
+++ b/src/heathershunt/pipelines/placer.py
@@ -56,6 +56,8 @@
         a report from such a runner before a plan relies on it.
     :param emit: called when a runner answers an order, and when an order is done, void
         or overdue.
+    :param is_paused: called for whether a runner wants no orders now; it keeps its
+        place in the plan, and is ordered later.
 
     .. versionadded:: 0.2
     """
@@ -72,6 +74,7 @@
         emit: Callable[[Event], None],
         config: PlacerConfig | None = None,
         layout: LayoutConfig | None = None,
+        is_paused: Callable[[Target], bool] = lambda runner: False,
     ) -> None:
         self._api = api
         self._clock = clock
@@ -81,6 +84,7 @@
         self._fence = fence
         self._is_suspect = is_suspect
         self._emit = emit
+        self._is_paused = is_paused
         self._dead: set[tuple[str, int]] = set()
         self._config = config or PlacerConfig()
         self._layout = layout or LayoutConfig()
@@ -164,6 +168,8 @@
 
     async def _order(self, engine: Engine, placement: Placement) -> None:
         runner = placement.runner
+        if self._is_paused(runner):
+            return
         now = self._clock.now()
         load_ms = engine.load_ms * placement.layers.size / max(1, engine.layers)
         wait_ms = load_ms * self._config.load_time_factor + self._config.load_slack_ms
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import h11
@@ -120,7 +121,10 @@
                 break
             may_have_started |= not head.is_not_run
         wait_ms = self._limits_wait_ms(service, tried) if not sends else None
-        response = self._answer(request, last, deadline, may_have_started, wait_ms)
+        pause_ms = self._pause_ms(service)
+        response = self._answer(
+            request, last, deadline, may_have_started, wait_ms, pause_ms
+        )
         event = CallEnded(
             request.id,
             status=response.status,
@@ -134,8 +138,19 @@
         return response
 
     def _untried(self, service: str, tried: set[str]) -> list[Target]:
+        """Return the targets that may be sent the call, whatever their limits are."""
+        context = self._context
+        targets = context.registry.of_service(service)
+        usable = context.availability.usable(service, targets, self._is_any_working)
+        return [target for target in usable if target.id not in tried]
+
+    def _pause_ms(self, service: str) -> int:
+        """Return the time until a target takes requests again; 0 if one does now."""
         targets = self._context.registry.of_service(service)
-        return [target for target in targets if target.id not in tried]
+        return self._context.availability.first_wait_ms(targets, self._is_any_working)
+
+    def _is_any_working(self, targets: Collection[Target]) -> bool:
+        return any(not self._context.suspects.is_ejected(item) for item in targets)
 
     def _limits_wait_ms(self, service: str, tried: set[str]) -> int | None:
         """Return the time until a target takes a request by its limit; 0 for now."""
@@ -207,6 +222,7 @@
                 self._context.limits.record(
                     target, Statement(head.limit_per_s, sent_at)
                 )
+                self._context.availability.record(target, head.notice)
                 return Ok(Reply(head, await response.read()))
         except TimeoutError:
             return Err(TransportError(Progress.SENT, TIMEOUT_DETAIL))
@@ -245,15 +261,20 @@
         deadline: Millis,
         may_have_started: bool,
         limit_wait_ms: int | None,
+        pause_ms: int,
     ) -> Response:
         """Return the response to the caller.
 
         :param limit_wait_ms: time until a target takes a request by its limit, if the
             call was not sent.
+        :param pause_ms: time until a target takes requests, if all of them leave or
+            pause by their answers.
         """
         wire = self._context.wire
         detail = "no target takes the request"
-        if limit_wait_ms:
+        if pause_ms:
+            detail = "all targets leave or pause"
+        elif limit_wait_ms:
             detail = "all targets have the requests that they take"
         if isinstance(last, Err):
             detail = last.err_value.detail
@@ -262,6 +283,9 @@
         if last is None or isinstance(last, Err) or last.ok_value.head.is_not_run:
             if not may_have_started:
                 retry_after_ms = max(RETRY_AFTER_MS, limit_wait_ms or 0)
+                if pause_ms:
+                    availability = self._context.availability
+                    retry_after_ms = availability.retry_after_ms(pause_ms)
                 refusal = not_run(503, "No target", detail, retry_after_ms)
             elif self._context.clock.now() >= deadline:
                 refusal = may_have_run(504, "Timeout", detail)
--- a/src/heathershunt/relay/context.py
+++ b/src/heathershunt/relay/context.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from heathershunt.availability import AvailabilityTable
 from heathershunt.clock import Clock
 from heathershunt.crashes import PartGuard
 from heathershunt.discovery import TargetRegistry
@@ -22,6 +23,7 @@
 
     :param guard: refuses prompts that crash runners.
     :param limits: keeps to the limits that targets name.
+    :param availability: targets that leave or pause by what their answers said.
     :param vm_count: returns the number of VMs that share the targets.
     :param domain: failure domain of this VM.
 
@@ -41,5 +43,6 @@
     events: EventLog
     guard: PartGuard
     limits: LimitGuard
+    availability: AvailabilityTable
     vm_count: Callable[[], int]
     domain: str
--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -26,6 +26,8 @@
 
     :param may_check: returns whether a runner may be polled though no stream waits for
         the report.
+    :param is_paused: returns whether a runner asked for a pause, so that it is not
+        polled after it rejected its part of a chain.
 
     .. versionadded:: 0.2
     """
@@ -37,8 +39,10 @@
         suspects: SuspectList,
         paces: PaceTracker,
         may_check: Callable[[Target], bool] = lambda runner: True,
+        is_paused: Callable[[Target], bool] = lambda runner: False,
     ) -> None:
         self._clock = clock
+        self._is_paused = is_paused
         self._may_check = may_check
         self._runners = runners
         self._suspects = suspects
@@ -144,7 +148,8 @@
         if self._suspects.is_suspect(runner):
             return
         self.record_rejection(runner)
-        self._spawn(self._eject_if_dead(runner))
+        if not self._is_paused(runner):
+            self._spawn(self._eject_if_dead(runner))
 
     async def _eject_if_dead(self, runner: Target) -> None:
         if await self._is_dead(runner):
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -1,7 +1,7 @@
 """Choice of a chain for a stream, and the wait for free capacity."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from heathershunt.discovery import Target
 from heathershunt.pipelines import Chain
@@ -21,6 +21,8 @@
     :param is_blocked: returns whether the stream is no longer to be sent.
     :ivar limit_wait_ms: time after which a first runner takes requests again, if no
         chain was found as all of them have what they take; else ``None``.
+    :ivar wait_detail: why no chain was found, if limits or runners that leave or pause
+        are the reason; else empty.
 
     .. versionadded:: 0.3
     """
@@ -43,6 +45,7 @@
         self._timeouts = spec.timeouts
         self._job = spec.job
         self.limit_wait_ms: int | None = None
+        self.wait_detail = ""
 
     async def wait_for_chain(self) -> Chain | None:
         """Return a chain, if need be after a short wait; ``None`` if there is none.
@@ -53,16 +56,20 @@
         sooner than a refused caller would retry.
         """
         service = self._spec.service
+        self.wait_detail = ""
+        if self._is_held_up():
+            return None
         if not self._attempts.sends and not self._has_layers():
             return None
         self.limit_wait_ms = self._wait_for_limits_ms()
         if self.limit_wait_ms is not None:
+            self.wait_detail = "all runners have the requests that they take"
             return None
         with self._capacity.counted(service):
             return await self._wait_for_capacity(service)
 
     async def _wait_for_capacity(self, service: str) -> Chain | None:
-        while not self._is_blocked():
+        while not self._is_blocked() and not self._is_held_up():
             if self._capacity.may_search(service):
                 chain = self._choose(self._suspects(), needs_room=True)
                 if chain is not None:
@@ -83,7 +90,10 @@
         :param dead: ids of the dead runners.
         """
         context = self._context
-        runners = context.registry.of_service(self._spec.service)
+        # The run goes on with runners of the chain that leave or pause by now.
+        may_add = {runner.id for runner in self._usable()}
+        may_add.update(part.runner.id for part in chain.parts)
+        runners = [runner for runner in self._listed() if runner.id in may_add]
         dead = dead | self._ids_of(context.suspects.is_ejected)
         avoided = self._suspects() | dead
         repaired = context.chooser.repair(
@@ -120,6 +130,53 @@
         new_chain = self._choose(self._suspects(), needs_room=True)
         return new_chain is not None and len(new_chain.domains) < len(repaired.domains)
 
+    def told_wait_ms(self) -> int:
+        """Return the time for which the caller of a stream that was not run waits."""
+        availability = self._context.availability
+        pause_ms = availability.first_wait_ms(self._listed(), self._hold_layers)
+        if pause_ms:
+            return availability.retry_after_ms(pause_ms)
+        return self.limit_wait_ms or 0
+
+    def _is_held_up(self) -> bool:
+        """Return whether pauses hold up the stream for longer than it may wait.
+
+        A stream that has begun waits in any case: it can no longer be refused.
+        """
+        if self._progress.has_begun:
+            return False
+        availability = self._context.availability
+        heads = self._attempts.allowed_heads()
+
+        def can_serve(runners: Collection[Target]) -> bool:
+            usable = [r for r in runners if r.id not in self._attempts.avoided]
+            may_begin = heads is None or any(r.id in heads for r in usable)
+            return may_begin and self._context.chooser.has_layers(
+                self._spec.engine, usable, ()
+            )
+
+        wait_ms = availability.first_wait_ms(self._listed(), can_serve)
+        if wait_ms <= self._timeouts.capacity_wait_ms:
+            return False
+        self.wait_detail = "the runners with some of the layers leave or pause"
+        return True
+
+    def _hold_layers(self, runners: Collection[Target]) -> bool:
+        """Return whether those of the runners that work hold all layers."""
+        suspects = self._context.suspects
+        ejected = {runner.id for runner in runners if suspects.is_ejected(runner)}
+        return self._context.chooser.has_layers(self._spec.engine, runners, ejected)
+
+    def _listed(self) -> list[Target]:
+        """Return the listed runners of the service, also those that leave or pause."""
+        return self._context.registry.of_service(self._spec.service)
+
+    def _usable(self) -> list[Target]:
+        """Return the listed runners that may be sent something new."""
+        return self._context.availability.usable(
+            self._spec.service, self._listed(), self._hold_layers
+        )
+
     def _wait_for_limits_ms(self) -> int | None:
         """Return how long the limits of all first runners would hold up the stream.
 
@@ -132,7 +189,7 @@
         avoided = self._attempts.avoided | self._suspects()
         heads = [
             runner
-            for runner in context.registry.of_service(service)
+            for runner in self._usable()
             if runner.held is not None
             and runner.held.first == 0
             and runner.id not in avoided
@@ -143,10 +200,8 @@
         return wait_ms
 
     def _has_layers(self) -> bool:
-        context = self._context
-        runners = context.registry.of_service(self._spec.service)
-        return context.chooser.has_layers(
-            self._spec.engine, runners, self._attempts.avoided
+        return self._context.chooser.has_layers(
+            self._spec.engine, self._listed(), self._attempts.avoided
         )
 
     def _choose_fallback(self) -> Chain | None:
@@ -182,10 +237,9 @@
 
     def _choose_excluding(self, avoided: set[str], needs_room: bool) -> Chain | None:
         context = self._context
-        runners = context.registry.of_service(self._spec.service)
         return context.chooser.choose(
             self._spec.engine,
-            runners,
+            self._usable(),
             self._job,
             context.vm_count(),
             avoided,
@@ -213,5 +267,4 @@
         )
 
     def _ids_of(self, condition: Callable[[Target], bool]) -> set[str]:
-        runners = self._context.registry.of_service(self._spec.service)
-        return {runner.id for runner in runners if condition(runner)}
+        return {runner.id for runner in self._listed() if condition(runner)}
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -133,8 +133,7 @@
         if refused is not None:
             return self._refuse(refused)
         if chain is None:
-            if self._selection.limit_wait_ms is not None:
-                self._refusal_detail = "all runners have the requests that they take"
+            self._refusal_detail = self._selection.wait_detail or self._refusal_detail
             return self._fail(False)
         left_ms = self._spec.deadline - context.clock.now()
         if self._attempts.deliveries and not self._take_retry():
@@ -196,6 +195,7 @@
         run.head = context.wire.reply_head(run.response)
         statement = Statement(run.head.limit_per_s, run.sent_at)
         context.limits.record(chain.head, statement)
+        context.availability.record(chain.head, run.head.notice)
         if run.head.status == SUCCESS and run.head.request_id == request.id:
             self._may_have_run = True
             return True
@@ -267,7 +267,7 @@
             status, title = (504, "Timeout") if is_timeout else (502, "Runner failed")
             refusal = may_have_run(status, title, self._refusal_detail)
         else:
-            wait_ms = max(RETRY_AFTER_MS, self._selection.limit_wait_ms or 0)
+            wait_ms = max(RETRY_AFTER_MS, self._selection.told_wait_ms())
             refusal = not_run(503, "No chain", self._refusal_detail, wait_ms)
         return self._refuse(refusal)
 
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -52,6 +52,11 @@
         write an answer on it. ``None`` without one.
     :ivar limit_per_s: requests a second that the target names in its answers; ``None``
         for no limit.
+    :ivar born: wall time in milliseconds at which the process started.
+    :ivar says_leaving: whether the target says in its answers that it leaves.
+    :ivar pause_s: the target turns requests away and asks for a pause of so many
+        seconds, as it writes it; ``None`` for no pause.
+    :ivar received: time of arrival and id of each request.
     :ivar arrivals: times at which requests other than reports and orders arrived, in
         seconds of the event loop.
     :ivar trickle: bytes that a stalled stream sends every ``EVENT_MS``.
@@ -84,6 +89,10 @@
         self.deadly_part: str | None = None
         self.limit_per_s: float | None = None
         self.heartbeats = 1
+        self.born = 1000
+        self.says_leaving = False
+        self.pause_s: float | str | None = None
+        self.received: list[tuple[float, str]] = []
         self.arrivals: list[float] = []
         self._store = store
         self._targets_by_address = targets_by_address
@@ -114,7 +123,7 @@
             "state": "draining" if self.is_draining else "ready",
             "sequence": self.heartbeats,
             "cold_remaining_ms": 0,
-            "born": 1000,
+            "born": self.born,
         }
         if self.kind is not None:
             entry |= {"stage": "both", "models": [], "kind": self.kind}
@@ -130,9 +139,11 @@
         if self.is_unresponsive:
             await asyncio.sleep(3600)
         response = await self._answer(request)
-        if self.limit_per_s is None:
-            return response
-        headers = {**response.headers, "server-limit": str(self.limit_per_s)}
+        headers = dict(response.headers)
+        if self.limit_per_s is not None:
+            headers["server-limit"] = str(self.limit_per_s)
+        if self.says_leaving:
+            headers["server-leaving"] = "1"
         return replace(response, headers=headers)
 
     async def _answer(self, request: Request) -> Response | StreamResponse:
@@ -143,7 +154,12 @@
             return Response(421, {"heathershunt-instance-id": self.id})
         if request.path == "/order":
             return self._handle_order(msgspec.json.decode(request.body))
-        self.arrivals.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(now)
+        self.received.append((now, request.headers["heathershunt-request-id"]))
+        if self.pause_s is not None:
+            headers = {"heathershunt-not-executed": "1"}
+            return Response(503, headers | {"retry-after": str(self.pause_s)})
         if self.kind is None:
             return self._handle_call(request)
         return await self._stream(request)
@@ -156,7 +172,7 @@
             "running": 0,
             "kv_used": 0,
             "kv_total": 100_000,
-            "born": 1000,
+            "born": self.born,
             "pace": 1.0,
             "stalled": [],
             "layers": self._layers(),
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -1,9 +1,11 @@
 """Fixtures for the tests of streams."""
 
+import random
 from types import SimpleNamespace
 
 import pytest
 
+from heathershunt.availability import AvailabilityTable
 from heathershunt.catalog import Route, RouteKind
 from heathershunt.discovery import TargetRegistry
 from heathershunt.ratelimits import LimitGuard
@@ -25,6 +27,7 @@
         registry=registry,
         suspects=suspects,
         limits=LimitGuard(clock, "vm-1", list, registry.get, print),
+        availability=AvailabilityTable(clock, registry.get, print, random.Random(1)),
         vm_count=lambda: 1,
     )
 
--- a/tests/relay/test_selection.py
+++ b/tests/relay/test_selection.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from heathershunt.availability import Notice
 from heathershunt.pipelines import Chain
 from heathershunt.pipelines.chain import ChainPart
 from heathershunt.ratelimits import Statement
@@ -250,3 +251,74 @@
     context.registry.put(engines.runner(2, held=(0, 80)))
     chain, _ = await wait_with(FullChooser(full_for=0))
     assert chain == "chain"
+
+
+class WorkingHolders(LastHolders):
+    """Holds all layers with any of its runners; chooses among the runners given."""
+
+    def has_layers(self, engine, runners, avoided):
+        return any(runner.id not in avoided for runner in runners)
+
+    def choose(self, engine, runners, job, vms, avoided, needs_room=False, **heads):
+        left = [runner.id for runner in runners if runner.id not in avoided]
+        return min(left, default=None)
+
+
+def ask_for_pause(context, runners, pause_ms):
+    for runner in runners:
+        context.availability.record(runner, Notice(pause_ms=pause_ms))
+
+
+# Guards against streams that wait for a pause up to their deadline.
+async def test_stream_is_refused_at_once_if_all_runners_pause(
+    wait_with, selection, context, holders
+):
+    ask_for_pause(context, holders, 3000)
+    before = context.clock.now()
+    assert await wait_with(WorkingHolders()) == (None, before)
+    assert selection.wait_detail
+    assert 3000 <= selection.told_wait_ms() < 4000
+
+
+# Guards against a refusal although the pause ends sooner than the stream must begin.
+async def test_stream_waits_for_a_short_pause(wait_with, context, holders):
+    ask_for_pause(context, holders, 200)
+    before = context.clock.now()
+    chain, now = await wait_with(WorkingHolders())
+    assert chain == holders[0].id
+    assert 200 <= now - before <= 300
+
+
+# Guards against a stream that is broken off because its next runner pauses.
+async def test_stream_that_has_begun_waits_for_a_pause(
+    wait_with, progress, context, holders
+):
+    progress.accept([StreamEvent(1, b"id: 1\n\n")])
+    ask_for_pause(context, holders, 800)
+    chain, _ = await wait_with(WorkingHolders())
+    assert chain == holders[0].id
+
+
+# Guards against a stream that has used up its first runners, which all pause, and waits
+# for them although its caller could be served by others.
+async def test_stream_whose_allowed_first_runners_pause_is_refused_at_once(
+    wait_with, selection, attempts, context, holders
+):
+    other = engines.runner(3)
+    context.registry.put(other)
+    for runner in holders:
+        attempts.add_head(runner)
+    attempts.sends = attempts.deliveries = 2
+    ask_for_pause(context, holders, 3000)
+    before = context.clock.now()
+    assert await wait_with(WorkingHolders()) == (None, before)
+    assert selection.told_wait_ms() == 0
+
+
+# Guards against runners that leave and are used because all others are ejected.
+async def test_no_fallback_brings_a_leaving_runner_back(wait_with, context, holders):
+    leaving, ejected = holders
+    context.availability.record(leaving, Notice(is_leaving=True))
+    context.suspects.eject(ejected)
+    chain, _ = await wait_with(WorkingHolders())
+    assert chain == ejected.id
