--- a/src/heathershunt/coordination/revisions.py
+++ b/src/heathershunt/coordination/revisions.py
@@ -5,10 +5,10 @@
 whatever compares two revisions, or uses one as a fencing token, is right across eras.
 """
 
-from collections.abc import Mapping
-
 import logbook
 
+from heathershunt.http import ClientResponse
+
 log = logbook.Logger("heathershunt.coordination")
 
 # The store's own number has at most so many bits, and with the era above it a revision
@@ -63,9 +63,9 @@
         self._name = name
         self.value = known
 
-    def read(self, headers: Mapping[str, str]) -> None:
+    def read(self, response: ClientResponse) -> None:
         """Take the era from the header fields."""
-        text = headers.get(self._name)
+        text = response.headers.get(self._name)
         if text is None:
             return
         if text.isdecimal() and int(text) <= MAX_ERA:
--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -276,7 +276,7 @@
             body=body,
             timeout_ms=timeout_ms,
             limit=MAX_REPLY_BYTES,
-            on_head=lambda response: era_field.read(response.headers),
+            on_head=era_field.read,
             fresh=fresh,
         )
         if isinstance(outcome, Err):
--- a/src/heathershunt/store/client.py
+++ b/src/heathershunt/store/client.py
@@ -222,7 +222,7 @@
                 body,
                 timeout_ms=CALL_TIMEOUT_MS + (wait_ms or 0),
                 fresh=wait_ms is None,
-                on_headers=era.read,
+                on_head=era.read,
             )
             if isinstance(outcome, Ok) and era.value < self._era:
                 detail = "the reply is from before the store was restored"
