Send nothing new to the daemon's targets that leave or pause

Drafts and calls of the daemon asked nobody. Runs were opened at engines, and calls sent to addresses, that had said that they leave or want a pause; callers were told to come back after 1 s. They now ask the same table as the gateway, with the fields leaving and retry-after of the daemon's targets; leaving runners also lose their place in the plan of layers.

--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -6,6 +6,7 @@
 import logbook
 
 from heathershunt.admission import ShareConfig, ShareSplitter
+from heathershunt.availability import AvailabilityTable, Notice
 from heathershunt.bundle import Bundle, BundleKeeper
 from heathershunt.clock import Clock, SystemClock
 from heathershunt.crashes import PartGuard
@@ -91,9 +92,12 @@
             TargetProcess,
             self.operations.on_limit,
         )
+        self.availability = AvailabilityTable(
+            self.clock, self._process, self.operations.on_availability
+        )
         observer = DraftObserver(self.operations.timeline, self.operations.metrics)
         executor = DraftExecutor(
-            EngineClient(self.http, self.clock, self._on_limit),
+            EngineClient(self.http, self.clock, self._on_limit, self._on_notice),
             self.router,
             self.registry,
             self.ejection,
@@ -103,6 +107,7 @@
             observer,
             self.guard,
             self.limits,
+            self.availability,
         )
         self.drafts = DraftHandler(
             self.draft_table, executor, self.gate, self.clock, observer
@@ -115,6 +120,7 @@
             self.clock,
             self.vm_list.service_addresses,
             self.limits,
+            self.availability,
         )
         self.store.on_restored = self.services.on_store_restored
         self.fleet = Fleet(self)
@@ -134,6 +140,9 @@
             self.registry,
             lambda: self.keeper.bundle,
             self.vm_list.entry_vms,
+            lambda state: self.availability.is_leaving(
+                TargetProcess(state.report.runner, state.report.incarnation)
+            ),
         )
         self.operations.leases = self.placement.leases
         self.callers = HttpServer(CallerRoutes(self).handle)
@@ -186,6 +195,14 @@
     def _on_limit(self, runner: str, statement: Statement) -> None:
         self.limits.record(TargetProcess(runner), statement)
 
+    def _on_notice(self, runner: str, notice: Notice) -> None:
+        self.availability.record(self._process(runner), notice)
+
+    def _process(self, target: str) -> TargetProcess:
+        """Return a runner with its start, or an address of a service without one."""
+        state = self.registry.states_by_runner.get(target)
+        return TargetProcess(target, state.report.incarnation if state else 0)
+
     def _live_vms(self) -> frozenset[str]:
         return self.fleet.live_vms()
 
@@ -200,6 +217,7 @@
             self.services.remove_expired()
             self.guard.expire()
             self.limits.update()
+            self.availability.expire()
             self.fleet.tick()
 
     def _has_unfinished_work(self) -> bool:
--- a/src/heathershunt/daemon/operations.py
+++ b/src/heathershunt/daemon/operations.py
@@ -10,6 +10,11 @@
 from heathershunt.bundle import Bundle, BundleError, SignedRoot, encode_file
 from heathershunt.daemon.status import daemon_status
 from heathershunt.http import Address, HttpServer, Response
+from heathershunt.logs.availability_events import (
+    TargetLeaving,
+    TargetPaused,
+    TargetsPassedOver,
+)
 from heathershunt.logs.events import (
     LimitNamed,
     LimitWithdrawn,
@@ -85,6 +90,17 @@
             "peers", "open links to peers", lambda: len(daemon.fleet.mesh.links_by_vm)
         )
         gauge("drafts_running", "drafts in flight", lambda: daemon.draft_table.running)
+        availability = daemon.availability
+        gauge(
+            "leaving_targets",
+            "runners and addresses that leave by their answers",
+            lambda: availability.leaving_count,
+        )
+        gauge(
+            "paused_targets",
+            "runners and addresses that asked this VM for a pause that is not over",
+            lambda: availability.paused_count,
+        )
         gauge("timeline_dropped", "events dropped", lambda: self.timeline.dropped)
 
     def metrics_response(self) -> Response:
@@ -154,6 +170,13 @@
             EventKind.LIMIT, what=event.name, target=event.target, per_s=per_s
         )
 
+    def on_availability(
+        self, event: TargetLeaving | TargetPaused | TargetsPassedOver
+    ) -> None:
+        """Record that a target leaves, pauses or was passed over, and why."""
+        fields = {name: value for name, value in vars(event).items()}
+        self.timeline.record(EventKind.AVAILABILITY, what=event.name, **fields)
+
     def on_draining(self) -> None:
         """Record the start of the graceful shutdown."""
         running = self._daemon.draft_table.running
--- a/src/heathershunt/drafts/engine.py
+++ b/src/heathershunt/drafts/engine.py
@@ -11,6 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from heathershunt.availability import DAEMON_FIELDS, Notice, decode_notice
 from heathershunt.clock import Clock
 from heathershunt.http import Address, ClientResponse, HttpClient, TransportError
 from heathershunt.ratelimits import RATE_LIMIT_HEADER, Statement, decode_limit
@@ -133,6 +134,8 @@
 
     :param on_limit: called with a runner and what its answer to a run says of the runs
         that it takes.
+    :param on_notice: called with a runner and what its answer to a run says of its
+        availability, whatever the answer is otherwise.
 
     .. versionadded:: 0.1
     """
@@ -142,10 +145,12 @@
         http: HttpClient,
         clock: Clock,
         on_limit: Callable[[str, Statement], None] = lambda runner, statement: None,
+        on_notice: Callable[[str, Notice], None] = lambda runner, notice: None,
     ) -> None:
         self._http = http
         self._clock = clock
         self._on_limit = on_limit
+        self._on_notice = on_notice
 
     async def open(
         self, spec: RunSpec, index: int
@@ -172,6 +177,8 @@
         response = outcome.ok_value
         per_s = decode_limit(response.headers, RATE_LIMIT_HEADER)
         self._on_limit(stage.runner, Statement(per_s, sent_at))
+        notice = decode_notice(response.status, response.fields, DAEMON_FIELDS)
+        self._on_notice(stage.runner, notice)
         stream = StageStream(stage, response)
         if response.status != 200:
             stream.close()
--- a/src/heathershunt/drafts/execution.py
+++ b/src/heathershunt/drafts/execution.py
@@ -2,11 +2,14 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Collection
 from dataclasses import dataclass
+from functools import partial
 
 import logbook
 from result import Err, Ok, Result
 
+from heathershunt.availability import AvailabilityTable
 from heathershunt.clock import Clock, GapEstimator, Millis
 from heathershunt.crashes import PartGuard
 from heathershunt.drafts.crashes import DraftCrashes
@@ -97,6 +100,7 @@
     :param progress_floor_ms: least progress deadline of a stream.
     :param guard: refuses prompts that crash runners.
     :param limits: keeps to the runs a second that runners take.
+    :param availability: runners that leave or pause by what their answers said.
 
     .. versionadded:: 0.1
     """
@@ -113,7 +117,9 @@
         observer: DraftObserver,
         guard: PartGuard,
         limits: LimitGuard,
+        availability: AvailabilityTable,
     ) -> None:
+        self._availability = availability
         self._guard = guard
         self._limits = limits
         self._engine = engine
@@ -192,16 +198,46 @@
         """
         now = self._clock.now()
         suspects = self._suspects(now) | last_suspects
+        away = self._away(draft)
         chosen = None
         # A wrongly suspected runner may be the only one left that holds its layers.
         for exclude in (suspects | self._ejection.excluded(now), suspects, frozenset()):
-            chosen = self._choose_without(draft, exclude, keep)
+            chosen = self._choose_without(draft, exclude | away, keep)
             if isinstance(chosen, Ok):
                 self._count_run(chosen.ok_value)
                 self._observer.chain_chosen(draft, chosen.ok_value, exclude, keep)
                 break
         return chosen
 
+    def _away(self, draft: Draft) -> frozenset[str]:
+        """Return the runners that leave or pause by what their answers said."""
+        usable = self._availability.usable(
+            draft.request.model, self._processes(), partial(self._has_chain, draft)
+        )
+        runners = frozenset(self._registry.views_by_runner)
+        return runners.difference(process.id for process in usable)
+
+    def _processes(self) -> list[TargetProcess]:
+        return [
+            TargetProcess(runner, self._incarnation(runner))
+            for runner in self._registry.views_by_runner
+        ]
+
+    def _has_chain(self, draft: Draft, found: Collection[TargetProcess]) -> bool:
+        """Return whether there is a chain of some of the runners."""
+        runners = frozenset(self._registry.views_by_runner)
+        exclude = runners.difference(process.id for process in found)
+        return isinstance(self._choose_without(draft, exclude, frozenset()), Ok)
+
+    def _retry_after_ms(self, draft: Draft) -> int:
+        """Return how long the caller of a draft that was not run is to wait."""
+        pause_ms = self._availability.first_wait_ms(
+            self._processes(), partial(self._has_chain, draft)
+        )
+        if not pause_ms:
+            return RETRY_AFTER_MS
+        return max(RETRY_AFTER_MS, self._availability.retry_after_ms(pause_ms))
+
     def _count_run(self, chain: Chain) -> None:
         """Count a run at each runner of a chain, all of which receive it."""
         for runner in chain.runners():
@@ -327,5 +363,5 @@
         if draft.may_have_started:
             refusal = may_have_run(502, "Draft not finished", detail)
         else:
-            refusal = not_run(503, "No runners", detail, RETRY_AFTER_MS)
+            refusal = not_run(503, "No runners", detail, self._retry_after_ms(draft))
         draft.refuse(refusal)
--- a/src/heathershunt/placement/controller.py
+++ b/src/heathershunt/placement/controller.py
@@ -201,6 +201,7 @@
 
     :param bundle: returns the bundle in force, or ``None`` before the first one.
     :param entry_vms: returns the names of the VMs that may hold leases.
+    :param is_leaving: returns whether a runner said in an answer that it leaves.
 
     .. versionadded:: 0.1
     """
@@ -216,7 +217,9 @@
         registry: RunnerRegistry,
         bundle: Callable[[], Bundle | None],
         entry_vms: Callable[[], Collection[str]],
+        is_leaving: Callable[[RunnerState], bool] = lambda state: False,
     ) -> None:
+        self._is_leaving = is_leaving
         self._settings = settings
         self._vm = vm
         self._holder = f"{vm}.{incarnation}"
@@ -252,11 +255,13 @@
                 log.error("placement of a model failed: {!r}", outcome)
 
     def _with_leaving(self, state: RunnerState) -> RunnerState:
-        """Return the state, also marked as leaving if its VM is leaving.
+        """Return the state, also marked as leaving if its VM or the runner is leaving.
 
-        A VM is leaving by the VM list or by an operator's command.
+        A VM is leaving by the VM list or by an operator's command, and a runner by its
+        answers.
         """
-        if not self._registry.views_by_runner[state.report.runner].leaving:
+        view = self._registry.views_by_runner[state.report.runner]
+        if not view.leaving and not self._is_leaving(state):
             return state
         return replace(state, report=replace(state.report, leaving=True))
 
--- a/src/heathershunt/services/dispatch.py
+++ b/src/heathershunt/services/dispatch.py
@@ -9,6 +9,11 @@
 import h11
 from result import Err, Ok, Result
 
+from heathershunt.availability import (
+    DAEMON_FIELDS,
+    AvailabilityTable,
+    decode_notice,
+)
 from heathershunt.bundle import Service
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import Address, ClientResponse, HttpClient, Response
@@ -51,6 +56,7 @@
 
     :param addresses: gives the addresses of a service that are not leaving.
     :param limits: keeps to the limits that addresses name.
+    :param availability: addresses that leave or pause by what their answers said.
 
     .. versionadded:: 0.1
     """
@@ -61,12 +67,14 @@
         clock: Clock,
         addresses: Callable[[str], Sequence[Address]],
         limits: LimitGuard,
+        availability: AvailabilityTable,
         source: random.Random | None = None,
     ) -> None:
         self._http = http
         self._clock = clock
         self._addresses = addresses
         self._limits = limits
+        self._availability = availability
         self._random = source or random.Random()
         self._chooser = AddressChooser(self._random)
         self._budget = CallRetryBudget()
@@ -105,6 +113,11 @@
     def _unsent_outcome(self, service: str) -> CallOutcome:
         """Return the outcome of a call for which there was no address."""
         processes = [_process_at(address) for address in self._addresses(service)]
+        pause_ms = self._availability.first_wait_ms(processes)
+        if pause_ms:
+            detail = f"all addresses of the service {service!r} leave or pause"
+            after = max(RETRY_AFTER_MS, self._availability.retry_after_ms(pause_ms))
+            return problem_outcome(Progress.NOT_SENT, 503, "No address", detail, after)
         wait_ms = self._limits.wait_ms(processes)
         detail = f"no address of the service {service!r} is known"
         if wait_ms:
@@ -114,7 +127,10 @@
 
     def _choose(self, service: str, tried: list[Address]) -> Address | None:
         spent = self._limits.spent()
-        addresses = [a for a in self._addresses(service) if str(a) not in spent]
+        by_id = {str(address): address for address in self._addresses(service)}
+        processes = [TargetProcess(address) for address in by_id]
+        usable = self._availability.usable(service, processes)
+        addresses = [by_id[item.id] for item in usable if item.id not in spent]
         return self._chooser.choose(addresses, tried, self._clock.now())
 
     async def _may_retry(self, tries: int, deadline: Millis) -> bool:
@@ -189,6 +205,8 @@
         response = outcome.ok_value
         per_s = decode_limit(response.headers, RATE_LIMIT_HEADER)
         self._limits.record(process, Statement(per_s, sent_at))
+        notice = decode_notice(response.status, response.fields, DAEMON_FIELDS)
+        self._availability.record(process, notice)
         try:
             async with asyncio.timeout(max(1, end - self._clock.now()) / 1000):
                 return await _read_answer(response)
--- a/src/heathershunt/services/handler.py
+++ b/src/heathershunt/services/handler.py
@@ -4,6 +4,7 @@
 
 from result import Result
 
+from heathershunt.availability import AvailabilityTable
 from heathershunt.bundle import Bundle, ClientAccount
 from heathershunt.clock import Clock, Millis
 from heathershunt.http import Address, HttpClient, Request, Response
@@ -63,14 +64,16 @@
         clock: Clock,
         addresses: Callable[[str], Sequence[Address]],
         limits: LimitGuard,
+        availability: AvailabilityTable,
     ) -> "ServiceHandler":
         """Return a handler with the default limits.
 
         :param addresses: gives the addresses of a service that are not leaving.
         :param limits: keeps to the limits that addresses name.
+        :param availability: addresses that leave or pause by what their answers said.
         """
         return cls(
-            Dispatcher(http, clock, addresses, limits),
+            Dispatcher(http, clock, addresses, limits, availability),
             KeyTable(),
             KeyIssuer(vm, incarnation, clock),
             ClaimRouter(ClaimBatcher(store, clock), clock, vm),
--- a/src/heathershunt/timeline/events.py
+++ b/src/heathershunt/timeline/events.py
@@ -31,6 +31,7 @@
     FAULT = "fault"
     PROMPT = "prompt"
     LIMIT = "limit"
+    AVAILABILITY = "availability"
 
 
 @dataclass(frozen=True)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -47,6 +47,7 @@
         self.incarnation = time.time_ns() // 1_000_000
         self.fence = 0
         self.leaving = False
+        self.runs_asked = 0
         self._weights = WeightLoader(self._set_spec)
         self.ledger: list[dict] = []
         self.orders: list[dict] = []
@@ -118,6 +119,7 @@
             "incarnation": self.incarnation,
             "fence": self.fence,
             "leaving": self.leaving,
+            "runs_asked": self.runs_asked,
             "role": "loading" if self._weights.ordered else spec.role,
             "load": self._reports.published(spec.report_lag_ms) or self._load_report(),
         }
@@ -137,10 +139,14 @@
         }
 
     def _open_run(self, body: dict) -> Response | StreamResponse:
+        self.runs_asked += 1
         run_id, epoch = body["run"], int(body["epoch"])
         if epoch <= self._epoch_by_run.get(run_id, 0):
             return json_response(409, {"error": "an epoch as high was opened already"})
         spec = self.spec
+        if spec.pause_s is not None:
+            headers = {"retry-after": str(spec.pause_s)}
+            return json_response(503, {"error": "full"}, headers)
         if self.leaving or self._weights.ordered:
             return json_response(503, {"error": "leaving or loading"})
         if (body["model"], body["version"]) != (spec.model, spec.version):
@@ -159,6 +165,8 @@
         headers = {"content-type": "application/x-ndjson"}
         if spec.rate_limit is not None:
             headers["rate-limit"] = str(spec.rate_limit)
+        if spec.says_leaving:
+            headers["leaving"] = "1"
         return StreamResponse(
             200, headers, lambda stream: self._stream_run(run, stream)
         )
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -23,6 +23,9 @@
     :param deadly_word: the process ends when it is to emit a token on a prompt with it.
     :param rate_limit: runs a second that the engine names in its answers as what it
         takes; ``None`` for no limit.
+    :param says_leaving: whether the engine says in its answers to runs that it leaves.
+    :param pause_s: the engine turns runs away and asks for a pause of so many seconds;
+        ``None`` for no pause.
     """
 
     runner: str
@@ -51,6 +54,8 @@
     weights: str = ""
     deadly_word: str = ""
     rate_limit: float | None = None
+    says_leaving: bool = False
+    pause_s: float | None = None
 
     @property
     def loaded(self) -> tuple:
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from heathershunt.availability import AvailabilityTable
 from heathershunt.bundle import Call, Service
 from heathershunt.clock import Millis, SystemClock
 from heathershunt.http import Address, HttpClient, HttpServer, json_response
@@ -42,8 +43,11 @@
 
 def make_dispatcher(addresses, client, clock):
     limits = LimitGuard(clock, "vm-1", list, TargetProcess, print)
+    availability = AvailabilityTable(clock, TargetProcess, print, random.Random(3))
     source = random.Random(3)
-    return Dispatcher(client, clock, lambda name: addresses, limits, source)
+    return Dispatcher(
+        client, clock, lambda name: addresses, limits, availability, source
+    )
 
 
 async def run(targets, service, wait_ms=2000):
@@ -159,3 +163,37 @@
     assert len(refused) >= 35
     assert all(outcome.progress is Progress.NOT_SENT for outcome in refused)
     assert all("retry-after" in outcome.response.headers for outcome in refused)
+
+
+# Guards against calls to an address that says in its answers that it leaves.
+@pytest.mark.parametrize("status", [200, 500])
+async def test_address_that_leaves_by_its_answer_gets_no_more_calls(status):
+    leaving = await Target(status, {"leaving": "1"}).start()
+    free = await Target(200).start()
+    await send_calls([leaving, free])
+    assert leaving.calls <= 1
+
+
+# Guards against calls to an address within the pause that it asked for.
+async def test_address_that_asks_for_a_pause_gets_no_calls_meanwhile():
+    pausing = await Target(503, {"retry-after": "20"}).start()
+    free = await Target(200).start()
+    outcomes = await send_calls([pausing, free])
+    assert [outcome.response.status for outcome in outcomes] == [200] * 40
+    assert pausing.calls <= 1
+
+
+# Guards against callers that wait, and addresses that are asked again and again.
+@pytest.mark.parametrize(
+    ("status", "headers", "least_s"),
+    [(503, {"retry-after": "20"}, 15), (200, {"leaving": "1"}, 1)],
+)
+async def test_calls_are_refused_at_once_if_all_addresses_leave_or_pause(
+    status, headers, least_s
+):
+    target = await Target(status, headers).start()
+    outcomes = await send_calls([target])
+    assert target.calls == 1
+    assert all(outcome.progress is Progress.NOT_SENT for outcome in outcomes[1:])
+    told = [int(o.response.headers["retry-after"]) for o in outcomes[1:]]
+    assert min(told) >= least_s
