Find usable targets without looking at each one's record

The ids that are away are taken once a millisecond and looked up; a fleet's choices cost what they cost before.

--- a/src/heathershunt/availability/table.py
+++ b/src/heathershunt/availability/table.py
@@ -96,6 +96,9 @@
         self._known_by_id: dict[str, _Known] = {}
         self._passed_over_at: dict[str, Millis] = {}
         self._malformed_at: Millis | None = None
+        # Ids that are away at a time, until the time or what is known changes.
+        self._away_at: Millis | None = None
+        self._away_ids: set[str] = set()
 
     # What is known
 
@@ -148,6 +151,7 @@
         # The order of insertion is the order of the last notices.
         self._known_by_id.pop(target_id, None)
         self._known_by_id[target_id] = known
+        self._away_at = None
         if len(self._known_by_id) > MAX_TARGETS:
             del self._known_by_id[next(iter(self._known_by_id))]
 
@@ -197,19 +201,32 @@
         """
         if not self._known_by_id:
             return list(targets)
-        now = self._clock.now()
-        usable = [t for t in targets if self._resumes_in(t, now) == 0]
+        away = self._away()
+        usable = [
+            target
+            for target in targets
+            if target.id not in away or self._known(target) is None
+        ]
         if len(usable) < len(targets) and not is_enough(usable):
             usable = [t for t in targets if self.wait_ms(t) == 0]
         if len(usable) < len(targets):
             self._log_passed_over(service, targets, usable)
         return usable
 
-    def _resumes_in(self, target: Process, now: Millis) -> int | None:
-        known = self._known(target)
-        if known is None:
-            return 0
-        return None if self._is_leaving(known) else max(0, known.resumed_at - now)
+    def _away(self) -> set[str]:
+        """Return the ids under which a process leaves or its random time is not over.
+
+        Most targets are not among them, which keeps the decision cheap.
+        """
+        now = self._clock.now()
+        if self._away_at != now:
+            self._away_at = now
+            self._away_ids = {
+                target_id
+                for target_id, known in self._known_by_id.items()
+                if known.resumed_at > now or self._is_leaving(known)
+            }
+        return self._away_ids
 
     def wait_ms(self, target: Process) -> int | None:
         """Return the time until a target takes requests again; 0 if it takes them now.
