--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
+from collections.abc import Collection
 from functools import partial
 
 import h11
@@ -20,6 +20,15 @@
     Sent,
 )
 from heathershunt.ratelimits import Statement
+from heathershunt.relay.call import (
+    SERVER_ERROR,
+    TIMEOUT_DETAIL,
+    Call,
+    Reply,
+    is_answer,
+    is_server_error,
+    report_outcome,
+)
 from heathershunt.relay.call_crashes import CallWitness
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.handover import hand_over
@@ -27,7 +36,6 @@
     NOT_RUN_STATUSES,
     CallerRequest,
     Dispatch,
-    ReplyHead,
     refuse,
 )
 from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
@@ -46,62 +54,7 @@
 # expires first.
 REQUEST_TIMEOUT_SLACK_MS = 1000
 RETRY_AFTER_MS = 300
-SERVER_ERROR = 500
 BODY_ERRORS = (OSError, ValueError, h11.RemoteProtocolError)
-TIMEOUT_DETAIL = "no complete answer in time"
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A complete reply from a target."""
-
-    head: ReplyHead
-    body: bytes
-
-    def response(self) -> Response:
-        """Return the reply as a response to the caller."""
-        return Response(self.head.status, self.head.headers, self.body)
-
-
-@dataclass(slots=True)
-class Call:
-    """One call of a caller, and what was tried for it.
-
-    :param deadline: time by which the caller must have the response.
-    :param witness: reports crashes of the call's targets.
-    :ivar tried: ids of the targets that the call was sent to.
-    :ivar sends: sends that may have reached a target.
-    :ivar connect_failures: sends that failed before any byte was sent.
-    :ivar may_have_started: whether a target may have run the call.
-    :ivar held: exchange with a silent target that is waited for while others are
-        tried; ``None`` without one.
-    :ivar is_denied: whether a retry was denied and logged.
-
-    .. versionadded:: 0.8
-    """
-
-    request: CallerRequest
-    route: Route
-    service: str
-    account: str | None
-    deadline: Millis
-    witness: CallWitness
-    tried: set[str] = field(default_factory=set)
-    sends: int = 0
-    connect_failures: int = 0
-    may_have_started: bool = False
-    held: asyncio.Future | None = None
-    is_denied: bool = False
-
-    @property
-    def may_be_sent(self) -> bool:
-        """Return whether the call may be sent to another target."""
-        return self.sends < self.route.max_attempts
-
-    @property
-    def may_be_repeated(self) -> bool:
-        """Return whether the call may be sent once more after the next send."""
-        return self.route.is_retryable and self.sends + 1 < self.route.max_attempts
 
 
 class CallRelay:
@@ -173,10 +126,10 @@
                 return await self._hand_over(call, target, exchange, sent_at)
             last = await exchange
             self._record_outcome(call.request, target, last)
-            await _report(call.witness, target, sent_at, last)
+            await report_outcome(call.witness, target, sent_at, last)
             if not self._should_retry(call, last):
                 break
-        if call.held is not None and _is_server_error(last):
+        if call.held is not None and is_server_error(last):
             # The silent target may still give a better answer.
             await asyncio.wait({call.held})
         return self._conclude(call, last)
@@ -230,8 +183,8 @@
         outcome = await exchange
         # Its timeout was counted when the second send was due.
         self._record_outcome(call.request, target, outcome, counts_timeout=False)
-        await _report(call.witness, target, sent_at, outcome)
-        if isinstance(outcome, Err) or not _is_answer(outcome.ok_value):
+        await report_outcome(call.witness, target, sent_at, outcome)
+        if isinstance(outcome, Err) or not is_answer(outcome.ok_value):
             return None
         return outcome.ok_value
 
@@ -254,8 +207,21 @@
         return True
 
     def _untried(self, call: Call) -> list[Target]:
-        targets = self._context.registry.of_service(call.service)
-        return [target for target in targets if target.id not in call.tried]
+        """Return the targets that may be sent the call, whatever their limits are."""
+        context = self._context
+        targets = context.registry.of_service(call.service)
+        usable = context.availability.usable(
+            call.service, targets, self._is_any_working
+        )
+        return [target for target in usable if target.id not in call.tried]
+
+    def _pause_ms(self, service: str) -> int:
+        """Return the time until a target takes requests again; 0 if one does now."""
+        targets = self._context.registry.of_service(service)
+        return self._context.availability.first_wait_ms(targets, self._is_any_working)
+
+    def _is_any_working(self, targets: Collection[Target]) -> bool:
+        return any(not self._context.suspects.is_ejected(item) for item in targets)
 
     def _limits_wait_ms(self, call: Call) -> int | None:
         """Return the time until a target takes a request by its limit; 0 for now."""
@@ -324,6 +290,7 @@
                 self._context.limits.record(
                     target, Statement(head.limit_per_s, sent_at)
                 )
+                self._context.availability.record(target, head.notice)
                 return Ok(Reply(head, await response.read()))
         except TimeoutError:
             return Err(TransportError(Progress.SENT, TIMEOUT_DETAIL))
@@ -368,15 +335,18 @@
         """Return the reply for the caller, or why there is none."""
         if isinstance(last, Ok) and not last.ok_value.head.is_not_run:
             head = last.ok_value.head
-            if _is_answer(last.ok_value):
+            if is_answer(last.ok_value):
                 return last.ok_value
             detail = f"it replied {head.status}"
             if head.is_success:
                 detail = "the reply has no signature"
             return may_have_run(502, "Target failed", detail)
         limit_wait_ms = self._limits_wait_ms(call) if not call.sends else None
+        pause_ms = self._pause_ms(call.service)
         detail = "no target takes the request"
-        if limit_wait_ms:
+        if pause_ms:
+            detail = "all targets leave or pause"
+        elif limit_wait_ms:
             detail = "all targets have the requests that they take"
         if isinstance(last, Err):
             detail = last.err_value.detail
@@ -384,42 +354,10 @@
             detail = f"a target rejected it with status {last.ok_value.head.status}"
         if not call.may_have_started:
             retry_after_ms = max(RETRY_AFTER_MS, limit_wait_ms or 0)
+            if pause_ms:
+                availability = self._context.availability
+                retry_after_ms = availability.retry_after_ms(pause_ms)
             return not_run(503, "No target", detail, retry_after_ms)
         if self._context.clock.now() >= call.deadline:
             return may_have_run(504, "Timeout", detail)
         return may_have_run(502, "Target failed", detail)
-
-
-def _is_server_error(outcome: Result[Reply, TransportError] | None) -> bool:
-    """Return whether the outcome of a send is a target's answer that it failed."""
-    if not isinstance(outcome, Ok):
-        return False
-    head = outcome.ok_value.head
-    return not head.is_not_run and head.status >= SERVER_ERROR
-
-
-def _is_answer(reply: Reply) -> bool:
-    """Return whether a reply may be passed on as the answer to its request."""
-    head = reply.head
-    if head.is_success:
-        return head.has_signature and not head.is_not_run
-    return head.may_be_passed_on and not head.is_not_run
-
-
-async def _report(
-    witness: CallWitness,
-    target: Target,
-    sent_at: Millis,
-    outcome: Result[Reply, TransportError],
-) -> None:
-    """Report what the outcome of a send shows about the call."""
-    if isinstance(outcome, Ok):
-        if not outcome.ok_value.head.is_not_run:
-            witness.on_answered()
-    elif _is_broken_off(outcome.err_value):
-        await witness.on_broken_off(target, sent_at)
-
-
-def _is_broken_off(error: TransportError) -> bool:
-    """Return whether a target received a call and closed its connection too early."""
-    return error.progress is Progress.SENT and error.detail != TIMEOUT_DETAIL
