--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -27,16 +27,16 @@
 from heathershunt.gateway.caller_limits import caller_limits
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.configurations import (
-    CONFIGURATION_PATH,
     ConfigurationInquiry,
     ConfigurationKeeper,
 )
-from heathershunt.gateway.directory import ANSWER_TTL_S, Directory, check_get
+from heathershunt.gateway.directory import ANSWER_TTL_S, Directory
 from heathershunt.gateway.exchanges import PeerExchanges
 from heathershunt.gateway.gauges import add_gauges
-from heathershunt.gateway.metrics import GatewayMetrics, MetricsServer
+from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.ports import Ports
 from heathershunt.gateway.request_handler import RequestHandler
+from heathershunt.gateway.servers import GatewayServers
 from heathershunt.gateway.state import (
     LEADER_KEY,
     MEMBER_PREFIX,
@@ -45,13 +45,7 @@
 )
 from heathershunt.gateway.topology import Topology
 from heathershunt.http import (
-    AnswerCut,
     HttpClient,
-    HttpServer,
-    Request,
-    Response,
-    StreamResponse,
-    correlated,
 )
 from heathershunt.logs import EventLog
 from heathershunt.logs.events import (
@@ -61,7 +55,6 @@
     Stopping,
     StoreFailed,
 )
-from heathershunt.logs.request_events import AnswerLost
 from heathershunt.pipelines import (
     ChainChooser,
     LoadLedger,
@@ -248,38 +241,34 @@
             events.emit,
             is_paused=self.availability.is_paused,
         )
-        self._callers = HttpServer(
-            self._handle_caller, cancels_handlers=True, on_cut=self._on_cut
-        )
-        self._readiness = HttpServer(self._handle_readiness)
-        self._directory = HttpServer(self._handle_directory)
-        self._peers = HttpServer(correlated(self._handle_peer))
         self.metrics = GatewayMetrics()
         events.add_observer(self.metrics.on_event)
         add_gauges(
             self.metrics,
             state,
             view_age_ms=lambda: self.view.age_ms,
-            running=lambda: self._callers.active_requests,
+            running=lambda: self.servers.callers.active_requests,
             is_leader=lambda: self.leadership.is_leader,
             blocked_parts=lambda: self.guard.blocked_count,
             limited_targets=lambda: self.limits.limited_count,
             leaving_targets=lambda: self.availability.leaving_count,
             paused_targets=lambda: self.availability.paused_count,
         )
-        self._metrics = MetricsServer(self.metrics)
+        self.servers = GatewayServers(
+            ports.decoder,
+            events,
+            self.request_handler,
+            self.directory,
+            self._inquiry,
+            self._exchanges,
+            self.mirror,
+            self.metrics,
+        )
 
     async def start(self) -> None:
         """Bind the listeners and start the background tasks."""
         listeners = self.config.listeners
-        for server, address in (
-            (self._callers, listeners.callers),
-            (self._readiness, listeners.readiness),
-            (self._directory, listeners.directory),
-            (self._peers, listeners.peers),
-        ):
-            await server.start(address.host, address.port)
-        await self._metrics.start(listeners.callers.host, self.config.metrics_port)
+        await self.servers.start(listeners, self.config.metrics_port)
         polls = self.relay_context.diagnosis.poll_slow_runners
         loops: tuple[Callable[[], Awaitable[None]], ...] = (
             self.view.run,
@@ -305,8 +294,8 @@
         started = self._clock.now()
         self.is_leaving = True
         self.directory.accepts_callers = False
-        self._events.emit(Stopping(self._callers.active_requests))
-        self._callers.drain()
+        self._events.emit(Stopping(self.servers.callers.active_requests))
+        self.servers.callers.drain()
         ending = asyncio.create_task(self.keeper.end())
         deadline = started + self.config.bounds.grace_ms - STOP_MARGIN_MS
         accepting_until = started + ACCEPT_AFTER_STOP_MS
@@ -314,25 +303,18 @@
         while (now := self._clock.now()) < deadline:
             self.request_handler.is_stopping = now >= deadline - LATE_REQUEST_MS
             if is_accepting and now >= accepting_until:
-                self._callers.stop_accepting()
+                self.servers.callers.stop_accepting()
                 is_accepting = False
-            if not is_accepting and not self._callers.pending_connections:
+            if not is_accepting and not self.servers.callers.pending_connections:
                 break
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
-        self._events.emit(Stopped(self._callers.active_requests))
+        self._events.emit(Stopped(self.servers.callers.active_requests))
         ending.cancel()
         self.stop_now()
 
     def stop_now(self) -> None:
         """Close all listeners and connections and cancel the background tasks."""
-        self._callers.close_now(STOPPED)
-        for server in (
-            self._readiness,
-            self._directory,
-            self._peers,
-            self._metrics,
-        ):
-            server.close_now()
+        self.servers.close_now(STOPPED)
         for task in self._tasks:
             task.cancel()
         self._events.close()
@@ -386,7 +368,9 @@
         self._events.emit(StoreFailed(detail, self.view.age_ms))
 
     def _on_catalog(self, catalog: Catalog) -> None:
-        self._callers.limits = caller_limits(catalog, self.config.max_descriptors)
+        self.servers.callers.limits = caller_limits(
+            catalog, self.config.max_descriptors
+        )
 
     def _on_member_removal(self, vm: str) -> None:
         """Write this VM's entry again if the entry was removed."""
@@ -416,34 +400,3 @@
         listeners = config.listeners
         value = encode_member(listeners.callers, config.domain, listeners.peers)
         return MEMBER_PREFIX + config.vm, value
-
-    # Listeners
-
-    async def _handle_caller(self, request: Request) -> Response | StreamResponse:
-        try:
-            decoded = self._ports.decoder.request(request)
-        except ValueError as error:
-            log.info("malformed request: {}", error)
-            return Response(400, {"content-type": "text/plain"}, str(error).encode())
-        return await self.request_handler.handle(decoded)
-
-    def _on_cut(self, cut: AnswerCut) -> None:
-        request = cut.request
-        request_id = "" if request is None else self._ports.decoder.request_id(request)
-        event = AnswerLost(request_id, cut.cause.value, cut.has_begun, cut.detail)
-        self._events.emit(event)
-
-    async def _handle_readiness(self, request: Request) -> Response:
-        refusal = check_get(request, self._ports.decoder.ready_path)
-        return refusal or self.directory.readiness()
-
-    async def _handle_peer(self, request: Request) -> Response:
-        if request.path == CONFIGURATION_PATH:
-            return await self._inquiry.handle(request)
-        response = await self._exchanges.handle(request)
-        return response or await self.mirror.handle(request)
-
-    async def _handle_directory(self, request: Request) -> Response:
-        decoder = self._ports.decoder
-        refusal = check_get(request, decoder.resolve_path)
-        return refusal or self.directory.answer(decoder.caller_domain(request))
--- /dev/null
+++ b/src/heathershunt/gateway/servers.py
@@ -0,0 +1,114 @@
+"""Servers of one gateway: for callers, readiness checks, the directory and VMs."""
+
+import logbook
+
+from heathershunt.coordination import ViewMirror
+from heathershunt.gateway.config import Listeners
+from heathershunt.gateway.configurations import (
+    CONFIGURATION_PATH,
+    ConfigurationInquiry,
+)
+from heathershunt.gateway.directory import Directory, check_get
+from heathershunt.gateway.exchanges import PeerExchanges
+from heathershunt.gateway.metrics import GatewayMetrics, MetricsServer
+from heathershunt.gateway.ports import Decoder
+from heathershunt.gateway.request_handler import RequestHandler
+from heathershunt.http import (
+    AnswerCut,
+    HttpServer,
+    Request,
+    Response,
+    StreamResponse,
+    correlated,
+)
+from heathershunt.logs import EventLog
+from heathershunt.logs.request_events import AnswerLost
+from heathershunt.verdict import Refusal
+
+log = logbook.Logger("heathershunt.gateway")
+
+
+class GatewayServers:
+    """Decodes requests and passes each to the part that answers it.
+
+    :ivar callers: server for callers' requests.
+
+    .. versionadded:: 0.8
+    """
+
+    def __init__(
+        self,
+        decoder: Decoder,
+        events: EventLog,
+        request_handler: RequestHandler,
+        directory: Directory,
+        inquiry: ConfigurationInquiry,
+        exchanges: PeerExchanges,
+        mirror: ViewMirror,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self._decoder = decoder
+        self._events = events
+        self._request_handler = request_handler
+        self._answers = directory
+        self._inquiry = inquiry
+        self._exchanges = exchanges
+        self._mirror = mirror
+        self.callers = HttpServer(
+            self._handle_caller, cancels_handlers=True, on_cut=self._on_cut
+        )
+        self._readiness = HttpServer(self._handle_readiness)
+        self._directory = HttpServer(self._handle_directory)
+        self._peers = HttpServer(correlated(self._handle_peer))
+        self._metrics = MetricsServer(metrics)
+
+    async def start(self, listeners: Listeners, metrics_port: int) -> None:
+        """Bind all listeners.
+
+        :raises OSError: if one cannot be bound; the gateway runs without metrics.
+        """
+        for server, address in (
+            (self.callers, listeners.callers),
+            (self._readiness, listeners.readiness),
+            (self._directory, listeners.directory),
+            (self._peers, listeners.peers),
+        ):
+            await server.start(address.host, address.port)
+        await self._metrics.start(listeners.callers.host, metrics_port)
+
+    def close_now(self, refusal: Refusal) -> None:
+        """Close all listeners and connections.
+
+        :param refusal: answer to callers whose answer has not begun.
+        """
+        self.callers.close_now(refusal)
+        for server in (self._readiness, self._directory, self._peers, self._metrics):
+            server.close_now()
+
+    async def _handle_caller(self, request: Request) -> Response | StreamResponse:
+        try:
+            decoded = self._decoder.request(request)
+        except ValueError as error:
+            log.info("malformed request: {}", error)
+            return Response(400, {"content-type": "text/plain"}, str(error).encode())
+        return await self._request_handler.handle(decoded)
+
+    def _on_cut(self, cut: AnswerCut) -> None:
+        request = cut.request
+        request_id = "" if request is None else self._decoder.request_id(request)
+        event = AnswerLost(request_id, cut.cause.value, cut.has_begun, cut.detail)
+        self._events.emit(event)
+
+    async def _handle_readiness(self, request: Request) -> Response:
+        refusal = check_get(request, self._decoder.ready_path)
+        return refusal or self._answers.readiness()
+
+    async def _handle_directory(self, request: Request) -> Response:
+        refusal = check_get(request, self._decoder.resolve_path)
+        return refusal or self._answers.answer(self._decoder.caller_domain(request))
+
+    async def _handle_peer(self, request: Request) -> Response:
+        if request.path == CONFIGURATION_PATH:
+            return await self._inquiry.handle(request)
+        response = await self._exchanges.handle(request)
+        return response or await self._mirror.handle(request)
--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager
 from http import HTTPStatus
 
 import h11
@@ -22,6 +22,7 @@
     StreamResponse,
     problem_response,
 )
+from heathershunt.http.peer_watch import watching_peer
 from heathershunt.http.reading import READ_BYTES, RequestReader
 from heathershunt.http.requests import HttpLimits, RequestRejectedError
 from heathershunt.http.transports import (
@@ -38,8 +39,6 @@
 # A drain waits for a connection without requests until this long after it was opened,
 # as its first request may still arrive.
 FIRST_REQUEST_TIMEOUT_MS = 300
-# Pipelined bytes read while a request is served; beyond this, reading stops.
-MAX_PIPELINED_BYTES = 262_144
 
 FAILED = may_have_run(500, "Internal error", "The router failed to answer the request.")
 
@@ -286,36 +285,13 @@
             detail = "the streamed response failed"
             raise AnswerError(CutCause.STREAM_FAILED, detail) from None
 
-    @asynccontextmanager
-    async def _watching_peer(self):
-        """Watch for the end of the connection while the block runs."""
-        watcher = asyncio.create_task(self._watch_peer())
-        try:
-            yield
-        finally:
-            # Only one task may read at a time: the watcher must end before the next
-            # request is read.
-            watcher.cancel()
-            await asyncio.wait({watcher})
+    def _watching_peer(self) -> AbstractAsyncContextManager[None]:
+        return watching_peer(self.reader, self._h11.receive_data, self._on_peer_closed)
 
-    async def _watch_peer(self) -> None:
-        """Detect the end of the connection while a request is served.
-
-        Bytes received meanwhile belong to pipelined requests and are kept.
-        """
-        pipelined_bytes = 0
-        while pipelined_bytes < MAX_PIPELINED_BYTES:
-            try:
-                data = await self.reader.read(READ_BYTES)
-            except ConnectionError:
-                data = b""
-            if not data:
-                self._closed.set()
-                if self._cancels_handlers:
-                    self._task.cancel()
-                return
-            pipelined_bytes += len(data)
-            self._h11.receive_data(data)
+    def _on_peer_closed(self) -> None:
+        self._closed.set()
+        if self._cancels_handlers:
+            self._task.cancel()
 
     def send_body(self, data: bytes) -> None:
         """Write body bytes of a streamed response as one chunk.
--- a/tests/gateway/test_left_in_a_silence.py
+++ b/tests/gateway/test_left_in_a_silence.py
@@ -29,6 +29,6 @@
     async with asyncio.timeout(1.5):
         while any(server.active_requests for server in servers):
             await asyncio.sleep(0.02)
-    await site.until(lambda: gateway._callers.active_requests == 0)
+    await site.until(lambda: gateway.servers.callers.active_requests == 0)
     assert gateway.relay_context.ledger.own() == {}
     assert len(site.runs()) == 2
