--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -81,14 +81,6 @@
 TICK_MS = 100
 # Age of the view up to which what it lacks is written to the store.
 CURRENT_VIEW_MS = 2000
-# Time after the stop signal during which new connections are still accepted, as callers
-# use addresses from earlier directory answers.
-ACCEPT_AFTER_STOP_MS = 1000
-# Part of the grace time that is reserved for closing connections.
-STOP_MARGIN_MS = 500
-DRAIN_POLL_MS = 50
-# Requests that arrive so shortly before the end of the grace time are refused.
-LATE_REQUEST_MS = 500
 STOPPED = may_have_run(502, "VM stopped", "the VM stopped before the answer")
 
 
@@ -255,6 +247,7 @@
             paused_targets=lambda: self.availability.paused_count,
         )
         self.servers = GatewayServers(
+            clock,
             ports.decoder,
             events,
             self.request_handler,
@@ -289,25 +282,14 @@
     async def shut_down(self) -> None:
         """Leave the directory, finish running requests, then stop.
 
-        Requests that still run shortly before ``grace_ms`` are cut off.
+        Requests that still run shortly before ``grace_ms`` are refused or cut off.
         """
         started = self._clock.now()
         self.is_leaving = True
         self.directory.accepts_callers = False
         self._events.emit(Stopping(self.servers.callers.active_requests))
-        self.servers.callers.drain()
         ending = asyncio.create_task(self.keeper.end())
-        deadline = started + self.config.bounds.grace_ms - STOP_MARGIN_MS
-        accepting_until = started + ACCEPT_AFTER_STOP_MS
-        is_accepting = True
-        while (now := self._clock.now()) < deadline:
-            self.request_handler.is_stopping = now >= deadline - LATE_REQUEST_MS
-            if is_accepting and now >= accepting_until:
-                self.servers.callers.stop_accepting()
-                is_accepting = False
-            if not is_accepting and not self.servers.callers.pending_connections:
-                break
-            await asyncio.sleep(DRAIN_POLL_MS / 1000)
+        await self.servers.finish_requests(started, self.config.bounds.grace_ms)
         self._events.emit(Stopped(self.servers.callers.active_requests))
         ending.cancel()
         self.stop_now()
--- a/src/heathershunt/gateway/servers.py
+++ b/src/heathershunt/gateway/servers.py
@@ -1,7 +1,10 @@
 """Servers of one gateway: for callers, readiness checks, the directory and VMs."""
 
+import asyncio
+
 import logbook
 
+from heathershunt.clock import Clock, Millis
 from heathershunt.coordination import ViewMirror
 from heathershunt.gateway.config import Listeners
 from heathershunt.gateway.configurations import (
@@ -27,6 +30,15 @@
 
 log = logbook.Logger("heathershunt.gateway")
 
+# Time after the stop signal during which new connections are still accepted, as callers
+# use addresses from earlier directory answers.
+ACCEPT_AFTER_STOP_MS = 1000
+# Part of the grace time that is reserved for closing connections.
+STOP_MARGIN_MS = 500
+DRAIN_POLL_MS = 50
+# Requests that arrive so shortly before the end of the grace time are refused.
+LATE_REQUEST_MS = 500
+
 
 class GatewayServers:
     """Decodes requests and passes each to the part that answers it.
@@ -38,6 +50,7 @@
 
     def __init__(
         self,
+        clock: Clock,
         decoder: Decoder,
         events: EventLog,
         request_handler: RequestHandler,
@@ -47,6 +60,7 @@
         mirror: ViewMirror,
         metrics: GatewayMetrics,
     ) -> None:
+        self._clock = clock
         self._decoder = decoder
         self._events = events
         self._request_handler = request_handler
@@ -76,6 +90,24 @@
             await server.start(address.host, address.port)
         await self._metrics.start(listeners.callers.host, metrics_port)
 
+    async def finish_requests(self, started: Millis, grace_ms: int) -> None:
+        """Wait until the callers' requests have ended, at most for the grace time.
+
+        :param started: time of the stop signal.
+        """
+        self.callers.drain()
+        deadline = started + grace_ms - STOP_MARGIN_MS
+        accepting_until = started + ACCEPT_AFTER_STOP_MS
+        is_accepting = True
+        while (now := self._clock.now()) < deadline:
+            self._request_handler.is_stopping = now >= deadline - LATE_REQUEST_MS
+            if is_accepting and now >= accepting_until:
+                self.callers.stop_accepting()
+                is_accepting = False
+            if not is_accepting and not self.callers.pending_connections:
+                break
+            await asyncio.sleep(DRAIN_POLL_MS / 1000)
+
     def close_now(self, refusal: Refusal) -> None:
         """Close all listeners and connections.
 
