--- a/src/heathershunt/availability/table.py
+++ b/src/heathershunt/availability/table.py
@@ -45,8 +45,13 @@
 class Process(Protocol):
     """A process that takes requests: its id and the time when it started."""
 
-    id: str
-    incarnation: int
+    @property
+    def id(self) -> str:
+        """Return the id of the process."""
+
+    @property
+    def incarnation(self) -> int:
+        """Return the time when it started; 0 if unknown."""
 
 
 AnyProcess = TypeVar("AnyProcess", bound=Process)
--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -226,7 +226,7 @@
         except asyncio.CancelledError:
             # A handler that awaits a task which something else cancels raises this too,
             # without a cancellation of its own.
-            if self._task.cancelling():
+            if self._is_cancelled():
                 raise
             log.exception("handler cancelled: {} {}", request.method, request.path)
         except AnswerError:
@@ -235,6 +235,10 @@
             log.exception("handler failed: {} {}", request.method, request.path)
         return problem_response(FAILED)
 
+    def _is_cancelled(self) -> bool:
+        """Return whether the task of the connection itself was cancelled."""
+        return self._task is not None and self._task.cancelling() > 0
+
     async def _respond(self, response: Response | StreamResponse, closes: bool) -> None:
         """Write a response.
 
@@ -271,7 +275,7 @@
             async with self._watching_peer():
                 await response.run(_Stream(self))
         except asyncio.CancelledError:
-            if self._task.cancelling():
+            if self._is_cancelled():
                 raise
             log.exception("streamed response cancelled")
             detail = "a task of the streamed response was cancelled"
@@ -290,7 +294,7 @@
 
     def _on_peer_closed(self) -> None:
         self._closed.set()
-        if self._cancels_handlers:
+        if self._cancels_handlers and self._task is not None:
             self._task.cancel()
 
     def send_body(self, data: bytes) -> None:
--- a/src/heathershunt/http/heads.py
+++ b/src/heathershunt/http/heads.py
@@ -25,7 +25,9 @@
         headers.append(("transfer-encoding", "chunked"))
     return h11.Response(
         status_code=response.status,
-        headers=[(name, text.encode("latin-1")) for name, text in headers],
+        headers=[
+            (name.encode("ascii"), text.encode("latin-1")) for name, text in headers
+        ],
         reason=_reason_phrase(response.status).encode(),
     )
 
--- a/src/heathershunt/http/reading.py
+++ b/src/heathershunt/http/reading.py
@@ -34,7 +34,7 @@
         reader: CountingReader,
         limits: Callable[[], HttpLimits],
         send_continue: Callable[[], None],
-        transport: asyncio.Transport,
+        transport: asyncio.WriteTransport,
     ) -> None:
         self._h11 = h11_connection
         self._reader = reader
@@ -115,7 +115,7 @@
             ) from None
 
     async def _parse(self, head_timeout: asyncio.Timeout) -> Request | None:
-        head = None
+        head: h11.Request | None = None
         parts: list[bytes] = []
         size = 0
         while True:
@@ -135,7 +135,7 @@
                         413, f"The request body is larger than {limit} bytes."
                     )
                 parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return self._build(head, b"".join(parts))
             else:
                 return None
--- a/src/heathershunt/http/transports.py
+++ b/src/heathershunt/http/transports.py
@@ -9,7 +9,7 @@
 RECEIVE_BYTES = 16_384
 
 
-def limit_receive_size(transport: asyncio.Transport) -> None:
+def limit_receive_size(transport: asyncio.WriteTransport) -> None:
     """Make the transport receive at most :data:`RECEIVE_BYTES` at a time.
 
     The selector transport allocates its ``max_size`` of 256 KB for each receive call;
@@ -21,7 +21,7 @@
         transport.max_size = RECEIVE_BYTES
 
 
-def disable_nagle(transport: asyncio.Transport) -> None:
+def disable_nagle(transport: asyncio.WriteTransport) -> None:
     """Set ``TCP_NODELAY``, so that small writes do not wait for acknowledgements.
 
     asyncio sets it only for sockets created with an explicit protocol number, which
@@ -90,7 +90,7 @@
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
-def is_receive_buffer_empty(transport: asyncio.Transport) -> bool:
+def is_receive_buffer_empty(transport: asyncio.WriteTransport) -> bool:
     """Return whether the kernel holds no received bytes and no end of the stream.
 
     The event loop reads them only in its next iteration, so they may not have reached
--- a/src/heathershunt/relay/handover.py
+++ b/src/heathershunt/relay/handover.py
@@ -60,9 +60,9 @@
                 if outcome is not None:
                     return outcome, True
                 return await successor, False
-            outcome = successor.result()
-            if not isinstance(outcome, Refusal):
-                return outcome, False
+            produced = successor.result()
+            if not isinstance(produced, Refusal):
+                return produced, False
             # The end of the silent run ends the pause: nothing else is left then.
             await asyncio.wait({waiting}, timeout=retry_ms / 1000)
             if not waiting.done() or waiting.result() is None:
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -130,8 +130,8 @@
             await self._starter.on_broken_run(run, error)
             return None
         if events is None and not self._progress.has_begun:
-            error = StreamBrokenError("the stream has no event")
-            await self._starter.on_broken_run(run, error)
+            empty = StreamBrokenError("the stream has no event")
+            await self._starter.on_broken_run(run, empty)
             return None
         return Produced(events)
 
