Count no end of a target as a crash that said in an answer that it leaves

What callers saw: calls that were refused, as targets had ended under them which had announced that in an answer, but not in their entry.

Cause: the ends of targets were judged by the list alone.

Evidence: test_target_that_said_it_leaves_is_no_evidence_on_calls, red without the change to endings.py ('crashed' in place of 'left').

Why this works: the table keeps the word of a process by its incarnation, so a later process with the same id is not meant.

Measured: tests/relay, test_broken_calls.py and test_deadly_calls.py pass.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -219,7 +219,7 @@
                 self._may_check,
                 self.availability.is_paused,
             ),
-            endings=Endings(state.registry, http),
+            endings=Endings(state.registry, http, self.availability),
             events=events,
             guard=self.guard,
             limits=self.limits,
--- a/src/heathershunt/relay/endings.py
+++ b/src/heathershunt/relay/endings.py
@@ -3,6 +3,7 @@
 import asyncio
 from enum import Enum
 
+from heathershunt.availability import AvailabilityTable
 from heathershunt.discovery import Target, TargetRegistry
 from heathershunt.http import HttpClient
 
@@ -13,7 +14,7 @@
     """State of a target's process after a connection to it broke.
 
     :cvar CRASHED: the process has ended or restarted, and had not announced that.
-    :cvar LEFT: it was leaving, or its entry was gone from the store.
+    :cvar LEFT: it was leaving by its entry or an answer, or its entry was gone.
     :cvar RUNS: it accepts connections.
     :cvar UNKNOWN: it neither accepts nor refuses them, as behind a cut link.
 
@@ -34,8 +35,14 @@
     .. versionadded:: 0.8
     """
 
-    def __init__(self, registry: TargetRegistry, http: HttpClient) -> None:
+    def __init__(
+        self,
+        registry: TargetRegistry,
+        http: HttpClient,
+        availability: AvailabilityTable,
+    ) -> None:
         self._registry = registry
+        self._availability = availability
         self._http = http
         self._checks_by_id: dict[str, asyncio.Task] = {}
 
@@ -47,6 +54,8 @@
         known = self._registry.get(target.id)
         if known is None or known.is_draining or self._registry.is_missing(target.id):
             return Ending.LEFT
+        if self._availability.is_leaving(target):
+            return Ending.LEFT
         if known.incarnation != target.incarnation:
             return Ending.CRASHED
         accepts = await self._accepts(target)
