Blame no prompt for a first runner that was leaving or is silent

What callers saw: streams that may be refused with 503 as the runners ended under them that were being released, or that gave no report within 0.1 s after their connection broke.

Cause: plain calls ask how the process of a target stands, streams asked only whether a runner gives a report.

Why this works: a refused connection or a later process shows an end, no report doesn't; the entry and the answers of a runner show a planned one.

Measured: tests/relay, test_crashing_requests.py, test_crash_evidence.py and test_deadly_calls.py pass.

--- a/src/heathershunt/relay/crashes.py
+++ b/src/heathershunt/relay/crashes.py
@@ -4,8 +4,10 @@
 from functools import cached_property
 
 from heathershunt.crashes import Block, Evidence, RunnerCrash, request_key
+from heathershunt.discovery import Target
 from heathershunt.logs.request_events import PartRefused, RunCrashed
 from heathershunt.relay.context import RelayContext
+from heathershunt.relay.endings import Ending
 from heathershunt.relay.messages import CallerRequest
 from heathershunt.relay.runs import Run
 from heathershunt.relay.spec import StreamSpec
@@ -136,8 +138,7 @@
         self._context.endings.check(head)
         if run.events:
             return
-        now = self._context.clock.now()
-        if not await self._context.diagnosis.has_ended(head, now):
+        if not await self._has_crashed(head):
             return
         evidence = Evidence.WAITING if run.head is None else Evidence.BEGUN
         has_begun = evidence is Evidence.BEGUN
@@ -154,3 +155,16 @@
             run.sent_at,
             evidence,
         )
+
+    async def _has_crashed(self, head: Target) -> bool:
+        """Return whether the process of a first runner ended unannounced.
+
+        One without a report may only be silent.
+        """
+        context = self._context
+        if not await context.diagnosis.has_ended(head, context.clock.now()):
+            return False
+        ending = await context.endings.find(head)
+        if ending is Ending.RUNS:
+            return await context.diagnosis.has_restarted(head)
+        return ending is Ending.CRASHED
--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -61,6 +61,11 @@
         self._suspects.eject(runner)
         return True
 
+    async def has_restarted(self, runner: Target) -> bool:
+        """Return whether a later process answers in place of the listed runner."""
+        report = await self._fetch_report(runner)
+        return report is not None and self._is_restarted(runner, report)
+
     async def find_faulty(self, chain: Chain) -> Target | None:
         """Return the first runner of the chain that is at fault; eject all that are.
 
