Keep parts with evidence among the suspected ones, and bound those

Cause: the list of suspected parts dropped the oldest one, also one with evidence, while the evidence keeps parts with several crashes; an answer is recorded only for suspected ones. And the list was cut only after evidence that still counts.

Evidence: two tests of test_judge.py, red without the change.

Why this works: the evidence is on at most as many parts as the list holds, so an excess always has one without evidence to drop.

Measured: tests/crashes pass.

--- a/src/heathershunt/crashes/judge.py
+++ b/src/heathershunt/crashes/judge.py
@@ -112,6 +112,11 @@
 
     def add(self, item: CrashEvidence, now: Millis) -> bool:
         """Add evidence; return whether it was new and still counts."""
+        is_new = self._add(item, now)
+        self._drop_excess_suspects()
+        return is_new
+
+    def _add(self, item: CrashEvidence, now: Millis) -> bool:
         part = item.key.part
         if now - item.crashed_at > self._config.memory_ms:
             return False
@@ -150,8 +155,16 @@
             single = (part for part, known in by_part.items() if len(known) == 1)
             oldest = next(iter(by_part))
             del by_part[next(single, oldest)]
-        while len(self._suspected_at_by_part) > limit:
-            self._suspected_at_by_part.popitem(last=False)
+
+    def _drop_excess_suspects(self) -> None:
+        """Drop the oldest suspected parts, of those without evidence.
+
+        An answer settles the evidence on suspected parts only.
+        """
+        suspects = self._suspected_at_by_part
+        while len(suspects) > self._config.max_parts:
+            settled = (part for part in suspects if part not in self._evidence_by_part)
+            del suspects[next(settled)]
 
     def add_sound(self, part: str, at: Millis) -> bool:
         """Record that a run wrote on a part; return whether that settled evidence."""
--- a/tests/crashes/test_judge.py
+++ b/tests/crashes/test_judge.py
@@ -181,3 +181,24 @@
         crash(judge, at, ["deadly"])
     assert len(judge.evidence_on("deadly")) == 16
     assert len(judge.evidence(limit=7)) == 7
+
+
+# Guards against memory that grows with the messages of others on parts that turned out
+# to be sound.
+def test_suspected_parts_are_bounded_if_all_are_sound(judge):
+    parts = [f"part-{number}" for number in range(CONFIG.max_parts + 100)]
+    for part in parts:
+        judge.add_sound(part, Millis(2000))
+        crash(judge, 1000, [part])
+    assert len(judge.sound_parts(limit=len(parts))) <= CONFIG.max_parts
+
+
+# Guards against a part that stays blocked though runs write on it, as parts that were
+# suspected later have pushed it out of the list of those that a run may clear.
+def test_blocked_part_stays_suspected_beside_many_others(judge):
+    for at in (1000, 2000):
+        crash(judge, at, ["popular"])
+    for number in range(CONFIG.max_parts + 100):
+        crash(judge, 3000 + number, [f"part-{number}"])
+    assert is_blocked(judge, ["popular"], 4000)
+    assert judge.is_suspected("popular")
