Daemon: count no end of a target that said in an answer that it leaves

What callers saw: plain calls of the daemon that were refused, as targets ended under them which had announced that in an answer, but not in the list.

Cause: the same as at the gateway: the check of an end knew the list alone.

Evidence: test_target_that_said_it_leaves_is_no_evidence, red without the change.

--- a/src/heathershunt/services/crashes.py
+++ b/src/heathershunt/services/crashes.py
@@ -58,6 +58,8 @@
     :param guard: shared by all requests of this VM.
     :param ends: shared by the calls of this VM.
     :param listed: returns the addresses of the service that are not leaving.
+    :param is_leaving: returns whether an answer of the process at an address said that
+        it leaves.
 
     .. versionadded:: 0.8
     """
@@ -69,12 +71,14 @@
         ends: AddressEnds,
         http: HttpClient,
         listed: Callable[[str], Collection[Address]],
+        is_leaving: Callable[[Address], bool],
     ) -> None:
         self._call = call
         self._guard = guard
         self._ends = ends
         self._http = http
         self._listed = listed
+        self._is_leaving = is_leaving
         self._draw = guard.draw()
         self._crashes = 0
 
@@ -113,6 +117,8 @@
         """Record a call that its target broke off, if the target's process ended."""
         if address not in self._listed(self._call.service):
             return
+        if self._is_leaving(address):
+            return
         if await self._http.accepts(address, CONNECT_MS) is not False:
             return
         log.info("the process at {} ended under the call {}", address, self._key)
--- a/src/heathershunt/services/dispatch.py
+++ b/src/heathershunt/services/dispatch.py
@@ -110,7 +110,12 @@
         idempotent = service.is_idempotent(call.method, call.path)
         self._budget.record_call()
         crashes = CallCrashes(
-            call, self._guard, self._ends, self._http, self._addresses
+            call,
+            self._guard,
+            self._ends,
+            self._http,
+            self._addresses,
+            lambda address: self._availability.is_leaving(_process_at(address)),
         )
         tried: list[Address] = []
         running: dict[asyncio.Task, _Try] = {}
--- a/tests/services/test_crashing_calls.py
+++ b/tests/services/test_crashing_calls.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from heathershunt.availability import AvailabilityTable
+from heathershunt.availability import AvailabilityTable, Notice
 from heathershunt.bundle import Call, Service
 from heathershunt.clock import Millis, SystemClock
 from heathershunt.crashes import PartGuard
@@ -37,12 +37,14 @@
 
     :ivar resets: whether it closes the connection and goes on.
     :ivar is_mended: whether it runs such calls as any other.
+    :ivar leaves: called with its address before it ends.
     """
 
     def __init__(self):
         self.has_ended = False
         self.resets = False
         self.is_mended = False
+        self.leaves = lambda address: None
         self._http = HttpServer(self._handle, cancels_handlers=True)
 
     async def start(self):
@@ -55,6 +57,7 @@
             return json_response(200, {})
         if self.resets:
             raise AnswerError(CutCause.STREAM_FAILED, "the answer is lost")
+        self.leaves(self.address)
         self.end()
         await asyncio.Event().wait()
 
@@ -71,13 +74,16 @@
         self.listed = [target.address for target in targets]
         self.client, self._clock = HttpClient(), SystemClock()
         self.guard = PartGuard(self._clock, lambda event: None, lambda: 1)
+        self.availability = AvailabilityTable(
+            self._clock, TargetProcess, print, random.Random(3)
+        )
         self._dispatcher = Dispatcher(
             self.client,
             self._clock,
             lambda name: self.listed,
             LimitGuard(self._clock, "vm-1", list, TargetProcess, print),
             self.guard,
-            AvailabilityTable(self._clock, TargetProcess, print, random.Random(3)),
+            self.availability,
             random.Random(3),
         )
 
@@ -150,6 +156,17 @@
     assert not desk.guard.has_evidence
 
 
+# Guards against the same where the targets said in their answers that they leave.
+async def test_target_that_said_it_leaves_is_no_evidence(desk):
+    for target in desk.targets:
+        target.leaves = lambda address: desk.availability.record(
+            TargetProcess(str(address)), Notice(is_leaving=True)
+        )
+    assert (await desk.call(DEADLY, ONCE))[0] == 502
+    assert desk.crashes == 1
+    assert not desk.guard.has_evidence
+
+
 # Guards against a call that stays refused though it is sound now.
 async def test_call_that_was_answered_is_cleared(desk):
     await desk.call(DEADLY, ONCE)
