Daemon: blame no prompt for an engine that was leaving

What callers saw: drafts that may be refused with 503, as two engines ended under them that were being released.

Cause: the ends of engines were judged by their address alone, not by their report or the list of VMs.

Evidence: test_engine_that_was_leaving_is_no_evidence[True], red without the change.

Measured: tests/drafts and tests/integration/test_crashing_drafts.py pass.

--- a/src/heathershunt/drafts/crashes.py
+++ b/src/heathershunt/drafts/crashes.py
@@ -60,7 +60,8 @@
     ) -> None:
         """Record an epoch without a token, if one of its runners has ended.
 
-        A runner that only fell silent says nothing about the prompt.
+        A runner that only fell silent, or that was leaving, says nothing about the
+        prompt.
 
         :param started_at: time when the epoch began.
         """
@@ -71,6 +72,9 @@
                 continue
             known = self._registry.states_by_runner.get(stage.runner)
             incarnation = known.report.incarnation if known else None
+            view = self._registry.views_by_runner.get(stage.runner)
+            if view is not None and view.leaving:
+                continue
             if not await self._engine.has_ended(stage, incarnation):
                 continue
             self._crashes += 1
