--- a/tests/gateway/test_deadly_calls.py
+++ b/tests/gateway/test_deadly_calls.py
@@ -7,6 +7,9 @@
 DEADLY = b"deadly"
 # Stated target: no more than three targets end before all VMs that are in touch know.
 MAX_CRASHES = 3
+# Time after which a caller leaves, and after which its target ends.
+LEAVE_S = 0.05
+END_S = 0.1
 
 
 @pytest.fixture
@@ -116,3 +119,54 @@
         status, _, _ = await site.call("POST", "/orders/7", DEADLY, **parts)
     assert crashes(desks) < MAX_CRASHES
     assert status == 503
+
+
+# Guards against a call that ends target after target as each of its callers leaves
+# before the target ends.
+async def test_call_whose_callers_leave_stops_reaching_targets(site, desks):
+    for desk in desks:
+        end_later(desk)
+    for _ in range(2 * MAX_CRASHES):
+        calling = asyncio.create_task(site.call("POST", "/orders/7", DEADLY))
+        await asyncio.sleep(LEAVE_S)
+        calling.cancel()
+        await asyncio.gather(calling, return_exceptions=True)
+        await asyncio.sleep(2 * END_S)
+    assert crashes(desks) <= MAX_CRASHES
+
+
+def end_later(desk):
+    """Make a target end some time after it began the deadly call, left or not."""
+
+    async def end():
+        await asyncio.sleep(END_S)
+        await desk.stop()
+
+    async def crash():
+        desk.ending = asyncio.create_task(end())
+        await asyncio.sleep(3600)
+
+    desk._crash_at_call = crash
+
+
+# Guards against a call that is cleared by the answers to others with the same path and
+# body, as the fields that make it deadly are not in its key.
+async def test_call_with_a_deadly_field_stops_reaching_targets(site, desks):
+    for desk in desks:
+        end_at_field(desk)
+    for _ in range(2 * MAX_CRASHES):
+        await site.call("GET", "/orders/7", accept="deadly")
+        await site.call("GET", "/orders/7", accept="sound")
+    assert crashes(desks) <= MAX_CRASHES
+
+
+def end_at_field(desk):
+    """Make a target end as it begins a request with a certain field."""
+    handle = desk._answer
+
+    async def answer(request):
+        if request.headers.get("accept") == "deadly":
+            await desk._crash_at_call()
+        return await handle(request)
+
+    desk._answer = answer
