Keep evidence on the parts of a long prompt that nobody wrote on

What callers saw: a prompt that ends runner after runner and is never refused, as its deadly part comes after the first 32.

Cause: evidence was kept on the first 32 parts of a prompt, which are the ones that sound prompts begin with too; each answer to those settled it.

Evidence: tests/crashes/test_guard.py, red without the change.

Why this works: runs have written on what sound prompts share, never on a deadly part, so parts without a run come first. A prompt with more than 32 of those may still hide its deadly one; the bound on memory stays.

Measured: tests/crashes pass.

--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -149,7 +149,8 @@
         now = self._clock.now()
         if evidence is Evidence.WAITING and not all(map(is_request_key, parts)):
             parts = parts[:-1]
-        for part in parts[:MAX_PARTS_OF_PROMPT]:
+        # Parts on which runs wrote are suspected last, as many prompts begin with them.
+        for part in sorted(parts, key=self._judge.is_sound)[:MAX_PARTS_OF_PROMPT]:
             key = PartKey(account or "", part)
             self._seen_here.add(key)
             self._judge.add(CrashEvidence(key, crash, sent_at, now, evidence), now)
