Daemon: know a prompt by the whole of it, not by its complete blocks alone

What callers saw: a prompt that ends engine after engine and is never refused: one of fewer than 16 words, or deadly by the words after its last block of 16.

A draft was known by its complete blocks; the first has none, and those of the second are sound and are cleared by others.

Why this works: the key of the whole prompt is kept beside the blocks, by the same rules as that of a plain call; it is cleared by a token on the same prompt.

--- a/src/heathershunt/drafts/crashes.py
+++ b/src/heathershunt/drafts/crashes.py
@@ -1,7 +1,7 @@
 """What drafts show about prompts that crash runners, and whether one may run."""
 
 from heathershunt.clock import Clock, Millis
-from heathershunt.crashes import Evidence, PartGuard, RunnerCrash
+from heathershunt.crashes import Evidence, PartGuard, RunnerCrash, request_key
 from heathershunt.drafts.draft import Draft
 from heathershunt.drafts.engine import EngineClient
 from heathershunt.drafts.epoch import EpochFailure
@@ -16,7 +16,8 @@
 class DraftCrashes:
     """Records the crashes under one draft, and checks the draft's prompt.
 
-    The parts of a prompt are its prefixes, as in the caches of the engines.
+    The parts of a prompt are its prefixes, as in the caches of the engines, and the
+    whole of it.
 
     :param guard: shared by the drafts of this VM.
 
@@ -36,7 +37,13 @@
         self._engine = engine
         self._registry = registry
         self._clock = clock
-        self._parts = prefix_hashes(draft.request.prompt)
+        request = draft.request
+        # Words after the last block are in no prefix, so the whole prompt has a key.
+        self._key = request_key(
+            "", request.model, request.account, request.prompt.encode()
+        )
+        self._prefixes = prefix_hashes(request.prompt)
+        self._parts = [self._key, *self._prefixes]
         self._draw = guard.draw()
         self._crashes = 0
 
@@ -53,7 +60,8 @@
 
     def on_first_token(self) -> None:
         """Record that a runner wrote on the prompt."""
-        self._guard.record_writing(self._parts)
+        self._guard.record_writing(self._prefixes)
+        self._guard.record_answer(self._key)
 
     async def on_failed_epoch(
         self, chain: Chain, failure: EpochFailure, started_at: Millis
