--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -1,6 +1,6 @@
 """All types of events and their names, for programs that read logs."""
 
-from heathershunt.logs import availability_events, events, request_events
+from heathershunt.logs import availability_events, events, request_events, run_events
 from heathershunt.logs.events import Event
 
 EVENT_TYPES: tuple[type[Event], ...] = (
@@ -39,15 +39,15 @@
     request_events.SendRejected,
     request_events.CallBroken,
     request_events.RetryDenied,
-    request_events.PauseExamined,
-    request_events.ChainReplaced,
-    request_events.ChainNotReplaced,
-    request_events.StreamBroken,
-    request_events.RunHeld,
-    request_events.RunRegained,
-    request_events.RunCrashed,
+    run_events.PauseExamined,
+    run_events.ChainReplaced,
+    run_events.ChainNotReplaced,
+    run_events.StreamBroken,
+    run_events.RunHeld,
+    run_events.RunRegained,
+    run_events.RunCrashed,
     request_events.PartRefused,
-    request_events.StreamResumed,
+    run_events.StreamResumed,
     request_events.StreamRefused,
     request_events.StreamEnded,
     request_events.CallEnded,
--- a/src/heathershunt/relay/crashes.py
+++ b/src/heathershunt/relay/crashes.py
@@ -5,7 +5,8 @@
 
 from heathershunt.crashes import Block, Evidence, RunnerCrash, request_key
 from heathershunt.discovery import Target
-from heathershunt.logs.request_events import PartRefused, RunCrashed
+from heathershunt.logs.request_events import PartRefused
+from heathershunt.logs.run_events import RunCrashed
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.endings import Ending
 from heathershunt.relay.messages import CallerRequest
--- a/src/heathershunt/relay/pauses.py
+++ b/src/heathershunt/relay/pauses.py
@@ -1,7 +1,7 @@
 """Checks of a chain that sends no events, and when to leave it."""
 
 from heathershunt.discovery import Target
-from heathershunt.logs.request_events import PauseExamined
+from heathershunt.logs.run_events import PauseExamined
 from heathershunt.pipelines import Chain
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.context import RelayContext
--- a/src/heathershunt/relay/repair.py
+++ b/src/heathershunt/relay/repair.py
@@ -1,7 +1,7 @@
 """Replacement of runners in the chain of a running stream."""
 
 from heathershunt.discovery import Target
-from heathershunt.logs.request_events import ChainNotReplaced, ChainReplaced
+from heathershunt.logs.run_events import ChainNotReplaced, ChainReplaced
 from heathershunt.pipelines import Chain, OrderOutcome
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.context import RelayContext
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -5,12 +5,8 @@
 from functools import partial
 
 from heathershunt.http import Response, ResponseStream, StreamResponse
-from heathershunt.logs.request_events import (
-    RunHeld,
-    RunRegained,
-    StreamEnded,
-    StreamRefused,
-)
+from heathershunt.logs.request_events import StreamEnded, StreamRefused
+from heathershunt.logs.run_events import RunHeld, RunRegained
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.capacity import CapacityGate
 from heathershunt.relay.context import RelayContext
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -6,14 +6,8 @@
 
 from heathershunt.discovery import Target
 from heathershunt.http import Response, TransportError
-from heathershunt.logs.request_events import (
-    RetryDenied,
-    SendFailed,
-    SendRejected,
-    Sent,
-    StreamBroken,
-    StreamResumed,
-)
+from heathershunt.logs.request_events import RetryDenied, SendFailed, SendRejected, Sent
+from heathershunt.logs.run_events import StreamBroken, StreamResumed
 from heathershunt.pipelines import Chain
 from heathershunt.ratelimits import Statement
 from heathershunt.relay.attempts import Attempts
--- a/tests/gateway/test_ends_that_are_no_crashes.py
+++ b/tests/gateway/test_ends_that_are_no_crashes.py
@@ -5,7 +5,8 @@
 import pytest
 
 from heathershunt.availability import Notice
-from heathershunt.logs.request_events import CallBroken, RunCrashed
+from heathershunt.logs.request_events import CallBroken
+from heathershunt.logs.run_events import RunCrashed
 from tests.gateway.test_crashing_requests import send
 
 PART = "5c1e07a2"
--- a/tests/gateway/test_held_ends.py
+++ b/tests/gateway/test_held_ends.py
@@ -5,7 +5,8 @@
 import pytest
 
 from heathershunt.http import Response
-from heathershunt.logs.request_events import CallBroken, RunCrashed, RunHeld
+from heathershunt.logs.request_events import CallBroken
+from heathershunt.logs.run_events import RunCrashed, RunHeld
 from tests.gateway.test_crashing_requests import SHARED, send
 from tests.gateway.test_repeated_silences import other_head
 
