--- a/src/heathershunt/platform/store.py
+++ b/src/heathershunt/platform/store.py
@@ -282,7 +282,7 @@
             body=body,
             timeout_ms=timeout_ms,
             limit=MAX_REPLY_BYTES,
-            on_headers=era_field.read,
+            on_head=era_field.read,
             fresh=fresh,
         )
         if isinstance(outcome, Err):
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -86,8 +86,7 @@
         if blocked is not None:
             return blocked
         if chain is None:
-            if self._selection.limit_wait_ms is not None:
-                self.detail = "all runners have the requests that they take"
+            self.detail = self._selection.wait_detail or self.detail
             return self._refusal()
         if self._attempts.deliveries and not self._take_retry():
             return self._deny()
@@ -127,7 +126,7 @@
         if self._may_have_run:
             status, title = (504, "Timeout") if is_timeout else (502, "Runner failed")
             return may_have_run(status, title, self.detail)
-        wait_ms = max(RETRY_AFTER_MS, self._selection.limit_wait_ms or 0)
+        wait_ms = max(RETRY_AFTER_MS, self._selection.told_wait_ms())
         return not_run(503, "No chain", self.detail, wait_ms)
 
     def _send(self, chain: Chain) -> Run:
@@ -217,6 +216,7 @@
         self.count_delivery(run)
         statement = Statement(run.head.limit_per_s, run.sent_at)
         context.limits.record(head_runner, statement)
+        context.availability.record(head_runner, run.head.notice)
         if run.head.starts_stream:
             self._may_have_run = True
             if self._progress.has_begun:
--- a/src/heathershunt/services/handler.py
+++ b/src/heathershunt/services/handler.py
@@ -5,6 +5,7 @@
 
 from result import Result
 
+from heathershunt.availability import AvailabilityTable
 from heathershunt.bundle import Bundle, ClientAccount
 from heathershunt.clock import Clock, Millis
 from heathershunt.crashes import PartGuard
@@ -67,15 +68,17 @@
         addresses: Callable[[str], Sequence[Address]],
         limits: LimitGuard,
         guard: PartGuard,
+        availability: AvailabilityTable,
     ) -> "ServiceHandler":
         """Return a handler with the default limits.
 
         :param addresses: gives the addresses of a service that are not leaving.
         :param limits: keeps to the limits that addresses name.
         :param guard: refuses calls that crash their targets.
+        :param availability: addresses that leave or pause by what their answers said.
         """
         return cls(
-            Dispatcher(http, clock, addresses, limits, guard),
+            Dispatcher(http, clock, addresses, limits, guard, availability),
             KeyTable(),
             KeyIssuer(vm, incarnation, clock),
             ClaimRouter(ClaimBatcher(store, clock), clock, vm),
--- a/tests/services/test_crashing_calls.py
+++ b/tests/services/test_crashing_calls.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from heathershunt.availability import AvailabilityTable
 from heathershunt.bundle import Call, Service
 from heathershunt.clock import Millis, SystemClock
 from heathershunt.crashes import PartGuard
@@ -76,6 +77,7 @@
             lambda name: self.listed,
             LimitGuard(self._clock, "vm-1", list, TargetProcess, print),
             self.guard,
+            AvailabilityTable(self._clock, TargetProcess, print, random.Random(3)),
             random.Random(3),
         )
 
