Parse sources in tests while no garbage is collected

Cause: Python 3.11.6 keeps the depth of its parser in one place; garbage that is collected inside of ast.parse, and whose finalizer's error is reported with a traceback, parses too.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,4 @@
+import ast
 import gc
 
 import pytest
@@ -11,18 +12,27 @@
 settings.load_profile("fixed")
 
 
-@pytest.hookimpl(wrapper=True, tryfirst=True)
-def pytest_runtest_makereport(item, call):
-    """Report a test while no garbage is collected.
+_parse = ast.parse
 
-    Finalizers that run while Python 3.11 parses the source of a failed test break the
-    parser, and pytest-xdist then loses the failure and exits with 0.
+
+def parse_without_collection(*arguments, **options):
+    """Parse source while no garbage is collected.
+
+    In Python 3.11 a finalizer that runs inside of the parser and parses itself, as the
+    report of its error does, breaks the outer call: "AST constructor recursion depth
+    mismatch". pytest and hypothesis parse the sources of tests, and connections that
+    are collected after their loop is closed report an error.
     """
+    was_enabled = gc.isenabled()
     gc.disable()
     try:
-        return (yield)
+        return _parse(*arguments, **options)
     finally:
-        gc.enable()
+        if was_enabled:
+            gc.enable()
+
+
+ast.parse = parse_without_collection
 
 
 @pytest.fixture
