--- a/review/common/doors.py
+++ b/review/common/doors.py
@@ -24,8 +24,11 @@
 
     async def _handle(self, request: Request) -> Response:
         if self.is_closed:
-            return Response(503)
+            return self._turned_away()
         self.watches += request.path == "/kv-watch"
         response = await self._store._handle(request)
         # What was waiting as the store began to turn the machine away is cut.
-        return Response(503) if self.is_closed else response
+        return self._turned_away() if self.is_closed else response
+
+    def _turned_away(self) -> Response:
+        return Response(503, {"store-era": str(self._store.era)})
