Review case 2: a part that crashes runners after their first event

The cases of a session's deadly stream, of a silent server that leaves and of the large manifests move to 3, 4 and 5.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,118 +1,122 @@
-"""A machine that the store turned away misses a storm of large manifests."""
+"""A server leaves without a word, serves on, and is silent for a moment meanwhile."""
 
 import asyncio
-import time
 from pathlib import Path
 
-import msgspec
-
-from review.common.doors import StoreDoor
 from review.common.site import (
-    Answer,
+    Channel,
     Record,
     Site,
     call,
+    engine,
     has_trouble,
     manifest,
     route,
     run_case,
 )
+from standins import layer_runner
 
-# big_config of the grown sites: 1,400 routes more.
-MORE_ROUTES = 1400
-# config_storm of the sites: a manifest each 0.33 s for 4 s.
-STORM_S = 4.0
-STORM_GAP_S = 0.33
-# platform_down "nodes busy" lasts 9 s on the sites.
-TURNED_AWAY_S = 6.0
-CONTACT_S = 3.0
-CONFIG_APPLY_S = 2.0
-# By which an unstable store stretches the bound of a manifest at most.
-OUTER_S = 5.0
-MARGIN_S = 0.5
-PROBE_S = 8.0
-PROBE_GAP_S = 0.25
+EVENTS = 84
+# An event of a stream every 40 ms: the usual pace of the slower cards of the sites.
+EVENT_MS = 40
+CHANNELS = 8
+SILENCE_S = 1.2
+# Time from the removal of the entry to the end of the server, drain_ms and longer.
+SERVES_ON_S = 6.0
+MOST_CUTS = 3
 
 
-def configuration(version: int, service: str) -> dict:
-    """Return a large manifest, with the service of the first routes."""
+def configuration(version: int, idle_ms: int = 20_000) -> dict:
+    """Return a manifest in which streams may not be resumed."""
     routes = [
-        route("open", service, "idempotent", public=True, timeout_ms=1500),
-        route("status", service, "idempotent", timeout_ms=1500),
-    ]
-    routes += [
-        route(f"shop-{number:04d}-counter", "old-desk", "idempotent", timeout_ms=1500)
-        for number in range(MORE_ROUTES)
+        route("drafts", "redactor", "streaming"),
+        route("status", "mostrador", "idempotent", timeout_ms=1500),
     ]
-    return manifest(version, routes, [{"name": "old-desk"}, {"name": "new-desk"}])
-
-
-def publish(site: Site, record: Record, version: int, service: str) -> float:
-    """Publish a manifest; return when the store acknowledged it."""
-    made = configuration(version, service)
-    site.store.put("op/config", made)
-    size = len(msgspec.json.encode(made))
-    record(f"the store acknowledged manifest {version}: {service}, {size} bytes")
-    return time.monotonic()
-
-
-async def storm(site: Site, record: Record) -> float:
-    """Publish manifests in quick succession; return when the last one was acked."""
-    version, end = 2, time.monotonic() + STORM_S
-    while time.monotonic() < end:
-        version += 1
-        publish(site, record, version, "old-desk")
-        await asyncio.sleep(STORM_GAP_S)
-    return publish(site, record, version + 1, "new-desk")
+    services = [{"name": "redactor", "engine": engine()}, {"name": "mostrador"}]
+    made = manifest(version, routes, services)
+    made["limits"]["idle_timeout_ms"] = idle_ms
+    return made
+
+
+async def one_client(address, results, record: Record) -> None:
+    """Keep a channel, use it for a look-up, then for a stream."""
+    channel = await Channel.open(address)
+    first = await channel.send("GET", "/status/x", deadline_ms=1500)
+    record(f"{first.id} look-up on a new channel: {first.status}")
+    answer = await channel.send(
+        "POST",
+        "/drafts/x",
+        body=b"prompt",
+        extra={
+            "Heathershunt-Model": "m0",
+            "Heathershunt-Token-Counts": f"740,{EVENTS * 2}",
+            "Heathershunt-Prompt-Prefix": f"5c1e07a2:40,{first.id[1:]}:700",
+        },
+    )
+    results.append(answer)
+    channel.close()
+
+
+async def leave(site: Site, record: Record) -> None:
+    """Take away the server with most streams, which is silent for a moment."""
+    server = max(
+        (t for t in site.targets.values() if t.kind), key=lambda t: len(t.runs)
+    )
+    record(f"{server.id} has {len(server.runs)} streams")
+    if has_trouble():
+        site.store.remove(f"servers/{server.id}")
+        record(f"the entry of {server.id} is removed, it serves on")
+    site.store.put("op/config", configuration(2, 15_000))
+    record("the store acknowledged manifest 2")
+    await asyncio.sleep(0.4)
+    server.fall_silent(SILENCE_S)
+    record(f"{server.id} is silent for {SILENCE_S} s")
+    await asyncio.sleep(SERVES_ON_S)
+    record(f"{server.id} would end now")
 
 
 async def play(site: Site, record: Record) -> int:
-    """Turn a machine away during a storm, and probe it when it is in touch again."""
-    publish(site, record, 2, "old-desk")
+    """Stream on kept channels while a server leaves."""
+    layer_runner.EVENT_MS = EVENT_MS
+    site.store.put("op/config", configuration(1))
     for zone in ("zone-a", "zone-b"):
-        await site.add_target(f"old-{zone}", "old-desk", zone)
-        await site.add_target(f"new-{zone}", "new-desk", zone)
-    door = StoreDoor(site.store)
-    away = await site.add_gateway("front-0", "zone-a", await door.start())
-    other = await site.add_gateway("front-1", "zone-b")
+        await site.add_target(f"run-{zone}-0", "redactor", zone, "h100", (0, 40))
+        await site.add_target(f"run-{zone}-1", "redactor", zone, "h100", (40, 80))
+        await site.add_target(f"desk-{zone}", "mostrador", zone)
+    for number, zone in enumerate(("zone-a", "zone-b")):
+        await site.add_gateway(f"front-{number}", zone)
     await site.until_ready()
-    if has_trouble():
-        door.is_closed = True
-        record(f"the store turns {away.name} away with 503")
-    closed_at = time.monotonic()
-    acked_at = await storm(site, record)
-    await asyncio.sleep(closed_at + TURNED_AWAY_S - time.monotonic())
-    door.is_closed = False
-    opened_at = time.monotonic()
-    record(f"the store serves {away.name} again")
-    # In touch from contact_ms after the end; the bound is stretched by outer_ms.
-    bound = acked_at + CONFIG_APPLY_S + OUTER_S
-    begin = max(opened_at + CONTACT_S, bound) + MARGIN_S
-    await asyncio.sleep(begin - time.monotonic())
-    watches = door.watches
-    stale = 0
-    end = time.monotonic() + PROBE_S
-    while time.monotonic() < end:
-        for gateway in (away, other):
-            answer = await call(gateway.front, "GET", "/open/x", deadline_ms=1500)
-            stale += await judge(site, record, gateway.name, answer, acked_at)
-        await asyncio.sleep(PROBE_GAP_S)
-    record(f"{away.name} asked for changes {door.watches - watches} times")
-    text = f"{stale} requests ran by the service that only older manifests name"
-    return record.verdict(stale > 0, text)
-
-
-async def judge(site, record: Record, name: str, answer: Answer, acked_at) -> int:
-    """Return 1 if a request was handled as only an older manifest allows."""
-    ran = [
-        target.service
-        for target in site.targets.values()
-        for run in target.runs
-        if run.request_id == answer.id
+    warm = await call(site.gateways[0].front, "GET", "/status/x", deadline_ms=1500)
+    record(f"warm-up: {warm.status}")
+    results = []
+    clients = [
+        asyncio.create_task(one_client(gateway.front, results, record))
+        for gateway in site.gateways
+        for _ in range(CHANNELS)
     ]
-    after = answer.sent_at - acked_at
-    record(f"{answer.id} to {name} {after:.2f} s after the ack: {answer.status} {ran}")
-    return int("old-desk" in ran)
+    await asyncio.sleep(0.7)
+    trouble = asyncio.create_task(leave(site, record))
+    await asyncio.gather(*clients)
+    await trouble
+    return judge(site, results, record)
+
+
+def judge(site: Site, results, record: Record) -> int:
+    """Count the kept channels that ended without a complete answer."""
+    start = min(answer.sent_at for answer in results)
+    ran = {run.request_id for target in site.targets.values() for run in target.runs}
+    cut = []
+    for answer in sorted(results, key=lambda item: item.id):
+        events = answer.body.count(b"id: ")
+        record(
+            f"{answer.id} sent at {answer.sent_at - start:.2f}, ended after "
+            f"{answer.seconds:.2f} s: status {answer.status}, {events} events, "
+            f"complete: {answer.is_complete} {answer.error}"
+        )
+        if answer.id in ran and not answer.is_complete:
+            cut.append(answer.id)
+    text = f"{len(cut)} of {len(results)} streams cut on kept channels: {cut}"
+    return record.verdict(len(cut) > MOST_CUTS, text)
 
 
 if __name__ == "__main__":
--- a/review/common/crashes.py
+++ b/review/common/crashes.py
@@ -14,6 +14,8 @@
 # Three check-in intervals, after which the entry of a silent runner is removed.
 ENTRY_GONE_AFTER_S = 3.6
 CONTACT_S = 3.0
+# Time from the first event of a deadly answer to the crash.
+CRASH_AFTER_EVENT_S = 0.02
 ZONES = ("zone-a", "zone-b")
 
 
@@ -48,9 +50,18 @@
 
 
 class CrashingRunner(TargetStandIn):
-    """Runner that notes its crash, and which deadly requests reached it."""
+    """Runner that notes its crash, and which deadly requests reached it.
+
+    :ivar writes_first: whether the first event leaves before the crash.
+    """
 
     log: CrashLog | None = None
+    writes_first = False
+    _next_event = 1
+
+    def _is_deadly(self, request) -> bool:
+        self._next_event = int(request.headers.get("last-event-id", "0")) + 1
+        return super()._is_deadly(request)
 
     async def _answer(self, request):
         if self.log is not None and self._is_deadly(request):
@@ -59,6 +70,11 @@
         return await super()._answer(request)
 
     async def _crash(self, sink) -> None:
+        if self.writes_first:
+            number = self._next_event
+            sink.write(b"id: %d\ndata: event %d\n\n" % (number, number))
+            await sink.drain()
+            await asyncio.sleep(CRASH_AFTER_EVENT_S)
         if not self.is_unresponsive:
             self.log.crashes.append(time.monotonic())
         await super()._crash(sink)
