--- a/src/heathershunt/crashes/__init__.py
+++ b/src/heathershunt/crashes/__init__.py
@@ -4,7 +4,7 @@
 from heathershunt.crashes.guard import PartGuard
 from heathershunt.crashes.judge import Block, JudgeConfig, PartJudge
 from heathershunt.crashes.keeper import CRASHES_PREFIX, EvidenceKeeper
-from heathershunt.crashes.keys import request_key
+from heathershunt.crashes.keys import RequestKeys, request_key
 from heathershunt.crashes.messages import CrashDigest
 
 __all__ = [
@@ -18,6 +18,7 @@
     "PartGuard",
     "PartJudge",
     "PartKey",
+    "RequestKeys",
     "RunnerCrash",
     "request_key",
 ]
--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -12,13 +12,13 @@
     RunnerCrash,
 )
 from heathershunt.crashes.judge import Block, PartJudge
-from heathershunt.crashes.keys import is_request_key
+from heathershunt.crashes.keys import RequestKeys
 from heathershunt.crashes.messages import CrashDigest, decode_entry, encode_entry
 from heathershunt.logs import Event
 from heathershunt.logs.events import PartBlocked, PartTrusted
 
-# Parts of one prompt on which evidence is kept.
-MAX_PARTS_OF_PROMPT = 32
+# Keys of one request on which evidence is kept.
+MAX_KEYS_OF_REQUEST = 32
 MIN_RETRY_AFTER_MS = 1000
 
 
@@ -136,26 +136,21 @@
     def record_crash(
         self,
         account: str | None,
-        parts: Sequence[str],
+        keys: RequestKeys,
         crash: RunnerCrash,
         sent_at: Millis,
         evidence: Evidence,
     ) -> None:
-        """Record that a runner ended under a run that had sent no event.
-
-        Of a run that was waiting only what comes again counts: the parts that others
-        share, and the request itself if it has no prompt.
-        """
+        """Record that a runner ended under a run that had sent no event."""
         now = self._clock.now()
-        if evidence is Evidence.WAITING and not all(map(is_request_key, parts)):
-            parts = parts[:-1]
+        suspected = keys.suspected_by(evidence)
         # Parts on which runs wrote are suspected last, as many prompts begin with them.
-        for part in sorted(parts, key=self._judge.is_sound)[:MAX_PARTS_OF_PROMPT]:
+        for part in sorted(suspected, key=self._judge.is_sound)[:MAX_KEYS_OF_REQUEST]:
             key = PartKey(account or "", part)
             self._seen_here.add(key)
             self._judge.add(CrashEvidence(key, crash, sent_at, now, evidence), now)
         self._update()
-        if evidence is Evidence.BEGUN and parts:
+        if evidence is Evidence.BEGUN:
             self.on_news()
 
     # Other VMs
--- a/src/heathershunt/drafts/crashes.py
+++ b/src/heathershunt/drafts/crashes.py
@@ -1,7 +1,13 @@
 """What drafts show about prompts that crash runners, and whether one may run."""
 
 from heathershunt.clock import Clock, Millis
-from heathershunt.crashes import Evidence, PartGuard, RunnerCrash, request_key
+from heathershunt.crashes import (
+    Evidence,
+    PartGuard,
+    RequestKeys,
+    RunnerCrash,
+    request_key,
+)
 from heathershunt.drafts.draft import Draft
 from heathershunt.drafts.engine import EngineClient
 from heathershunt.drafts.epoch import EpochFailure
@@ -39,18 +45,15 @@
         self._clock = clock
         request = draft.request
         # Words after the last block are in no prefix, so the whole prompt has a key.
-        self._key = request_key(
-            "", request.model, request.account, request.prompt.encode()
-        )
-        self._prefixes = prefix_hashes(request.prompt)
-        self._parts = [self._key, *self._prefixes]
+        own = request_key("", request.model, request.account, request.prompt.encode())
+        self._keys = RequestKeys(own, tuple(prefix_hashes(request.prompt)))
         self._draw = guard.draw()
         self._crashes = 0
 
     def refusal(self) -> Refusal | None:
         """Return the refusal of a draft that must not run or not run again."""
         account = self._draft.request.account
-        block = self._guard.block(account, self._parts, self._draw)
+        block = self._guard.block(account, self._keys.all, self._draw)
         if block is None and self._crashes < MAX_CRASHES_PER_DRAFT:
             return None
         detail = "runners crashed when they began to write on this prompt"
@@ -60,8 +63,8 @@
 
     def on_first_token(self) -> None:
         """Record that a runner wrote on the prompt."""
-        self._guard.record_writing(self._prefixes)
-        self._guard.record_answer(self._key)
+        self._guard.record_writing(self._keys.parts)
+        self._guard.record_answer(self._keys.own)
 
     async def on_failed_epoch(
         self, chain: Chain, failure: EpochFailure, started_at: Millis
@@ -88,7 +91,7 @@
             self._crashes += 1
             self._guard.record_crash(
                 self._draft.request.account,
-                self._parts,
+                self._keys,
                 RunnerCrash(stage.runner, incarnation or 0),
                 started_at,
                 Evidence.BEGUN,
--- a/src/heathershunt/relay/call_crashes.py
+++ b/src/heathershunt/relay/call_crashes.py
@@ -22,14 +22,14 @@
         """
         context = self._context
         ending = await context.endings.find(target)
-        event = CallBroken(self._request.id, target.id, ending.value, self._key)
+        event = CallBroken(self._request.id, target.id, ending.value, self._keys.own)
         context.events.emit(event)
         if ending is not Ending.CRASHED:
             return
         self._crashes += 1
         self._guard.record_crash(
             self._account,
-            self._parts,
+            self._keys,
             RunnerCrash(target.id, target.incarnation),
             sent_at,
             Evidence.BEGUN,
--- a/src/heathershunt/relay/crashes.py
+++ b/src/heathershunt/relay/crashes.py
@@ -3,7 +3,13 @@
 import asyncio
 from functools import cached_property
 
-from heathershunt.crashes import Block, Evidence, RunnerCrash, request_key
+from heathershunt.crashes import (
+    Block,
+    Evidence,
+    RequestKeys,
+    RunnerCrash,
+    request_key,
+)
 from heathershunt.discovery import Target
 from heathershunt.logs.request_events import PartRefused
 from heathershunt.logs.run_events import RunCrashed
@@ -53,14 +59,10 @@
         self._crashes = 0
 
     @cached_property
-    def _key(self) -> str:
+    def _keys(self) -> RequestKeys:
         request = self._request
-        return request_key(request.method, request.target, self._account, request.body)
-
-    @property
-    def _parts(self) -> tuple[str, ...]:
-        """Return the keys of evidence: parts of the prompt, else the request itself."""
-        return self._prompt_parts or (self._key,)
+        own = request_key(request.method, request.target, self._account, request.body)
+        return RequestKeys(own, self._prompt_parts)
 
     def is_blocked(self) -> bool:
         """Return whether the request is not to be sent, or not again."""
@@ -70,14 +72,14 @@
         # Without any evidence, the body need not be hashed.
         if not self._guard.has_evidence:
             return None
-        return self._guard.block(self._account, self._parts, self._draw)
+        return self._guard.block(self._account, self._keys.all, self._draw)
 
     def on_answered(self) -> None:
         """Record that a target ran the request, or wrote on its prompt."""
         if self._prompt_parts:
             self._guard.record_writing(self._prompt_parts)
-        elif self._guard.has_evidence:
-            self._guard.record_answer(self._key)
+        if self._guard.has_evidence:
+            self._guard.record_answer(self._keys.own)
 
     def refusal(self, has_been_sent: bool) -> Refusal | None:
         """Return the answer to a request that is not to be sent; else ``None``.
@@ -147,11 +149,11 @@
         self._context.events.emit(event)
         if has_begun:
             # Sent again only if others have written on all parts that they share.
-            is_known = self._guard.are_sound(self._parts[:-1])
+            is_known = self._guard.are_sound(self._keys.shared_parts)
             self._crashes += 1 if is_known else MAX_CRASHES_PER_REQUEST
         self._guard.record_crash(
             self._account,
-            self._parts,
+            self._keys,
             RunnerCrash(head.id, head.incarnation),
             run.sent_at,
             evidence,
--- a/src/heathershunt/services/crashes.py
+++ b/src/heathershunt/services/crashes.py
@@ -11,6 +11,7 @@
     Block,
     Evidence,
     PartGuard,
+    RequestKeys,
     RunnerCrash,
     request_key,
 )
@@ -125,7 +126,7 @@
         self._crashes += 1
         self._guard.record_crash(
             self._call.account,
-            (self._key,),
+            RequestKeys(self._key),
             self._ends.record(address, sent_at),
             sent_at,
             Evidence.BEGUN,
--- a/tests/crashes/test_spread.py
+++ b/tests/crashes/test_spread.py
@@ -6,7 +6,7 @@
 import pytest
 
 from heathershunt.clock import ManualClock, Millis
-from heathershunt.crashes import Evidence, PartGuard, RunnerCrash
+from heathershunt.crashes import Evidence, PartGuard, RequestKeys, RunnerCrash
 from heathershunt.discovery import Member, MemberList
 from heathershunt.gateway.topology import Topology
 from heathershunt.http import Address
@@ -67,7 +67,8 @@
     def crash(self, name, number, parts=("deadly", "own")):
         crash = RunnerCrash(f"runner-{number}", 1)
         sent_at = Millis(self.clock.now() - 50)
-        self.guards[name].record_crash("a", parts, crash, sent_at, Evidence.BEGUN)
+        keys = RequestKeys("request:own", parts)
+        self.guards[name].record_crash("a", keys, crash, sent_at, Evidence.BEGUN)
 
     def run(self, ms):
         end = self.clock.now() + ms
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -196,7 +196,7 @@
         body = await response.read()
         return response.status, response.headers, body
 
-    async def open_stream(self, events=30, vm="vm-1", **changes):
+    async def open_stream(self, events=30, vm="vm-1", body=b"prompt", **changes):
         """Open a stream and return the response, whose body is still to be read."""
         tokens = f"700,{events * 2}"
         outcome = await self.client.request(
@@ -204,7 +204,7 @@
             "POST",
             "/drafts/x",
             headers=self.headers(heathershunt_token_counts=tokens, **changes),
-            body=b"prompt",
+            body=body,
             fresh=True,
         )
         return outcome.unwrap()
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -7,6 +7,8 @@
 SHARED = "5c1e07a2"
 # Stated target: at most five crashes until the system knows the part.
 MAX_CRASHES = 5
+# Stated target: at most three crashes until the system knows a single request.
+MAX_CRASHES_OF_ONE = 3
 
 _own_parts = itertools.count(1)
 
@@ -64,14 +66,31 @@
     await add_first_runners(site)
     for target in site.targets.values():
         target.deadly_body = b"prompt"
-    outcomes = [await send_without_parts(site) for _ in range(6)]
+    outcomes = [await send_whole(site) for _ in range(6)]
     assert crashes(site) <= MAX_CRASHES
     assert outcomes[-1] == 503
 
 
-async def send_without_parts(site):
-    """Send one stream whose caller names no parts; return its status."""
-    response = await site.open_stream(events=5)
+# Guards against a stream that ends runner after runner and is never blocked, as sound
+# streams of its session clear all parts of its prompt.
+async def test_stream_of_a_session_stops_reaching_runners(site):
+    await add_first_runners(site)
+    for target in site.targets.values():
+        target.deadly_body = b"deadly"
+    session = {"heathershunt_prompt_prefix": f"{SHARED}:40,0051be55:700"}
+    sound = []
+    for number in range(6):
+        body = b"sound %d" % number
+        sound.append(await send_whole(site, body=body, **session))
+        status = await send_whole(site, body=b"deadly", **session)
+    assert crashes(site) <= MAX_CRASHES_OF_ONE
+    assert status == 503
+    assert sound == [200] * len(sound)
+
+
+async def send_whole(site, **changes):
+    """Send one stream; return its status, 0 if it was not complete."""
+    response = await site.open_stream(events=5, **changes)
     try:
         await response.read()
     except OSError:
--- a/tests/operators/test_blocks.py
+++ b/tests/operators/test_blocks.py
@@ -6,7 +6,13 @@
 import pytest
 
 from heathershunt.clock import ManualClock, Millis
-from heathershunt.crashes import Evidence, PartGuard, RunnerCrash, request_key
+from heathershunt.crashes import (
+    Evidence,
+    PartGuard,
+    RequestKeys,
+    RunnerCrash,
+    request_key,
+)
 from heathershunt.http import Request
 from heathershunt.operators.access import OperatorAccess
 from heathershunt.operators.routes import OperatorHooks, OperatorRoutes
@@ -27,7 +33,7 @@
         sent_at = clock.now()
         clock.advance(100)
         crash = RunnerCrash(f"target-{number}", 1)
-        guard.record_crash("parish", (KEY,), crash, sent_at, Evidence.BEGUN)
+        guard.record_crash("parish", RequestKeys(KEY), crash, sent_at, Evidence.BEGUN)
     return guard
 
 
@@ -78,5 +84,5 @@
         sent_at = Millis(clock.now() + 1)
         clock.advance(100)
         crash = RunnerCrash(f"target-{number}", 2)
-        guard.record_crash("parish", (KEY,), crash, sent_at, Evidence.BEGUN)
+        guard.record_crash("parish", RequestKeys(KEY), crash, sent_at, Evidence.BEGUN)
     assert guard.block("parish", (KEY,), 1.0) is not None
--- a/tests/relay/test_crash_witness.py
+++ b/tests/relay/test_crash_witness.py
@@ -28,7 +28,13 @@
 @pytest.fixture
 def witness(guard):
     context = SimpleNamespace(clock=SystemClock(), guard=guard)
-    request = SimpleNamespace(id="id", prompt_parts=("shared", "own"))
+    request = SimpleNamespace(
+        id="id",
+        method="POST",
+        target="/drafts/x",
+        body=b"",
+        prompt_parts=("shared", "own"),
+    )
     return CrashWitness(context, SimpleNamespace(account="a", request=request))
 
 
