--- a/src/heathershunt/discovery/registry.py
+++ b/src/heathershunt/discovery/registry.py
@@ -4,13 +4,11 @@
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.discovery.copies import OldCopies
+from heathershunt.discovery.ends import KnownEnds
+from heathershunt.discovery.facts import Fact
 from heathershunt.discovery.outage import OUTAGE_GRACE_MS
 from heathershunt.discovery.target import Target
 
-# A cut link may refuse connections as an ended process does, so an end is forgotten if
-# the target stays listed.
-END_MEMORY_MS = 10_000
-
 
 class TargetRegistry:
     """Targets by id and by service, as listed in the store.
@@ -31,7 +29,7 @@
         self._by_id: dict[str, Target] = {}
         self._missing_since: dict[str, Millis] = {}
         self._ids_by_service: dict[str, set[str]] = {}
-        self._ended_by_id: dict[str, tuple[int, Millis]] = {}
+        self._ends = KnownEnds(clock)
         self._recovered_at: Millis | None = None
         self._copies = OldCopies(clock)
 
@@ -107,21 +105,39 @@
         for target in self._copies.expire():
             self._put(target)
 
-    def record_end(self, target: Target) -> None:
-        """Record that the process of a target was seen to have ended.
+    def record_refusal(self, target: Target) -> None:
+        """Record that the address of a target refused a connection.
 
         Its entry stays in the store until it expires or the target starts again.
         """
-        if target.incarnation:
-            end = (target.incarnation, self._clock.now())
-            self._ended_by_id[target.id] = end
-
-    def has_ended(self, target: Target) -> bool:
-        """Return whether the process of a target was seen to have ended."""
-        incarnation, at = self._ended_by_id.get(target.id, (None, Millis(0)))
-        if incarnation != target.incarnation:
-            return False
-        return self._clock.now() - at < END_MEMORY_MS
+        self._ends.record_refusal(target)
+
+    def record_replacement(self, target: Target) -> None:
+        """Record that a later process answers in place of a target."""
+        self._ends.record_replacement(target)
+
+    def has_refused(self, target: Target) -> bool:
+        """Return whether a target's address refused a connection a short time ago."""
+        return self._ends.has_refused(target)
+
+    def facts(self, target: Target) -> set[Fact]:
+        """Return what the list and this VM's connections say of a target's process.
+
+        :param target: target as it was listed when a request was sent to it.
+        """
+        facts = set()
+        known = self._by_id.get(target.id)
+        if known is None or self.is_missing(target.id):
+            facts.add(Fact.UNLISTED)
+        elif known.incarnation != target.incarnation:
+            facts.add(Fact.REPLACED)
+        if known is not None and known.is_draining:
+            facts.add(Fact.LEAVING)
+        if self._ends.is_replaced(target):
+            facts.add(Fact.REPLACED)
+        if self._ends.has_refused(target):
+            facts.add(Fact.REFUSES)
+        return facts
 
     def _is_recovering(self) -> bool:
         if self._recovered_at is None:
@@ -130,7 +146,6 @@
 
     def _drop(self, target_id: str) -> None:
         self._missing_since.pop(target_id, None)
-        self._ended_by_id.pop(target_id, None)
         target = self._by_id.pop(target_id, None)
         if target is not None:
             self._copies.on_removed(target)
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -210,6 +210,7 @@
                 paces,
                 self._may_check,
                 self.availability.is_paused,
+                state.registry.record_replacement,
             ),
             endings=Endings(state.registry, http, self.availability),
             events=events,
--- a/src/heathershunt/relay/attempts.py
+++ b/src/heathershunt/relay/attempts.py
@@ -62,8 +62,8 @@
         return heads is None or bool(heads - {head.id})
 
     def is_listed(self, runner: Target) -> bool:
-        """Return whether a runner is still listed and has not ended or restarted."""
+        """Return whether a runner is still listed and neither refuses nor restarted."""
         known = self._registry.get(runner.id)
         if known is None or known.incarnation != runner.incarnation:
             return False
-        return not self._registry.has_ended(runner)
+        return not self._registry.has_refused(runner)
--- a/src/heathershunt/relay/diagnosis.py
+++ b/src/heathershunt/relay/diagnosis.py
@@ -28,6 +28,7 @@
         the report.
     :param is_paused: returns whether a runner asked for a pause, so that it is not
         polled after it rejected its part of a chain.
+    :param on_replaced: called with a runner in whose place a later process answers.
 
     .. versionadded:: 0.2
     """
@@ -40,9 +41,11 @@
         paces: PaceTracker,
         may_check: Callable[[Target], bool] = lambda runner: True,
         is_paused: Callable[[Target], bool] = lambda runner: False,
+        on_replaced: Callable[[Target], None] = lambda runner: None,
     ) -> None:
         self._clock = clock
         self._is_paused = is_paused
+        self._on_replaced = on_replaced
         self._may_check = may_check
         self._runners = runners
         self._suspects = suspects
@@ -183,6 +186,8 @@
         report = await asyncio.shield(poll[1])
         if report is not None:
             self._paces.record(runner.id, report)
+            if self._is_restarted(runner, report):
+                self._on_replaced(runner)
         return report
 
     async def _poll(self, runner: Target) -> RunnerReport | None:
--- a/src/heathershunt/relay/endings.py
+++ b/src/heathershunt/relay/endings.py
@@ -4,7 +4,8 @@
 from enum import Enum
 
 from heathershunt.availability import AvailabilityTable
-from heathershunt.discovery import Target, TargetRegistry
+from heathershunt.discovery import Fact, Step, Target, TargetRegistry, allows
+from heathershunt.discovery.facts import PLANNED
 from heathershunt.http import HttpClient
 
 CONNECT_MS = 100
@@ -51,12 +52,12 @@
 
         :param target: target as it was listed when the request was sent.
         """
-        known = self._registry.get(target.id)
-        if known is None or known.is_draining or self._registry.is_missing(target.id):
-            return Ending.LEFT
+        facts = self._registry.facts(target)
         if self._availability.is_leaving(target):
+            facts.add(Fact.LEAVING)
+        if not PLANNED.isdisjoint(facts):
             return Ending.LEFT
-        if known.incarnation != target.incarnation:
+        if allows(Step.BLAME, facts - {Fact.REFUSES}):
             return Ending.CRASHED
         accepts = await self._accepts(target)
         if accepts is None:
@@ -69,7 +70,7 @@
         The requests that a target broke off together share one check.
         """
         is_checked = target.id in self._checks_by_id
-        if not is_checked and not self._registry.has_ended(target):
+        if not is_checked and not self._registry.has_refused(target):
             task = asyncio.create_task(self._accepts(target))
             self._checks_by_id[target.id] = task
             task.add_done_callback(lambda _: self._checks_by_id.pop(target.id, None))
@@ -77,5 +78,5 @@
     async def _accepts(self, target: Target) -> bool | None:
         accepts = await self._http.accepts(target.address, CONNECT_MS)
         if accepts is False:
-            self._registry.record_end(target)
+            self._registry.record_refusal(target)
         return accepts
--- a/src/heathershunt/relay/pauses.py
+++ b/src/heathershunt/relay/pauses.py
@@ -1,6 +1,6 @@
 """Checks of a chain that sends no events, and when to leave it."""
 
-from heathershunt.discovery import Target
+from heathershunt.discovery import Step, Target, allows
 from heathershunt.logs.run_events import PauseExamined
 from heathershunt.pipelines import Chain
 from heathershunt.relay.attempts import Attempts
@@ -44,11 +44,9 @@
     def judge(self, run: Run, faulty: Target | None, paused_ms: float) -> None:
         """Return if a silent run is to be waited for; else raise.
 
-        No report within a moment does not mean that a runner has ended: it may be
-        silent and go on. Its end is certain only once it has left the list or has
-        started again.
+        Neither a silence nor a missing entry means that a runner has ended.
 
-        :param faulty: runner that gives no report; ``None`` if all do.
+        :param faulty: runner at fault for the silence; ``None`` if all seem sound.
         :raises RunPausedError: if another run may take over.
         :raises StreamBrokenError: if the first runner is known to have ended.
         """
@@ -58,9 +56,8 @@
                 raise RunPausedError(detail, faulty)
             return
         head = run.chain.head
-        # A runner that drains leaves the list too, and its runs go on.
-        is_head_silent = faulty is not None and faulty.id == head.id
-        if is_head_silent and not self._attempts.is_listed(head):
+        is_head_faulty = faulty is not None and faulty.id == head.id
+        if is_head_faulty and allows(Step.CUT, self._context.registry.facts(head)):
             raise StreamBrokenError(f"runner {head.id} has ended")
 
     def reroute_reason(
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -227,7 +227,7 @@
             return None
         suspects, registry = self._context.suspects, self._context.registry
         unusable = self._ids_of(
-            lambda runner: suspects.is_backed_off(runner) or registry.has_ended(runner)
+            lambda item: suspects.is_backed_off(item) or registry.has_refused(item)
         )
         return self._choose_excluding(unusable, needs_room=False)
 
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -105,6 +105,29 @@
     assert len(site.runs()) == 1
 
 
+@pytest.mark.parametrize("reads", [True, False])
+async def test_stream_is_whole_though_its_silent_runner_left_without_a_word(
+    site, reads
+):
+    # Guards against answers that are cut as their runner's entry is gone while it is
+    # silent for a moment: it serves on for many seconds.
+    await change_configuration(site, 2, resumable=False)
+    for target in site.targets.values():
+        target.read_ms = 0 if reads else 300
+    opening = asyncio.create_task(site.open_stream(events=60))
+    await site.until(lambda: bool(site.runs()))
+    response = await opening if reads else None
+    head = head_of(site)
+    site.store.remove(f"servers/{head.id}")
+    registry = site.gateways["vm-1"].state.registry
+    await site.until(lambda: registry.get(head.id) is None)
+    head.fall_silent(SILENCE_SECONDS)
+    response = response or await opening
+    assert response.status == 200
+    assert ids(await response.read()) == list(range(1, 61))
+    assert len(site.runs()) == 1
+
+
 async def test_stream_that_is_not_resumable_runs_once_though_its_runner_ends(site):
     # Guards against a second run of a stream that may run once, after its runner ended
     # before the first event.
