--- a/measure/crashing_calls.py
+++ b/measure/crashing_calls.py
@@ -18,6 +18,7 @@
     Evidence,
     PartJudge,
     PartKey,
+    Proof,
     RunnerCrash,
     request_key,
 )
@@ -168,7 +169,9 @@
             return
         self._calls_by_target[target].remove(call)
         judge = self._judges[call.vm]
-        if judge.is_suspected(call.key) and judge.add_sound(call.key, Millis(now)):
+        if judge.is_suspected(call.key) and judge.add_proof(
+            call.key, Proof(Millis(now))
+        ):
             self._tell(call.vm, now, self._day.loads_ms)
 
     def _crash(self, target: int, now: int) -> None:
--- a/measure/crashing_prompts.py
+++ b/measure/crashing_prompts.py
@@ -1,8 +1,9 @@
 """Model of prompts that crash runners: crashes until blocked, and false blame.
 
 Requests of ten accounts begin with one of sixty shared parts and run on random runners.
-A run waits, begins, sends its first event and goes on. One decision is modelled for all
-VMs, which learns of each crash and of each written part after a delay.
+A run waits, begins, sends its first event and goes on for some time. A deadly one ends
+its runner with the first event or later. One decision is modelled for all VMs, which
+learns of each crash, each written part and each whole answer after a delay.
 """
 
 import heapq
@@ -10,14 +11,16 @@
 import random
 import statistics
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from heathershunt.clock import Millis
 from heathershunt.crashes import (
+    MAX_WRITING_MS,
     CrashEvidence,
     Evidence,
     PartJudge,
     PartKey,
+    Proof,
     RunnerCrash,
 )
 from measure._report import emit
@@ -26,7 +29,8 @@
 SHARED_PARTS = 60
 WAIT_MS = 150
 BEGIN_MS = 50
-RUN_MS = 3000
+# Shortest and longest time for which an answer is written.
+WRITE_MS = (300, 3000)
 DOWN_MS = 3500
 SEEDS = 40
 DEADLY = "deadly"
@@ -39,6 +43,8 @@
 
     :param rate: requests a second.
     :param deadly_share: share of the requests that have the deadly part.
+    :param crash_after_ms: time from the first event of a deadly run to the crash; none
+        is sent before it with 0.
     :param crashes_per_s: runners that crash for other reasons, a second.
     :param rack: runners that crash together every ten seconds.
     :param delay_ms: time until a crash or a written part is known.
@@ -49,6 +55,7 @@
     runners: int = 40
     seconds: int = 40
     deadly_share: float = 0.0
+    crash_after_ms: int = 0
     crashes_per_s: float = 0.0
     rack: int = 0
     delay_ms: int = 300
@@ -77,6 +84,7 @@
     parts: tuple[str, ...]
     sent_at: int
     tries: int = 0
+    began_at: int | None = None
 
     @property
     def is_deadly(self) -> bool:
@@ -141,28 +149,44 @@
         run.tries += 1
         self._runs_by_runner[runner].append(run)
         boot = self._boots[runner]
+        run.began_at = None
         self._at(
             now + WAIT_MS + BEGIN_MS, lambda at: self._write(run, runner, boot, at)
         )
-        self._at(now + RUN_MS, lambda at: self._finish(run, runner))
 
     def _write(self, run: _Run, runner: int, boot: int, now: int) -> None:
         if self._boots[runner] != boot:
             return
+        if run.is_deadly and not self._day.crash_after_ms:
+            self._crash_by(run, runner, boot, now)
+            return
+        run.began_at = now
+        self._prove(run, Proof(Millis(now)), now)
+        lasts_ms = self._random.uniform(*WRITE_MS)
         if run.is_deadly:
+            self._at(
+                now + self._day.crash_after_ms,
+                lambda at: self._crash_by(run, runner, boot, at),
+            )
+        self._at(now + lasts_ms, lambda at: self._finish(run, runner, boot, at))
+
+    def _crash_by(self, run: _Run, runner: int, boot: int, now: int) -> None:
+        if self._boots[runner] == boot and run in self._runs_by_runner[runner]:
             self.tally.deadly_crashes += 1
             self._crash(runner, now)
-            return
+
+    def _finish(self, run: _Run, runner: int, boot: int, now: int) -> None:
+        if self._boots[runner] == boot:
+            self._runs_by_runner[runner].remove(run)
+            self._prove(run, Proof(Millis(run.began_at), now - run.began_at), now)
+
+    def _prove(self, run: _Run, proof: Proof, now: int) -> None:
         for part in run.parts:
             self._at(
                 now + self._day.delay_ms,
-                lambda at, part=part: self._judge.add_sound(part, Millis(now)),
+                lambda at, part=part: self._judge.add_proof(part, proof),
             )
 
-    def _finish(self, run: _Run, runner: int) -> None:
-        if run in self._runs_by_runner[runner]:
-            self._runs_by_runner[runner].remove(run)
-
     def _crash_at_random(self, now: int) -> None:
         up = [n for n in range(self._day.runners) if self._up_at[n] <= now]
         if up:
@@ -182,18 +206,22 @@
         broken, self._runs_by_runner[runner] = self._runs_by_runner[runner], []
         for run in broken:
             self.tally.sound_broken += not run.is_deadly
-            age_ms = now - run.sent_at
-            if age_ms <= WAIT_MS + BEGIN_MS:
-                self._blame(run, crash, age_ms >= WAIT_MS, now)
+            self._blame(run, crash, now)
             if run.tries < 2:
                 self._at(now + 5, lambda at, run=run: self._send(run, at))
 
-    def _blame(self, run: _Run, crash: RunnerCrash, begun: bool, now: int) -> None:
-        evidence = Evidence.BEGUN if begun else Evidence.WAITING
-        parts = run.parts if begun else run.parts[:-1]
+    def _blame(self, run: _Run, crash: RunnerCrash, now: int) -> None:
+        evidence, parts, wrote_ms = Evidence.BEGUN, run.parts, 0
+        if run.began_at is not None:
+            evidence, wrote_ms = Evidence.WRITING, now - run.began_at
+        elif now - run.sent_at < WAIT_MS:
+            evidence, parts = Evidence.WAITING, run.parts[:-1]
+        if wrote_ms > MAX_WRITING_MS:
+            return
         for part in parts:
             key = PartKey(run.account, part)
-            item = CrashEvidence(key, crash, Millis(run.sent_at), Millis(now), evidence)
+            sent_at = Millis(run.sent_at)
+            item = CrashEvidence(key, crash, sent_at, Millis(now), evidence, wrote_ms)
             self._at(
                 now + self._day.delay_ms, lambda at, item=item: self._learn(item, at)
             )
@@ -209,7 +237,13 @@
     """Print the figures."""
     few = Day(deadly_share=0.02)
     many = Day(rate=400.0, runners=200, deadly_share=0.02, delay_ms=1500, vms=78)
-    for name, day, bound in (("few_runners", few, "5"), ("many_runners", many, "-")):
+    soon, later = replace(few, crash_after_ms=20), replace(few, crash_after_ms=1000)
+    for name, day, bound in (
+        ("few_runners", few, "5"),
+        ("few_runners_after_20_ms", soon, "-"),
+        ("few_runners_after_1_s", later, "-"),
+        ("many_runners", many, "-"),
+    ):
         tallies = [Model(day, seed).run() for seed in range(SEEDS // 2)]
         crashes = [tally.deadly_crashes for tally in tallies]
         prefix = f"crashing_prompts.{name}"
--- a/src/heathershunt/crashes/guard.py
+++ b/src/heathershunt/crashes/guard.py
@@ -9,10 +9,11 @@
     CrashEvidence,
     Evidence,
     PartKey,
+    Proof,
     RunnerCrash,
 )
 from heathershunt.crashes.judge import Block, PartJudge
-from heathershunt.crashes.keys import RequestKeys
+from heathershunt.crashes.keys import RequestKeys, is_request_key
 from heathershunt.crashes.messages import CrashDigest, decode_entry, encode_entry
 from heathershunt.logs import Event
 from heathershunt.logs.events import PartBlocked, PartTrusted
@@ -20,6 +21,8 @@
 # Keys of one request on which evidence is kept.
 MAX_KEYS_OF_REQUEST = 32
 MIN_RETRY_AFTER_MS = 1000
+# Longer than any answer lasts: a request that was answered to the end is sound.
+WHOLE_MS = 86_400_000
 
 
 class PartGuard:
@@ -28,7 +31,7 @@
     :param emit: called when a part is blocked, and when it is trusted again.
     :param vm_count: returns the number of VMs that receive requests.
     :ivar on_news: called when this VM has seen what the others should learn at once: a
-        run that had begun ended with its runner, or a run wrote on a blocked part.
+        run that had begun ended with its runner, or a run cleared a blocked part.
     :ivar on_block: called with a blocked part whenever there is news of it, if evidence
         of this VM is among the reasons.
     :ivar on_trust: called with each part that is no longer blocked.
@@ -109,15 +112,39 @@
         """
         was_blocked = self.is_blocked(part)
         if was_blocked:
-            self.record_writing((part,))
+            self._record_proof((part,), Proof(self._clock.now(), WHOLE_MS))
         return was_blocked
 
     # Runs
 
     def record_writing(self, parts: Sequence[str]) -> None:
-        """Record that a run sent its first event."""
-        now = self._clock.now()
-        has_settled = [self._judge.add_sound(part, now) for part in parts]
+        """Record that a run sent its first event.
+
+        :param parts: parts of its prompt, and the key of the request itself.
+        """
+        self._record_proof(parts, Proof(self._clock.now()))
+
+    def record_outlasting(
+        self, parts: Sequence[str], began_at: Millis, lasted_ms: int
+    ) -> None:
+        """Record that a run went on writing, or came to its end.
+
+        :param began_at: time of its first event.
+        :param lasted_ms: time for which it has written.
+        """
+        self._record_proof(parts, Proof(began_at, lasted_ms))
+
+    def record_answer(self, key: str) -> None:
+        """Record that a request with a key of its own was answered to the end."""
+        self._record_proof((key,), Proof(self._clock.now(), WHOLE_MS))
+
+    def _record_proof(self, parts: Sequence[str], proof: Proof) -> None:
+        has_settled = [
+            self._judge.add_proof(part, proof)
+            for part in parts
+            # Most requests come once, so only those that are suspected are recorded.
+            if not is_request_key(part) or self._judge.is_suspected(part)
+        ]
         if not any(has_settled):
             return
         blocked_before = self._blocked
@@ -125,14 +152,6 @@
         if blocked_before - self._blocked:
             self.on_news()
 
-    def record_answer(self, key: str) -> None:
-        """Record that a request with a key of its own was answered.
-
-        Most requests come once, so only those that are suspected are recorded.
-        """
-        if self._judge.is_suspected(key):
-            self.record_writing((key,))
-
     def record_crash(
         self,
         account: str | None,
@@ -140,17 +159,22 @@
         crash: RunnerCrash,
         sent_at: Millis,
         evidence: Evidence,
+        wrote_ms: int = 0,
     ) -> None:
-        """Record that a runner ended under a run that had sent no event."""
+        """Record that a runner ended under a run.
+
+        :param wrote_ms: time from the run's first event to that end.
+        """
         now = self._clock.now()
-        suspected = keys.suspected_by(evidence)
+        suspected = keys.suspected_by(evidence, wrote_ms)
         # Parts on which runs wrote are suspected last, as many prompts begin with them.
         for part in sorted(suspected, key=self._judge.is_sound)[:MAX_KEYS_OF_REQUEST]:
             key = PartKey(account or "", part)
             self._seen_here.add(key)
-            self._judge.add(CrashEvidence(key, crash, sent_at, now, evidence), now)
+            item = CrashEvidence(key, crash, sent_at, now, evidence, wrote_ms)
+            self._judge.add(item, now)
         self._update()
-        if evidence is Evidence.BEGUN:
+        if evidence is not Evidence.WAITING:
             self.on_news()
 
     # Other VMs
--- a/src/heathershunt/crashes/judge.py
+++ b/src/heathershunt/crashes/judge.py
@@ -6,10 +6,18 @@
 from itertools import islice
 
 from heathershunt.clock import Millis
-from heathershunt.crashes.evidence import CrashEvidence, PartKey, RunnerCrash, score
+from heathershunt.crashes.evidence import (
+    CrashEvidence,
+    PartKey,
+    Proof,
+    RunnerCrash,
+    score,
+)
 from heathershunt.crashes.keys import is_request_key
 
 MAX_EVIDENCE_PER_PART = 16
+# Of several proofs, a later one may have lasted for less, so some are kept.
+MAX_PROOFS_PER_PART = 4
 MAX_EXPONENT = 16
 # Share of the requests that are sent although a part is blocked, where another part
 # explains its crashes: a sound part must not wait long in a large fleet.
@@ -24,7 +32,8 @@
     """Limits of the decision.
 
     :param block_score: score of an account's crashes at which a part is blocked for it.
-    :param sound_score: the same for a part on which runs wrote before the crashes.
+    :param sound_score: the same for a part on which a run once went on for longer than
+        all those that ended.
     :param request_crashes: crashes, in sequence or not, at which a request with a key
         of its own is blocked.
     :param common_score: score of the crashes of all accounts together at which a part
@@ -86,16 +95,15 @@
         return share if self.is_simultaneous or now >= self.until else 0.0
 
 
-# Evidence on one part; a crash counts once for each account.
-_Evidence = dict[tuple[PartKey, RunnerCrash], CrashEvidence]
+# Evidence on one part by its identity; a crash counts once for each account.
+_Evidence = dict[tuple[PartKey, RunnerCrash, bool], CrashEvidence]
 
 
 class PartJudge:
     """Collects evidence on parts of prompts, and decides which ones are blocked.
 
-    All state follows from the evidence and from the times at which runs wrote on a
-    part. VMs that exchange both come to the same decision in whatever order they learn
-    them.
+    All state follows from the evidence and from the proofs that a part is sound. VMs
+    that exchange both come to the same decision in whatever order they learn them.
 
     .. versionadded:: 0.6
     """
@@ -104,7 +112,7 @@
         self._config = config or JudgeConfig()
         # The parts of the latest crashes are at the end.
         self._evidence_by_part: OrderedDict[str, _Evidence] = OrderedDict()
-        self._sound_at_by_part: OrderedDict[str, Millis] = OrderedDict()
+        self._proofs_by_part: OrderedDict[str, tuple[Proof, ...]] = OrderedDict()
         # Parts with evidence here or at another VM, settled or not.
         self._suspected_at_by_part: OrderedDict[str, Millis] = OrderedDict()
 
@@ -123,29 +131,31 @@
         self._suspected_at_by_part[part] = now
         self._suspected_at_by_part.move_to_end(part)
         known = self._evidence_by_part.get(part, {})
-        crash_key = (item.key, item.crash)
-        before = known.get(crash_key)
+        before = known.get(item.identity)
         merged = item if before is None else before.merged(item)
         if merged == before:
             return False
-        sound_at = self._sound_at_by_part.get(part)
-        if sound_at is not None and merged.crashed_at <= sound_at:
-            return self._drop(part, crash_key)
+        if any(proof.disproves(merged) for proof in self._proofs(part)):
+            self._drop(merged)
+            return False
         known = self._evidence_by_part.setdefault(part, known)
-        known[crash_key] = merged
+        known[merged.identity] = merged
         if len(known) > MAX_EVIDENCE_PER_PART:
             del known[min(known, key=lambda key: known[key].crashed_at)]
         self._evidence_by_part.move_to_end(part)
         self._drop_excess_parts()
         return True
 
-    def _drop(self, part: str, crash_key: tuple[PartKey, RunnerCrash]) -> bool:
-        """Drop evidence that turned out to be older than a run that wrote."""
+    def _proofs(self, part: str) -> tuple[Proof, ...]:
+        return self._proofs_by_part.get(part, ())
+
+    def _drop(self, item: CrashEvidence) -> None:
+        """Drop evidence that turned out to be disproved."""
+        part = item.key.part
         known = self._evidence_by_part.get(part, {})
-        dropped = known.pop(crash_key, None)
+        dropped = known.pop(item.identity, None)
         if dropped is not None and not known:
             del self._evidence_by_part[part]
-        return False
 
     def _drop_excess_parts(self) -> None:
         """Drop the oldest part, if possible one that crashed a single runner."""
@@ -166,15 +176,18 @@
             settled = (part for part in suspects if part not in self._evidence_by_part)
             del suspects[next(settled)]
 
-    def add_sound(self, part: str, at: Millis) -> bool:
-        """Record that a run wrote on a part; return whether that settled evidence."""
-        if at <= self._sound_at_by_part.get(part, at - 1):
+    def add_proof(self, part: str, proof: Proof) -> bool:
+        """Record that a part is sound; return whether that settled evidence."""
+        known = self._proofs(part)
+        if any(other.covers(proof) for other in known):
             return False
-        self._sound_at_by_part[part] = at
-        self._sound_at_by_part.move_to_end(part)
-        while len(self._sound_at_by_part) > self._config.max_sound_parts:
-            self._sound_at_by_part.popitem(last=False)
-        return self._settle(part, at)
+        kept = [other for other in known if not proof.covers(other)]
+        kept = sorted((*kept, proof), key=lambda other: other.began_at)
+        self._proofs_by_part[part] = tuple(kept[-MAX_PROOFS_PER_PART:])
+        self._proofs_by_part.move_to_end(part)
+        while len(self._proofs_by_part) > self._config.max_sound_parts:
+            self._proofs_by_part.popitem(last=False)
+        return self._settle(part, proof)
 
     @property
     def has_evidence(self) -> bool:
@@ -187,15 +200,20 @@
 
     def is_sound(self, part: str) -> bool:
         """Return whether a run has written on a part."""
-        return part in self._sound_at_by_part
+        return part in self._proofs_by_part
+
+    def _has_outlasted(self, part: str, items: Sequence[CrashEvidence]) -> bool:
+        """Return whether one run on a part once outlasted all those that ended."""
+        proofs = self._proofs(part)
+        return any(all(map(proof.outlasts, items)) for proof in proofs)
 
-    def _settle(self, part: str, at: Millis) -> bool:
+    def _settle(self, part: str, proof: Proof) -> bool:
         known = self._evidence_by_part.get(part)
         if known is None:
             return False
-        settled = [key for key, item in known.items() if item.crashed_at <= at]
-        for crash_key in settled:
-            del known[crash_key]
+        settled = [key for key, item in known.items() if proof.disproves(item)]
+        for identity in settled:
+            del known[identity]
         if not known:
             del self._evidence_by_part[part]
         return bool(settled)
@@ -244,11 +262,14 @@
         crashes = score(reasons)
         last = max(item.crashed_at for item in reasons)
         until = Millis(last + self._duration_ms(crashes))
+        is_explained = self._is_explained(part, parts)
+        if is_explained and self._has_ended_well_since(part, last):
+            return None
         return Block(
             part,
             crashes,
             until,
-            is_explained=self._is_explained(part, parts),
+            is_explained=is_explained,
             is_simultaneous=crashes < self._config.block_score,
         )
 
@@ -261,11 +282,12 @@
         """
         known = list(self._evidence_by_part.get(part, {}).values())
         config = self._config
-        is_sound = part in self._sound_at_by_part
         own = [item for item in known if item.key.account == account]
-        if score(own) >= (config.sound_score if is_sound else config.block_score):
+        was_sound = self._has_outlasted(part, own)
+        if score(own) >= (config.sound_score if was_sound else config.block_score):
             return own
-        if is_request_key(part) and len(own) >= config.request_crashes:
+        crashes = {item.crash for item in own}
+        if is_request_key(part) and len(crashes) >= config.request_crashes:
             return own
         accounts = {item.key.account for item in known}
         if len(accounts) < config.common_accounts:
@@ -277,22 +299,27 @@
         exponent = min(MAX_EXPONENT, max(0, int(crashes - config.block_score)))
         return min(config.max_block_ms, config.block_ms * 2**exponent)
 
+    def _has_ended_well_since(self, part: str, at: Millis) -> bool:
+        """Return whether a run that began after a time ended well, however short."""
+        proofs = self._proofs(part)
+        return any(proof.lasted_ms and proof.began_at >= at for proof in proofs)
+
     def _is_explained(self, part: str, parts: Sequence[str]) -> bool:
         """Return whether a blocked part outside of ``parts`` explains all crashes."""
         crashes = self._crashes(part)
         return any(
             other not in parts
             and crashes <= self._crashes(other)
-            and any(self._reasons(key.account, other) for key, _ in known)
+            and any(self._reasons(key.account, other) for key, *_ in known)
             for other, known in self._evidence_by_part.items()
         )
 
     def _crashes(self, part: str) -> set[RunnerCrash]:
-        return {crash for _, crash in self._evidence_by_part.get(part, {})}
+        return {crash for _, crash, _ in self._evidence_by_part.get(part, {})}
 
     def keys(self) -> set[PartKey]:
         """Return the parts with evidence, each for the accounts that have it."""
-        return {key for known in self._evidence_by_part.values() for key, _ in known}
+        return {key for known in self._evidence_by_part.values() for key, *_ in known}
 
     def blocked_keys(self) -> set[PartKey]:
         """Return the parts that are blocked, each for the accounts with evidence."""
@@ -311,9 +338,11 @@
         items = [item for known in parts for item in known.values()]
         return items[:limit]
 
-    def sound_parts(self, limit: int) -> dict[str, Millis]:
-        """Return when runs last wrote on parts that have or had evidence."""
-        sound = self._sound_at_by_part
-        latest_first = (part for part in reversed(self._suspected_at_by_part))
-        found = (part for part in latest_first if part in sound)
-        return {part: sound[part] for part in islice(found, limit)}
+    def proofs(self, limit: int) -> list[tuple[str, Proof]]:
+        """Return the proofs for parts that have or had evidence, the latest first."""
+        found = (
+            (part, proof)
+            for part in reversed(self._suspected_at_by_part)
+            for proof in reversed(self._proofs(part))
+        )
+        return list(islice(found, limit))
--- a/src/heathershunt/crashes/keys.py
+++ b/src/heathershunt/crashes/keys.py
@@ -8,6 +8,9 @@
 # Ids of parts contain no colon, so no caller can name such a key as a part.
 REQUEST_PREFIX = "request:"
 DIGEST_CHARACTERS = 32
+# Time from a run's first event to the end of its runner for which the parts of its
+# prompt may be why. Later ends count against the request itself only.
+MAX_WRITING_MS = 2000
 
 
 def request_key(method: str, target: str, account: str | None, body: bytes) -> str:
@@ -55,12 +58,16 @@
         """Return the parts of the prompt that other requests have too."""
         return self.parts[:-1]
 
-    def suspected_by(self, evidence: Evidence) -> tuple[str, ...]:
+    def suspected_by(self, evidence: Evidence, wrote_ms: int = 0) -> tuple[str, ...]:
         """Return the keys against which the end of a target counts.
 
+        :param wrote_ms: time from the run's first event to that end.
+
         Of a run that was waiting only what comes again counts. The last part does not:
         it comes again with the request itself, whose key does.
         """
         if evidence is Evidence.WAITING:
             return (self.own, *self.shared_parts)
+        if wrote_ms > MAX_WRITING_MS:
+            return (self.own,)
         return self.all
--- a/src/heathershunt/crashes/messages.py
+++ b/src/heathershunt/crashes/messages.py
@@ -7,6 +7,7 @@
     CrashEvidence,
     Evidence,
     PartKey,
+    Proof,
     RunnerCrash,
 )
 from heathershunt.crashes.judge import PartJudge
@@ -21,6 +22,9 @@
 class EvidenceRow(msgspec.Struct, array_like=True, frozen=True):
     """Evidence with ages in milliseconds in place of times, as clocks differ.
 
+    :param wrote_ms: time for which the run had written; ``None`` without an event.
+        Earlier versions don't send it.
+
     .. versionadded:: 0.6
     """
 
@@ -31,6 +35,7 @@
     sent_age_ms: Age
     crashed_age_ms: Age
     has_begun: bool
+    wrote_ms: Whole | None = None
 
     @classmethod
     def from_evidence(cls, item: CrashEvidence, now: Millis) -> "EvidenceRow":
@@ -42,7 +47,8 @@
             item.crash.incarnation,
             now - item.sent_at,
             now - item.crashed_at,
-            item.evidence is Evidence.BEGUN,
+            item.evidence is not Evidence.WAITING,
+            item.wrote_ms if item.evidence is Evidence.WRITING else None,
         )
 
     def evidence(self, now: Millis) -> CrashEvidence:
@@ -52,20 +58,28 @@
             RunnerCrash(self.runner, self.incarnation),
             Millis(now - max(0, self.sent_age_ms)),
             Millis(now - max(0, self.crashed_age_ms)),
-            Evidence.BEGUN if self.has_begun else Evidence.WAITING,
+            self._evidence(),
+            self.wrote_ms or 0,
         )
 
+    def _evidence(self) -> Evidence:
+        if self.wrote_ms is not None:
+            return Evidence.WRITING
+        return Evidence.BEGUN if self.has_begun else Evidence.WAITING
+
 
 class SoundPart(msgspec.Struct, array_like=True, frozen=True):
     """A part on which a run has written.
 
-    :param age_ms: time since the last run began to write on it.
+    :param age_ms: time since the run began to write on it.
+    :param lasted_ms: time for which it went on.
 
     .. versionadded:: 0.6
     """
 
     part: Text
     age_ms: Age
+    lasted_ms: Whole = 0
 
 
 class _Entry(msgspec.Struct, frozen=True):
@@ -115,12 +129,16 @@
             EvidenceRow.from_evidence(item, now)
             for item in judge.evidence(MAX_EVIDENCE)
         ]
-        sound = judge.sound_parts(MAX_SOUND_PARTS)
-        return cls(rows, [SoundPart(part, now - at) for part, at in sound.items()])
+        sound = [
+            SoundPart(part, now - proof.began_at, proof.lasted_ms)
+            for part, proof in judge.proofs(MAX_SOUND_PARTS)
+        ]
+        return cls(rows, sound)
 
     def apply(self, judge: PartJudge, now: Millis) -> None:
         """Add what another VM knows; what is known already changes nothing."""
         for item in self.sound[:MAX_SOUND_PARTS]:
-            judge.add_sound(item.part, Millis(now - max(0, item.age_ms)))
+            began_at = Millis(now - max(0, item.age_ms))
+            judge.add_proof(item.part, Proof(began_at, item.lasted_ms))
         for row in self.rows[:MAX_EVIDENCE]:
             judge.add(row.evidence(now), now)
--- a/src/heathershunt/drafts/crashes.py
+++ b/src/heathershunt/drafts/crashes.py
@@ -15,8 +15,8 @@
 from heathershunt.runners import RunnerRegistry, prefix_hashes
 from heathershunt.verdict import Refusal, may_have_run, not_run
 
-# Epochs of a draft that may end together with a runner before their first token.
-MAX_CRASHES_PER_DRAFT = 2
+# Weight of the epochs of a draft that may end together with a runner.
+MAX_CRASHES_PER_DRAFT = 2.0
 
 
 class DraftCrashes:
@@ -48,7 +48,9 @@
         own = request_key("", request.model, request.account, request.prompt.encode())
         self._keys = RequestKeys(own, tuple(prefix_hashes(request.prompt)))
         self._draw = guard.draw()
-        self._crashes = 0
+        self._crashes = 0.0
+        # Time of the first token of the epoch that runs.
+        self._began_at: Millis | None = None
 
     def refusal(self) -> Refusal | None:
         """Return the refusal of a draft that must not run or not run again."""
@@ -63,21 +65,32 @@
 
     def on_first_token(self) -> None:
         """Record that a runner wrote on the prompt."""
-        self._guard.record_writing(self._keys.parts)
+        self._began_at = self._clock.now()
+        self._guard.record_writing(self._keys.all)
+
+    def on_complete(self) -> None:
+        """Record that the draft came to its end."""
+        if self._began_at is not None:
+            lasted_ms = max(1, self._clock.now() - self._began_at)
+            parts = self._keys.parts
+            self._guard.record_outlasting(parts, self._began_at, lasted_ms)
         self._guard.record_answer(self._keys.own)
 
     async def on_failed_epoch(
         self, chain: Chain, failure: EpochFailure, started_at: Millis
     ) -> None:
-        """Record an epoch without a token, if one of its runners has ended.
+        """Record an epoch that failed, if one of its runners has ended.
 
         A runner that only fell silent, or that was leaving, says nothing about the
         prompt.
 
         :param started_at: time when the epoch began.
         """
+        began_at, self._began_at = self._began_at, None
         if not self._draft.may_have_started or not failure.is_confirmed:
             return
+        evidence = Evidence.BEGUN if began_at is None else Evidence.WRITING
+        wrote_ms = 0 if began_at is None else self._clock.now() - began_at
         for stage in chain.stages:
             if stage.runner not in failure.suspects:
                 continue
@@ -88,12 +101,13 @@
                 continue
             if not await self._engine.has_ended(stage, incarnation):
                 continue
-            self._crashes += 1
+            self._crashes += evidence.value
             self._guard.record_crash(
                 self._draft.request.account,
                 self._keys,
                 RunnerCrash(stage.runner, incarnation or 0),
                 started_at,
-                Evidence.BEGUN,
+                evidence,
+                wrote_ms,
             )
             return
--- a/src/heathershunt/drafts/execution.py
+++ b/src/heathershunt/drafts/execution.py
@@ -161,13 +161,16 @@
                 continue
             failure = await self._run_until_ended(draft, chosen.ok_value, crashes)
             if failure is None:
+                if draft.is_complete:
+                    crashes.on_complete()
                 break
             detail = failure.detail
             used_runners = frozenset(chosen.ok_value.runners())
             keep = used_runners - failure.suspects
             last_suspects = failure.suspects
-            if not recovery.record_failure(draft, self._clock.now()):
-                await crashes.on_failed_epoch(chosen.ok_value, failure, now)
+            has_progressed = recovery.record_failure(draft, self._clock.now())
+            await crashes.on_failed_epoch(chosen.ok_value, failure, now)
+            if not has_progressed:
                 await asyncio.sleep(recovery.delay_ms() / 1000)
         if not draft.ended.is_set():
             self._refuse_unfinished(draft, detail)
--- a/src/heathershunt/logs/run_events.py
+++ b/src/heathershunt/logs/run_events.py
@@ -110,18 +110,22 @@
 
 @dataclass(frozen=True)
 class RunCrashed(RequestEvent):
-    """A runner ended while the run had sent no event; evidence against its parts.
+    """A runner ended under a run; evidence against what the run was sent.
 
     :param target: runner that ended.
-    :param has_begun: whether the head of its reply had arrived.
+    :param stage: ``waiting`` before the head of the reply, ``begun`` before the first
+        event, ``writing`` after it.
+    :param wrote_ms: time from the first event to the end.
     """
 
     name: ClassVar[str] = "run_crashed"
     sentence: ClassVar[str] = (
-        "runner {target} ended before the run's first event; begun: {has_begun}"
+        "runner {target} ended while the run was {stage}, {wrote_ms} ms after its "
+        "first event"
     )
     target: str
-    has_begun: bool
+    stage: str
+    wrote_ms: int
 
 
 @dataclass(frozen=True)
--- a/src/heathershunt/relay/crashes.py
+++ b/src/heathershunt/relay/crashes.py
@@ -4,6 +4,7 @@
 from functools import cached_property
 
 from heathershunt.crashes import (
+    MAX_WRITING_MS,
     Block,
     Evidence,
     RequestKeys,
@@ -20,9 +21,9 @@
 from heathershunt.relay.spec import StreamSpec
 from heathershunt.verdict import Refusal, may_have_run, not_run
 
-# Targets that may end as a request begins at them, whatever it has in common with
+# Weight of the targets that may end under a request, whatever it has in common with
 # others.
-MAX_CRASHES_PER_REQUEST = 2
+MAX_CRASHES_PER_REQUEST = 2.0
 BLOCKED_DETAIL = "a part of the prompt crashes runners"
 
 
@@ -56,7 +57,7 @@
         self._account = account
         self._prompt_parts = prompt_parts
         self._draw = context.guard.draw()
-        self._crashes = 0
+        self._crashes = 0.0
 
     @cached_property
     def _keys(self) -> RequestKeys:
@@ -75,9 +76,7 @@
         return self._guard.block(self._account, self._keys.all, self._draw)
 
     def on_answered(self) -> None:
-        """Record that a target ran the request, or wrote on its prompt."""
-        if self._prompt_parts:
-            self._guard.record_writing(self._prompt_parts)
+        """Record that a target ran the request to its end."""
         if self._guard.has_evidence:
             self._guard.record_answer(self._keys.own)
 
@@ -131,34 +130,62 @@
             if task.done() or now() >= deadline or self.is_blocked():
                 return task.done()
 
-    def on_writing(self) -> None:
-        """Record that a run of the stream sent its first event."""
+    def on_events(self, run: Run) -> None:
+        """Record that a run of the stream has sent events."""
+        now = self._context.clock.now()
+        if run.began_at is None:
+            run.began_at = now
+            self._guard.record_writing(self._written_keys)
+            return
+        lasted_ms = now - run.began_at
+        if lasted_ms > MAX_WRITING_MS and not run.has_outlasted:
+            run.has_outlasted = True
+            self._guard.record_outlasting(self._written_keys, run.began_at, lasted_ms)
+
+    def on_whole(self, run: Run) -> None:
+        """Record that a run of the stream came to its end."""
+        if run.began_at is None:
+            return
+        lasted_ms = max(1, self._context.clock.now() - run.began_at)
+        self._guard.record_outlasting(self._prompt_parts, run.began_at, lasted_ms)
         self.on_answered()
 
+    @property
+    def _written_keys(self) -> tuple[str, ...]:
+        # Without any evidence, the body need not be hashed.
+        return self._keys.all if self._guard.has_evidence else self._prompt_parts
+
     async def on_broken_run(self, run: Run) -> None:
-        """Report a run that ended without an event, if its first runner ended too."""
+        """Report a run that ended early, if its first runner ended too."""
         head = run.chain.head
+        broken_at = self._context.clock.now()
         self._context.endings.check(head)
-        if run.events:
-            return
         if not await self._has_crashed(head):
             return
-        evidence = Evidence.WAITING if run.head is None else Evidence.BEGUN
-        has_begun = evidence is Evidence.BEGUN
-        event = RunCrashed(self._request.id, head.id, has_begun)
+        evidence = _evidence(run)
+        wrote_ms = 0 if run.began_at is None else broken_at - run.began_at
+        event = RunCrashed(self._request.id, head.id, evidence.name.lower(), wrote_ms)
         self._context.events.emit(event)
-        if has_begun:
-            # Sent again only if others have written on all parts that they share.
-            is_known = self._guard.are_sound(self._keys.shared_parts)
-            self._crashes += 1 if is_known else MAX_CRASHES_PER_REQUEST
+        self._count(evidence)
         self._guard.record_crash(
             self._account,
             self._keys,
             RunnerCrash(head.id, head.incarnation),
             run.sent_at,
             evidence,
+            wrote_ms,
         )
 
+    def _count(self, evidence: Evidence) -> None:
+        """Count a crash towards those after which the stream is not sent again."""
+        if evidence is Evidence.WAITING:
+            return
+        is_known = self._guard.are_sound(self._keys.shared_parts)
+        if evidence is Evidence.BEGUN and not is_known:
+            # No other run has written on all parts that they share.
+            self._crashes = MAX_CRASHES_PER_REQUEST
+        self._crashes += evidence.value
+
     async def _has_crashed(self, head: Target) -> bool:
         """Return whether the process of a first runner ended unannounced.
 
@@ -171,3 +198,10 @@
         if ending is Ending.RUNS:
             return await context.diagnosis.has_restarted(head)
         return ending is Ending.CRASHED
+
+
+def _evidence(run: Run) -> Evidence:
+    """Return how far a run had come."""
+    if run.began_at is not None:
+        return Evidence.WRITING
+    return Evidence.WAITING if run.head is None else Evidence.BEGUN
--- a/src/heathershunt/relay/reading.py
+++ b/src/heathershunt/relay/reading.py
@@ -1,12 +1,12 @@
 """Reading of a run's events, and the checks of its chain during pauses."""
 
 import asyncio
-from collections.abc import Callable
 
 import h11
 import logbook
 
 from heathershunt.clock import Clock, Millis
+from heathershunt.relay.crashes import CrashWitness
 from heathershunt.relay.events import StreamEvent
 from heathershunt.relay.pauses import PauseMonitor
 from heathershunt.relay.progress import StreamProgress
@@ -22,7 +22,7 @@
     """Reads the events of one stream, and replaces runners that stall it.
 
     :param deadline: time by which the stream must have ended.
-    :param on_writing: called when a run sends its first event.
+    :param crashes: told how far the runs of the stream come.
 
     .. versionadded:: 0.4
     """
@@ -34,14 +34,14 @@
         pauses: PauseMonitor,
         repair: ChainRepair,
         progress: StreamProgress,
-        on_writing: Callable[[], None],
+        crashes: CrashWitness,
     ) -> None:
         self._clock = clock
         self._deadline = deadline
         self._pauses = pauses
         self._repair = repair
         self._progress = progress
-        self._on_writing = on_writing
+        self._crashes = crashes
 
     async def next_events(
         self, run: Run, check_after_ms: float
@@ -63,11 +63,12 @@
             except TimeoutError:
                 check_at = now() + await self._handle_pause(run)
                 continue
-            had_events = run.events > 0
             events = run.next_events(data)
-            if run.events and not had_events:
-                self._on_writing()
-            if events or events is None:
+            if events is None:
+                self._crashes.on_whole(run)
+                return None
+            if events:
+                self._crashes.on_events(run)
                 return events
 
     async def _handle_pause(self, run: Run) -> float:
--- a/src/heathershunt/relay/runs.py
+++ b/src/heathershunt/relay/runs.py
@@ -39,6 +39,9 @@
     :param response: reply of the first runner; ``None`` until its head arrives.
     :param head: decoded head of the reply.
     :ivar events: number of events that this run has sent.
+    :ivar began_at: time of its first event; ``None`` before it.
+    :ivar has_outlasted: whether it has written for so long that an end of its runner
+        would say nothing of the prompt.
     :ivar is_patient: whether a silence of the run is waited out.
     :ivar is_delivered: whether the run counts among those that may have reached a
         runner.
@@ -56,6 +59,8 @@
     head: ReplyHead | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     events: int = 0
+    began_at: Millis | None = None
+    has_outlasted: bool = False
     is_patient: bool = False
     is_delivered: bool = False
     is_released: bool = False
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -64,7 +64,7 @@
             self._pauses,
             self._repair,
             self._progress,
-            crashes.on_writing,
+            crashes,
         )
         head_wait = HeadWait(
             context.clock,
--- a/standins/layer_runner.py
+++ b/standins/layer_runner.py
@@ -54,6 +54,7 @@
         write an answer on it. ``None`` without one.
     :ivar deadly_body: body of a request; the target crashes when it begins to run one
         with it. ``None`` without one.
+    :ivar crashes_after: events of a stream that the runner sends before it crashes.
     :ivar leaves_first: whether the target reports that it leaves before it crashes.
     :ivar limit_per_s: requests a second that the target names in its answers; ``None``
         for no limit.
@@ -95,6 +96,7 @@
         self.trickle = b""
         self.deadly_part: str | None = None
         self.deadly_body: bytes | None = None
+        self.crashes_after = 0
         self.leaves_first = False
         self.limit_per_s: float | None = None
         self.silent_until = 0.0
@@ -265,7 +267,8 @@
         await self._wait_out_silence_of_chain(request_id)
 
         async def write(sink: ResponseStream) -> None:
-            if self._is_deadly(request):
+            is_deadly = self._is_deadly(request)
+            if is_deadly and not self.crashes_after:
                 await self._crash(sink)
             epoch = self._stream_epoch
             for number in range(first, last + 1):
@@ -277,6 +280,8 @@
                 run.chains.append(self._chain_by_request[request_id])
                 sink.write(b"id: %d\ndata: event %d\n\n" % (number, number))
                 await asyncio.sleep(EVENT_MS / 1000)
+                if is_deadly and number - first + 1 == self.crashes_after:
+                    await self._crash(sink)
                 while number == self.stalls_after:
                     sink.write(self.trickle)
                     await asyncio.sleep(EVENT_MS / 1000)
--- a/tests/crashes/test_judge.py
+++ b/tests/crashes/test_judge.py
@@ -11,6 +11,7 @@
     JudgeConfig,
     PartJudge,
     PartKey,
+    Proof,
     RunnerCrash,
 )
 
@@ -23,12 +24,14 @@
     return PartJudge()
 
 
-def crash(judge, at, parts, account="a", took=100, evidence=Evidence.BEGUN):
+def crash(judge, at, parts, account="a", took=100, evidence=Evidence.BEGUN, wrote_ms=0):
     """Add a crash at a time, under a run that was sent ``took`` before it."""
     runner = RunnerCrash(f"runner-{next(runners)}", 1)
     for part in parts:
         key = PartKey(account, part)
-        item = CrashEvidence(key, runner, Millis(at - took), Millis(at), evidence)
+        item = CrashEvidence(
+            key, runner, Millis(at - took), Millis(at), evidence, wrote_ms
+        )
         judge.add(item, Millis(at))
 
 
@@ -53,14 +56,14 @@
 
 def test_part_that_runs_write_on_is_cleared(judge):
     crash(judge, 1000, ["shared", "deadly"])
-    judge.add_sound("shared", Millis(1500))
+    judge.add_proof("shared", Proof(Millis(1500)))
     crash(judge, 2000, ["shared", "deadly"])
     assert is_blocked(judge, ["deadly"], 2001)
     assert not is_blocked(judge, ["shared", "own"], 2001)
 
 
 def test_part_that_was_sound_before_needs_one_crash_more(judge):
-    judge.add_sound("shared", Millis(500))
+    judge.add_proof("shared", Proof(Millis(500)))
     crash(judge, 1000, ["shared"])
     crash(judge, 2000, ["shared"])
     assert not is_blocked(judge, ["shared"], 2001)
@@ -129,7 +132,7 @@
 def test_tried_request_that_writes_ends_the_block(judge):
     for at in (1000, 2000):
         crash(judge, at, ["part"])
-    assert judge.add_sound("part", Millis(70_000))
+    assert judge.add_proof("part", Proof(Millis(70_000)))
     assert not is_blocked(judge, ["part"], 70_001)
 
 
@@ -161,11 +164,11 @@
 
 
 def test_late_evidence_from_before_a_success_changes_nothing(judge):
-    judge.add_sound("shared", Millis(2000))
+    judge.add_proof("shared", Proof(Millis(2000)))
     crash(judge, 1000, ["shared"])
     crash(judge, 1900, ["shared"])
     assert not judge.keys()
-    assert judge.sound_parts(10) == {"shared": 2000}
+    assert judge.proofs(10) == [("shared", Proof(Millis(2000)))]
 
 
 def test_memory_is_bounded_and_keeps_what_is_blocked():
@@ -174,7 +177,7 @@
         crash(judge, at, ["deadly"])
     for number in range(500):
         crash(judge, 3000 + number, [f"part-{number}"])
-        judge.add_sound(f"sound-{number}", Millis(3000 + number))
+        judge.add_proof(f"sound-{number}", Proof(Millis(3000 + number)))
     assert len({key.part for key in judge.keys()}) == 20
     assert is_blocked(judge, ["deadly"], 4000)
     for at in range(5000, 60_000, 1000):
@@ -188,9 +191,9 @@
 def test_suspected_parts_are_bounded_if_all_are_sound(judge):
     parts = [f"part-{number}" for number in range(CONFIG.max_parts + 100)]
     for part in parts:
-        judge.add_sound(part, Millis(2000))
+        judge.add_proof(part, Proof(Millis(2000)))
         crash(judge, 1000, [part])
-    assert len(judge.sound_parts(limit=len(parts))) <= CONFIG.max_parts
+    assert len(judge.proofs(limit=len(parts))) <= CONFIG.max_parts
 
 
 # Guards against a part that stays blocked though runs write on it, as parts that were
@@ -202,3 +205,87 @@
         crash(judge, 3000 + number, [f"part-{number}"])
     assert is_blocked(judge, ["popular"], 4000)
     assert judge.is_suspected("popular")
+
+
+def crash_while_writing(judge, at, parts, wrote_ms):
+    took = wrote_ms + 100
+    crash(judge, at, parts, took=took, evidence=Evidence.WRITING, wrote_ms=wrote_ms)
+
+
+# Guards against a part that crashes runners after the first event and is never blocked,
+# as each first event clears it.
+@pytest.mark.parametrize("wrote_ms", [0, 20, 1000, 1900])
+def test_part_that_crashes_runners_after_an_event_is_blocked(judge, wrote_ms):
+    for at in (10_000, 20_000, 30_000):
+        judge.add_proof("deadly", Proof(Millis(at - wrote_ms)))
+        judge.add_proof("shared", Proof(Millis(at - wrote_ms)))
+        crash_while_writing(judge, at, ["shared", "deadly"], wrote_ms)
+        judge.add_proof("shared", Proof(Millis(at + 10), lasted_ms=2500))
+    assert is_blocked(judge, ["deadly", "own"], 30_001)
+    assert not is_blocked(judge, ["shared", "own"], 30_001)
+
+
+# Guards against the same where short answers on the part are whole.
+def test_run_that_wrote_for_less_long_clears_nothing(judge):
+    for at in (10_000, 20_000, 30_000):
+        crash_while_writing(judge, at, ["deadly"], wrote_ms=1000)
+        judge.add_proof("deadly", Proof(Millis(at + 10), lasted_ms=1000))
+    assert is_blocked(judge, ["deadly"], 30_001)
+    judge.add_proof("deadly", Proof(Millis(40_000), lasted_ms=1200))
+    assert not is_blocked(judge, ["deadly"], 41_201)
+
+
+# Guards against a popular part that stays blocked beside the deadly one, as all sound
+# answers are shorter than what the deadly ones wrote.
+def test_short_whole_answers_free_a_part_whose_crashes_are_explained(judge):
+    for at in (10_000, 20_000, 30_000):
+        crash_while_writing(judge, at, ["shared", "deadly"], wrote_ms=1000)
+        if at < 30_000:
+            judge.add_proof("shared", Proof(Millis(at + 10), lasted_ms=300))
+    assert is_blocked(judge, ["shared", "own"], 30_001)
+    judge.add_proof("shared", Proof(Millis(30_010), lasted_ms=300))
+    assert not is_blocked(judge, ["shared", "own"], 30_311)
+    assert is_blocked(judge, ["shared", "deadly"], 30_311)
+
+
+# Guards against a part that is cleared by runs that began before it was deadly.
+def test_run_that_began_before_the_crashes_clears_nothing(judge):
+    for number in range(4):
+        crash_while_writing(judge, 10_000 + 1000 * number, ["deadly"], wrote_ms=20)
+        judge.add_proof("deadly", Proof(Millis(9999), lasted_ms=1000 * number + 500))
+    assert is_blocked(judge, ["deadly"], 13_001)
+
+
+# Guards against popular parts that are blocked as runners end one after the other.
+def test_part_that_was_outlasted_once_needs_four_crashes_while_writing(judge):
+    judge.add_proof("shared", Proof(Millis(1000), lasted_ms=2500))
+    for number in range(3):
+        crash_while_writing(judge, 10_000 + 2000 * number, ["shared"], wrote_ms=900)
+    assert not is_blocked(judge, ["shared"], 14_001)
+    crash_while_writing(judge, 16_000, ["shared"], wrote_ms=900)
+    assert is_blocked(judge, ["shared"], 16_001)
+
+
+def test_order_of_proofs_and_evidence_does_not_matter():
+    proofs = [Proof(Millis(5000), 300), Proof(Millis(2500), 2500), Proof(Millis(4000))]
+    items = [
+        CrashEvidence(
+            PartKey("a", "part"),
+            RunnerCrash(f"r{at}", 1),
+            Millis(at - wrote_ms - 100),
+            Millis(at),
+            Evidence.WRITING,
+            wrote_ms,
+        )
+        for at, wrote_ms in ((2000, 1000), (4500, 100), (3000, 1000), (6000, 100))
+    ]
+    left = set()
+    for order in itertools.permutations([*proofs, *items]):
+        judge = PartJudge()
+        for item in order:
+            if isinstance(item, Proof):
+                judge.add_proof("part", item)
+            else:
+                judge.add(item, Millis(6000))
+        left.add(frozenset(item.crash.runner for item in judge.evidence_on("part")))
+    assert left == {frozenset({"r3000", "r6000"})}
--- a/tests/crashes/test_requests.py
+++ b/tests/crashes/test_requests.py
@@ -8,6 +8,7 @@
     Evidence,
     PartJudge,
     PartKey,
+    Proof,
     RunnerCrash,
     request_key,
 )
@@ -74,7 +75,7 @@
     for number in range(3):
         crash(judge, f"r{number}", 1000 + number, ("b", SOUND))
     assert block(judge, "b", SOUND, 1100, draw=0.05) is None
-    judge.add_sound(SOUND, Millis(1200))
+    judge.add_proof(SOUND, Proof(Millis(1200)))
     assert block(judge, "b", SOUND, 1201) is None
 
 
@@ -95,7 +96,7 @@
     found = block(judge, "b", SOUND, 3001)
     assert found.is_uncertain
     assert block(judge, "b", SOUND, 3001, draw=0.2) is None
-    judge.add_sound(SOUND, Millis(3100))
+    judge.add_proof(SOUND, Proof(Millis(3100)))
     assert block(judge, "b", SOUND, 3101) is None
 
 
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 
+import pytest
+
 DEADLY = "dead0000"
 SHARED = "5c1e07a2"
 # Stated target: at most five crashes until the system knows the part.
@@ -88,11 +90,33 @@
     assert sound == [200] * len(sound)
 
 
-async def send_whole(site, **changes):
+async def send_whole(site, events=5, **changes):
     """Send one stream; return its status, 0 if it was not complete."""
-    response = await site.open_stream(events=5, **changes)
+    response = await site.open_stream(events=events, **changes)
     try:
         await response.read()
     except OSError:
         return 0
     return response.status
+
+
+# Guards against a part that ends runner after runner just after the first event, which
+# clears it each time, as the stream is resumed at the next runner.
+@pytest.mark.parametrize("after_events", [1, 20])
+async def test_part_that_crashes_runners_after_an_event_stops_reaching_them(
+    site, after_events
+):
+    await add_first_runners(site)
+    for target in site.targets.values():
+        target.crashes_after = after_events
+    sound = []
+    for _ in range(6):
+        await send_whole(site, events=60, **prefix(SHARED, DEADLY))
+        sound.append(await send_whole(site, events=60, **prefix(SHARED)))
+    assert crashes(site) <= MAX_CRASHES
+    assert sound == [200] * len(sound)
+    assert await send_whole(site, **prefix(SHARED, DEADLY)) == 503
+
+
+def prefix(*parts):
+    return {"heathershunt_prompt_prefix": prompt(*parts)}
