--- a/src/heathershunt/daemon/app.py
+++ b/src/heathershunt/daemon/app.py
@@ -243,6 +243,7 @@
         await self.placement.release()
         limit = self.clock.now() + self.settings.drafts.drain_limit_ms
         while self._has_unfinished_work() and self.clock.now() < limit:
+            self.callers.drain()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
         await self.refuse_unfinished()
         await self.callers.close()
@@ -257,5 +258,6 @@
         self.draft_table.refuse_running()
         self.services.stop_waiting()
         limit = self.clock.now() + REFUSAL_FLUSH_MS
-        while self.callers.active_requests and self.clock.now() < limit:
+        while self.callers.pending_connections and self.clock.now() < limit:
+            self.callers.drain()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
--- a/src/heathershunt/gateway/servers.py
+++ b/src/heathershunt/gateway/servers.py
@@ -95,11 +95,11 @@
 
         :param started: time of the stop signal.
         """
-        self.callers.drain()
         deadline = started + grace_ms - STOP_MARGIN_MS
         accepting_until = started + ACCEPT_AFTER_STOP_MS
         is_accepting = True
         while (now := self._clock.now()) < deadline:
+            self.callers.drain()
             self._request_handler.is_stopping = now >= deadline - LATE_REQUEST_MS
             if is_accepting and now >= accepting_until:
                 self.callers.stop_accepting()
--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -29,6 +29,7 @@
     CountingReader,
     is_receive_buffer_empty,
     limit_receive_size,
+    unacknowledged_bytes,
 )
 from heathershunt.verdict import Refusal, may_have_run, not_run
 
@@ -36,6 +37,8 @@
 
 WRITE_HIGH_WATER_BYTES = 262_144
 LINGER_MS = 2000
+# Interval of the checks whether an answer has reached the caller's host.
+DELIVERY_POLL_MS = 10
 # A drain waits for a connection without requests until this long after it was opened,
 # as its first request may still arrive.
 FIRST_REQUEST_TIMEOUT_MS = 300
@@ -87,6 +90,7 @@
         self._opened_at = asyncio.get_running_loop().time()
         self._on_confirmed: Callable[[], None] | None = None
         self._closed = asyncio.Event()
+        self._is_aborted = False
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
@@ -100,11 +104,12 @@
     def is_pending(self) -> bool:
         """Return whether the connection may still need a response in a drain.
 
-        It does while a request is served or bytes of the next one have been received.
+        It does while a request is served, bytes of the next one have been received, or
+        an answer has not reached the caller's host.
         A new connection also does for :data:`FIRST_REQUEST_TIMEOUT_MS`, in which its
         first request may arrive.
         """
-        if self.is_busy or self._has_next_request():
+        if self.is_busy or self._has_next_request() or not self._is_delivered():
             return True
         age = asyncio.get_running_loop().time() - self._opened_at
         return not self._has_served and age < FIRST_REQUEST_TIMEOUT_MS / 1000
@@ -117,6 +122,18 @@
             return True
         return not is_receive_buffer_empty(self.writer.transport)
 
+    def _is_delivered(self) -> bool:
+        """Return whether the caller's host has all that was written, or is gone."""
+        return self._is_aborted or not unacknowledged_bytes(self.writer.transport)
+
+    async def _wait_delivered(self) -> None:
+        """Wait until an answer has reached the caller's host.
+
+        A caller that closes or sends the next request has the answer, or gave it up.
+        """
+        while not self._is_delivered() and not self._has_next_request():
+            await asyncio.sleep(DELIVERY_POLL_MS / 1000)
+
     async def serve(self, draining: Callable[[], bool]) -> None:
         """Serve requests one at a time until the connection ends."""
         self._task = asyncio.current_task()
@@ -169,6 +186,8 @@
         if done and (not draining() or self._has_next_request()):
             return True
         await self._linger()
+        if draining():
+            await self._wait_delivered()
         return False
 
     def _closes_after(self, draining: Callable[[], bool]) -> bool:
@@ -348,6 +367,13 @@
             log.info("refusal {} not delivered: {}", status, error)
         self.writer.close()
 
+    async def wait_written(self) -> None:
+        """Wait until a closed connection has handed all bytes to the kernel."""
+        try:
+            await self.writer.wait_closed()
+        except OSError as error:
+            log.info("connection ended before all was written: {}", error)
+
     def close_if_idle(self) -> None:
         """Close the connection in a drain, unless it may still need a response.
 
@@ -387,7 +413,12 @@
 
         :param cause: cause to report if an answer is owed.
         """
-        self._answer.cut(cause, detail)
+        if self._answer.is_owed:
+            self._answer.cut(cause, detail)
+        elif cause is CutCause.STOPPED and not self._is_delivered():
+            unsent_bytes = unacknowledged_bytes(self.writer.transport)
+            self._answer.cut_undelivered(unsent_bytes)
+        self._is_aborted = True
         self._closed.set()
         self.writer.transport.abort()
 
--- a/src/heathershunt/http/cuts.py
+++ b/src/heathershunt/http/cuts.py
@@ -18,6 +18,8 @@
     :cvar STREAM_FAILED: the streamed answer could not be completed.
     :cvar INVALID_ANSWER: the answer cannot be written as HTTP/1.1.
     :cvar NOT_READ: the connection closed with received bytes of a request unread.
+    :cvar NOT_DELIVERED: the process stopped while bytes of a written answer had not
+        reached the caller's host.
     :cvar STOPPED: the process stopped.
 
     .. versionadded:: 0.8
@@ -26,6 +28,7 @@
     CALLER_CLOSED = "caller_closed"
     STREAM_FAILED = "stream_failed"
     INVALID_ANSWER = "invalid_answer"
+    NOT_DELIVERED = "not_delivered"
     NOT_READ = "not_read"
     STOPPED = "stopped"
 
@@ -80,6 +83,7 @@
     def __init__(self, on_cut: CutHandler) -> None:
         self._on_cut = on_cut
         self._request: Request | None = None
+        self._last: Request | None = None
         self._has_begun = False
 
     @property
@@ -94,7 +98,7 @@
 
     def on_request(self, request: Request) -> None:
         """Record that a request was read whole."""
-        self._request = request
+        self._request = self._last = request
         self._has_begun = False
 
     def on_answer(self) -> None:
@@ -113,6 +117,11 @@
         self._request = None
         self._on_cut(cut)
 
+    def cut_undelivered(self, unsent_bytes: int) -> None:
+        """Report that the end of an answer that was written is discarded."""
+        detail = f"{unsent_bytes} bytes were not sent"
+        self._on_cut(AnswerCut(self._last, CutCause.NOT_DELIVERED, True, detail))
+
     def cut_unread(self) -> None:
         """Report that received bytes of a request are discarded."""
         self._on_cut(AnswerCut(None, CutCause.NOT_READ, False, ""))
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -118,6 +118,7 @@
         self._connections.add(connection)
         try:
             await connection.serve(lambda: self._draining)
+            await connection.wait_written()
         finally:
             self._connections.discard(connection)
 
@@ -128,10 +129,11 @@
 
     @property
     def pending_connections(self) -> int:
-        """Return the number of connections that may still need a response in a drain.
+        """Return the number of connections that may still need the process in a drain.
 
-        These have a request that is being served or was partly received, or are new
-        and may still send their first one.
+        These have a request that is being served or was partly received, or an answer
+        that has not reached the caller's host, or are new and may still send their
+        first request.
         """
         connections = sum(item.is_pending for item in self._connections)
         return connections + len(self._pending_accepts)
@@ -139,7 +141,9 @@
     def drain(self) -> None:
         """Close idle connections now and busy ones after their response.
 
-        The listening socket stays open, so that late callers get a response.
+        To be called again until no connection is pending: one whose answer had not
+        reached its caller is idle later. The listening socket stays open, so that late
+        callers get a response.
         """
         self._draining = True
         for connection in list(self._connections):
--- a/src/heathershunt/http/transports.py
+++ b/src/heathershunt/http/transports.py
@@ -1,9 +1,12 @@
 """Helpers for asyncio transports and streams of the client and the server."""
 
 import asyncio
+import fcntl
 import select
 import socket
 import ssl
+import struct
+import termios
 from collections.abc import Callable
 
 RECEIVE_BYTES = 16_384
@@ -110,3 +113,24 @@
     poll = select.poll()
     poll.register(descriptor, select.POLLIN)
     return bool(poll.poll(0))
+
+
+def unacknowledged_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return the number of written bytes that the peer's host has not confirmed.
+
+    They are lost if the process ends: those that the transport still holds for certain,
+    those in the kernel where the network of the process ends with it.
+
+    .. versionadded:: 0.9
+    """
+    buffered = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return buffered
+    try:
+        # Linux counts in SIOCOUTQ, which has the number of TIOCOUTQ.
+        raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+    except OSError:
+        # Only the kernel of a host that has no such call is asked in vain.
+        return buffered
+    return buffered + struct.unpack("i", raw)[0]
--- a/tests/http/test_drain.py
+++ b/tests/http/test_drain.py
@@ -143,3 +143,57 @@
     await stop(server)
     assert await reader.read() == b""
     writer.close()
+
+
+# Guards against a process that ends while it holds the end of an answer that a slow
+# caller still reads.
+@pytest.mark.parametrize("is_kept", [True, False])
+async def test_answer_in_the_write_buffer_is_pending(is_kept):
+    server = HttpServer(lambda request: large_answer())
+    await server.start("127.0.0.1", 0)
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, ("127.0.0.1", server.port))
+        close = b"" if is_kept else b"connection: close\r\n"
+        await loop.sock_sendall(caller, HEAD_OF_GET % close)
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(stop(server))
+        await asyncio.sleep(0.2)
+        received = 0
+        while data := await loop.sock_recv(caller, 65_536):
+            received += len(data)
+    assert received > LARGE_BYTES
+    await stopping
+
+
+LARGE_BYTES = 8_000_000
+HEAD_OF_GET = b"GET /a HTTP/1.1\r\nhost: a\r\n%b\r\n"
+
+
+async def large_answer():
+    return Response(200, {}, b"a" * LARGE_BYTES)
+
+
+# Guards against the same without a word in the log, where the caller reads too slowly.
+async def test_answer_that_is_discarded_at_the_stop_is_reported():
+    cuts = []
+    server = HttpServer(lambda request: small_answer(), on_cut=cuts.append)
+    await server.start("127.0.0.1", 0)
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.connect(("127.0.0.1", server.port))
+        caller.sendall(b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n")
+        await asyncio.sleep(0.1)
+        server.drain()
+        server.close_now()
+        await asyncio.sleep(0.05)
+    assert [(cut.cause.value, cut.request.target) for cut in cuts] == [
+        ("not_delivered", "/a")
+    ]
+
+
+async def small_answer():
+    # Below the size at which the server waits for the caller, above the kernel's.
+    return Response(200, {}, b"a" * 200_000)
