--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
 
 from heathershunt.catalog import Catalog, ClientAccount, Route
 from heathershunt.clock import Millis
 from heathershunt.gateway.config import Bounds
+from heathershunt.gateway.stopping import AnswerTimes, StopGate
 from heathershunt.http import Response, StreamResponse
 from heathershunt.logs.request_events import Admitted, CallerDisconnected, Refused
 from heathershunt.relay import (
@@ -26,8 +28,15 @@
 # the view is older.
 READY_AGE_FRACTION = 0.6
 RETRY_AFTER_MS = 300
+# Other VMs take what one that stops turns away.
+STOPPING_RETRY_AFTER_MS = 100
 # The final answer is sent this long before the deadline, so that it arrives in time.
 ANSWER_MARGIN_MS = 20
+# First status that is no success.
+REDIRECTION = 300
+STOPPING = not_run(
+    503, "Unavailable", "the VM is about to stop", STOPPING_RETRY_AFTER_MS
+)
 
 
 class RequestHandler:
@@ -36,7 +45,8 @@
     :param catalog: returns the configuration in force; ``None`` before the first.
     :param view_age_ms: returns the age of the view of the store; ``None`` before the
         first answer of the store.
-    :ivar is_stopping: whether requests are refused because the process is about to end.
+    :ivar gate: turns requests away that don't fit before the process ends.
+    :ivar is_stopping: whether all requests are refused as the process is about to end.
 
     .. versionadded:: 0.2
     """
@@ -52,6 +62,8 @@
         self._bounds = bounds
         self._catalog = catalog
         self._view_age_ms = view_age_ms
+        self._times = AnswerTimes(context.clock)
+        self.gate = StopGate(context.clock, self._times)
         self.is_stopping = False
         self._calls = CallRelay(context)
         self._streams = StreamRelay(context)
@@ -59,7 +71,7 @@
     async def handle(self, request: CallerRequest) -> Response | StreamResponse:
         """Return the response to a request, relayed from a target or a refusal."""
         if self.is_stopping:
-            return self._refuse(request, _unavailable("the VM is about to stop"))
+            return self._refuse(request, STOPPING)
         catalog = self._catalog()
         if catalog is None:
             return self._refuse(
@@ -125,6 +137,8 @@
         if request.deadline is not None:
             deadline = min(deadline, request.deadline)
         deadline = Millis(deadline - ANSWER_MARGIN_MS)
+        if not self.gate.may_take(route.name, deadline):
+            return self._refuse(request, STOPPING)
         owner = account.name if account else None
         event = Admitted(
             request.id,
@@ -137,16 +151,47 @@
             parts=request.prompt_parts,
         )
         self._context.events.emit(event)
+        if service.engine is None:
+            answering = self._calls.relay(request, route, name, owner, deadline)
+        else:
+            spec = StreamSpec(request, route, name, service.engine, owner, deadline)
+            answering = self._streams.relay(spec)
+        return await self._timed(request, route, answering)
+
+    async def _timed(
+        self,
+        request: CallerRequest,
+        route: Route,
+        answering: Coroutine[None, None, Response | StreamResponse],
+    ) -> Response | StreamResponse:
+        """Return an answer, and record how long it takes to its end."""
+        self._times.start(route.name, request.id)
+        response = None
         try:
-            if service.engine is None:
-                return await self._calls.relay(request, route, name, owner, deadline)
-            return await self._streams.relay(
-                StreamSpec(request, route, name, service.engine, owner, deadline)
-            )
+            response = await answering
         except asyncio.CancelledError:
             elapsed_ms = self._context.clock.now() - request.received_at
             self._context.events.emit(CallerDisconnected(request.id, elapsed_ms))
             raise
+        finally:
+            if not isinstance(response, StreamResponse):
+                is_answered = response is not None and response.status < REDIRECTION
+                self._times.end(route.name, request.id, is_answered)
+        if isinstance(response, StreamResponse):
+            return self._timed_stream(request, route, response)
+        return response
+
+    def _timed_stream(
+        self, request: CallerRequest, route: Route, response: StreamResponse
+    ) -> StreamResponse:
+        on_closed = response.on_closed
+
+        def end() -> None:
+            self._times.end(route.name, request.id, is_answered=True)
+            if on_closed is not None:
+                on_closed()
+
+        return replace(response, on_closed=end)
 
     def _refuse(self, request: CallerRequest, refusal: Refusal) -> Response:
         event = Refused(request.id, refusal.status, refusal.detail, self._view_age_ms())
--- a/src/heathershunt/gateway/servers.py
+++ b/src/heathershunt/gateway/servers.py
@@ -96,6 +96,7 @@
         :param started: time of the stop signal.
         """
         deadline = started + grace_ms - STOP_MARGIN_MS
+        self._request_handler.gate.ends_at = Millis(deadline)
         accepting_until = started + ACCEPT_AFTER_STOP_MS
         is_accepting = True
         while (now := self._clock.now()) < deadline:
--- a/tests/integration/test_stopping_processes.py
+++ b/tests/integration/test_stopping_processes.py
@@ -7,13 +7,15 @@
 import pytest
 
 from heathershunt.http import Response
-from soak.site import Extent, SoakSite
+from soak.site import GRACE_MS, Extent, SoakSite
 
 ANSWER_BYTES = 600_000
 READ_BYTES = 2000
 READ_PAUSE_S = 0.008
 RECEIVE_BUFFER_BYTES = 4096
 SEGMENT_BYTES = 1460
+# Answers take this long at a slow target; the grace time is ``GRACE_MS``.
+SLOW_S = 2.0
 
 
 @pytest.fixture
@@ -98,3 +100,46 @@
         sock.close()
     bodies = [len(answer.partition(b"\r\n\r\n")[2]) for answer in answers]
     assert bodies == [ANSWER_BYTES] * len(sockets)
+
+
+# Guards against requests that are taken late in a planned stop, passed on to a target
+# and cut at the end of the grace time.
+async def test_request_that_cannot_end_in_the_grace_time_is_not_passed_on(site):
+    for name in ("desk-a", "desk-b"):
+        slow_down(site.targets[name])
+    learned = [await open_and_call(site) for _ in range(2)]
+    assert all(b" 200 " in line for line in learned)
+    late = [await asyncio.open_connection(*address(site)) for _ in range(3)]
+    busy = asyncio.create_task(open_and_call(site))
+    await asyncio.sleep(0.1)
+    stopping = asyncio.create_task(site.gateways["vm-0"].terminate())
+    await asyncio.sleep(GRACE_MS / 1000 * 0.45)
+    before = len([run for t in site.targets.values() for run in t.runs])
+    lines = []
+    for reader, writer in late:
+        writer.write(request(site, "/orders/late"))
+        async with asyncio.timeout(GRACE_MS / 1000):
+            lines.append(await reader.readline())
+    assert all(b" 503 " in line for line in lines)
+    assert len([run for t in site.targets.values() for run in t.runs]) == before
+    assert b" 200 " in await busy
+    await stopping
+
+
+def slow_down(target):
+    handle = target._answer
+
+    async def answer(request):
+        if request.path.startswith("/orders/"):
+            await asyncio.sleep(SLOW_S)
+        return await handle(request)
+
+    target._answer = answer
+
+
+async def open_and_call(site):
+    reader, writer = await asyncio.open_connection(*address(site))
+    writer.write(request(site, "/orders/1"))
+    line = await reader.readline()
+    writer.close()
+    return line
