--- a/src/heathershunt/relay/budget.py
+++ b/src/heathershunt/relay/budget.py
@@ -6,8 +6,12 @@
 from heathershunt.clock import Clock, Millis
 
 # Fraction of the shared budget that is used. A VM does not see the retries of other
-# VMs, nor its own from before a restart.
+# VMs, nor those of its process before a restart.
 USED_FRACTION = 0.5
+# Time after the start of a process until it knows the other VMs.
+SETTLING_MS = 2000
+# Retries of each service that a process takes from the slack in any case.
+FIRST_RETRIES = 1
 # Fraction of a VM's share for requests of which nothing was delivered; the rest is kept
 # for streams that have begun.
 UNSTARTED_FRACTION = 0.6
@@ -50,6 +54,10 @@
 class WindowBudget:
     """Counts the requests of each service on this VM, and limits their retries.
 
+    A process earns its share of the slack over the first window of its life,
+    after it has come to know the other VMs: the process before it may have used the
+    same share a moment ago, and one that knows no other VM takes the whole for its own.
+
     .. versionadded:: 0.2
     """
 
@@ -59,7 +67,7 @@
         self._requests_by_service: dict[str, _Window] = {}
         self._retries_by_service: dict[str, _Window] = {}
         self._max_vms = 1
-        self._max_vms_at = clock.now()
+        self._started_at = self._max_vms_at = clock.now()
 
     def record_request(self, service: str) -> None:
         """Count a request of a caller."""
@@ -97,10 +105,17 @@
         requests = self._requests_by_service.setdefault(service, _Window())
         retries = self._retries_by_service.setdefault(service, _Window())
         config = self._config
-        vm_slack = config.slack / max(1, vms)
-        allowed = USED_FRACTION * (requests.count(since) * config.ratio + vm_slack)
+        earned = requests.count(since) * config.ratio * USED_FRACTION
+        allowed = earned + self._slack(vms, now)
         return retries.count(since) + 1 <= allowed * fraction
 
+    def _slack(self, vms: int, now: Millis) -> float:
+        """Return the retries that this process may take beyond those by requests."""
+        share = USED_FRACTION * self._config.slack / max(1, vms)
+        earning_ms = max(0, now - self._started_at - SETTLING_MS)
+        earned = share * min(1.0, earning_ms / self._config.window_ms)
+        return max(earned, min(share, FIRST_RETRIES))
+
     def _update_max_vms(self, vms: int, now: Millis) -> int:
         """Return the most VMs in the last window; those that left used their share."""
         if vms >= self._max_vms or now - self._max_vms_at > self._config.window_ms:
