Keep an order to a silent runner within the stream's time limit

Cause: the order that replaces a runner of a chain was waited for 1,000 ms, whatever was left. Evidence: pause_examined 1 s before chain_not_replaced 'unknown', and the limit between them. The wait ends with the limit now. test_order_is_not_waited_for_beyond_the_time_limit fails before and passes.

--- a/src/heathershunt/relay/repair.py
+++ b/src/heathershunt/relay/repair.py
@@ -1,8 +1,10 @@
 """Replacement of runners in the chain of a running stream."""
 
+import asyncio
+
 from heathershunt.discovery import Target
 from heathershunt.logs.run_events import ChainNotReplaced, ChainReplaced
-from heathershunt.pipelines import Chain, OrderOutcome
+from heathershunt.pipelines import Chain, OrderOutcome, OrderReply
 from heathershunt.relay.attempts import Attempts
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.progress import StreamProgress
@@ -84,8 +86,13 @@
         request = self._spec.request.id
         # Counted before the reply arrives: other streams choose chains meanwhile.
         context.ledger.add(chain, run.tokens)
+        left_ms = max(0, self._spec.deadline - context.clock.now())
         try:
-            reply = await context.runners.repath(run.chain.head, request, chain)
+            # A silent runner must not hold the stream beyond its time limit.
+            async with asyncio.timeout(left_ms / 1000):
+                reply = await context.runners.repath(run.chain.head, request, chain)
+        except TimeoutError:
+            reply = OrderReply(OrderOutcome.UNKNOWN)
         except BaseException:
             context.ledger.remove(chain, run.tokens)
             raise
--- a/tests/relay/test_repair.py
+++ b/tests/relay/test_repair.py
@@ -1,5 +1,6 @@
 """Replacement of a runner when the VM's view of the other runners is out of date."""
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
@@ -131,3 +132,19 @@
     run = Run(chain_with(DEAD), 100, Millis(0))
     assert await repair.replace(run, DEAD)
     assert runners.orders == 1
+
+
+# Guards against a stream that ends a second after its time limit, as an order to a
+# silent runner was waited for.
+async def test_order_is_not_waited_for_beyond_the_time_limit(
+    repair, runners, spec, clock
+):
+    async def be_silent(head, request_id, chain):
+        await asyncio.sleep(3600)
+
+    runners.repath = be_silent
+    clock.advance(spec.deadline - clock.now() - 30)
+    run = Run(chain_with(DEAD), 100, Millis(0))
+    async with asyncio.timeout(0.5):
+        assert not await repair.replace(run, DEAD)
+    assert run.chain == chain_with(DEAD)
