End a refused connection quietly if its caller has reset it

Cause: write_eof raises OSError (not connected), which is no ConnectionError, where the caller's reset has not been read yet. Half-closing catches it and logs a line. test_refusal_to_a_caller_that_has_reset_its_connection_ends_quietly fails before and passes.

--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -202,10 +202,20 @@
         if not self.writer.can_write_eof():
             self._confirm()
             return
-        self.writer.write_eof()
+        self._half_close()
         if await self._read_end(LINGER_MS):
             self._confirm()
 
+    def _half_close(self) -> None:
+        """Close the sending side, unless the connection has ended already."""
+        if not self.writer.can_write_eof():
+            return
+        try:
+            self.writer.write_eof()
+        except OSError as error:
+            # The transport learns of a reset only with its next read or write.
+            log.info("connection ended before it was half-closed: {}", error)
+
     async def _read_end(self, limit_ms: int) -> bool:
         """Discard what the caller sends; return whether it closed in time."""
         try:
@@ -360,8 +370,7 @@
         try:
             if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                 await self._respond(problem_response(refusal), closes=True)
-                if self.writer.can_write_eof():
-                    self.writer.write_eof()
+                self._half_close()
                 await self._read_end(linger_ms)
         except (ConnectionError, h11.LocalProtocolError) as error:
             log.info("refusal {} not delivered: {}", status, error)
@@ -387,7 +396,7 @@
         if self._h11.their_state is not h11.IDLE:
             return
         if self._on_confirmed and self.writer.can_write_eof():
-            self.writer.write_eof()
+            self._half_close()
         else:
             self.writer.close()
 
--- a/tests/http/test_drain.py
+++ b/tests/http/test_drain.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+import errno
+import gc
 import os
 import socket
 
 import pytest
 
-from heathershunt.http import HttpServer, Response, StreamResponse
+from heathershunt.http import HttpLimits, HttpServer, Response, StreamResponse
 
 HEAD = b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n"
 REQUEST = HEAD + b"body"
@@ -197,3 +199,26 @@
 async def small_answer():
     # Below the size at which the server waits for the caller, above the kernel's.
     return Response(200, {}, b"a" * 200_000)
+
+
+# Guards against a connection task that fails, as its caller reset the connection while
+# a refusal was written: the transport learns of that only as it is half-closed.
+async def test_refusal_to_a_caller_that_has_reset_its_connection_ends_quietly(
+    server, monkeypatch
+):
+    def fail(writer):
+        raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+    monkeypatch.setattr(asyncio.StreamWriter, "write_eof", fail)
+    server.limits = HttpLimits(body_bytes=10)
+    errors = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: errors.append(context))
+    reader, writer = await open_connection(server)
+    writer.write(HEAD.replace(b"4", b"400"))
+    assert (await reader.readline()).startswith(b"HTTP/1.1 413")
+    writer.close()
+    await asyncio.sleep(0.1)
+    gc.collect()
+    await asyncio.sleep(0)
+    assert errors == []
