--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 from soak.lag import LagMeter
 from soak.mixed_callers import MixedCallers
 from soak.oracle import check
+from soak.repeats import check_repeats
 from soak.seeds import (
     FIRST_SEED_WITH_BAD_ANSWERS,
     FIRST_SEED_WITH_RESTORATIONS,
@@ -22,6 +23,7 @@
 )
 from soak.silences import SilencePlan
 from soak.site import SoakSite, draw_extent
+from soak.stops import StopPlan
 
 # Time limits for requests to be served, after the start and after the last repair.
 START_SECONDS = 10.0
@@ -48,7 +50,10 @@
         site.settings, random.Random(f"{seed}-changes"), site.publish
     )
     silences = SilencePlan(site, random.Random(f"{seed}-silences"))
+    stops = StopPlan(site, random.Random(f"{seed}-stops"))
     plans = [plan, changes, silences] if site.extent.is_wide else [plan]
+    if site.extent.has_stops:
+        plans = [stops, changes, silences]
     lag = LagMeter(site)
     measuring = asyncio.create_task(lag.run())
     try:
@@ -64,6 +69,7 @@
         failures += findings.violations
         other_ids = {exchange.id for exchange in mixed.exchanges}
         failures += find_violations(site, callers, plan, other_ids)
+        failures += check_repeats(site)
         failures += _crashes(site)
         _print_summary(seed, callers, mixed, plans, failures)
         if mixed.exchanges:
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -16,6 +16,8 @@
 FIRST_SEED_WITH_CHANGES = 71
 # From that seed on, one in so many has many gateways.
 MANY_GATEWAYS_EVERY = 10
+# Seeds with planned stops in series in place of all other faults.
+SEEDS_WITH_STOPS = range(1001, 2000)
 # Seeds that failed in the past, each with its cause. The order of their faults differs
 # between runs, as the timing of the processes does.
 CAUSE_BY_SEED = {
--- a/soak/site.py
+++ b/soak/site.py
@@ -13,7 +13,11 @@
 from soak.configurations import SiteConfiguration
 from soak.plain_targets import PlainTarget
 from soak.processor import ProcessorWaits
-from soak.seeds import FIRST_SEED_WITH_CHANGES, MANY_GATEWAYS_EVERY
+from soak.seeds import (
+    FIRST_SEED_WITH_CHANGES,
+    MANY_GATEWAYS_EVERY,
+    SEEDS_WITH_STOPS,
+)
 from soak.spans import SpanLog
 from standins.layer_runner import TargetStandIn
 from standins.metadata_store import MetadataStoreStandIn
@@ -61,12 +65,14 @@
     :param is_wide: whether there are second services, plain targets whose answers take
         every form, and a configuration that changes.
     :param runner_domains: failure domains of the runners.
+    :param has_stops: whether planned stops in series take the place of the faults.
     """
 
     gateways: int = GATEWAYS
     retry_slack: int = DEFAULT_RETRY_SLACK
     runner_domains: tuple[str, ...] = DOMAINS
     is_wide: bool = False
+    has_stops: bool = False
 
 
 def draw_extent(seed: int) -> Extent:
@@ -76,6 +82,7 @@
     rng = random.Random(f"{seed}-extent")
     has_many = seed % MANY_GATEWAYS_EVERY == 0
     return Extent(
+        has_stops=seed in SEEDS_WITH_STOPS,
         gateways=MANY_GATEWAYS if has_many else GATEWAYS,
         retry_slack=rng.choice(RETRY_SLACKS),
         runner_domains=rng.choice((DOMAINS, DOMAINS[:1])),
@@ -139,12 +146,26 @@
         """Return the id of the process; ``None`` before its first start."""
         return None if self._process is None else self._process.pid
 
+    @property
+    def has_started(self) -> bool:
+        """Return whether the process has logged that it listens."""
+        return self.log_text().count(STARTED) == self._starts
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._process.returncode is None
+
     def hang_up(self) -> None:
         """Send SIGHUP to the process; before it serves, that would end it."""
-        has_started = self.log_text().count(STARTED) == self._starts
-        if has_started and self._process.returncode is None:
+        if self.has_started and self.is_running:
             self._process.send_signal(signal.SIGHUP)
 
+    def signal_again(self) -> None:
+        """Send SIGTERM to a process that may be stopping already."""
+        if self.is_running:
+            self._process.terminate()
+
     async def kill(self) -> None:
         """Kill the process and wait for its exit."""
         if self._process.returncode is None:
