--- a/tests/http/test_drain.py
+++ b/tests/http/test_drain.py
@@ -215,7 +215,7 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: errors.append(context))
     reader, writer = await open_connection(server)
-    writer.write(HEAD.replace(b"4", b"400"))
+    writer.write(HEAD.replace(b"4", b"400") + b"a" * 400)
     assert (await reader.readline()).startswith(b"HTTP/1.1 413")
     writer.close()
     await asyncio.sleep(0.1)
