Split what is still on its way to a caller from Connection

Delivery tells whether an answer has reached the caller's host, waits for it and half-closes; behaviour is unchanged (tests of http, stops and the real-process tests pass).

--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -15,6 +15,7 @@
     CutHandler,
     log_cut,
 )
+from heathershunt.http.delivery import Delivery
 from heathershunt.http.heads import build_head
 from heathershunt.http.messages import (
     Request,
@@ -29,7 +30,6 @@
     CountingReader,
     is_receive_buffer_empty,
     limit_receive_size,
-    unacknowledged_bytes,
 )
 from heathershunt.verdict import Refusal, may_have_run, not_run
 
@@ -37,8 +37,6 @@
 
 WRITE_HIGH_WATER_BYTES = 262_144
 LINGER_MS = 2000
-# Interval of the checks whether an answer has reached the caller's host.
-DELIVERY_POLL_MS = 10
 # A drain waits for a connection without requests until this long after it was opened,
 # as its first request may still arrive.
 FIRST_REQUEST_TIMEOUT_MS = 300
@@ -68,7 +66,10 @@
 
 
 class Connection:
-    """One accepted connection."""
+    """One accepted connection.
+
+    :ivar delivery: what of its answers is still on its way.
+    """
 
     def __init__(
         self,
@@ -90,7 +91,7 @@
         self._opened_at = asyncio.get_running_loop().time()
         self._on_confirmed: Callable[[], None] | None = None
         self._closed = asyncio.Event()
-        self._is_aborted = False
+        self.delivery = Delivery(writer)
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
@@ -105,11 +106,10 @@
         """Return whether the connection may still need a response in a drain.
 
         It does while a request is served, bytes of the next one have been received, or
-        an answer has not reached the caller's host.
-        A new connection also does for :data:`FIRST_REQUEST_TIMEOUT_MS`, in which its
+        an answer has not reached the caller's host. A new connection also does for :data:`FIRST_REQUEST_TIMEOUT_MS`, in which its
         first request may arrive.
         """
-        if self.is_busy or self._has_next_request() or not self._is_delivered():
+        if self.is_busy or self._has_next_request() or not self.delivery.is_complete:
             return True
         age = asyncio.get_running_loop().time() - self._opened_at
         return not self._has_served and age < FIRST_REQUEST_TIMEOUT_MS / 1000
@@ -122,18 +122,6 @@
             return True
         return not is_receive_buffer_empty(self.writer.transport)
 
-    def _is_delivered(self) -> bool:
-        """Return whether the caller's host has all that was written, or is gone."""
-        return self._is_aborted or not unacknowledged_bytes(self.writer.transport)
-
-    async def _wait_delivered(self) -> None:
-        """Wait until an answer has reached the caller's host.
-
-        A caller that closes or sends the next request has the answer, or gave it up.
-        """
-        while not self._is_delivered() and not self._has_next_request():
-            await asyncio.sleep(DELIVERY_POLL_MS / 1000)
-
     async def serve(self, draining: Callable[[], bool]) -> None:
         """Serve requests one at a time until the connection ends."""
         self._task = asyncio.current_task()
@@ -187,7 +175,7 @@
             return True
         await self._linger()
         if draining():
-            await self._wait_delivered()
+            await self.delivery.wait(self._has_next_request)
         return False
 
     def _closes_after(self, draining: Callable[[], bool]) -> bool:
@@ -202,20 +190,10 @@
         if not self.writer.can_write_eof():
             self._confirm()
             return
-        self._half_close()
+        self.delivery.half_close()
         if await self._read_end(LINGER_MS):
             self._confirm()
 
-    def _half_close(self) -> None:
-        """Close the sending side, unless the connection has ended already."""
-        if not self.writer.can_write_eof():
-            return
-        try:
-            self.writer.write_eof()
-        except OSError as error:
-            # The transport learns of a reset only with its next read or write.
-            log.info("connection ended before it was half-closed: {}", error)
-
     async def _read_end(self, limit_ms: int) -> bool:
         """Discard what the caller sends; return whether it closed in time."""
         try:
@@ -370,19 +348,12 @@
         try:
             if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                 await self._respond(problem_response(refusal), closes=True)
-                self._half_close()
+                self.delivery.half_close()
                 await self._read_end(linger_ms)
         except (ConnectionError, h11.LocalProtocolError) as error:
             log.info("refusal {} not delivered: {}", status, error)
         self.writer.close()
 
-    async def wait_written(self) -> None:
-        """Wait until a closed connection has handed all bytes to the kernel."""
-        try:
-            await self.writer.wait_closed()
-        except OSError as error:
-            log.info("connection ended before all was written: {}", error)
-
     def close_if_idle(self) -> None:
         """Close the connection in a drain, unless it may still need a response.
 
@@ -396,7 +367,7 @@
         if self._h11.their_state is not h11.IDLE:
             return
         if self._on_confirmed and self.writer.can_write_eof():
-            self._half_close()
+            self.delivery.half_close()
         else:
             self.writer.close()
 
@@ -424,10 +395,9 @@
         """
         if self._answer.is_owed:
             self._answer.cut(cause, detail)
-        elif cause is CutCause.STOPPED and not self._is_delivered():
-            unsent_bytes = unacknowledged_bytes(self.writer.transport)
-            self._answer.cut_undelivered(unsent_bytes)
-        self._is_aborted = True
+        elif cause is CutCause.STOPPED and not self.delivery.is_complete:
+            self._answer.cut_undelivered(self.delivery.unsent_bytes)
+        self.delivery.is_aborted = True
         self._closed.set()
         self.writer.transport.abort()
 
--- a/src/heathershunt/http/server.py
+++ b/src/heathershunt/http/server.py
@@ -118,7 +118,7 @@
         self._connections.add(connection)
         try:
             await connection.serve(lambda: self._draining)
-            await connection.wait_written()
+            await connection.delivery.wait_written()
         finally:
             self._connections.discard(connection)
 
