Keep the proof of the longest run among those for a part

Found by reading the diff again: four proofs are kept for a part, the latest ones, so the one of a long run was soon forgotten among those of runs that had just begun, and a popular part counted as never outlasted: blocked after three ends instead of four. The longest is kept now. test_longest_proof_is_kept_beside_later_ones fails before and passes.

--- a/src/heathershunt/crashes/judge.py
+++ b/src/heathershunt/crashes/judge.py
@@ -16,8 +16,9 @@
 from heathershunt.crashes.keys import is_request_key
 
 MAX_EVIDENCE_PER_PART = 16
-# Of several proofs, a later one may have lasted for less, so some are kept.
-MAX_PROOFS_PER_PART = 4
+# Of several proofs, a later one may have lasted for less, so the longest is kept, and
+# some of the latest.
+MAX_LATEST_PROOFS = 3
 MAX_EXPONENT = 16
 # Share of the requests that are sent although a part is blocked, where another part
 # explains its crashes: a sound part must not wait long in a large fleet.
@@ -183,7 +184,9 @@
             return False
         kept = [other for other in known if not proof.covers(other)]
         kept = sorted((*kept, proof), key=lambda other: other.began_at)
-        self._proofs_by_part[part] = tuple(kept[-MAX_PROOFS_PER_PART:])
+        # Each lasted for longer than those after it, which began later.
+        longest, *later = kept
+        self._proofs_by_part[part] = (longest, *later[-MAX_LATEST_PROOFS:])
         self._proofs_by_part.move_to_end(part)
         while len(self._proofs_by_part) > self._config.max_sound_parts:
             self._proofs_by_part.popitem(last=False)
--- a/src/heathershunt/crashes/keys.py
+++ b/src/heathershunt/crashes/keys.py
@@ -61,10 +61,10 @@
     def suspected_by(self, evidence: Evidence, wrote_ms: int = 0) -> tuple[str, ...]:
         """Return the keys against which the end of a target counts.
 
-        :param wrote_ms: time from the run's first event to that end.
-
         Of a run that was waiting only what comes again counts. The last part does not:
         it comes again with the request itself, whose key does.
+
+        :param wrote_ms: time from the run's first event to that end.
         """
         if evidence is Evidence.WAITING:
             return (self.own, *self.shared_parts)
--- a/tests/crashes/test_judge.py
+++ b/tests/crashes/test_judge.py
@@ -289,3 +289,15 @@
                 judge.add(item, Millis(6000))
         left.add(frozenset(item.crash.runner for item in judge.evidence_on("part")))
     assert left == {frozenset({"r3000", "r6000"})}
+
+
+# Guards against popular parts that are blocked too soon, as the proof of a long run is
+# forgotten among those of the many later ones that have just begun.
+def test_longest_proof_is_kept_beside_later_ones(judge):
+    judge.add_proof("shared", Proof(Millis(1000), lasted_ms=2500))
+    for number in range(20):
+        proof = Proof(Millis(2000 + number), lasted_ms=1000 - number)
+        judge.add_proof("shared", proof)
+    for number in range(3):
+        crash_while_writing(judge, 10_000 + 3000 * number, ["shared"], wrote_ms=1500)
+    assert not is_blocked(judge, ["shared"], 16_001)
