--- a/src/heathershunt/http/connection.py
+++ b/src/heathershunt/http/connection.py
@@ -106,8 +106,8 @@
         """Return whether the connection may still need a response in a drain.
 
         It does while a request is served, bytes of the next one have been received, or
-        an answer has not reached the caller's host. A new connection also does for :data:`FIRST_REQUEST_TIMEOUT_MS`, in which its
-        first request may arrive.
+        an answer has not reached the caller's host. A new connection also does for
+        :data:`FIRST_REQUEST_TIMEOUT_MS`, in which its first request may arrive.
         """
         if self.is_busy or self._has_next_request() or not self.delivery.is_complete:
             return True
