Forward requests through another VM while this one is cut off

Callers of a VM that had lost its links to all targets were refused: 0 of 12 first attempts were served, 503 after up to three connect time limits. The VM had no way to the targets but its own links.

A VM now judges its links by its own new connections: failures to three targets within a second, with no success since, mean that it is cut off. It then gives its requests to another VM over POST /forward/ on the listener for VMs, one hop at most, and probes a target every 500 ms. Requests that failed here and may be sent again are given on as well. Attempts, sends and the retry budget are counted over both VMs. While cut off, the VM ejects no target, sends no notes on failures, and takes no refused connection for a crash.

--- a/src/heathershunt/discovery/ends.py
+++ b/src/heathershunt/discovery/ends.py
@@ -32,6 +32,11 @@
         """Record that the address of a target refused a connection."""
         self._record(self._refused_at, target)
 
+    def forget_refusals(self, since: Millis) -> None:
+        """Forget the refusals at or after a time."""
+        kept = ((key, at) for key, at in self._refused_at.items() if at < since)
+        self._refused_at = OrderedDict(kept)
+
     def record_replacement(self, target: Target) -> None:
         """Record that a later process answers in place of a target."""
         self._record(self._replaced_at, target)
--- a/src/heathershunt/discovery/registry.py
+++ b/src/heathershunt/discovery/registry.py
@@ -8,6 +8,7 @@
 from heathershunt.discovery.facts import Fact
 from heathershunt.discovery.outage import OUTAGE_GRACE_MS
 from heathershunt.discovery.target import Target
+from heathershunt.http import Address
 
 
 class TargetRegistry:
@@ -46,6 +47,15 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
+    def ids(self) -> list[str]:
+        """Return the ids of all targets, also of those that drain."""
+        return list(self._by_id)
+
+    def id_at(self, address: Address) -> str | None:
+        """Return the id of the target at an address; ``None`` if there is none."""
+        targets = self._by_id.values()
+        return next((item.id for item in targets if item.address == address), None)
+
     def put(self, target: Target) -> None:
         """Add or update a target, unless a restored store holds an old copy of it."""
         if self._copies.is_copy(target, self._by_id):
@@ -112,6 +122,10 @@
         """
         self._ends.record_refusal(target)
 
+    def forget_refusals(self, since: Millis) -> None:
+        """Forget refused connections since a time, as this VM was cut off."""
+        self._ends.forget_refusals(since)
+
     def record_replacement(self, target: Target) -> None:
         """Record that a later process answers in place of a target."""
         self._ends.record_replacement(target)
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -24,6 +24,7 @@
 from heathershunt.coordination.revisions import era_of
 from heathershunt.crashes import EvidenceKeeper, PartGuard
 from heathershunt.discovery import Target
+from heathershunt.forwarding import ForwardReceiver
 from heathershunt.gateway.caller_limits import caller_limits
 from heathershunt.gateway.config import GatewayConfig
 from heathershunt.gateway.configurations import (
@@ -33,6 +34,7 @@
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory
 from heathershunt.gateway.exchanges import PeerExchanges
 from heathershunt.gateway.gauges import add_gauges
+from heathershunt.gateway.hops import GatewayHops
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.ports import Ports
 from heathershunt.gateway.request_handler import RequestHandler
@@ -44,9 +46,7 @@
     encode_member,
 )
 from heathershunt.gateway.topology import Topology
-from heathershunt.http import (
-    HttpClient,
-)
+from heathershunt.http import HttpClient
 from heathershunt.logs import EventLog
 from heathershunt.logs.events import (
     Readiness,
@@ -67,7 +67,6 @@
 from heathershunt.ratelimits.runners import CountedRunners
 from heathershunt.relay import (
     Diagnosis,
-    Endings,
     RelayContext,
     SuspectList,
     WindowBudget,
@@ -188,6 +187,10 @@
             self.guard,
             self.limits,
         )
+        hops = GatewayHops(
+            config, clock, http, state, self.suspects, self.availability, events
+        )
+        self.links = hops.links
         self._evidence_keeper = EvidenceKeeper(ports.store, self.guard)
         runners = CountedRunners(ports.runners, self.limits, clock)
         budget = WindowBudgetConfig(
@@ -212,16 +215,22 @@
                 self.availability.is_paused,
                 state.registry.record_replacement,
             ),
-            endings=Endings(state.registry, http, self.availability),
+            endings=hops.endings,
             events=events,
             guard=self.guard,
             limits=self.limits,
             availability=self.availability,
             vm_count=self._vm_count,
             domain=config.domain,
+            links=self.links,
         )
         self.request_handler = RequestHandler(
-            self.relay_context, bounds, self._catalog, lambda: self.view.age_ms
+            self.relay_context,
+            bounds,
+            self._catalog,
+            lambda: self.view.age_ms,
+            self.links,
+            hops.forwarder(self.relay_context),
         )
         self.placer = Placer(
             runners,
@@ -246,6 +255,7 @@
             limited_targets=lambda: self.limits.limited_count,
             leaving_targets=lambda: self.availability.leaving_count,
             paused_targets=lambda: self.availability.paused_count,
+            is_cut_off=lambda: self.links.is_cut_off,
         )
         self.servers = GatewayServers(
             clock,
@@ -255,6 +265,9 @@
             self.directory,
             self._inquiry,
             self._exchanges,
+            ForwardReceiver(
+                clock, events, self.links, self.request_handler.handle_forwarded
+            ),
             self.mirror,
             self.metrics,
         )
@@ -274,6 +287,7 @@
             *self._exchanges.loops(),
             self._evidence_keeper.run,
             partial(polls, self.state.registry.get),
+            self.links.run,
             self._tick,
         )
         for run in loops:
@@ -351,9 +365,7 @@
         self._events.emit(StoreFailed(detail, self.view.age_ms))
 
     def _on_catalog(self, catalog: Catalog) -> None:
-        self.servers.callers.limits = caller_limits(
-            catalog, self.config.max_descriptors
-        )
+        self.servers.set_limits(caller_limits(catalog, self.config.max_descriptors))
 
     def _on_member_removal(self, vm: str) -> None:
         """Write this VM's entry again if the entry was removed."""
@@ -379,7 +391,6 @@
     def _member_value(self) -> tuple[str, bytes] | None:
         if not self.directory.accepts_callers:
             return None
-        config = self.config
-        listeners = config.listeners
-        value = encode_member(listeners.callers, config.domain, listeners.peers)
-        return MEMBER_PREFIX + config.vm, value
+        listeners, domain = self.config.listeners, self.config.domain
+        value = encode_member(listeners.callers, domain, listeners.peers)
+        return MEMBER_PREFIX + self.config.vm, value
--- a/src/heathershunt/gateway/gauges.py
+++ b/src/heathershunt/gateway/gauges.py
@@ -16,6 +16,7 @@
     limited_targets: Callable[[], int],
     leaving_targets: Callable[[], int],
     paused_targets: Callable[[], int],
+    is_cut_off: Callable[[], bool],
 ) -> None:
     """Add the gauges of one gateway to its metrics.
 
@@ -26,6 +27,7 @@
     :param limited_targets: returns the number of targets that name a limit.
     :param leaving_targets: returns the number of targets that leave by their answers.
     :param paused_targets: returns the number of targets that asked for a pause.
+    :param is_cut_off: returns whether this VM reaches no target.
     """
     for name, doc, read in (
         ("view_age_ms", "age of the view of the store", view_age_ms),
@@ -62,5 +64,10 @@
             "targets that asked this VM for a pause that is not over",
             paused_targets,
         ),
+        (
+            "is_cut_off",
+            "whether this VM reaches no target and forwards requests",
+            lambda: int(is_cut_off()),
+        ),
     ):
         metrics.add_gauge(name, doc, read)
--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from functools import partial
 
-from heathershunt.catalog import Catalog, ClientAccount, Route
+from heathershunt.catalog import Catalog, ClientAccount, Route, Service
 from heathershunt.clock import Millis
+from heathershunt.forwarding import Forwarder, ForwardSpec, LinkWatch
 from heathershunt.gateway.config import Bounds
 from heathershunt.gateway.stopping import AnswerTimes, StopGate
 from heathershunt.http import Response, StreamResponse
@@ -19,6 +21,7 @@
     StreamSpec,
     refuse,
 )
+from heathershunt.relay.earlier import NO_SENDS, EarlierSends, Fallback, Unserved
 from heathershunt.verdict import Refusal, not_run
 
 # Under strict revocation, API keys are refused once the view is older than revoke_ms
@@ -28,6 +31,8 @@
 # the view is older.
 READY_AGE_FRACTION = 0.6
 RETRY_AFTER_MS = 300
+# Status of the refusals for reasons of this VM alone.
+UNAVAILABLE = 503
 # Other VMs take what one that stops turns away.
 STOPPING_RETRY_AFTER_MS = 100
 # The final answer is sent this long before the deadline, so that it arrives in time.
@@ -35,16 +40,33 @@
 # First status that is no success.
 REDIRECTION = 300
 STOPPING = not_run(
-    503, "Unavailable", "the VM is about to stop", STOPPING_RETRY_AFTER_MS
+    UNAVAILABLE, "Unavailable", "the VM is about to stop", STOPPING_RETRY_AFTER_MS
 )
 
 
+@dataclass(frozen=True, slots=True)
+class _Admission:
+    """A request that may be sent, and where to.
+
+    :param account: name of the client account; ``None`` on public routes.
+    :param deadline: time by which the caller must have the answer.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: Service
+    account: str | None
+    deadline: Millis
+
+
 class RequestHandler:
     """Checks requests against the configuration in force and relays them.
 
     :param catalog: returns the configuration in force; ``None`` before the first.
     :param view_age_ms: returns the age of the view of the store; ``None`` before the
         first answer of the store.
+    :param links: links of this VM to the targets.
+    :param forwarder: serves requests through other VMs.
     :ivar gate: turns requests away that don't fit before the process ends.
     :ivar is_stopping: whether all requests are refused as the process is about to end.
 
@@ -57,11 +79,15 @@
         bounds: Bounds,
         catalog: Callable[[], Catalog | None],
         view_age_ms: Callable[[], int | None],
+        links: LinkWatch,
+        forwarder: Forwarder,
     ) -> None:
         self._context = context
         self._bounds = bounds
         self._catalog = catalog
         self._view_age_ms = view_age_ms
+        self._links = links
+        self._forwarder = forwarder
         self._times = AnswerTimes(context.clock)
         self.gate = StopGate(context.clock, self._times)
         self.is_stopping = False
@@ -70,22 +96,53 @@
 
     async def handle(self, request: CallerRequest) -> Response | StreamResponse:
         """Return the response to a request, relayed from a target or a refusal."""
+        admission = self._admit(request)
+        if isinstance(admission, Refusal):
+            return self._refuse(request, admission)
+        return await self._timed(admission, self._serve(admission))
+
+    async def handle_forwarded(
+        self, request: CallerRequest, earlier: EarlierSends
+    ) -> str | tuple[Response | StreamResponse, Unserved | None]:
+        """Return the response to a request that another VM forwards.
+
+        :param earlier: sends of the request so far.
+        :return: the response, and what was done if no target served the request; or
+            why this VM does not take it.
+        """
+        admission = self._admit(request)
+        if isinstance(admission, Refusal):
+            if admission.status == UNAVAILABLE:
+                return admission.detail
+            return self._refuse(request, admission), None
+        unserved: list[Unserved] = []
+
+        async def record(outcome: Unserved) -> None:
+            unserved.append(outcome)
+
+        relaying = self._relay(admission, earlier, record)
+        response = await self._timed(admission, relaying)
+        return response, unserved[0] if unserved else None
+
+    def _admit(self, request: CallerRequest) -> _Admission | Refusal:
+        """Return where a request is sent to, or why it is not.
+
+        The reasons that concern this VM alone have the status :data:`UNAVAILABLE`.
+        """
         if self.is_stopping:
-            return self._refuse(request, STOPPING)
+            return STOPPING
         catalog = self._catalog()
         if catalog is None:
-            return self._refuse(
-                request, _unavailable("no configuration is known here yet")
-            )
+            return _unavailable("no configuration is known here yet")
         route = catalog.route_for(_host_name(request.host), request.path)
         if route is None:
-            return self._refuse(request, self._unknown_route())
+            return self._unknown_route()
         account = None
         if catalog.has_accounts and not route.is_public:
             account = self._account(catalog, request)
             if isinstance(account, Refusal):
-                return self._refuse(request, account)
-        return await self._relay(catalog, request, route, account)
+                return account
+        return self._route(catalog, request, route, account)
 
     def has_fresh_view(self) -> bool:
         """Return whether the view is fresh enough to accept callers with API keys."""
@@ -122,23 +179,23 @@
             return _unavailable("the configuration here may be out of date")
         return not_run(401, "Unknown key", "the API key is not known")
 
-    async def _relay(
+    def _route(
         self,
         catalog: Catalog,
         request: CallerRequest,
         route: Route,
         account: ClientAccount | None,
-    ) -> Response | StreamResponse:
+    ) -> _Admission | Refusal:
         name = _pick_service(route)
         service = catalog.services_by_name.get(name)
         if service is None:
-            return self._refuse(request, _unavailable("the route has no service"))
+            return _unavailable("the route has no service")
         deadline = request.received_at + route.timeout_ms
         if request.deadline is not None:
             deadline = min(deadline, request.deadline)
         deadline = Millis(deadline - ANSWER_MARGIN_MS)
         if not self.gate.may_take(route.name, deadline):
-            return self._refuse(request, STOPPING)
+            return STOPPING
         owner = account.name if account else None
         event = Admitted(
             request.id,
@@ -151,20 +208,68 @@
             parts=request.prompt_parts,
         )
         self._context.events.emit(event)
+        return _Admission(request, route, service, owner, deadline)
+
+    async def _serve(self, admission: _Admission) -> Response | StreamResponse:
+        """Return the answer of a target, reached through another VM if need be."""
+        if not self._links.sends_locally:
+            earlier = EarlierSends(attempts=admission.route.max_attempts)
+            return await self._forward(admission, earlier)
+        fallback = partial(self._forward_unserved, admission)
+        return await self._relay(admission, NO_SENDS, fallback)
+
+    async def _relay(
+        self, admission: _Admission, earlier: EarlierSends, fallback: Fallback
+    ) -> Response | StreamResponse:
+        request, deadline = admission.request, admission.deadline
+        allowed = earlier.max_attempts(admission.route.max_attempts)
+        route = replace(admission.route, max_attempts=allowed)
+        service, account = admission.service, admission.account
         if service.engine is None:
-            answering = self._calls.relay(request, route, name, owner, deadline)
-        else:
-            spec = StreamSpec(request, route, name, service.engine, owner, deadline)
-            answering = self._streams.relay(spec)
-        return await self._timed(request, route, answering)
+            return await self._calls.relay(
+                request, route, service.name, account, deadline, earlier, fallback
+            )
+        spec = StreamSpec(
+            request, route, service.name, service.engine, account, deadline, earlier
+        )
+        return await self._streams.relay(spec, fallback)
+
+    async def _forward_unserved(
+        self, admission: _Admission, unserved: Unserved
+    ) -> Response | StreamResponse | None:
+        """Return the answer through another VM if this one turns out to be cut off."""
+        await self._links.settle()
+        sends = unserved.sends
+        if self._links.sends_locally:
+            return None
+        if sends.may_have_run and not admission.route.is_retryable:
+            return None
+        if admission.service.engine is None and not sends.attempts:
+            return None
+        return await self._forward(admission, sends)
+
+    async def _forward(
+        self, admission: _Admission, earlier: EarlierSends
+    ) -> Response | StreamResponse:
+        spec = ForwardSpec(
+            admission.request,
+            admission.route,
+            is_stream=admission.service.engine is not None,
+            deadline=admission.deadline,
+            earlier=earlier,
+        )
+        answer = await self._forwarder.forward(spec)
+        if isinstance(answer, Refusal):
+            return self._refuse(admission.request, answer)
+        return answer
 
     async def _timed(
         self,
-        request: CallerRequest,
-        route: Route,
+        admission: _Admission,
         answering: Coroutine[None, None, Response | StreamResponse],
     ) -> Response | StreamResponse:
         """Return an answer, and record how long it takes to its end."""
+        request, route = admission.request, admission.route
         self._times.start(route.name, request.id)
         response = None
         try:
@@ -200,7 +305,7 @@
 
 
 def _unavailable(detail: str) -> Refusal:
-    return not_run(503, "Unavailable", detail, RETRY_AFTER_MS)
+    return not_run(UNAVAILABLE, "Unavailable", detail, RETRY_AFTER_MS)
 
 
 def _host_name(host: str) -> str:
--- a/src/heathershunt/gateway/servers.py
+++ b/src/heathershunt/gateway/servers.py
@@ -6,6 +6,7 @@
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.coordination import ViewMirror
+from heathershunt.forwarding import ForwardReceiver
 from heathershunt.gateway.config import Listeners
 from heathershunt.gateway.configurations import (
     CONFIGURATION_PATH,
@@ -18,6 +19,7 @@
 from heathershunt.gateway.request_handler import RequestHandler
 from heathershunt.http import (
     AnswerCut,
+    HttpLimits,
     HttpServer,
     Request,
     Response,
@@ -38,6 +40,8 @@
 DRAIN_POLL_MS = 50
 # Requests that arrive so shortly before the end of the grace time are refused.
 LATE_REQUEST_MS = 500
+# Size of a forwarded request beyond its header fields and its body.
+FORWARD_MARGIN_BYTES = 65_536
 
 
 class GatewayServers:
@@ -57,6 +61,7 @@
         directory: Directory,
         inquiry: ConfigurationInquiry,
         exchanges: PeerExchanges,
+        receiver: ForwardReceiver,
         mirror: ViewMirror,
         metrics: GatewayMetrics,
     ) -> None:
@@ -67,13 +72,15 @@
         self._answers = directory
         self._inquiry = inquiry
         self._exchanges = exchanges
+        self._receiver = receiver
         self._mirror = mirror
         self.callers = HttpServer(
             self._handle_caller, cancels_handlers=True, on_cut=self._on_cut
         )
         self._readiness = HttpServer(self._handle_readiness)
         self._directory = HttpServer(self._handle_directory)
-        self._peers = HttpServer(correlated(self._handle_peer))
+        # Handlers of exchanges may be cancelled too: they only wait for news.
+        self._peers = HttpServer(correlated(self._handle_peer), cancels_handlers=True)
         self._metrics = MetricsServer(metrics)
 
     async def start(self, listeners: Listeners, metrics_port: int) -> None:
@@ -90,6 +97,13 @@
             await server.start(address.host, address.port)
         await self._metrics.start(listeners.callers.host, metrics_port)
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Set the limits on callers' requests, also on those that VMs forward."""
+        self.callers.limits = limits
+        size = limits.header_bytes + limits.body_bytes + FORWARD_MARGIN_BYTES
+        body_bytes = max(HttpLimits.body_bytes, size)
+        self._peers.limits = HttpLimits(body_bytes=body_bytes)
+
     async def finish_requests(self, started: Millis, grace_ms: int) -> None:
         """Wait until the callers' requests have ended, at most for the grace time.
 
@@ -105,10 +119,14 @@
             if is_accepting and now >= accepting_until:
                 self.callers.stop_accepting()
                 is_accepting = False
-            if not is_accepting and not self.callers.pending_connections:
+            if not is_accepting and not self._has_requests():
                 break
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
 
+    def _has_requests(self) -> bool:
+        active = self._receiver.active_requests
+        return bool(active or self.callers.pending_connections)
+
     def close_now(self, refusal: Refusal) -> None:
         """Close all listeners and connections.
 
@@ -140,7 +158,9 @@
         refusal = check_get(request, self._decoder.resolve_path)
         return refusal or self._answers.answer(self._decoder.caller_domain(request))
 
-    async def _handle_peer(self, request: Request) -> Response:
+    async def _handle_peer(self, request: Request) -> Response | StreamResponse:
+        if self._receiver.takes(request):
+            return await self._receiver.handle(request)
         if request.path == CONFIGURATION_PATH:
             return await self._inquiry.handle(request)
         response = await self._exchanges.handle(request)
--- a/src/heathershunt/http/client.py
+++ b/src/heathershunt/http/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client that reports how far a failed request got."""
 
 import asyncio
+import errno
 import json
 import ssl
 from collections.abc import AsyncIterator, Callable, Mapping
@@ -29,6 +30,14 @@
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 32
 CONNECT_TIMEOUT_MS = 1000
 REQUEST_TIMEOUT_MS = 10_000
+# A connection that was not established for this long hangs, whatever ended the wait. A
+# lost packet costs a second, and sound links need a few milliseconds.
+HANG_MS = 90
+# Errors that show a fault of the way to an address. Others, such as too many open
+# files, are faults of this process.
+UNREACHABLE_ERRORS = frozenset(
+    {errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.EHOSTDOWN}
+)
 EXCHANGE_ERRORS = (OSError, TimeoutError, ValueError, h11.RemoteProtocolError)
 
 
@@ -130,12 +139,17 @@
     """Client with a pool of idle connections for each address.
 
     :param tls: context for TLS connections, or ``None`` for plain TCP.
+    :ivar on_connection: called with the address of each request or check on a new
+        connection, and whether the connection was established.
 
     .. versionadded:: 0.1
     """
 
     def __init__(self, tls: ssl.SSLContext | None = None) -> None:
         self._tls = tls
+        self.on_connection: Callable[[Address, bool], None] = (
+            lambda address, is_established: None
+        )
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
 
     async def request(
@@ -164,7 +178,7 @@
         connection = None
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                connection = await self._acquire(address, fresh, connect_ms)
+                connection = await self._connect(address, fresh, connect_ms)
                 if may_send is not None and not may_send():
                     raise TimeoutError("it is too late to send the request")
                 connection.send_request(method, target, headers or {}, body)
@@ -261,7 +275,7 @@
         :return: ``False`` if a connection is refused; ``None`` if that is not known.
         """
         try:
-            connection = await self._acquire(address, True, connect_ms)
+            connection = await self._connect(address, True, connect_ms)
         except ConnectionRefusedError:
             return False
         except (OSError, TimeoutError):
@@ -269,6 +283,24 @@
         connection.close()
         return True
 
+    async def _connect(
+        self, address: Address, fresh: bool, connect_ms: float
+    ) -> ClientConnection:
+        """Return a connection, and report how the attempt to open a new one ended."""
+        if not fresh:
+            return await self._acquire(address, fresh, connect_ms)
+        now = asyncio.get_running_loop().time
+        started = now()
+        try:
+            connection = await self._acquire(address, fresh, connect_ms)
+        except BaseException as error:
+            waited_ms = (now() - started) * 1000
+            if _shows_fault(error, waited_ms):
+                self.on_connection(address, False)
+            raise
+        self.on_connection(address, True)
+        return connection
+
     async def _acquire(
         self, address: Address, fresh: bool, connect_ms: float = CONNECT_TIMEOUT_MS
     ) -> ClientConnection:
@@ -301,3 +333,16 @@
         """Close all idle connections."""
         for address in list(self._idle_by_address):
             self.close_idle(address)
+
+
+def _shows_fault(error: BaseException, waited_ms: float) -> bool:
+    """Return whether an attempt to connect shows a fault of the way to the address.
+
+    :param waited_ms: duration of the attempt in milliseconds.
+    """
+    if isinstance(error, ConnectionError):
+        return True
+    if isinstance(error, OSError) and error.errno in UNREACHABLE_ERRORS:
+        return True
+    is_ended = isinstance(error, (TimeoutError, asyncio.CancelledError))
+    return is_ended and waited_ms >= HANG_MS
--- a/src/heathershunt/http/correlation.py
+++ b/src/heathershunt/http/correlation.py
@@ -7,8 +7,9 @@
 
 import itertools
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
-from heathershunt.http.messages import Request, Response
+from heathershunt.http.messages import Request, Response, StreamResponse
 
 CORRELATION_HEADER = "x-correlation-id"
 
@@ -29,19 +30,19 @@
 
 
 def correlated(
-    handler: Callable[[Request], Awaitable[Response]],
-) -> Callable[[Request], Awaitable[Response]]:
+    handler: Callable[[Request], Awaitable[Response | StreamResponse]],
+) -> Callable[[Request], Awaitable[Response | StreamResponse]]:
     """Wrap a handler so that its responses repeat the id of the request.
 
     .. versionadded:: 0.5
     """
 
-    async def handle(request: Request) -> Response:
+    async def handle(request: Request) -> Response | StreamResponse:
         response = await handler(request)
         correlation_id = request.headers.get(CORRELATION_HEADER)
         if correlation_id is None:
             return response
         headers = {**response.headers, CORRELATION_HEADER: correlation_id}
-        return Response(response.status, headers, response.body)
+        return replace(response, headers=headers)
 
     return handle
--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -1,6 +1,12 @@
 """All types of events and their names, for programs that read logs."""
 
-from heathershunt.logs import availability_events, events, request_events, run_events
+from heathershunt.logs import (
+    availability_events,
+    events,
+    forward_events,
+    request_events,
+    run_events,
+)
 from heathershunt.logs.events import Event
 
 EVENT_TYPES: tuple[type[Event], ...] = (
@@ -28,6 +34,8 @@
     availability_events.TargetLeaving,
     availability_events.TargetPaused,
     availability_events.TargetsPassedOver,
+    forward_events.CutOff,
+    forward_events.ReachedAgain,
     events.LeadershipTaken,
     events.LeadershipLost,
     events.OrderAnswered,
@@ -48,6 +56,9 @@
     run_events.RunCrashed,
     request_events.PartRefused,
     run_events.StreamResumed,
+    forward_events.Forwarded,
+    forward_events.ForwardNotTaken,
+    forward_events.ForwardReceived,
     request_events.StreamRefused,
     request_events.StreamEnded,
     request_events.CallEnded,
--- a/src/heathershunt/relay/attempts.py
+++ b/src/heathershunt/relay/attempts.py
@@ -1,6 +1,7 @@
 """Runners that one request was sent to, and those it is to avoid."""
 
 from heathershunt.discovery import Target, TargetRegistry
+from heathershunt.relay.earlier import EarlierSends
 
 
 class Attempts:
@@ -24,6 +25,23 @@
         self.avoided: set[str] = set()
         self.has_reserved_retry = False
 
+    def add_earlier(self, earlier: EarlierSends) -> None:
+        """Count the sends of the request by other VMs."""
+        heads = map(self._registry.get, earlier.target_ids)
+        self._heads_by_id = {head.id: head for head in heads if head is not None}
+        self.deliveries = earlier.sends
+        if earlier.attempts is not None:
+            self._max_heads = len(self._heads_by_id) + earlier.attempts
+
+    def all_sends(self, may_have_run: bool) -> EarlierSends:
+        """Return all sends so far, and to how many more first runners there may be.
+
+        :param may_have_run: whether a runner may have run the request.
+        """
+        left = max(0, self._max_heads - len(self._heads_by_id))
+        heads = frozenset(self._heads_by_id)
+        return EarlierSends(heads, self.deliveries, may_have_run, left, is_counted=True)
+
     def reserve_retry(self) -> None:
         """Mark the retry of the next send as already taken from the budget."""
         self.has_reserved_retry = True
--- a/src/heathershunt/relay/call.py
+++ b/src/heathershunt/relay/call.py
@@ -10,6 +10,7 @@
 from heathershunt.discovery import Target
 from heathershunt.http import Response, TransportError
 from heathershunt.relay.call_crashes import CallWitness
+from heathershunt.relay.earlier import EarlierSends
 from heathershunt.relay.messages import CallerRequest, ReplyHead
 from heathershunt.verdict import Progress
 
@@ -43,6 +44,7 @@
     :param deadline: time by which the caller must have the response.
     :param witness: reports crashes of the call's targets.
     :ivar tried: ids of the targets that the call was sent to.
+    :ivar received_by: ids of the targets that may have received the call.
     :ivar sends: sends that may have reached a target.
     :ivar connect_failures: sends that failed before any byte was sent.
     :ivar may_have_started: whether a target may have run the call.
@@ -60,12 +62,33 @@
     deadline: Millis
     witness: CallWitness
     tried: set[str] = field(default_factory=set)
+    received_by: set[str] = field(default_factory=set)
     sends: int = 0
     connect_failures: int = 0
     may_have_started: bool = False
     held: asyncio.Future | None = None
     is_denied: bool = False
 
+    def add_earlier(self, earlier: EarlierSends) -> None:
+        """Count the sends of the call by other VMs."""
+        self.tried.update(earlier.target_ids)
+        self.received_by.update(earlier.target_ids)
+        self.sends = earlier.sends
+        self.may_have_started = earlier.may_have_run
+
+    def all_sends(self) -> EarlierSends:
+        """Return all sends of the call so far, and how many more there may be."""
+        left = max(0, self.route.max_attempts - self.sends)
+        received_by = frozenset(self.received_by)
+        return EarlierSends(
+            received_by, self.sends, self.may_have_started, left, is_counted=True
+        )
+
+    def record_send(self, target: Target) -> None:
+        """Count a send that may have reached a target."""
+        self.sends += 1
+        self.received_by.add(target.id)
+
     @property
     def may_be_sent(self) -> bool:
         """Return whether the call may be sent to another target."""
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -11,7 +11,7 @@
 from heathershunt.catalog import Route
 from heathershunt.clock import Millis
 from heathershunt.discovery import Target
-from heathershunt.http import Response, TransportError
+from heathershunt.http import Response, StreamResponse, TransportError
 from heathershunt.logs.request_events import (
     CallEnded,
     RetryDenied,
@@ -31,6 +31,13 @@
 )
 from heathershunt.relay.call_crashes import CallWitness
 from heathershunt.relay.context import RelayContext
+from heathershunt.relay.earlier import (
+    NO_SENDS,
+    EarlierSends,
+    Fallback,
+    Unserved,
+    no_fallback,
+)
 from heathershunt.relay.handover import hand_over
 from heathershunt.relay.messages import (
     NOT_RUN_STATUSES,
@@ -75,18 +82,28 @@
         service: str,
         account: str | None,
         deadline: Millis,
-    ) -> Response:
+        earlier: EarlierSends = NO_SENDS,
+        fallback: Fallback = no_fallback,
+    ) -> Response | StreamResponse:
         """Return the response of a target, or a refusal if none answered.
 
         :param deadline: time by which the caller must have the response.
+        :param earlier: sends of the call by other VMs.
+        :param fallback: asked for an answer before the call is refused.
         """
         context = self._context
-        context.budget.record_request(service)
+        if not earlier.is_counted:
+            context.budget.record_request(service)
         context.limits.record_request()
         witness = CallWitness(context, request, account)
         call = Call(request, route, service, account, deadline, witness)
+        call.add_earlier(earlier)
         outcome = await self._try_targets(call)
         if isinstance(outcome, Refusal):
+            if not witness.is_blocked():
+                answer = await fallback(Unserved(outcome, call.all_sends()))
+                if answer is not None:
+                    return answer
             response = refuse(context.wire, outcome, request)
         else:
             response = outcome.response()
@@ -109,6 +126,8 @@
         last: Result[Reply, TransportError] | None = None
         while call.may_be_sent and call.connect_failures < MAX_CONNECT_FAILURES:
             await self._wait_for_limits(call)
+            if not context.links.sends_locally:
+                break
             refused = call.witness.refusal(call.may_have_started)
             if refused is not None:
                 return refused
@@ -127,7 +146,7 @@
             last = await exchange
             self._record_outcome(call.request, target, last)
             await report_outcome(call.witness, target, sent_at, last)
-            if not self._should_retry(call, last):
+            if not self._should_retry(call, target, last):
                 break
         if call.held is not None and is_server_error(last):
             # The silent target may still give a better answer.
@@ -167,7 +186,7 @@
     ) -> Reply | Refusal:
         """Wait for a silent target, and try others meanwhile."""
         self._context.suspects.record_timeout(target)
-        call.sends += 1
+        call.record_send(target)
         call.may_have_started = True
         call.held = exchange
         outcome, _ = await hand_over(
@@ -188,16 +207,18 @@
             return None
         return outcome.ok_value
 
-    def _should_retry(self, call: Call, last: Result[Reply, TransportError]) -> bool:
+    def _should_retry(
+        self, call: Call, target: Target, last: Result[Reply, TransportError]
+    ) -> bool:
         """Count a try, and return whether its outcome calls for another one."""
         if isinstance(last, Err):
             if last.err_value.progress is Progress.NOT_SENT:
                 call.connect_failures += 1
                 return True
-            call.sends += 1
+            call.record_send(target)
             call.may_have_started = True
             return call.route.is_retryable
-        call.sends += 1
+        call.record_send(target)
         head = last.ok_value.head
         if head.is_not_run:
             return True
--- a/src/heathershunt/relay/context.py
+++ b/src/heathershunt/relay/context.py
@@ -14,6 +14,7 @@
 from heathershunt.relay.budget import WindowBudget
 from heathershunt.relay.diagnosis import Diagnosis
 from heathershunt.relay.endings import Endings
+from heathershunt.relay.links import SOUND_LINKS, LinkState
 from heathershunt.relay.messages import TargetWire
 from heathershunt.relay.suspects import SuspectList
 
@@ -27,6 +28,7 @@
     :param availability: targets that leave or pause by what their answers said.
     :param vm_count: returns the number of VMs that share the targets.
     :param domain: failure domain of this VM.
+    :param links: links of this VM to the targets.
 
     .. versionadded:: 0.2
     """
@@ -48,3 +50,4 @@
     availability: AvailabilityTable
     vm_count: Callable[[], int]
     domain: str
+    links: LinkState = SOUND_LINKS
--- a/src/heathershunt/relay/endings.py
+++ b/src/heathershunt/relay/endings.py
@@ -4,9 +4,11 @@
 from enum import Enum
 
 from heathershunt.availability import AvailabilityTable
+from heathershunt.clock import Clock
 from heathershunt.discovery import Fact, Step, Target, TargetRegistry, allows
 from heathershunt.discovery.facts import PLANNED
 from heathershunt.http import HttpClient
+from heathershunt.relay.links import SOUND_LINKS, LinkState
 
 CONNECT_MS = 100
 
@@ -33,6 +35,9 @@
 
     A health check would wait for a free slot, so a connection is opened instead.
 
+    :ivar links: links of this VM; a refused connection is taken for an end only if
+        another target is reached.
+
     .. versionadded:: 0.8
     """
 
@@ -41,10 +46,13 @@
         registry: TargetRegistry,
         http: HttpClient,
         availability: AvailabilityTable,
+        clock: Clock,
     ) -> None:
         self._registry = registry
         self._availability = availability
         self._http = http
+        self._clock = clock
+        self.links: LinkState = SOUND_LINKS
         self._checks_by_id: dict[str, asyncio.Task] = {}
 
     async def find(self, target: Target) -> Ending:
@@ -76,7 +84,11 @@
             task.add_done_callback(lambda _: self._checks_by_id.pop(target.id, None))
 
     async def _accepts(self, target: Target) -> bool | None:
+        since = self._clock.now()
         accepts = await self._http.accepts(target.address, CONNECT_MS)
-        if accepts is False:
-            self._registry.record_refusal(target)
-        return accepts
+        if accepts is not False:
+            return accepts
+        if not await self.links.has_reached_other(target.id, since):
+            return None
+        self._registry.record_refusal(target)
+        return False
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -11,6 +11,7 @@
 from heathershunt.relay.capacity import CapacityGate
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.crashes import CrashWitness
+from heathershunt.relay.earlier import Fallback, Unserved, no_fallback
 from heathershunt.relay.events import StreamEvent
 from heathershunt.relay.handover import Outcome, Produced, hand_over
 from heathershunt.relay.head_wait import HeadWait
@@ -35,24 +36,30 @@
     """
 
     def __init__(
-        self, context: RelayContext, capacity: CapacityGate, spec: StreamSpec
+        self,
+        context: RelayContext,
+        capacity: CapacityGate,
+        spec: StreamSpec,
+        fallback: Fallback = no_fallback,
     ) -> None:
         self._context = context
+        self._fallback = fallback
         self._spec = spec
         self._request = spec.request
         self._timeouts = spec.timeouts
         self._attempts = Attempts(context.registry, spec.route.max_attempts)
+        self._attempts.add_earlier(spec.earlier)
         self._progress = StreamProgress(
             context.clock, spec.request.received_at, spec.request.last_event_id
         )
-        crashes = CrashWitness(context, spec)
+        self._crashes = crashes = CrashWitness(context, spec)
         selection = ChainSelection(
             context,
             capacity,
             spec,
             self._attempts,
             self._progress,
-            crashes.is_blocked,
+            lambda: crashes.is_blocked() or not context.links.sends_locally,
         )
         self._repair = ChainRepair(
             context, spec, selection, self._attempts, self._progress
@@ -96,7 +103,16 @@
             headers = self._run.head.headers
             return StreamResponse(SUCCESS, headers, relay, on_closed=self.close)
         self.close()
-        return self._refuse(outcome) if isinstance(outcome, Refusal) else outcome
+        if not isinstance(outcome, Refusal):
+            return outcome
+        return await self._fall_back(outcome) or self._refuse(outcome)
+
+    async def _fall_back(self, refusal: Refusal) -> Response | StreamResponse | None:
+        """Return an answer by other means to a stream that is not blocked."""
+        if self._crashes.is_blocked():
+            return None
+        sends = self._attempts.all_sends(self._starter.may_have_run)
+        return await self._fallback(Unserved(refusal, sends))
 
     async def _produce(self) -> Outcome:
         """Start runs until one sends events; return these, or why none does."""
--- a/src/heathershunt/relay/spec.py
+++ b/src/heathershunt/relay/spec.py
@@ -5,6 +5,7 @@
 from heathershunt.catalog import Engine, Route
 from heathershunt.clock import Millis
 from heathershunt.pipelines import Job
+from heathershunt.relay.earlier import NO_SENDS, EarlierSends
 from heathershunt.relay.messages import CallerRequest
 from heathershunt.relay.timeouts import StreamTimeouts
 
@@ -17,6 +18,7 @@
     :param engine: engine of that service.
     :param account: name of the client account; ``None`` if the route needs no API key.
     :param deadline: time by which the stream must have ended.
+    :param earlier: sends of the stream by other VMs.
 
     .. versionadded:: 0.3
     """
@@ -27,6 +29,7 @@
     engine: Engine
     account: str | None
     deadline: Millis
+    earlier: EarlierSends = NO_SENDS
 
     @property
     def timeouts(self) -> StreamTimeouts:
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -34,6 +34,7 @@
     """Sends one stream to chains of runners, and records how each run went.
 
     :ivar detail: reason why the last run failed, or why there was none.
+    :ivar may_have_run: whether a runner may have run the stream.
 
     .. versionadded:: 0.8
     """
@@ -56,7 +57,7 @@
         self._crashes = crashes
         self._selection = selection
         self._head_wait = head_wait
-        self._may_have_run = False
+        self.may_have_run = spec.earlier.may_have_run
         self._is_denied = False
         self.detail = "no chain of runners holds all layers"
         self._tokens = spec.job.tokens
@@ -73,10 +74,12 @@
             return self._refusal(is_timeout=True)
         if self._attempts.sends >= MAX_SENDS or not self._may_run_again():
             return self._refusal()
+        if not self._context.links.sends_locally:
+            return self._refusal()
         if is_spare and not self._may_take_retry():
             return self._deny()
         chain = await self._selection.wait_for_chain()
-        blocked = self._crashes.refusal(self._may_have_run)
+        blocked = self._crashes.refusal(self.may_have_run)
         if blocked is not None:
             return blocked
         if chain is None:
@@ -98,7 +101,7 @@
         return self._spec.deadline <= self._context.clock.now()
 
     def _may_run_again(self) -> bool:
-        return self._spec.route.is_retryable or not self._may_have_run
+        return self._spec.route.is_retryable or not self.may_have_run
 
     def _may_take_retry(self) -> bool:
         if self._attempts.has_reserved_retry:
@@ -117,7 +120,7 @@
         )
 
     def _refusal(self, is_timeout: bool = False) -> Refusal:
-        if self._may_have_run:
+        if self.may_have_run:
             status, title = (504, "Timeout") if is_timeout else (502, "Runner failed")
             return may_have_run(status, title, self.detail)
         wait_ms = max(RETRY_AFTER_MS, self._selection.told_wait_ms())
@@ -182,7 +185,7 @@
         if run is None or run.is_released:
             return
         self.count_delivery(run)
-        self._may_have_run = True
+        self.may_have_run = True
         self.release(run)
 
     # The head of the reply
@@ -212,7 +215,7 @@
         context.limits.record(head_runner, statement)
         context.availability.record(head_runner, run.head.notice)
         if run.head.starts_stream:
-            self._may_have_run = True
+            self.may_have_run = True
             if self._progress.has_begun:
                 event = StreamResumed(self._request.id, self._progress.last_id)
                 context.events.emit(event)
@@ -237,7 +240,7 @@
             self._avoid(head_runner)
             return
         self.count_delivery(run)
-        self._may_have_run = True
+        self.may_have_run = True
         if self._crashes.is_blocked() or self._is_late():
             return
         await self._crashes.on_broken_run(run)
@@ -251,7 +254,7 @@
         if head.is_not_run:
             self._on_rejection(run, was_sent_before)
             return False
-        self._may_have_run = True
+        self.may_have_run = True
         # It cannot be the answer once the caller has received events of another run.
         if head.is_final_error and not self._progress.has_begun:
             left_ms = max(0, self._spec.deadline - self._context.clock.now())
@@ -299,7 +302,7 @@
         """Avoid the silent runner of a run in the runs to come."""
         self.detail = str(pause)
         self.count_delivery(run)
-        self._may_have_run = True
+        self.may_have_run = True
         self._attempts.avoided.add((pause.faulty or run.chain.head).id)
 
     def _log_broken(self, run: Run, detail: str) -> None:
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -3,6 +3,7 @@
 from heathershunt.http import Response, StreamResponse
 from heathershunt.relay.capacity import CapacityGate
 from heathershunt.relay.context import RelayContext
+from heathershunt.relay.earlier import Fallback, no_fallback
 from heathershunt.relay.session import StreamSession
 from heathershunt.relay.spec import StreamSpec
 
@@ -17,11 +18,17 @@
         self._context = context
         self._capacity = CapacityGate(context.clock)
 
-    async def relay(self, spec: StreamSpec) -> Response | StreamResponse:
-        """Return the stream once its first event has arrived, or a refusal."""
-        self._context.budget.record_request(spec.service)
+    async def relay(
+        self, spec: StreamSpec, fallback: Fallback = no_fallback
+    ) -> Response | StreamResponse:
+        """Return the stream once its first event has arrived, or a refusal.
+
+        :param fallback: asked for an answer before the stream is refused.
+        """
+        if not spec.earlier.is_counted:
+            self._context.budget.record_request(spec.service)
         self._context.limits.record_request()
-        session = StreamSession(self._context, self._capacity, spec)
+        session = StreamSession(self._context, self._capacity, spec, fallback)
         try:
             return await session.open()
         except BaseException:
--- a/src/heathershunt/relay/suspects.py
+++ b/src/heathershunt/relay/suspects.py
@@ -8,6 +8,7 @@
 from heathershunt.logs import Event
 from heathershunt.logs.events import TargetEjected, TargetReadmitted
 from heathershunt.pipelines import PeerNotes, RunnerNote
+from heathershunt.relay.links import SOUND_LINKS, LinkState
 
 BASE_EJECTION_MS = 2000
 MAX_EJECTION_MS = 16_000
@@ -34,6 +35,8 @@
 
     :param emit: called when a target is ejected or readmitted.
     :param peer_notes: runners that other VMs report as failed; avoided too.
+    :ivar links: links of this VM; failures say nothing about targets while it is cut
+        off from them.
 
     .. versionadded:: 0.2
     """
@@ -47,6 +50,7 @@
         self._clock = clock
         self._emit = emit
         self._peer_notes = peer_notes
+        self.links: LinkState = SOUND_LINKS
         self._ejections_by_id: dict[str, _Ejection] = {}
         self._timeouts_by_id: dict[str, int] = {}
         self._backoff_until_by_id: dict[str, Millis] = {}
@@ -61,6 +65,8 @@
 
     def eject(self, target: Target) -> None:
         """Count a failure of a target and avoid it for a while."""
+        if self.links.is_cut_off:
+            return
         now = self._clock.now()
         ejection = self._ejections_by_id.get(target.id)
         if ejection is None or ejection.incarnation != target.incarnation:
@@ -98,7 +104,13 @@
         )
 
     def notes(self) -> list[RunnerNote]:
-        """Return notes on the targets that this VM has ejected itself."""
+        """Return notes on the targets that this VM has ejected itself.
+
+        There are none while its links may have failed: the notes of two VMs that are
+        cut off would make all VMs avoid the targets.
+        """
+        if not self.links.is_sound:
+            return []
         now = self._clock.now()
         return [
             RunnerNote(target_id, ejection.incarnation, is_failed=True)
@@ -118,6 +130,16 @@
             return False
         return self._clock.now() < ejection.ejected_until
 
+    def discard_since(self, since: Millis) -> None:
+        """End the ejections that began at or after a time, and drop all time-outs.
+
+        :param since: time since which this VM is cut off from the targets.
+        """
+        self._timeouts_by_id.clear()
+        for target_id, ejection in list(self._ejections_by_id.items()):
+            if ejection.failed_at >= since:
+                del self._ejections_by_id[target_id]
+
     def discard(self, target_id: str) -> None:
         """Delete the records of a target."""
         self._ejections_by_id.pop(target_id, None)
