Continue streams through another VM, and test failures of the hop

A resumable stream whose hop breaks, or whose own link breaks by the cut, now goes on through another VM after its last event; before, it ended there. The session asks for another VM wherever it finds no run, so a run that is silent behind a hanging link is left in the same way, and one on a connection that stays open is kept.

--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -22,6 +22,7 @@
     refuse,
 )
 from heathershunt.relay.earlier import NO_SENDS, EarlierSends, Fallback, Unserved
+from heathershunt.relay.resumption import ResumePoint
 from heathershunt.verdict import Refusal, not_run
 
 # Under strict revocation, API keys are refused once the view is older than revoke_ms
@@ -214,7 +215,10 @@
         """Return the answer of a target, reached through another VM if need be."""
         if not self._links.sends_locally:
             earlier = EarlierSends(attempts=admission.route.max_attempts)
-            return await self._forward(admission, earlier)
+            answer = await self._forward(admission, earlier)
+            if isinstance(answer, Refusal):
+                return self._refuse(admission.request, answer)
+            return answer
         fallback = partial(self._forward_unserved, admission)
         return await self._relay(admission, NO_SENDS, fallback)
 
@@ -236,7 +240,7 @@
 
     async def _forward_unserved(
         self, admission: _Admission, unserved: Unserved
-    ) -> Response | StreamResponse | None:
+    ) -> Response | StreamResponse | Refusal | None:
         """Return the answer through another VM if this one turns out to be cut off."""
         await self._links.settle()
         sends = unserved.sends
@@ -246,22 +250,23 @@
             return None
         if admission.service.engine is None and not sends.attempts:
             return None
-        return await self._forward(admission, sends)
+        return await self._forward(admission, sends, unserved.resume)
 
     async def _forward(
-        self, admission: _Admission, earlier: EarlierSends
-    ) -> Response | StreamResponse:
+        self,
+        admission: _Admission,
+        earlier: EarlierSends,
+        resume: ResumePoint | None = None,
+    ) -> Response | StreamResponse | Refusal:
         spec = ForwardSpec(
             admission.request,
             admission.route,
             is_stream=admission.service.engine is not None,
             deadline=admission.deadline,
             earlier=earlier,
+            resume=resume,
         )
-        answer = await self._forwarder.forward(spec)
-        if isinstance(answer, Refusal):
-            return self._refuse(admission.request, answer)
-        return answer
+        return await self._forwarder.forward(spec)
 
     async def _timed(
         self,
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -102,8 +102,9 @@
         if isinstance(outcome, Refusal):
             if not witness.is_blocked():
                 answer = await fallback(Unserved(outcome, call.all_sends()))
-                if answer is not None:
+                if isinstance(answer, (Response, StreamResponse)):
                     return answer
+                outcome = answer or outcome
             response = refuse(context.wire, outcome, request)
         else:
             response = outcome.response()
--- a/src/heathershunt/relay/earlier.py
+++ b/src/heathershunt/relay/earlier.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from heathershunt.http import Response, StreamResponse
+from heathershunt.relay.resumption import ResumePoint
 from heathershunt.verdict import Refusal
 
 
@@ -45,16 +46,19 @@
 
     :param refusal: answer for the caller if nothing else can be done.
     :param sends: all sends of the request.
+    :param resume: where a stream goes on that has begun; ``None`` for its start.
 
     .. versionadded:: 0.10
     """
 
     refusal: Refusal
     sends: EarlierSends
+    resume: ResumePoint | None = None
 
 
-# Returns an answer, by other means, to a request that was not served; else ``None``.
-Fallback = Callable[[Unserved], Awaitable[Response | StreamResponse | None]]
+# Returns an answer, by other means, to a request that was not served, or why these
+# means failed; ``None`` if there are none.
+Fallback = Callable[[Unserved], Awaitable[Response | StreamResponse | Refusal | None]]
 
 
 async def no_fallback(unserved: Unserved) -> None:
--- a/src/heathershunt/relay/handover.py
+++ b/src/heathershunt/relay/handover.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from heathershunt.http import Response
+from heathershunt.http import Response, StreamResponse
 from heathershunt.relay.events import StreamEvent
 from heathershunt.verdict import Refusal
 
@@ -30,8 +30,9 @@
     events: list[StreamEvent] | None
 
 
-# What a run led to: events, a runner's failure for the caller, or no run at all.
-Outcome = Produced | Response | Refusal
+# What a run led to: events, a runner's failure for the caller, or no run at all; or the
+# stream that another VM relays.
+Outcome = Produced | Response | StreamResponse | Refusal
 
 
 async def hand_over(
--- a/src/heathershunt/relay/session.py
+++ b/src/heathershunt/relay/session.py
@@ -24,7 +24,7 @@
 from heathershunt.relay.selection import ChainSelection
 from heathershunt.relay.spec import StreamSpec
 from heathershunt.relay.starting import SUCCESS, RunStarter
-from heathershunt.verdict import Refusal
+from heathershunt.verdict import Refusal, Verdict
 
 BACKLOG_BYTES = 65_536
 
@@ -92,6 +92,8 @@
         self._run: Run | None = None
         # Silent runs that are kept until another one has taken over, oldest first.
         self._held: list[Run] = []
+        self._forwarded: StreamResponse | None = None
+        self._is_fallback_spent = False
 
     # Runs
 
@@ -102,17 +104,30 @@
             relay = partial(self._relay, events=outcome.events)
             headers = self._run.head.headers
             return StreamResponse(SUCCESS, headers, relay, on_closed=self.close)
+        # The connection of the caller closes the stream of another VM.
+        self._forwarded = None
         self.close()
-        if not isinstance(outcome, Refusal):
-            return outcome
-        return await self._fall_back(outcome) or self._refuse(outcome)
+        return self._refuse(outcome) if isinstance(outcome, Refusal) else outcome
 
-    async def _fall_back(self, refusal: Refusal) -> Response | StreamResponse | None:
-        """Return an answer by other means to a stream that is not blocked."""
-        if self._crashes.is_blocked():
-            return None
+    async def _fall_back(self, refusal: Refusal) -> Outcome:
+        """Return an answer by other means if there is one, else a refusal."""
+        if self._is_fallback_spent or self._crashes.is_blocked():
+            return refusal
         sends = self._attempts.all_sends(self._starter.may_have_run)
-        return await self._fallback(Unserved(refusal, sends))
+        unserved = Unserved(refusal, sends, self._progress.resume_point)
+        answer = await self._fallback(unserved)
+        if answer is None:
+            return refusal
+        # A VM that was lost may have used the attempts that are left.
+        is_refusal = isinstance(answer, Refusal)
+        self._is_fallback_spent = not is_refusal or (
+            answer.verdict is not Verdict.NOT_RUN
+        )
+        if isinstance(answer, StreamResponse):
+            self._forwarded = answer
+        elif self._progress.has_begun:
+            return refusal
+        return answer
 
     async def _produce(self) -> Outcome:
         """Start runs until one sends events; return these, or why none does."""
@@ -120,7 +135,7 @@
             is_spare = any(not held.is_released for held in self._held)
             run = await self._starter.start(is_spare)
             if isinstance(run, Refusal):
-                return run
+                return await self._fall_back(run)
             self._run = run
             outcome = await self._wait_for(run, self._first_outcome(run))
             if outcome is not None:
@@ -180,6 +195,7 @@
         if is_regained:
             for other in (*later, self._run):
                 self._starter.discard(other)
+            self._close_forwarded()
             self._run = run
             run.is_patient = not self._spec.route.is_retryable
             self._on_regained(run)
@@ -213,6 +229,9 @@
                 if sink.backlog() > BACKLOG_BYTES:
                     await sink.drain()
                 events = await self._next_events()
+                if isinstance(events, StreamResponse):
+                    await events.run(sink)
+                    break
             self._record_end("complete")
         except asyncio.CancelledError:
             self._record_end("caller_left")
@@ -247,9 +266,11 @@
         if self._run and self._progress.last_gap_ms > self._timeouts.slow_gap_ms:
             self._context.diagnosis.refresh_paces(self._run.chain)
 
-    async def _next_events(self) -> list[StreamEvent] | None:
+    async def _next_events(self) -> list[StreamEvent] | StreamResponse | None:
         """Return the next events, if need be from a new run; ``None`` at the end.
 
+        If another VM continues the stream, the result is what it sends.
+
         :raises StreamBrokenError: if there is neither.
         """
         run = self._run
@@ -264,6 +285,8 @@
             outcome = await self._produce()
         if isinstance(outcome, Produced):
             return outcome.events
+        if isinstance(outcome, StreamResponse):
+            return outcome
         if isinstance(outcome, Refusal):
             self._refuse(outcome)
         raise StreamBrokenError(self._starter.detail)
@@ -272,3 +295,10 @@
         """Close the connections to the first runners, which ends the runs there."""
         for run in (self._run, *self._held):
             self._starter.release(run)
+        self._close_forwarded()
+
+    def _close_forwarded(self) -> None:
+        """Close the connection to another VM, which ends the stream there."""
+        forwarded, self._forwarded = self._forwarded, None
+        if forwarded is not None and forwarded.on_closed is not None:
+            forwarded.on_closed()
--- /dev/null
+++ b/tests/gateway/test_forwarding.py
@@ -0,0 +1,424 @@
+"""Requests that a gateway without links to the targets gives to other gateways."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from heathershunt.http import AnswerError, CutCause, Response
+from heathershunt.logs.forward_events import CutOff, ReachedAgain
+from tests.gateway.links import (
+    HOWS,
+    TargetLinks,
+    add_gateways,
+    break_hops,
+    cut_off,
+    receiver_of,
+)
+from tests.gateway.site import configuration
+
+CUT = "vm-2"
+LOAD = 60
+
+
+async def hang(request):
+    await asyncio.sleep(3600)
+
+
+def lose_after_run(site, gateway):
+    """Let a gateway break hops off once a target runs the request."""
+    handle = receiver_of(gateway).handle
+
+    async def handle_and_break(request):
+        runs = len(site.runs())
+        serving = asyncio.create_task(handle(request))
+        await site.until(lambda: len(site.runs()) > runs)
+        serving.cancel()
+        raise AnswerError(CutCause.STREAM_FAILED, "lost")
+
+    receiver_of(gateway).handle = handle_and_break
+
+
+def stream_runs(site):
+    """Return the runs that have sent events."""
+    return [run for run in site.runs() if run.events]
+
+
+def events_of(gateway):
+    """Return the list to which the events of a gateway are added from now on."""
+    events = []
+    gateway.relay_context.events.add_observer(events.append)
+    return events
+
+
+# The answer
+
+
+@pytest.mark.parametrize("how", HOWS)
+async def test_answer_of_a_call_is_the_same_through_another_vm(site, how):
+    # Guards against an answer that loses its status, signature, fields or bytes.
+    await add_gateways(site, 2)
+    body = bytes(range(256)) * 2000
+
+    def answer(request):
+        headers = {"content-type": "x/y", "x-not-taken": "1", "x-sent-to": "a"}
+        return Response(207, headers, body)
+
+    for name in ("desk-a", "desk-b"):
+        site.targets[name].answer = answer
+    await cut_off(site, CUT, how)
+    direct = await site.call("POST", "/orders/7", b"x", vm="vm-1")
+    forwarded = await site.call("POST", "/orders/7", b"x", vm=CUT)
+    assert forwarded[0] == direct[0] == 207
+    assert forwarded[2] == direct[2] == body
+    signature = "heathershunt-response-signature"
+    assert forwarded[1][signature].startswith("receipt-desk")
+    assert forwarded[1].keys() == direct[1].keys() - {"x-not-taken", "x-sent-to"}
+
+
+async def test_stream_is_the_same_through_another_vm(site):
+    # Guards against events that are lost or merged, and a stream that is held back.
+    await add_gateways(site, 2)
+    await cut_off(site, CUT)
+    direct = await site.open_stream(events=20, vm="vm-1")
+    forwarded = await site.open_stream(events=20, vm=CUT)
+    assert await forwarded.read() == await direct.read()
+    assert forwarded.headers["content-type"] == direct.headers["content-type"]
+
+
+async def test_answer_for_the_caller_is_not_taken_for_a_refusal_to_serve(site):
+    # Guards against other VMs that are asked although the first one has answered.
+    await add_gateways(site, 3)
+    for name in ("desk-a", "desk-b"):
+        site.targets[name].answer = lambda request: Response(404, {}, b"none")
+    await cut_off(site, CUT)
+    before = len(site.runs())
+    assert (await site.call("GET", "/status/7", vm=CUT))[0::2] == (404, b"none")
+    assert len(site.runs()) == before + 1
+
+
+async def test_route_and_key_are_checked_at_the_first_vm(site):
+    # Guards against a VM that forwards what it would refuse itself.
+    await add_gateways(site, 2)
+    await cut_off(site, CUT)
+    received = events_of(site.gateways["vm-1"])
+    assert (await site.call("GET", "/none/7", vm=CUT))[0] == 404
+    wrong = "Token wrong"
+    assert (await site.call("GET", "/status/7", vm=CUT, authorization=wrong))[0] == 401
+    assert not [event for event in received if event.name == "forward_received"]
+
+
+async def test_listener_for_callers_does_not_know_the_path(site):
+    # Guards against a caller that has a request sent with the key of another.
+    status, _, _ = await site.call("POST", "/forward/", b"\x90")
+    assert status == 404
+
+
+@pytest.mark.parametrize("body", [b"", b"\x90", b"\xff" * 50, b"{}"])
+async def test_malformed_message_is_not_taken(site, body):
+    # Guards against an internal error that a sender would pass on as the answer.
+    peers = site.gateways["vm-1"].config.listeners.peers
+    outcome = await site.client.exchange(peers, "POST", "/forward/", body=body)
+    assert outcome.ok_value[0] == 503
+    response = await site.client.request(peers, "POST", "/forward/", body=body)
+    assert "x-not-taken" in response.ok_value.headers
+
+
+async def test_api_key_is_in_no_event(site):
+    # Guards against API keys in logs, as the message between the VMs contains one.
+    await add_gateways(site, 2)
+    seen = [events_of(gateway) for gateway in site.gateways.values()]
+    await cut_off(site, CUT)
+    await site.call("GET", "/status/7", vm=CUT)
+    lines = msgspec.json.encode([[vars(e) for e in events] for events in seen])
+    assert b"forward" in msgspec.json.encode([e.name for e in seen[0]])
+    assert b"key-one" not in lines
+
+
+# The state
+
+
+@pytest.mark.parametrize("how", HOWS)
+async def test_vm_that_knows_forwards_without_local_attempts(site, how):
+    # Guards against callers that wait for connect time limits as long as a cut lasts.
+    await add_gateways(site, 2)
+    links = await cut_off(site, CUT, how)
+    started = asyncio.get_running_loop().time()
+    before = links.attempts
+    for _ in range(5):
+        assert (await site.call("POST", "/orders/7", b"x", vm=CUT))[0] == 200
+    assert asyncio.get_running_loop().time() - started < 0.25
+    assert links.attempts - before <= 1
+
+
+async def test_own_links_are_used_at_once_when_they_return(site):
+    # Guards against targets that stay ejected as the links have failed before.
+    await add_gateways(site, 2)
+    gateway = site.gateways[CUT]
+    events = events_of(gateway)
+    links = await cut_off(site, CUT)
+    await asyncio.sleep(0.5)
+    links.restore()
+    await site.until(lambda: not gateway.links.is_cut_off, seconds=1)
+    assert [e for e in events if isinstance(e, CutOff)]
+    assert [e for e in events if isinstance(e, ReachedAgain)]
+    assert not [
+        target
+        for target in site.gateways[CUT].state.registry.of_service("desk")
+        if gateway.suspects.is_suspect(target)
+    ]
+    received = events_of(site.gateways["vm-1"])
+    for _ in range(4):
+        assert (await site.call("GET", "/status/7", vm=CUT))[0] == 200
+    assert not [event for event in received if event.name == "forward_received"]
+
+
+async def test_one_dead_target_does_not_cut_a_vm_off(site):
+    # Guards against forwarding although the links are sound.
+    await add_gateways(site, 2)
+    await site.targets["desk-a"].stop()
+    for _ in range(6):
+        assert (await site.call("GET", "/status/7", vm=CUT))[0] == 200
+    assert not site.gateways[CUT].links.is_cut_off
+
+
+async def test_two_vms_that_are_cut_off_do_not_harm_the_others(site):
+    # Guards against notes of two VMs that make all VMs avoid sound targets, and crash
+    # evidence from refused connections.
+    await add_gateways(site, 3)
+    for vm in ("vm-2", "vm-3"):
+        TargetLinks(site, vm).cut("refuse", resets_open=True)
+    calls = [
+        site.call("GET", "/status/7", vm=vm)
+        for vm in ("vm-2", "vm-3")
+        for _ in range(LOAD // 6)
+    ]
+    statuses = [status for status, _, _ in await asyncio.gather(*calls)]
+    assert statuses == [200] * len(calls)
+    sound = site.gateways["vm-1"]
+    until = asyncio.get_running_loop().time() + 1
+    while asyncio.get_running_loop().time() < until:
+        for target in sound.state.registry.of_service("engine"):
+            assert not sound.suspects.is_suspect(target)
+        await asyncio.sleep(0.02)
+    assert not any(g.guard.has_evidence for g in site.gateways.values())
+
+
+async def test_only_vm_of_a_site_tries_its_own_links(site):
+    # Guards against refusals without an attempt where there is nobody to ask.
+    links = TargetLinks(site, "vm-1")
+    links.cut("refuse")
+    assert (await site.call("GET", "/status/7"))[0] == 503
+    links.restore()
+    assert (await site.call("GET", "/status/7"))[0] == 200
+
+
+# Other VMs that fail
+
+
+async def test_vm_that_is_cut_off_too_is_passed_over(site):
+    # Guards against a refusal by a VM that has no links either.
+    await add_gateways(site, 3)
+    await cut_off(site, "vm-3")
+    await cut_off(site, CUT)
+    for _ in range(6):
+        assert (await site.call("POST", "/orders/7", b"x", vm=CUT))[0] == 200
+
+
+async def test_all_vms_cut_off_refuse_at_once_and_serve_again(site):
+    # Guards against requests that circle between VMs or wait for their deadline.
+    await add_gateways(site, 3)
+    links = [await cut_off(site, vm) for vm in site.gateways]
+    started = asyncio.get_running_loop().time()
+    status, headers, _ = await site.call("POST", "/orders/7", b"x", vm=CUT)
+    assert asyncio.get_running_loop().time() - started < 0.3
+    assert (
+        status == 503
+        and "heathershunt-retry-after" in headers
+        or "retry-after" in (headers)
+    )
+    for item in links:
+        item.restore()
+    await site.until(
+        lambda: not any(g.links.is_cut_off for g in site.gateways.values())
+    )
+    assert (await site.call("POST", "/orders/7", b"x", vm=CUT))[0] == 200
+
+
+async def test_vm_that_stops_is_passed_over(site):
+    # Guards against requests that are refused as the VM that was asked is stopping.
+    await add_gateways(site, 3)
+    await cut_off(site, CUT)
+    stopping = asyncio.create_task(site.gateways["vm-3"].shut_down())
+    calls = (site.call("POST", "/orders/7", b"x", vm=CUT) for _ in range(LOAD))
+    statuses = [status for status, _, _ in await asyncio.gather(*calls)]
+    assert statuses == [200] * LOAD
+    await stopping
+
+
+async def test_vm_that_stops_finishes_a_forwarded_stream(site):
+    # Guards against a stop that breaks forwarded requests in its grace time.
+    await add_gateways(site, 2)
+    await cut_off(site, CUT)
+    response = await site.open_stream(events=60, vm=CUT)
+    await asyncio.gather(site.gateways["vm-1"].shut_down(), response.read())
+    assert [len(run.events) for run in stream_runs(site)] == [60]
+
+
+async def test_frozen_vm_costs_an_idempotent_call_a_quarter_of_its_time(site):
+    # Guards against callers that wait for a VM that is frozen until their deadline.
+    await add_gateways(site, 3)
+    await cut_off(site, CUT)
+    receiver_of(site.gateways["vm-3"]).handle = hang
+    calls = (
+        site.call("GET", "/status/7", vm=CUT, heathershunt_deadline_ms="2000")
+        for _ in range(8)
+    )
+    started = asyncio.get_running_loop().time()
+    answers = await asyncio.gather(*calls)
+    assert [status for status, _, _ in answers] == [200] * 8
+    assert asyncio.get_running_loop().time() - started < 1
+
+
+async def test_frozen_vm_has_a_call_that_may_not_run_twice(site):
+    # Guards against a second run of a call that the frozen VM may go on with.
+    await add_gateways(site, 2)
+    await cut_off(site, CUT)
+    receiver_of(site.gateways["vm-1"]).handle = hang
+    deadline = {"heathershunt_deadline_ms": "700"}
+    status, _, body = await site.call("POST", "/orders/7", b"y", vm=CUT, **deadline)
+    assert status in (502, 504)
+    assert b"may_have_run" in body
+
+
+@pytest.mark.parametrize(("path", "status"), [("/orders/7", 502), ("/status/7", 200)])
+async def test_hop_lost_before_the_head(site, path, status):
+    # Guards against a second run of a call that may run once only, and against a
+    # failure of one that may run twice.
+    await add_gateways(site, 3)
+    await cut_off(site, CUT)
+    lose_after_run(site, site.gateways["vm-1"])
+    lose_after_run(site, site.gateways["vm-3"])
+    receiver = receiver_of(site.gateways["vm-1" if status == 200 else "vm-3"])
+    before = len(site.runs())
+    if status == 200:
+        # One of the two VMs is sound again after it lost the first hop.
+        receiver.handle = type(receiver).handle.__get__(receiver)
+    answers = [await site.call("POST", path, b"y", vm=CUT) for _ in range(3)]
+    assert [answer[0] for answer in answers] == [status] * 3
+    if status == 502:
+        assert len(site.runs()) == before + 3
+
+
+async def test_stream_goes_on_through_another_vm_after_a_broken_hop(site):
+    # Guards against a resumable stream that ends with the VM that relays it.
+    await add_gateways(site, 3)
+    await cut_off(site, CUT)
+    whole = await (await site.open_stream(events=60, vm="vm-1")).read()
+    response = await site.open_stream(events=60, vm=CUT)
+    await asyncio.sleep(0.05)
+    for vm in ("vm-1", "vm-3"):
+        if receiver_of(site.gateways[vm]).active_requests:
+            break_hops(site.gateways[vm])
+    assert await response.read() == whole
+
+
+async def test_stream_that_may_not_resume_is_aborted_with_its_hop(site):
+    # Guards against a stream that ends early and looks complete.
+    changed = configuration(2)
+    changed["routes"][0]["resumable"] = False
+    site.store.put("op/config", changed)
+    await add_gateways(site, 2)
+    for gateway in site.gateways.values():
+        await site.until(lambda g=gateway: g.state.catalog.version == 2)
+    await cut_off(site, CUT)
+    response = await site.open_stream(events=60, vm=CUT)
+    break_hops(site.gateways["vm-1"])
+    with pytest.raises(ConnectionError):
+        await response.read()
+
+
+@pytest.mark.parametrize("how", HOWS)
+async def test_stream_that_began_on_own_links_goes_on_through_another_vm(site, how):
+    # Guards against streams that end as open connections are reset by the cut.
+    await add_gateways(site, 2)
+    whole = await (await site.open_stream(events=60, vm="vm-1")).read()
+    links = TargetLinks(site, CUT)
+    response = await site.open_stream(events=60, vm=CUT)
+    await asyncio.sleep(0.05)
+    links.cut(how, resets_open=True)
+    assert await response.read() == whole
+    assert not site.gateways[CUT].guard.has_evidence
+
+
+async def test_stream_on_a_connection_that_stays_open_is_kept(site):
+    # Guards against runs that are ended though their connections are sound.
+    await add_gateways(site, 2)
+    links = TargetLinks(site, CUT)
+    response = await site.open_stream(events=60, vm=CUT)
+    links.cut("refuse")
+    await site.call("GET", "/status/7", vm=CUT)
+    await response.read()
+    assert [len(run.events) for run in stream_runs(site)] == [60]
+
+
+# Callers that leave, and requests under load
+
+
+async def test_caller_that_leaves_ends_its_request_everywhere(site):
+    # Guards against targets that work on for callers that are gone.
+    await add_gateways(site, 2)
+    await cut_off(site, CUT)
+    response = await site.open_stream(events=400, vm=CUT)
+    response.close()
+    (run,) = stream_runs(site)
+    await asyncio.sleep(0.5)
+    events = len(run.events)
+    await asyncio.sleep(0.2)
+    assert len(run.events) == events < 400
+    receiver = receiver_of(site.gateways["vm-1"])
+    assert not receiver.active_requests
+
+
+async def test_caller_that_leaves_before_the_head_ends_its_request(site):
+    # Guards against a forwarded request that reaches a target after its caller left.
+    await add_gateways(site, 2)
+    await cut_off(site, CUT)
+    for target in site.targets.values():
+        target.is_unresponsive = True
+    calling = asyncio.create_task(site.call("GET", "/status/7", vm=CUT))
+    receiver = receiver_of(site.gateways["vm-1"])
+    await site.until(lambda: receiver.active_requests)
+    calling.cancel()
+    await site.until(lambda: not receiver.active_requests, seconds=0.5)
+
+
+@pytest.mark.parametrize("how", HOWS)
+async def test_burst_at_a_vm_that_does_not_know_yet_is_served(site, how):
+    # Guards against requests that fail in the moment in which the cut begins, and
+    # against calls that may not run twice and do.
+    await add_gateways(site, 3)
+    TargetLinks(site, CUT).cut(how, resets_open=True)
+    calls = (site.call("POST", "/orders/7", b"x", vm=CUT) for _ in range(LOAD))
+    answers = await asyncio.gather(*calls)
+    assert [status for status, _, _ in answers] == [200] * LOAD
+    ids = [run.request_id for run in site.runs("desk-a", "desk-b")]
+    assert len(ids) == len(set(ids)) == LOAD
+
+
+async def test_no_request_is_sent_to_more_targets_than_its_route_allows(site):
+    # Guards against attempts that are counted at each VM alone.
+    await add_gateways(site, 3)
+    await cut_off(site, CUT)
+    for name in ("desk-a", "desk-b"):
+        site.targets[name].answer = lambda request: Response(500, {}, b"failed")
+    for number in range(5):
+        request_id = f"attempts-{number}"
+        await site.call("GET", "/status/7", vm=CUT, heathershunt_request_id=request_id)
+        sent = [
+            received
+            for target in site.targets.values()
+            for _, received in target.received
+            if received == request_id
+        ]
+        assert len(sent) <= 2
