--- a/tests/relay/test_suspects.py
+++ b/tests/relay/test_suspects.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from heathershunt.discovery import Target
@@ -5,6 +7,7 @@
 from heathershunt.logs.events import TargetEjected, TargetReadmitted
 from heathershunt.pipelines import PeerNotes, RunnerNote
 from heathershunt.relay import SuspectList
+from heathershunt.relay.links import SoundLinks
 from heathershunt.relay.suspects import (
     BASE_EJECTION_MS,
     CONSECUTIVE_TIMEOUTS,
@@ -97,3 +100,38 @@
     assert suspects.notes() == [RunnerNote("t1", 1, is_failed=True)]
     clock.advance(BASE_EJECTION_MS)
     assert suspects.notes() == []
+
+
+class CutLinks(SoundLinks):
+    is_cut_off = True
+    is_sound = False
+
+
+def test_failures_of_a_vm_that_is_cut_off_eject_nothing(suspects):
+    # Guards against targets that are avoided as the links of this VM have failed.
+    suspects.links = CutLinks()
+    suspects.eject(target())
+    for _ in range(CONSECUTIVE_TIMEOUTS):
+        suspects.record_timeout(target())
+    suspects.links = SoundLinks()
+    assert not suspects.is_suspect(target())
+
+
+def test_no_notes_while_the_links_are_in_doubt(suspects):
+    # Guards against notes of two VMs that make all VMs avoid a sound target.
+    suspects.eject(target())
+    assert suspects.notes()
+    suspects.links = CutLinks()
+    assert not suspects.notes()
+
+
+def test_ejections_since_a_cut_end_and_older_ones_stay(clock, suspects):
+    # Guards against sound targets that stay ejected after a cut, and against dead ones
+    # that are used again.
+    suspects.eject(target())
+    clock.advance(10)
+    later = replace(target(), id="later")
+    suspects.eject(later)
+    suspects.discard_since(clock.now())
+    assert suspects.is_ejected(target())
+    assert not suspects.is_ejected(later)
