Cut gateways off from all targets in a mode of the soak

Seeds 2001 to 2999 run six gateways whose links to the targets are cut (new connections hang or are refused, or open ones are reset as well) for random shares of the gateways and for whole domains.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 
 from soak.callers import Callers, find_violations
 from soak.configurations import ConfigurationChanges
+from soak.cuts import CutPlan
 from soak.faults import FaultPlan
 from soak.lag import LagMeter
 from soak.mixed_callers import MixedCallers
@@ -54,6 +55,9 @@
     plans = [plan, changes, silences] if site.extent.is_wide else [plan]
     if site.extent.has_stops:
         plans = [stops, changes, silences]
+    cuts = CutPlan(site, callers, random.Random(f"{seed}-cuts"))
+    if site.extent.has_cuts:
+        plans = [cuts]
     lag = LagMeter(site)
     measuring = asyncio.create_task(lag.run())
     try:
@@ -70,7 +74,7 @@
         other_ids = {exchange.id for exchange in mixed.exchanges}
         failures += find_violations(site, callers, plan, other_ids)
         failures += check_repeats(site)
-        failures += _crashes(site)
+        failures += _crashes(site) + cuts.failures
         _print_summary(seed, callers, mixed, plans, failures)
         if mixed.exchanges:
             names = ["", *site.gateways]
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -18,6 +18,8 @@
 MANY_GATEWAYS_EVERY = 10
 # Seeds with planned stops in series in place of all other faults.
 SEEDS_WITH_STOPS = range(1001, 2000)
+# Seeds with gateways that lose their links to all targets, likewise.
+SEEDS_WITH_CUTS = range(2001, 3000)
 # Seeds that failed in the past, each with its cause. The order of their faults differs
 # between runs, as the timing of the processes does.
 CAUSE_BY_SEED = {
--- a/soak/site.py
+++ b/soak/site.py
@@ -16,6 +16,7 @@
 from soak.seeds import (
     FIRST_SEED_WITH_CHANGES,
     MANY_GATEWAYS_EVERY,
+    SEEDS_WITH_CUTS,
     SEEDS_WITH_STOPS,
 )
 from soak.spans import SpanLog
@@ -26,6 +27,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PROGRAM = ROOT / "deploy" / "heathershunt_gateway.py"
+# Program whose links to the targets can be cut.
+LINKED_PROGRAM = ROOT / "soak" / "linked_gateway.py"
 DOMAINS = ("a", "b")
 GATEWAYS = 3
 RUNNER_LAYERS = ((0, 40), (30, 60), (50, 80))
@@ -54,6 +57,7 @@
 # a few, or enough.
 RETRY_SLACKS = (0, 5, DEFAULT_RETRY_SLACK)
 MANY_GATEWAYS = 12
+GATEWAYS_WITH_CUTS = 6
 # Event with which a gateway logs that it listens.
 STARTED = '"event":"started"'
 
@@ -66,6 +70,7 @@
         every form, and a configuration that changes.
     :param runner_domains: failure domains of the runners.
     :param has_stops: whether planned stops in series take the place of the faults.
+    :param has_cuts: whether cut links to the targets do.
     """
 
     gateways: int = GATEWAYS
@@ -73,10 +78,13 @@
     runner_domains: tuple[str, ...] = DOMAINS
     is_wide: bool = False
     has_stops: bool = False
+    has_cuts: bool = False
 
 
 def draw_extent(seed: int) -> Extent:
     """Return the extent of the site of a seed."""
+    if seed in SEEDS_WITH_CUTS:
+        return Extent(gateways=GATEWAYS_WITH_CUTS, has_cuts=True)
     if seed < FIRST_SEED_WITH_CHANGES:
         return Extent()
     rng = random.Random(f"{seed}-extent")
@@ -91,7 +99,10 @@
 
 
 class GatewayProcess:
-    """One gateway in a separate process, with its own proxy to the store."""
+    """One gateway in a separate process, with its own proxy to the store.
+
+    :param cut_addresses: addresses of the targets, if links to them are to be cut.
+    """
 
     def __init__(
         self,
@@ -100,8 +111,13 @@
         folder: Path,
         store_proxy: Pair,
         retry_slack: int = DEFAULT_RETRY_SLACK,
+        cut_addresses: tuple[str, ...] = (),
     ) -> None:
         self.name = name
+        self.domain = domain
+        self._cut_addresses = cut_addresses
+        self._cut_file = folder / f"{name}.cut"
+        self.cut_links("")
         self.store_proxy = store_proxy
         names = ("front", "ready", "directory", "peers")
         self.ports = {port: free_port() for port in names}
@@ -126,11 +142,20 @@
         """Start the process."""
         self._starts += 1
         environment = os.environ | {"HEATHERSHUNT_SETTINGS": str(self._settings)}
+        program = PROGRAM
+        if self._cut_addresses:
+            program = LINKED_PROGRAM
+            environment["SOAK_CUT_FILE"] = str(self._cut_file)
+            environment["SOAK_TARGET_ADDRESSES"] = ",".join(self._cut_addresses)
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, str(PROGRAM), env=environment, stdout=log, stderr=log
+                sys.executable, str(program), env=environment, stdout=log, stderr=log
             )
 
+    def cut_links(self, how: str) -> None:
+        """Cut the links to the targets; restore them if ``how`` is empty."""
+        self._cut_file.write_text(how)
+
     def pause(self) -> None:
         """Suspend the process until it is resumed or killed."""
         self.is_paused = True
@@ -246,6 +271,7 @@
                 Path(self._folder.name),
                 proxy,
                 self.extent.retry_slack,
+                tuple(self.targets_by_address) if self.extent.has_cuts else (),
             )
             await self.gateways[name].start()
 
