--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -47,9 +47,7 @@
     # Guards against the load of a whole domain on the one VM of it that has links.
     chooser.leave_out("a2")
     chooser.leave_out("a3")
-    drawn = draw(chooser)
-    assert set(drawn) == {"a4", *FAR}
-    assert drawn["a4"] < DRAWS / 2
+    assert set(draw(chooser)) == set(FAR)
 
 
 def test_all_left_out_are_asked_all_the_same(chooser):
