Take no answer with an invalid status code

What callers saw: a target that answered with status 600 or 999 had its answer passed on as it was, status included. With heathershunt-not-executed in it, the caller got 503, which states that the call has not run. An idempotent call was not retried after an answer of HTTP/0.9, HTTP/2.0 or HTTP/9.9. The store's 600 counted as a rejected write, a runner's 600 as a rejected order, an engine's 600 as a refused run and a service's 600 of the daemon as a complete answer, though each may have run.

Cause: h11 takes any three digits from 200 on as the status of a final response, and any two digits as the version. It also reads chunks in an answer of HTTP/1.0, whose framing RFC 9112 calls faulty.

The HTTP client now checks each final head (http/heads.py, check_head) before anything reads it, and raises the error that bytes which are no HTTP raise. So all users of the client treat such an answer as a request that was sent and lost: 502, or a retry if the request may run twice, and an unknown outcome of orders and writes. A switch of protocols that a request named is refused with the same error; it was refused before only because it counted as 17 interim responses.

Daemons pass on replies of other daemons as messages; one with a status of 1 to 199 is now malformed, as one above 599 was.

--- a/src/heathershunt/http/client_connection.py
+++ b/src/heathershunt/http/client_connection.py
@@ -7,6 +7,7 @@
 
 from heathershunt.http.addresses import Address
 from heathershunt.http.chunked import ChunkedDecoder
+from heathershunt.http.heads import check_head
 from heathershunt.http.transports import (
     CountingReader,
     is_receive_buffer_empty,
@@ -92,16 +93,20 @@
 
         :raises ConnectionError: if the connection ends, or there are too many interim
             responses.
+        :raises h11.RemoteProtocolError: if the head is no valid answer.
         """
         interim_responses = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                check_head(event)
                 self.response = event
                 self._select_body_decoder()
                 return
             if isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("closed before the response")
+            if event is h11.PAUSED:
+                raise h11.RemoteProtocolError("another protocol in place of an answer")
             interim_responses += 1
             if interim_responses > MAX_INTERIM_RESPONSES:
                 raise ReplyTooLargeError("too many interim answers")
--- a/src/heathershunt/peers/messages.py
+++ b/src/heathershunt/peers/messages.py
@@ -28,6 +28,9 @@
 Sha256 = Annotated[str, msgspec.Meta(max_length=64)]
 Bytes = Annotated[bytes, msgspec.Meta(max_length=MAX_MESSAGE_BYTES)]
 Text = Annotated[str, msgspec.Meta(max_length=2048)]
+Status = Annotated[int, msgspec.Meta(ge=0, le=599)]
+# Statuses below are of interim responses, which no reply has, or of no response.
+FIRST_FINAL_STATUS = 200
 
 
 class MessageError(Exception):
@@ -37,6 +40,11 @@
     """
 
 
+def _check_status(status: int) -> None:
+    if 0 < status < FIRST_FINAL_STATUS:
+        raise ValueError(f"status {status} of a reply")
+
+
 @dataclass(frozen=True)
 class Hello:
     """First message on a link, in both directions.
@@ -148,9 +156,12 @@
     id: Counter
     data: Bytes = b""
     reply: bool = True
-    status: Annotated[int, msgspec.Meta(ge=0, le=599)] = 0
+    status: Status = 0
     headers: dict[str, str] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        _check_status(self.status)
+
 
 @dataclass(frozen=True)
 class ForwardEnd:
@@ -165,12 +176,15 @@
     id: Counter
     verdict: Text = "ran"
     reply: bool = True
-    status: Annotated[int, msgspec.Meta(ge=0, le=599)] = 0
+    status: Status = 0
     title: Text = ""
     detail: Text = ""
     retry_after: Counter | None = None
     address: AddressText | None = None
 
+    def __post_init__(self) -> None:
+        _check_status(self.status)
+
 
 @dataclass(frozen=True)
 class Demand:
--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -15,6 +15,8 @@
 )
 from heathershunt.http import HttpClient
 from heathershunt.routing import Chain, Stage
+from heathershunt.verdict import Progress
+from tests.invalid_heads import INVALID_STARTS, head_id
 from tests.scripted import ScriptedTarget, answer, late_duplicates
 
 
@@ -338,3 +340,16 @@
         assert lines == []
     client.close()
     target.stop()
+
+
+@pytest.mark.parametrize("start", INVALID_STARTS, ids=head_id)
+async def test_run_with_an_invalid_answer_may_have_begun(start):
+    # Guards against a run that counts as refused though the stage may have begun it.
+    async def script(target, path, writer):
+        await target.send(writer, answer(OPENED_LINE, start=start))
+        writer.close()
+
+    target, client, outcome = await _open_stream(script)
+    assert outcome.unwrap_err().progress is Progress.SENT
+    client.close()
+    target.stop()
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -80,3 +80,18 @@
     message = encode_message(Demand("vm2", 1, (("account", rate),)))
     with pytest.raises(MessageError):
         decode_message(message)
+
+
+@pytest.mark.parametrize("status", [-1, 1, 99, 100, 199, 600, 999, "200"])
+@pytest.mark.parametrize("tag", ["fwd+", "fwd."])
+def test_reply_of_a_peer_with_an_invalid_status_is_malformed(tag, status):
+    # Guards against an invalid status that reaches the caller of another daemon.
+    with pytest.raises(MessageError):
+        decode_message(cbor2.dumps({"t": tag, "id": 1, "status": status}))
+
+
+@pytest.mark.parametrize("status", [0, 200, 404, 599])
+@pytest.mark.parametrize("tag", ["fwd+", "fwd."])
+def test_reply_of_a_peer_with_a_final_status_or_none_is_decoded(tag, status):
+    message = decode_message(cbor2.dumps({"t": tag, "id": 1, "status": status}))
+    assert message.status == status
--- a/tests/platform/test_runners.py
+++ b/tests/platform/test_runners.py
@@ -1,10 +1,14 @@
 import logbook
 import pytest
 
+from heathershunt.availability import Notice
+from heathershunt.discovery import LayerRange
 from heathershunt.http import Address, HttpClient, HttpServer, Response
 from heathershunt.pipelines import Chain, ChainPart, OrderOutcome, OrderReply
 from heathershunt.platform.runners import RunnerClient
+from tests.invalid_heads import INVALID_STARTS, head_id
 from tests.pipelines import engines
+from tests.scripted import ScriptedTarget, answer as answer_bytes
 
 
 @pytest.fixture
@@ -78,3 +82,49 @@
     assert len(lines.records[0].message) < 500
     client.close()
     await server.close()
+
+
+@pytest.fixture
+async def invalid_runner():
+    """Return a coroutine function that starts a runner with invalid answers.
+
+    It returns a client of runners, the runner and the notices that the client took.
+    """
+    client = HttpClient()
+    targets = []
+
+    async def invalid_runner(start, body):
+        async def script(target, path, writer):
+            head = b"retry-after: 60\r\nconnection: close\r\n"
+            await target.send(writer, answer_bytes(body, head, start))
+
+        target = ScriptedTarget(script)
+        targets.append(target)
+        runner = engines.runner(1, address=await target.start())
+        runners, notices = RunnerClient(client), []
+        runners.on_notice = lambda runner, notice, kind: notices.append(notice)
+        return runners, runner, notices
+
+    yield invalid_runner
+    client.close()
+    for target in targets:
+        target.stop()
+
+
+@pytest.mark.parametrize("start", INVALID_STARTS, ids=head_id)
+async def test_report_with_an_invalid_head_counts_as_none(invalid_runner, start):
+    # Guards against a pause or a report that a malfunctioning runner did not state.
+    runners, runner, notices = await invalid_runner(start, b"{}")
+    assert await runners.report(runner, 300) is None
+    assert notices == [Notice()]
+
+
+@pytest.mark.parametrize("start", INVALID_STARTS, ids=head_id)
+async def test_outcome_of_an_order_with_an_invalid_answer_is_unknown(
+    invalid_runner, start
+):
+    # Guards against an order that counts as rejected though the runner may have begun.
+    runners, runner, notices = await invalid_runner(start, b"{}")
+    reply = await runners.place(runner, LayerRange(0, 40), None, 1)
+    assert reply == OrderReply(OrderOutcome.UNKNOWN)
+    assert notices == [Notice()]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 from heathershunt.coordination.store import StoreFailure
 from heathershunt.http import HttpClient
 from heathershunt.platform.store import MetadataStore
+from tests.invalid_heads import INVALID_STARTS, head_id
 from tests.scripted import ScriptedTarget, answer, late_duplicates
 
 
@@ -138,3 +139,19 @@
     store, _ = await start(body, body)
     assert (await store.grant_lease(1000)).is_err()
     assert (await store.renew_lease(0)).is_err()
+
+
+@pytest.mark.parametrize("start", INVALID_STARTS, ids=head_id)
+async def test_outcome_of_a_write_with_an_invalid_reply_is_unknown(start):
+    # Guards against a write that counts as rejected though the store may have done it.
+    async def script(target, path, writer):
+        head = b"connection: close\r\n"
+        await target.send(writer, answer(b'{"revision": 7}', head, start))
+        writer.close()
+
+    client, target = HttpClient(), ScriptedTarget(script)
+    store = MetadataStore(client, await target.start())
+    outcome = await store.commit((), (LeasedValue("vm/vm-1", b"entry"),))
+    assert outcome.unwrap_err().failure is StoreFailure.UNKNOWN
+    client.close()
+    target.stop()
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -5,9 +5,14 @@
 from heathershunt.http import Address
 
 
-def answer(body, head=b""):
-    """Return an HTTP response with ``body``; ``head`` holds further header lines."""
-    return b"HTTP/1.1 200 OK\r\n%bcontent-length: %d\r\n\r\n%b" % (
+def answer(body, head=b"", start=b"HTTP/1.1 200 OK"):
+    """Return an HTTP response with ``body``.
+
+    :param head: further header lines, each with its line end.
+    :param start: status line without its line end.
+    """
+    return b"%b\r\n%bcontent-length: %d\r\n\r\n%b" % (
+        start,
         head,
         len(body),
         body,
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -14,6 +14,7 @@
 from heathershunt.services.addresses import AddressChooser, CallRetryBudget
 from heathershunt.services.dispatch import MAX_TRIES, Dispatcher
 from heathershunt.verdict import Progress
+from tests.invalid_heads import INVALID_STARTS, head_id
 from tests.scripted import ScriptedTarget, answer, late_duplicates
 from tests.services.doubles import service_call
 
@@ -286,3 +287,26 @@
     assert all(outcome.progress is Progress.NOT_SENT for outcome in outcomes[1:])
     told = [int(o.response.headers["retry-after"]) for o in outcomes[1:]]
     assert min(told) >= least_s
+
+
+@pytest.mark.parametrize("start", INVALID_STARTS, ids=head_id)
+async def test_call_with_an_invalid_answer_may_have_run(start):
+    # Guards against the body of an invalid answer that reaches a caller.
+    paths = []
+
+    async def script(target, path, writer):
+        paths.append(path)
+        await target.send(writer, answer(b"body", b"connection: close\r\n", start))
+        writer.close()
+
+    client, clock = HttpClient(), SystemClock()
+    target = ScriptedTarget(script)
+    dispatcher = make_dispatcher([await target.start()], client, clock)
+    deadline = Millis(clock.now() + 2000)
+    outcome = await dispatcher.run(service_call(), Service("orders"), deadline)
+    assert outcome.response.status == 502
+    assert outcome.progress is Progress.SENT
+    assert "x-service-status" not in outcome.response.headers
+    assert len(paths) == 1
+    client.close()
+    target.stop()
