Add the command that shows where a request would go now

Operators could explain a request from logs afterwards, but could not ask a VM why a target gets nothing at the moment. heathershunt where asks the metrics listener of a VM (GET /where) and prints route, account, priority, the chain or target with its cost, the load as known with its age, every listed target with the reasons for which it is left out, the retries left and what waits.

The answer only reads: admission, choice of a plain target and the deadline are the same code that serves requests (RequestHandler.check, CallRelay.preferred), the rest are small accessors without side effects.

Chain keeps the cost that its search found, which does not count in comparisons. WindowBudget computes its share without changing anything where only asked.

--- a/src/heathershunt/availability/table.py
+++ b/src/heathershunt/availability/table.py
@@ -204,6 +204,20 @@
         :param is_enough: returns whether some of the targets can serve requests. If
             those whose random time is over can't, all whose pause is over are returned.
         """
+        usable = self.usable_now(targets, is_enough)
+        if len(usable) < len(targets):
+            self._log_passed_over(service, targets, usable)
+        return usable
+
+    def usable_now(
+        self,
+        targets: Sequence[AnyProcess],
+        is_enough: Callable[[Collection[AnyProcess]], bool] = bool,
+    ) -> list[AnyProcess]:
+        """Return the same targets as :meth:`usable`, without a log line.
+
+        .. versionadded:: 0.10
+        """
         if not self._known_by_id:
             return list(targets)
         away = self._away()
@@ -214,8 +228,6 @@
         ]
         if len(usable) < len(targets) and not is_enough(usable):
             usable = [t for t in targets if self.wait_ms(t) == 0]
-        if len(usable) < len(targets):
-            self._log_passed_over(service, targets, usable)
         return usable
 
     def _away(self) -> set[str]:
--- a/src/heathershunt/cli/commands.py
+++ b/src/heathershunt/cli/commands.py
@@ -2,7 +2,7 @@
 
 from fire.decorators import SetParseFn
 
-from heathershunt.cli import bundles, explain, fleet, keys
+from heathershunt.cli import bundles, explain, fleet, keys, where
 from heathershunt.cli.context import Context
 
 
@@ -169,6 +169,37 @@
         """
         self._context.defer(lambda: explain.explain_from_logs(request, logs))
 
+    @SetParseFn(str)
+    def where(
+        self,
+        vm: str,
+        host: str,
+        path: str,
+        method: str = "",
+        key_file: str = "",
+        prompt_tokens: str = "",
+        max_tokens: str = "",
+    ) -> None:
+        """Show where a request would go now and why, without sending it.
+
+        Args:
+            vm: metrics listener of a gateway, as ip:port.
+            host: host that the request names.
+            path: path of the request.
+            method: method of the request, GET by default.
+            key_file: file with the API key of the request.
+            prompt_tokens: length of the prompt of a stream in tokens, 0 by default.
+            max_tokens: limit of the tokens of its answer, 0 by default for none.
+        """
+        fields = {
+            "host": host,
+            "path": path,
+            "method": method,
+            "prompt_tokens": prompt_tokens,
+            "max_tokens": max_tokens,
+        }
+        self._context.defer(lambda: where.show_where(vm, fields, key_file))
+
     @SetParseFn(str)
     def timeline(
         self,
--- a/src/heathershunt/cli/exits.py
+++ b/src/heathershunt/cli/exits.py
@@ -8,6 +8,8 @@
 
     ``REFUSED``: a daemon or a check refused the request. ``OUTCOME_UNKNOWN``: a change
     may or may not have been made. ``PARTIAL``: some daemons gave no usable reply.
+    ``VM_UNREACHABLE``: of ``where`` only, which reports bad files as ``USAGE``; the
+    code is the same as ``BAD_FILE``.
 
     .. versionadded:: 0.1
     """
@@ -16,6 +18,7 @@
     REFUSED = 1
     USAGE = 2
     BAD_FILE = 3
+    VM_UNREACHABLE = 3
     UNREACHABLE = 4
     OUTCOME_UNKNOWN = 5
     PARTIAL = 6
--- a/src/heathershunt/discovery/registry.py
+++ b/src/heathershunt/discovery/registry.py
@@ -39,9 +39,15 @@
 
     def of_service(self, service: str) -> list[Target]:
         """Return the targets of a service that take new requests."""
+        return [item for item in self.listed(service) if not item.is_draining]
+
+    def listed(self, service: str) -> list[Target]:
+        """Return all targets of a service, also those that are about to leave.
+
+        .. versionadded:: 0.10
+        """
         ids = self._ids_by_service.get(service, ())
-        targets = (self._by_id[target_id] for target_id in ids)
-        return [target for target in targets if not target.is_draining]
+        return [self._by_id[target_id] for target_id in ids]
 
     def __len__(self) -> int:
         return len(self._by_id)
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -44,6 +44,7 @@
     encode_member,
 )
 from heathershunt.gateway.topology import Topology
+from heathershunt.gateway.where import Where
 from heathershunt.http import (
     HttpClient,
 )
@@ -257,6 +258,12 @@
             self._exchanges,
             self.mirror,
             self.metrics,
+            Where(
+                config.vm,
+                self.relay_context,
+                self.request_handler,
+                lambda: self.view.age_ms,
+            ),
         )
 
     async def start(self) -> None:
--- a/src/heathershunt/gateway/metrics.py
+++ b/src/heathershunt/gateway/metrics.py
@@ -6,6 +6,8 @@
 import logbook
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from heathershunt.gateway.where import Where
+from heathershunt.gateway.where_messages import WHERE_PATH
 from heathershunt.http import HttpServer, Request, Response
 from heathershunt.logs import Event
 from heathershunt.logs.request_events import CallEnded, Sent, StreamEnded
@@ -96,13 +98,20 @@
 
 
 class MetricsServer:
-    """Serves the metrics of a gateway.
+    """Serves the metrics of a gateway, and where requests would go.
 
     .. versionadded:: 0.7
     """
 
-    def __init__(self, metrics: GatewayMetrics) -> None:
-        self._server = HttpServer(metrics.handle)
+    def __init__(self, metrics: GatewayMetrics, where: Where) -> None:
+        self._metrics = metrics
+        self._where = where
+        self._server = HttpServer(self._handle)
+
+    async def _handle(self, request: Request) -> Response:
+        if request.path == WHERE_PATH:
+            return await self._where.handle(request)
+        return await self._metrics.handle(request)
 
     async def start(self, host: str, port: int) -> None:
         """Listen; the gateway runs without metrics if the port cannot be bound."""
--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from heathershunt.catalog import Catalog, ClientAccount, Route
 from heathershunt.clock import Millis
@@ -39,12 +39,34 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """What the configuration in force says of a request.
+
+    :param account: client account of its API key; ``None`` if it needs no key.
+
+    .. versionadded:: 0.10
+    """
+
+    catalog: Catalog
+    route: Route
+    account: ClientAccount | None
+
+    @property
+    def rank(self) -> int:
+        """Return the priority of the request; 0 is the highest."""
+        rank = self.account.rank if self.account else None
+        return self.route.rank if rank is None else rank
+
+
 class RequestHandler:
     """Checks requests against the configuration in force and relays them.
 
     :param catalog: returns the configuration in force; ``None`` before the first.
     :param view_age_ms: returns the age of the view of the store; ``None`` before the
         first answer of the store.
+    :ivar calls: relay of plain calls.
+    :ivar streams: relay of streams.
     :ivar gate: turns requests away that don't fit before the process ends.
     :ivar is_stopping: whether all requests are refused as the process is about to end.
 
@@ -65,27 +87,47 @@
         self._times = AnswerTimes(context.clock)
         self.gate = StopGate(context.clock, self._times)
         self.is_stopping = False
-        self._calls = CallRelay(context)
-        self._streams = StreamRelay(context)
+        self.calls = CallRelay(context)
+        self.streams = StreamRelay(context)
 
     async def handle(self, request: CallerRequest) -> Response | StreamResponse:
         """Return the response to a request, relayed from a target or a refusal."""
+        admission = self.check(request)
+        if isinstance(admission, Refusal):
+            return self._refuse(request, admission)
+        return await self._relay(
+            admission.catalog, request, admission.route, admission.account
+        )
+
+    def check(self, request: CallerRequest) -> Admission | Refusal:
+        """Return route and account of a request, or why it is refused.
+
+        .. versionadded:: 0.10
+        """
         if self.is_stopping:
-            return self._refuse(request, STOPPING)
+            return STOPPING
         catalog = self._catalog()
         if catalog is None:
-            return self._refuse(
-                request, _unavailable("no configuration is known here yet")
-            )
+            return _unavailable("no configuration is known here yet")
         route = catalog.route_for(_host_name(request.host), request.path)
         if route is None:
-            return self._refuse(request, self._unknown_route())
+            return self._unknown_route()
         account = None
         if catalog.has_accounts and not route.is_public:
             account = self._account(catalog, request)
             if isinstance(account, Refusal):
-                return self._refuse(request, account)
-        return await self._relay(catalog, request, route, account)
+                return account
+        return Admission(catalog, route, account)
+
+    def deadline(self, request: CallerRequest, route: Route) -> Millis:
+        """Return the time by which the answer to a request must be sent.
+
+        .. versionadded:: 0.10
+        """
+        deadline = request.received_at + route.timeout_ms
+        if request.deadline is not None:
+            deadline = min(deadline, request.deadline)
+        return Millis(deadline - ANSWER_MARGIN_MS)
 
     def has_fresh_view(self) -> bool:
         """Return whether the view is fresh enough to accept callers with API keys."""
@@ -133,10 +175,7 @@
         service = catalog.services_by_name.get(name)
         if service is None:
             return self._refuse(request, _unavailable("the route has no service"))
-        deadline = request.received_at + route.timeout_ms
-        if request.deadline is not None:
-            deadline = min(deadline, request.deadline)
-        deadline = Millis(deadline - ANSWER_MARGIN_MS)
+        deadline = self.deadline(request, route)
         if not self.gate.may_take(route.name, deadline):
             return self._refuse(request, STOPPING)
         owner = account.name if account else None
@@ -152,10 +191,10 @@
         )
         self._context.events.emit(event)
         if service.engine is None:
-            answering = self._calls.relay(request, route, name, owner, deadline)
+            answering = self.calls.relay(request, route, name, owner, deadline)
         else:
             spec = StreamSpec(request, route, name, service.engine, owner, deadline)
-            answering = self._streams.relay(spec)
+            answering = self.streams.relay(spec)
         return await self._timed(request, route, answering)
 
     async def _timed(
--- a/src/heathershunt/gateway/servers.py
+++ b/src/heathershunt/gateway/servers.py
@@ -16,6 +16,7 @@
 from heathershunt.gateway.metrics import GatewayMetrics, MetricsServer
 from heathershunt.gateway.ports import Decoder
 from heathershunt.gateway.request_handler import RequestHandler
+from heathershunt.gateway.where import Where
 from heathershunt.http import (
     AnswerCut,
     HttpServer,
@@ -59,6 +60,7 @@
         exchanges: PeerExchanges,
         mirror: ViewMirror,
         metrics: GatewayMetrics,
+        where: Where,
     ) -> None:
         self._clock = clock
         self._decoder = decoder
@@ -74,7 +76,7 @@
         self._readiness = HttpServer(self._handle_readiness)
         self._directory = HttpServer(self._handle_directory)
         self._peers = HttpServer(correlated(self._handle_peer))
-        self._metrics = MetricsServer(metrics)
+        self._metrics = MetricsServer(metrics, where)
 
     async def start(self, listeners: Listeners, metrics_port: int) -> None:
         """Bind all listeners.
--- a/src/heathershunt/pipelines/chain.py
+++ b/src/heathershunt/pipelines/chain.py
@@ -1,7 +1,7 @@
 """Chains: the runners that compute one request in turn, each with its layers."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from heathershunt.discovery import Target
 
@@ -28,13 +28,17 @@
 class Chain:
     """Parts that cover every layer once and in order.
 
+    :param cost_ms: estimated time of the request by the search that found the chain;
+        0 if none did.
+
     .. versionadded:: 0.2
     """
 
     parts: tuple[ChainPart, ...]
+    cost_ms: float = field(default=0.0, compare=False)
 
     @classmethod
-    def from_parts(cls, parts: Iterable[ChainPart]) -> "Chain":
+    def from_parts(cls, parts: Iterable[ChainPart], cost_ms: float = 0.0) -> "Chain":
         """Create a chain, with the parts of a runner that occurs twice merged into one.
 
         A runner may occur in a chain only once. It holds all layers between two of its
@@ -50,7 +54,7 @@
             else:
                 first = merged[at].first
                 merged[at:] = [ChainPart(part.runner, first, part.end)]
-        return cls(tuple(merged))
+        return cls(tuple(merged), cost_ms)
 
     @property
     def head(self) -> Target:
--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -107,6 +107,17 @@
         ranges = ((layers.first, layers.end) for layers in held)
         return ranges_cover(ranges, engine.layers)
 
+    def candidates(
+        self, engine: Engine, runners: Iterable[Target], job: Job, vms: int
+    ) -> list[Candidate]:
+        """Return the runners with layers and their costs, without random factors."""
+        valid = (runner for runner in runners if has_valid_layers(engine, runner))
+        return [self._candidate(engine, item, job, vms, _Heads()) for item in valid]
+
+    def pace(self, runner_id: str) -> float:
+        """Return the time of a runner's work as a multiple of the usual time."""
+        return self._paces.pace(runner_id)
+
     def choose(
         self,
         engine: Engine,
--- a/src/heathershunt/pipelines/load.py
+++ b/src/heathershunt/pipelines/load.py
@@ -68,6 +68,16 @@
         """Return whether the load of the others is fresh and likely to be complete."""
         return self.is_fresh and self._clock.now() >= self._warmed_up_at
 
+    @property
+    def others_age_ms(self) -> int | None:
+        """Return the age of the other VMs' load; ``None`` before the first exchange.
+
+        .. versionadded:: 0.10
+        """
+        if self._others_received_at is None:
+            return None
+        return self._clock.now() - self._others_received_at
+
     def total(self, runner_id: str, vms: int) -> RunnerLoad:
         """Return the load of all VMs on a runner.
 
--- a/src/heathershunt/pipelines/search.py
+++ b/src/heathershunt/pipelines/search.py
@@ -232,9 +232,9 @@
 
 def _build_chain(path: _Path, layers: int) -> Chain:
     parts = []
-    end = layers
+    end, cost_ms = layers, path.cost
     while path.candidate is not None:
         parts.append(ChainPart(path.candidate.runner, path.first, end))
         end = path.first
         path = path.previous
-    return Chain.from_parts(reversed(parts))
+    return Chain.from_parts(reversed(parts), cost_ms)
--- a/src/heathershunt/relay/budget.py
+++ b/src/heathershunt/relay/budget.py
@@ -97,17 +97,35 @@
         """
         return self._has_left(service, vms, REROUTE_FRACTION)
 
+    def left(self, service: str, vms: int, *, has_begun: bool = False) -> int:
+        """Return how many retries :meth:`take` would take now; changes nothing.
+
+        :param vms: VMs that share the budget.
+        :param has_begun: whether a part of the answer was already delivered.
+
+        .. versionadded:: 0.10
+        """
+        now = self._clock.now()
+        fraction = 1.0 if has_begun else UNSTARTED_FRACTION
+        allowed = self._allowed(service, max(vms, self._max_vms), now) * fraction
+        return max(0, int(allowed) - self._taken(service, now))
+
     def _has_left(self, service: str, vms: int, fraction: float) -> bool:
         """Return whether a fraction of this VM's share has a retry left."""
         now = self._clock.now()
-        since = now - self._config.window_ms
-        vms = self._update_max_vms(vms, now)
-        requests = self._requests_by_service.setdefault(service, _Window())
-        retries = self._retries_by_service.setdefault(service, _Window())
-        config = self._config
-        earned = requests.count(since) * config.ratio * USED_FRACTION
-        allowed = earned + self._slack(vms, now)
-        return retries.count(since) + 1 <= allowed * fraction
+        allowed = self._allowed(service, self._update_max_vms(vms, now), now)
+        self._retries_by_service.setdefault(service, _Window())
+        return self._taken(service, now) + 1 <= allowed * fraction
+
+    def _allowed(self, service: str, vms: int, now: Millis) -> float:
+        """Return this VM's share for requests and slack, in retries of the window."""
+        requests = self._requests_by_service.get(service)
+        count = requests.count(now - self._config.window_ms) if requests else 0
+        return count * self._config.ratio * USED_FRACTION + self._slack(vms, now)
+
+    def _taken(self, service: str, now: Millis) -> int:
+        retries = self._retries_by_service.get(service)
+        return retries.count(now - self._config.window_ms) if retries else 0
 
     def _slack(self, vms: int, now: Millis) -> float:
         """Return the retries that this process may take beyond those by requests."""
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from functools import partial
 
 import h11
@@ -223,6 +223,27 @@
     def _is_any_working(self, targets: Collection[Target]) -> bool:
         return any(not self._context.suspects.is_ejected(item) for item in targets)
 
+    def running(self, target: Target) -> int:
+        """Return the calls of this VM that run at a target.
+
+        .. versionadded:: 0.10
+        """
+        return self._running[target.id]
+
+    def usage(self, target: Target) -> float:
+        """Return the calls of this VM that run at a target, for each of its slots.
+
+        .. versionadded:: 0.10
+        """
+        return self.running(target) / target.slots
+
+    def waiting(self, service: str) -> int:
+        """Return how many calls of a service wait for the limits of its targets.
+
+        .. versionadded:: 0.10
+        """
+        return self._waiting[service]
+
     def _limits_wait_ms(self, call: Call) -> int | None:
         """Return the time until a target takes a request by its limit; 0 for now."""
         waiting = self._waiting[call.service]
@@ -242,8 +263,16 @@
 
     def _choose_target(self, call: Call) -> Target | None:
         """Return the target with the lowest slot usage, preferably a healthy one."""
+        return self.preferred(self._untried(call))
+
+    def preferred(self, targets: Sequence[Target]) -> Target | None:
+        """Return the target to send a call to; ``None`` if no limit leaves one.
+
+        :param targets: targets that may be sent the call, whatever their limits are.
+
+        .. versionadded:: 0.10
+        """
         context = self._context
-        targets = self._untried(call)
         spent = context.limits.spent()
         targets = [target for target in targets if target.id not in spent]
         healthy = [
@@ -254,8 +283,7 @@
         ]
 
         def cost(target: Target) -> tuple[float, bool, str]:
-            used = self._running[target.id] / target.slots
-            return (used, target.domain != context.domain, target.id)
+            return (self.usage(target), target.domain != context.domain, target.id)
 
         return min(healthy or targets, key=cost, default=None)
 
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -17,6 +17,13 @@
         self._context = context
         self._capacity = CapacityGate(context.clock)
 
+    def waiting(self, service: str) -> int:
+        """Return how many streams of a service wait for a chain.
+
+        .. versionadded:: 0.10
+        """
+        return self._capacity.waiting(service)
+
     async def relay(self, spec: StreamSpec) -> Response | StreamResponse:
         """Return the stream once its first event has arrived, or a refusal."""
         self._context.budget.record_request(spec.service)
