Test the accessors that heathershunt where reads

WindowBudget.left now counts VMs exactly as take does: those that left more than a window ago no longer make the figure smaller. The test that asking changes nothing looked for the line of passed-over targets under a wrong name; it now names its class.

--- a/src/heathershunt/relay/budget.py
+++ b/src/heathershunt/relay/budget.py
@@ -107,7 +107,7 @@
         """
         now = self._clock.now()
         fraction = 1.0 if has_begun else UNSTARTED_FRACTION
-        allowed = self._allowed(service, max(vms, self._max_vms), now) * fraction
+        allowed = self._allowed(service, self._most_vms(vms, now), now) * fraction
         return max(0, int(allowed) - self._taken(service, now))
 
     def _has_left(self, service: str, vms: int, fraction: float) -> bool:
@@ -135,8 +135,13 @@
         return max(earned, min(share, FIRST_RETRIES))
 
     def _update_max_vms(self, vms: int, now: Millis) -> int:
-        """Return the most VMs in the last window; those that left used their share."""
-        if vms >= self._max_vms or now - self._max_vms_at > self._config.window_ms:
+        """Keep and return the most VMs in the last window."""
+        if self._most_vms(vms, now) == vms:
             self._max_vms = vms
             self._max_vms_at = now
         return self._max_vms
+
+    def _most_vms(self, vms: int, now: Millis) -> int:
+        """Return the most VMs in the last window; those that left used their share."""
+        is_over = now - self._max_vms_at > self._config.window_ms
+        return vms if is_over else max(vms, self._max_vms)
--- a/tests/availability/test_table.py
+++ b/tests/availability/test_table.py
@@ -200,3 +200,15 @@
     assert len(lines) == 1
     assert "retry-after: soon" in lines[0]
     assert table.usable("s", targets) == targets
+
+
+def test_usable_targets_are_returned_without_a_line_if_only_asked(
+    table, targets, events
+):
+    # Guards against a question that counts as a request that passed a target over.
+    table.record(targets[0], LEAVING)
+    events.clear()
+    assert table.usable_now(targets) == targets[1:]
+    assert events == []
+    assert table.usable("s", targets) == targets[1:]
+    assert [event.name for event in events] == ["passed_over"]
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -70,3 +70,11 @@
     registry.put(target("t1", service="other"))
     assert ids(registry) == set()
     assert [item.id for item in registry.of_service("other")] == ["t1"]
+
+
+def test_targets_that_are_about_to_leave_are_listed_but_take_no_requests(registry):
+    registry.put(target("t1"))
+    registry.put(target("t2", is_draining=True))
+    assert ids(registry) == {"t1"}
+    assert {item.id for item in registry.listed("s")} == {"t1", "t2"}
+    assert registry.listed("other") == []
--- a/tests/gateway/test_where.py
+++ b/tests/gateway/test_where.py
@@ -8,6 +8,8 @@
 from heathershunt.availability import Notice
 from heathershunt.http import Address
 from heathershunt.logs import Event
+from heathershunt.logs.availability_events import TargetsPassedOver
+from heathershunt.logs.request_events import RequestEvent
 from heathershunt.pipelines import Job, RunnerNote
 from heathershunt.ratelimits import Statement
 from tests.gateway.site import HOST, KEY
@@ -121,7 +123,7 @@
 
 
 def _is_of_a_request(event: Event):
-    return hasattr(event, "request") or event.name == "targets_passed_over"
+    return isinstance(event, RequestEvent | TargetsPassedOver)
 
 
 REASONS = {
--- a/tests/pipelines/test_chooser.py
+++ b/tests/pipelines/test_chooser.py
@@ -7,7 +7,7 @@
 
 from heathershunt.clock import ManualClock
 from heathershunt.pipelines import ChainChooser, Job, LoadLedger, PaceTracker
-from heathershunt.pipelines.chooser import kv_capacity
+from heathershunt.pipelines.chooser import HOP_MS, kv_capacity
 from heathershunt.pipelines.pace import PACE_MAX_AGE_MS
 from heathershunt.pipelines.runners import RunnerReport
 from tests.pipelines import engines
@@ -372,3 +372,26 @@
         chooser.choose(engine, [first], JOB, 1, heads=allowed, barred_heads=both)
         is None
     )
+
+
+def test_chain_has_the_cost_of_its_runners_and_hops(engine, runner, chooser):
+    runners = [runner("large", held=held) for held in ((0, 30), (30, 60), (60, 80))]
+    chain = chooser.choose(engine, runners, JOB, 1)
+    found = chooser.candidates(engine, runners, JOB, 1)
+    work_ms = sum(item.layer_ms * (item.end - item.first) for item in found)
+    assert chain.cost_ms == pytest.approx(work_ms + 2 * HOP_MS * JOB.answer_tokens)
+
+
+def test_candidates_are_the_runners_with_layers_of_the_model(engine, runner, chooser):
+    empty, odd = runner(), runner(held=(0, 200))
+    usable = runner(held=(0, 80))
+    found = chooser.candidates(engine, [empty, odd, usable], JOB, 1)
+    assert [item.runner for item in found] == [usable]
+
+
+def test_age_of_the_load_of_the_others_counts_from_the_last_exchange(clock):
+    ledger = LoadLedger(clock)
+    assert ledger.others_age_ms is None
+    ledger.set_others({})
+    clock.advance(700)
+    assert ledger.others_age_ms == 700
--- a/tests/relay/test_budget.py
+++ b/tests/relay/test_budget.py
@@ -116,3 +116,24 @@
 def test_process_has_its_whole_share_after_a_window(clock):
     budget = settled(clock, FLEET)
     assert take_all(budget, vms=4) == int(USED_FRACTION * FLEET.slack / 4)
+
+
+@pytest.mark.parametrize("has_begun", [False, True])
+@pytest.mark.parametrize("vms_before", [1, 8])
+def test_retries_left_are_those_that_may_be_taken(clock, has_begun, vms_before):
+    budget = settled(clock, WindowBudgetConfig(window_ms=1000, ratio=0.5, slack=100))
+    budget.may_take("s", vms_before)
+    for _ in range(7):
+        budget.record_request("s")
+    budget.take("s", 2)
+    left = budget.left("s", 2, has_begun=has_begun)
+    assert left == budget.left("s", 2, has_begun=has_begun)
+    assert take_all(budget, vms=2, has_begun=has_begun) == left > 0
+    assert budget.left("s", 2, has_begun=has_begun) == 0
+
+
+def test_asking_for_the_retries_left_does_not_count_vms(clock):
+    # Guards against a question that makes the share of this VM smaller.
+    budget = settled(clock)
+    assert budget.left("s", 100) < budget.left("s", 1)
+    assert take_all(budget, vms=1) == budget.left("other", 1, has_begun=True)
