--- a/tests/drafts/test_engine.py
+++ b/tests/drafts/test_engine.py
@@ -353,3 +353,21 @@
     assert outcome.unwrap_err().progress is Progress.SENT
     client.close()
     target.stop()
+
+
+@pytest.mark.parametrize("start", INVALID_STARTS, ids=head_id)
+async def test_check_with_an_invalid_answer_proves_nothing(start):
+    # Guards against a run that counts as gone, or a runner as ended, because of an
+    # answer that is none.
+    async def script(target, path, writer):
+        body = b'{"incarnation": 9, "position": 4}'
+        await target.send(writer, answer(body, start=start))
+        writer.close()
+
+    target, client = ScriptedTarget(script), HttpClient()
+    stage = Stage("runner-1", str(await target.start()), "", 0, 80)
+    engine = EngineClient(client, SystemClock())
+    assert await engine.probe(stage, "run", 300) is ProbeFailure.SILENT
+    assert not await engine.has_ended(stage, 5)
+    client.close()
+    target.stop()
