--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -46,6 +46,7 @@
     encode_member,
 )
 from heathershunt.gateway.topology import Topology
+from heathershunt.gateway.where import Where
 from heathershunt.http import HttpClient
 from heathershunt.logs import EventLog
 from heathershunt.logs.events import (
@@ -270,6 +271,12 @@
             ),
             self.mirror,
             self.metrics,
+            Where(
+                config.vm,
+                self.relay_context,
+                self.request_handler,
+                lambda: self.view.age_ms,
+            ),
         )
 
     async def start(self) -> None:
--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -46,7 +46,27 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Admission:
+class Admission:
+    """What the configuration in force says of a request.
+
+    :param account: client account of its API key; ``None`` if it needs no key.
+
+    .. versionadded:: 0.10
+    """
+
+    catalog: Catalog
+    route: Route
+    account: ClientAccount | None
+
+    @property
+    def rank(self) -> int:
+        """Return the priority of the request; 0 is the highest."""
+        rank = self.account.rank if self.account else None
+        return self.route.rank if rank is None else rank
+
+
+@dataclass(frozen=True, slots=True)
+class _AdmittedRequest:
     """A request that may be sent, and where to.
 
     :param account: name of the client account; ``None`` on public routes.
@@ -68,6 +88,8 @@
         first answer of the store.
     :param links: links of this VM to the targets.
     :param forwarder: serves requests through other VMs.
+    :ivar calls: relay of plain calls.
+    :ivar streams: relay of streams.
     :ivar gate: turns requests away that don't fit before the process ends.
     :ivar is_stopping: whether all requests are refused as the process is about to end.
 
@@ -92,8 +114,8 @@
         self._times = AnswerTimes(context.clock)
         self.gate = StopGate(context.clock, self._times)
         self.is_stopping = False
-        self._calls = CallRelay(context)
-        self._streams = StreamRelay(context)
+        self.calls = CallRelay(context)
+        self.streams = StreamRelay(context)
 
     async def handle(self, request: CallerRequest) -> Response | StreamResponse:
         """Return the response to a request, relayed from a target or a refusal."""
@@ -125,11 +147,21 @@
         response = await self._timed(admission, relaying)
         return response, unserved[0] if unserved else None
 
-    def _admit(self, request: CallerRequest) -> _Admission | Refusal:
+    def _admit(self, request: CallerRequest) -> _AdmittedRequest | Refusal:
         """Return where a request is sent to, or why it is not.
 
         The reasons that concern this VM alone have the status :data:`UNAVAILABLE`.
         """
+        admission = self.check(request)
+        if isinstance(admission, Refusal):
+            return admission
+        return self._route(admission, request)
+
+    def check(self, request: CallerRequest) -> Admission | Refusal:
+        """Return route and account of a request, or why it is refused.
+
+        .. versionadded:: 0.10
+        """
         if self.is_stopping:
             return STOPPING
         catalog = self._catalog()
@@ -143,7 +175,17 @@
             account = self._account(catalog, request)
             if isinstance(account, Refusal):
                 return account
-        return self._route(catalog, request, route, account)
+        return Admission(catalog, route, account)
+
+    def deadline(self, request: CallerRequest, route: Route) -> Millis:
+        """Return the time by which the answer to a request must be sent.
+
+        .. versionadded:: 0.10
+        """
+        deadline = request.received_at + route.timeout_ms
+        if request.deadline is not None:
+            deadline = min(deadline, request.deadline)
+        return Millis(deadline - ANSWER_MARGIN_MS)
 
     def has_fresh_view(self) -> bool:
         """Return whether the view is fresh enough to accept callers with API keys."""
@@ -181,20 +223,15 @@
         return not_run(401, "Unknown key", "the API key is not known")
 
     def _route(
-        self,
-        catalog: Catalog,
-        request: CallerRequest,
-        route: Route,
-        account: ClientAccount | None,
-    ) -> _Admission | Refusal:
+        self, admission: Admission, request: CallerRequest
+    ) -> _AdmittedRequest | Refusal:
+        catalog, route = admission.catalog, admission.route
+        account = admission.account
         name = _pick_service(route)
         service = catalog.services_by_name.get(name)
         if service is None:
             return _unavailable("the route has no service")
-        deadline = request.received_at + route.timeout_ms
-        if request.deadline is not None:
-            deadline = min(deadline, request.deadline)
-        deadline = Millis(deadline - ANSWER_MARGIN_MS)
+        deadline = self.deadline(request, route)
         if not self.gate.may_take(route.name, deadline):
             return STOPPING
         owner = account.name if account else None
@@ -209,9 +246,9 @@
             parts=request.prompt_parts,
         )
         self._context.events.emit(event)
-        return _Admission(request, route, service, owner, deadline)
+        return _AdmittedRequest(request, route, service, owner, deadline)
 
-    async def _serve(self, admission: _Admission) -> Response | StreamResponse:
+    async def _serve(self, admission: _AdmittedRequest) -> Response | StreamResponse:
         """Return the answer of a target, reached through another VM if need be."""
         if not self._links.sends_locally:
             earlier = EarlierSends(attempts=admission.route.max_attempts)
@@ -223,23 +260,23 @@
         return await self._relay(admission, NO_SENDS, fallback)
 
     async def _relay(
-        self, admission: _Admission, earlier: EarlierSends, fallback: Fallback
+        self, admission: _AdmittedRequest, earlier: EarlierSends, fallback: Fallback
     ) -> Response | StreamResponse:
         request, deadline = admission.request, admission.deadline
         allowed = earlier.max_attempts(admission.route.max_attempts)
         route = replace(admission.route, max_attempts=allowed)
         service, account = admission.service, admission.account
         if service.engine is None:
-            return await self._calls.relay(
+            return await self.calls.relay(
                 request, route, service.name, account, deadline, earlier, fallback
             )
         spec = StreamSpec(
             request, route, service.name, service.engine, account, deadline, earlier
         )
-        return await self._streams.relay(spec, fallback)
+        return await self.streams.relay(spec, fallback)
 
     async def _forward_unserved(
-        self, admission: _Admission, unserved: Unserved
+        self, admission: _AdmittedRequest, unserved: Unserved
     ) -> Response | StreamResponse | Refusal | None:
         """Return the answer through another VM if this one turns out to be cut off."""
         await self._links.settle()
@@ -254,7 +291,7 @@
 
     async def _forward(
         self,
-        admission: _Admission,
+        admission: _AdmittedRequest,
         earlier: EarlierSends,
         resume: ResumePoint | None = None,
     ) -> Response | StreamResponse | Refusal:
@@ -270,7 +307,7 @@
 
     async def _timed(
         self,
-        admission: _Admission,
+        admission: _AdmittedRequest,
         answering: Coroutine[None, None, Response | StreamResponse],
     ) -> Response | StreamResponse:
         """Return an answer, and record how long it takes to its end."""
--- a/src/heathershunt/gateway/servers.py
+++ b/src/heathershunt/gateway/servers.py
@@ -17,6 +17,7 @@
 from heathershunt.gateway.metrics import GatewayMetrics, MetricsServer
 from heathershunt.gateway.ports import Decoder
 from heathershunt.gateway.request_handler import RequestHandler
+from heathershunt.gateway.where import Where
 from heathershunt.http import (
     AnswerCut,
     HttpLimits,
@@ -64,6 +65,7 @@
         receiver: ForwardReceiver,
         mirror: ViewMirror,
         metrics: GatewayMetrics,
+        where: Where,
     ) -> None:
         self._clock = clock
         self._decoder = decoder
@@ -81,7 +83,7 @@
         self._directory = HttpServer(self._handle_directory)
         # Handlers of exchanges may be cancelled too: they only wait for news.
         self._peers = HttpServer(correlated(self._handle_peer), cancels_handlers=True)
-        self._metrics = MetricsServer(metrics)
+        self._metrics = MetricsServer(metrics, where)
 
     async def start(self, listeners: Listeners, metrics_port: int) -> None:
         """Bind all listeners.
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -18,6 +18,13 @@
         self._context = context
         self._capacity = CapacityGate(context.clock)
 
+    def waiting(self, service: str) -> int:
+        """Return how many streams of a service wait for a chain.
+
+        .. versionadded:: 0.10
+        """
+        return self._capacity.waiting(service)
+
     async def relay(
         self, spec: StreamSpec, fallback: Fallback = no_fallback
     ) -> Response | StreamResponse:
