Let streams that wait for capacity search in the order of their priority

Callers saw streams of a low priority served while urgent ones were refused, and one large account that took most of the free capacity: streams that wait polled every 60 ms, and the first to poll was served.

Each VM now has a line for each service whose streams have several priorities, and in fleets of 16 VMs or more. The stream whose turn it is searches, the next one is woken at once after a success, and the line rests for 60 ms after searches without one or until a run of this VM ends. The order of priorities and accounts is that of the daemon's queue, split off as admission.ranks. VMs report what waits with their loads.

The priority of an account was decoded and never used; it now takes precedence over that of the route, also in what runners are told. The daemon's estimate of a wait counted a priority that begins to wait as equal to the next lower one; it now counts its weight.

--- a/src/heathershunt/admission/__init__.py
+++ b/src/heathershunt/admission/__init__.py
@@ -1,6 +1,7 @@
 """Admission control: which request runs next, and which is refused at once."""
 
 from heathershunt.admission.limits import AccountLimits
+from heathershunt.admission.line import LineConfig, Waiter, WaitingLine
 from heathershunt.admission.queue import AdmissionConfig, AdmissionQueue, Ticket
 from heathershunt.admission.shares import Demand, ShareConfig, ShareSplitter
 
@@ -9,7 +10,10 @@
     "AdmissionConfig",
     "AdmissionQueue",
     "Demand",
+    "LineConfig",
     "ShareConfig",
     "ShareSplitter",
     "Ticket",
+    "Waiter",
+    "WaitingLine",
 ]
--- a/src/heathershunt/admission/fair.py
+++ b/src/heathershunt/admission/fair.py
@@ -7,10 +7,12 @@
 """
 
 import heapq
+from bisect import insort
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Generic, TypeVar
+from itertools import islice
+from typing import Any, Generic, TypeVar
 
 T = TypeVar("T")
 
@@ -31,10 +33,14 @@
 class FairQueue(Generic[T]):
     """Queue of flows that share one server in proportion to their weights.
 
+    :param order: sort key of the items inside a flow; ``None`` for their arrival. Items
+        with the same key are served as they arrived.
+
     .. versionadded:: 0.1
     """
 
-    def __init__(self) -> None:
+    def __init__(self, order: Callable[[T], Any] | None = None) -> None:
+        self._order = order
         self.virtual_time = 0.0
         self.flows: dict[str, Flow[T]] = {}
         self._heap: list[tuple[float, int, Flow[T]]] = []
@@ -47,7 +53,10 @@
         flow = self.flows.get(name)
         if flow is None:
             flow = self.flows[name] = Flow(name)
-        flow.items.append(item)
+        if self._order is None:
+            flow.items.append(item)
+        else:
+            insort(flow.items, item, key=self._order)
         self._item_count += 1
         if ready:
             self.activate(name)
@@ -92,6 +101,40 @@
         self.activate(flow.name)
         return item
 
+    def first(self, count: int, size: Callable[[T], float]) -> list[tuple[float, T]]:
+        """Return the next eligible items and their start tags, in order.
+
+        :param count: most items to return.
+        :param size: returns the cost of an item divided by the weight of its flow.
+        """
+        found = []
+        waiting = (entry for entry in self._heap if entry[2].items)
+        for start, sequence, flow in heapq.nsmallest(count, waiting):
+            for item in islice(flow.items, count):
+                found.append((start, sequence, item))
+                start += size(item)
+        # The sort is stable: items of a flow without a size stay in their order.
+        found.sort(key=lambda entry: entry[:2])
+        return [(start, item) for start, _, item in found[:count]]
+
+    def take(self, name: str, item: T, size: float) -> None:
+        """Remove an item out of order, and charge its flow with ``size``.
+
+        Virtual time stays where it is, as the items before this one still wait.
+        """
+        flow = self.flows[name]
+        flow.items.remove(item)
+        self._item_count -= 1
+        flow.finish = max(self.virtual_time, flow.finish) + size
+        if flow.in_heap:
+            self._heap = [entry for entry in self._heap if entry[2] is not flow]
+            heapq.heapify(self._heap)
+            flow.in_heap = False
+        if flow.items:
+            self.activate(name)
+        else:
+            heapq.heappush(self._idle, self._entry(flow.finish, flow))
+
     def remove_idle(self) -> None:
         """Remove the flows without waiting items whose finish tag has passed."""
         if not self._item_count:
--- a/src/heathershunt/admission/queue.py
+++ b/src/heathershunt/admission/queue.py
@@ -2,13 +2,13 @@
 
 import heapq
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
 from heathershunt.admission.drain import DrainEstimate
-from heathershunt.admission.fair import FairQueue
 from heathershunt.admission.limits import AccountLimits
+from heathershunt.admission.ranks import RANK_RATIO, RankedQueue
 from heathershunt.clock import Millis
 from heathershunt.ratelimits import RateLimit
 from heathershunt.verdict import Refusal, not_run
@@ -49,7 +49,7 @@
     """
 
     queued_total: int = 4096
-    rank_ratio: float = 8.0
+    rank_ratio: float = RANK_RATIO
     hold_ms: float = 1000.0
     burst_ms: int = 2000
     min_retry_after_ms: int = 100
@@ -68,18 +68,6 @@
         return self.running < self.limits.concurrent
 
 
-@dataclass(eq=False, slots=True)
-class _Rank:
-    """Waiting tickets of one priority."""
-
-    queue: FairQueue[Ticket] = field(default_factory=FairQueue)
-    finish: float = 0.0
-    count: int = 0
-    share: float = 0.0
-    cost_by_account: dict[str, float] = field(default_factory=dict)
-    share_by_account: dict[str, float] = field(default_factory=dict)
-
-
 class AdmissionQueue:
     """Decides which request runs next, and refuses those that cannot run in time.
 
@@ -96,11 +84,9 @@
         self._drain = DrainEstimate(config.hold_ms)
         self._accounts_by_name: dict[str, _Account] = {}
         self._limits_by_account: dict[str, AccountLimits] = {}
-        self._ranks_by_number: dict[int, _Rank] = {}
-        self._virtual_time = 0.0
+        self._queue: RankedQueue[Ticket] = RankedQueue(config.rank_ratio)
         self._waiting_by_id: dict[str, Ticket] = {}
         self._running_by_id: dict[str, tuple[Ticket, Millis]] = {}
-        self._waiting_cost = 0.0
         self._latest_starts: list[tuple[Millis, int, Ticket]] = []
         self._sequence = 0
         self._late: list[Ticket] = []
@@ -158,7 +144,8 @@
             return Err(refusal)
         account.rate.take()
         account.waiting += 1
-        self._add(ticket, account)
+        self._waiting_by_id[ticket.id] = ticket
+        self._queue.add(ticket, account.limits.share, account.may_start())
         latest = Millis(int(ticket.deadline - self._drain.upper_bound_ms(ticket.cost)))
         # A tight deadline may still be met if the ticket starts at once.
         self._sequence += 1
@@ -170,24 +157,14 @@
         """Start and return the ticket to run now, or ``None``; ``release`` ends it."""
         if self.running >= self.limit:
             return None
-        best: tuple[float, int] | None = None
         self._remove_late(now)
-        for number, rank in self._ranks_by_number.items():
-            if rank.count and rank.queue.peek(self._is_ready) is not None:
-                choice = (max(self._virtual_time, rank.finish), number)
-                best = choice if best is None else min(best, choice)
-        if best is None:
+        ticket = self._queue.peek(self._is_ready)
+        if ticket is None:
             return None
-        start, number = best
-        rank = self._ranks_by_number[number]
-        name, ticket = rank.queue.peek(self._is_ready)
-        weight = self._rank_weight(number)
-        account = self._accounts_by_name[name]
+        account = self._accounts_by_name[ticket.account]
         account.running += 1
-        rank.queue.pop(ticket.cost / account.limits.share)
-        self._virtual_time = start
-        rank.finish = start + ticket.cost / weight
-        self._remove(ticket)
+        self._queue.pop(ticket, account.limits.share)
+        self._forget(ticket)
         if not self._running_by_id:
             self._drain.start_busy_period(now)
         self._running_by_id[ticket.id] = (ticket, now)
@@ -213,8 +190,8 @@
         ticket = self._waiting_by_id.get(ticket_id)
         if ticket is None:
             return False
-        self._ranks_by_number[ticket.rank].queue.remove(ticket.account, ticket)
-        self._remove(ticket)
+        self._queue.remove(ticket)
+        self._forget(ticket)
         return True
 
     def cancel_all(self) -> list[Ticket]:
@@ -228,13 +205,12 @@
         """Remove and return the waiting tickets whose deadline is out of reach."""
         self._remove_late(now)
         late, self._late = self._late, []
-        for rank in self._ranks_by_number.values():
-            rank.queue.remove_idle()
+        self._queue.remove_idle()
         return late
 
     def late_refusal(self) -> Refusal:
         """Return the refusal for a ticket that ``expire`` returned."""
-        wait = self._waiting_cost * self._drain.hold_ms / max(1, self.limit)
+        wait = self._queue.cost * self._drain.hold_ms / max(1, self.limit)
         detail = "the request waited until its deadline could no longer be met"
         return not_run(503, "Deadline out of reach", detail, self._retry_after(wait))
 
@@ -261,7 +237,7 @@
         free = self.config.queued_total - self.waiting
         if account.waiting < free or (free > 0 and not account.waiting):
             return None
-        wait = self._waiting_cost * self._drain.hold_ms / max(1, self.limit)
+        wait = self._queue.cost * self._drain.hold_ms / max(1, self.limit)
         detail = f"{self.waiting} requests are waiting"
         return not_run(503, "Queue full", detail, self._retry_after(wait))
 
@@ -291,58 +267,21 @@
         This is the shorter of the wait at the account's guaranteed share and the wait
         behind all waiting tickets, or longer if the account's concurrency limits it.
         """
-        free = self.running < self.limit and not self._waiting_cost
+        free = self.running < self.limit and not self._queue.cost
         if free and account.may_start():
             return 0.0
-        rank = self._ranks_by_number.setdefault(ticket.rank, _Rank())
         drain = self._drain.rate(self.limit, self.running, now)
-        share = account.limits.share
-        others = rank.share - rank.share_by_account.get(ticket.account, 0.0)
-        fraction = share / (others + share) * self._rank_fraction(ticket.rank)
-        own = rank.cost_by_account.get(ticket.account, 0.0) + ticket.cost
-        wait = min(own / (drain * fraction), (self._waiting_cost + ticket.cost) / drain)
+        wait = self._queue.work_before(ticket, account.limits.share) / drain
         if not account.may_start() or account.waiting:
             # The account's own concurrency limit may be the bottleneck.
+            own = self._queue.account_cost(ticket.rank, ticket.account) + ticket.cost
             wait = max(wait, own * self._drain.hold_ms / account.limits.concurrent)
         return wait
 
-    def _rank_fraction(self, number: int) -> float:
-        active = {n for n, rank in self._ranks_by_number.items() if rank.count}
-        total = sum(self._rank_weight(n) for n in active | {number})
-        return self._rank_weight(number) / total
-
-    def _rank_weight(self, number: int) -> float:
-        above = sum(
-            1 for n, rank in self._ranks_by_number.items() if rank.count and n < number
-        )
-        return self.config.rank_ratio**-above
-
-    def _add(self, ticket: Ticket, account: _Account) -> None:
-        self._waiting_by_id[ticket.id] = ticket
-        self._waiting_cost += ticket.cost
-        rank = self._ranks_by_number.setdefault(ticket.rank, _Rank())
-        name = ticket.account
-        rank.count += 1
-        if name not in rank.cost_by_account:
-            rank.share_by_account[name] = account.limits.share
-            rank.share += account.limits.share
-        rank.cost_by_account[name] = rank.cost_by_account.get(name, 0) + ticket.cost
-        rank.queue.push(name, ticket, account.may_start())
-
-    def _remove(self, ticket: Ticket) -> None:
-        """Subtract a ticket that was removed from its fair queue from all counts."""
+    def _forget(self, ticket: Ticket) -> None:
+        """Subtract a ticket that was removed from the queue from the counts."""
         del self._waiting_by_id[ticket.id]
         self._accounts_by_name[ticket.account].waiting -= 1
-        self._waiting_cost -= ticket.cost
-        rank = self._ranks_by_number[ticket.rank]
-        rank.count -= 1
-        left = rank.cost_by_account[ticket.account] - ticket.cost
-        rank.cost_by_account[ticket.account] = left
-        if not rank.queue.flows[ticket.account].items:
-            del rank.cost_by_account[ticket.account]
-            rank.share -= rank.share_by_account.pop(ticket.account)
-        if not self._waiting_by_id:
-            self._waiting_cost = 0.0
 
     def _remove_late(self, now: Millis) -> None:
         while self._latest_starts and self._latest_starts[0][0] < now:
@@ -357,8 +296,7 @@
 
     def _activate(self, name: str, account: _Account) -> None:
         if account.waiting and account.may_start():
-            for rank in self._ranks_by_number.values():
-                rank.queue.activate(name)
+            self._queue.activate(name)
 
     def _account(self, name: str, now: Millis) -> _Account:
         account = self._accounts_by_name.get(name)
--- a/src/heathershunt/catalog/catalog.py
+++ b/src/heathershunt/catalog/catalog.py
@@ -1,7 +1,7 @@
 """One version of the configuration and its lookups."""
 
 import hashlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from heathershunt.catalog.model import CallerLimits, ClientAccount, Route, Service
@@ -15,6 +15,7 @@
 
     :param has_accounts: whether client accounts are configured, so that requests to
         routes that are not public need an API key.
+    :param ranks_by_service: priorities that the requests to a service may have.
 
     .. versionadded:: 0.2
     """
@@ -25,6 +26,7 @@
     accounts_by_key_sha256: Mapping[str, ClientAccount] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
     has_accounts: bool = False
+    ranks_by_service: Mapping[str, frozenset[int]] = field(default_factory=dict)
 
     @classmethod
     def from_parts(
@@ -37,6 +39,7 @@
         has_accounts: bool,
     ) -> "Catalog":
         """Index the parts of a configuration."""
+        routes, accounts = list(routes), list(accounts)
         routes_by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             routes_by_host.setdefault(route.host, {})[route.prefix] = route
@@ -47,6 +50,7 @@
             {digest: account for account in accounts for digest in account.key_sha256},
             limits,
             has_accounts,
+            _ranks_by_service(routes, accounts if has_accounts else None),
         )
 
     def route_for(self, host: str, path: str) -> Route | None:
@@ -71,6 +75,24 @@
         return self.accounts_by_key_sha256.get(hash_key(key))
 
 
+def _ranks_by_service(
+    routes: Iterable[Route], accounts: Sequence[ClientAccount] | None
+) -> dict[str, frozenset[int]]:
+    """Return the priorities that the requests to each service may have.
+
+    :param accounts: client accounts; ``None`` if requests need no API key.
+    """
+    of_accounts = {account.rank for account in accounts or ()}
+    ranks_by_service: dict[str, set[int]] = {}
+    for route in routes:
+        ranks = {None} if route.is_public or accounts is None else of_accounts
+        for item in route.services:
+            ranks_by_service.setdefault(item.service, set()).update(
+                route.rank if rank is None else rank for rank in ranks
+            )
+    return {name: frozenset(ranks) for name, ranks in ranks_by_service.items()}
+
+
 def hash_key(key: str) -> str:
     """Return the SHA-256 hash of an API key, in hexadecimal."""
     return hashlib.sha256(key.encode()).hexdigest()
--- a/src/heathershunt/catalog/model.py
+++ b/src/heathershunt/catalog/model.py
@@ -74,6 +74,10 @@
     key_sha256: tuple[str, ...]
     rank: int | None = None
 
+    def rank_on(self, route: Route) -> int:
+        """Return the priority of the requests of this account on a route."""
+        return route.rank if self.rank is None else self.rank
+
 
 @dataclass(frozen=True, slots=True)
 class AcceleratorKind:
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -246,6 +246,7 @@
             limited_targets=lambda: self.limits.limited_count,
             leaving_targets=lambda: self.availability.leaving_count,
             paused_targets=lambda: self.availability.paused_count,
+            waiting_by_rank=ledger.waiting.by_rank,
         )
         self.servers = GatewayServers(
             clock,
--- a/src/heathershunt/gateway/gauges.py
+++ b/src/heathershunt/gateway/gauges.py
@@ -1,6 +1,6 @@
 """Gauges of a gateway, read whenever its metrics are fetched."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.state import SiteState
@@ -16,6 +16,7 @@
     limited_targets: Callable[[], int],
     leaving_targets: Callable[[], int],
     paused_targets: Callable[[], int],
+    waiting_by_rank: Callable[[], Mapping[int, int]],
 ) -> None:
     """Add the gauges of one gateway to its metrics.
 
@@ -26,7 +27,15 @@
     :param limited_targets: returns the number of targets that name a limit.
     :param leaving_targets: returns the number of targets that leave by their answers.
     :param paused_targets: returns the number of targets that asked for a pause.
+    :param waiting_by_rank: returns the number of streams that wait in line, by
+        priority.
     """
+    metrics.add_gauge_by(
+        "waiting_streams",
+        "streams that wait in line for capacity, by priority",
+        "rank",
+        waiting_by_rank,
+    )
     for name, doc, read in (
         ("view_age_ms", "age of the view of the store", view_age_ms),
         ("members", "VMs that take callers", lambda: len(state.members)),
--- a/src/heathershunt/gateway/metrics.py
+++ b/src/heathershunt/gateway/metrics.py
@@ -1,7 +1,7 @@
 """Counters, histograms and gauges of a gateway, in the text format of Prometheus."""
 
 from collections import Counter as Tally
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import logbook
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -34,6 +34,9 @@
         self._registry = Registry()
         self._tally: Tally[tuple[str, str]] = Tally()
         self._gauge_readers: list[tuple[Gauge, Callable[[], float | None]]] = []
+        self._labelled_readers: list[
+            tuple[Gauge, str, Callable[[], Mapping[int, float]]]
+        ] = []
         self._events = Counter(
             PREFIX + "events_total", "logged events", registry=self._registry
         )
@@ -58,6 +61,21 @@
         gauge = Gauge(PREFIX + name, doc, registry=self._registry)
         self._gauge_readers.append((gauge, read))
 
+    def add_gauge_by(
+        self,
+        name: str,
+        doc: str,
+        label: str,
+        read: Callable[[], Mapping[int, float]],
+    ) -> None:
+        """Add a gauge with one value for each value of a label, read at each fetch.
+
+        :param read: returns the values by label; one that was returned once must be
+            returned again, also if it is 0.
+        """
+        gauge = Gauge(PREFIX + name, doc, registry=self._registry)
+        self._labelled_readers.append((gauge, label, read))
+
     def on_event(self, event: Event) -> None:
         """Count an event and observe the durations in its fields."""
         field = event.outcome_field
@@ -80,6 +98,9 @@
             value = read()
             if value is not None:
                 gauge.set({}, value)
+        for gauge, label, read_by_label in self._labelled_readers:
+            for key, value in read_by_label().items():
+                gauge.set({label: str(key)}, value)
         body, headers = render(self._registry, [])
         return body, {name.lower(): value for name, value in headers.items()}
 
--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -34,6 +34,9 @@
 ANSWER_MARGIN_MS = 20
 # First status that is no success.
 REDIRECTION = 300
+# Size of a fleet from which streams wait for capacity in order. The order also keeps
+# large accounts from crowding out small ones, which polling does not.
+MIN_ORDERED_VMS = 16
 STOPPING = not_run(
     503, "Unavailable", "the VM is about to stop", STOPPING_RETRY_AFTER_MS
 )
@@ -154,10 +157,24 @@
         if service.engine is None:
             answering = self._calls.relay(request, route, name, owner, deadline)
         else:
-            spec = StreamSpec(request, route, name, service.engine, owner, deadline)
+            spec = StreamSpec(
+                request,
+                route,
+                name,
+                service.engine,
+                owner,
+                deadline,
+                rank=account.rank_on(route) if account else route.rank,
+                is_ordered=self._waits_in_order(catalog, name),
+            )
             answering = self._streams.relay(spec)
         return await self._timed(request, route, answering)
 
+    def _waits_in_order(self, catalog: Catalog, service: str) -> bool:
+        """Return whether the streams of a service wait in order for capacity."""
+        has_priorities = len(catalog.ranks_by_service.get(service, ())) > 1
+        return has_priorities or self._context.vm_count() >= MIN_ORDERED_VMS
+
     async def _timed(
         self,
         request: CallerRequest,
--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -39,6 +39,7 @@
     request_events.SendRejected,
     request_events.CallBroken,
     request_events.RetryDenied,
+    run_events.LineLeft,
     run_events.PauseExamined,
     run_events.ChainReplaced,
     run_events.ChainNotReplaced,
--- a/src/heathershunt/logs/run_events.py
+++ b/src/heathershunt/logs/run_events.py
@@ -6,6 +6,27 @@
 from heathershunt.logs.request_events import RequestEvent
 
 
+@dataclass(frozen=True)
+class LineLeft(RequestEvent):
+    """A stream no longer waits in line for a chain with capacity.
+
+    :param outcome: ``placed`` if it has a chain with capacity, ``fallback`` if it is
+        sent to one that seems full, ``unplaced`` if there is none, ``refused`` if its
+        turn would have come too late, ``left`` if it no longer has to be sent.
+    :param rank: priority of the stream.
+    """
+
+    name: ClassVar[str] = "line_left"
+    sentence: ClassVar[str] = (
+        "{outcome} after {waited_ms} ms in line for {service} with priority {rank}"
+    )
+    outcome_field: ClassVar[str | None] = "outcome"
+    outcome: str
+    service: str
+    rank: int
+    waited_ms: int
+
+
 @dataclass(frozen=True)
 class PauseExamined(RequestEvent):
     """A stream paused, and its runners were checked for a fault.
--- a/src/heathershunt/pipelines/load.py
+++ b/src/heathershunt/pipelines/load.py
@@ -1,10 +1,11 @@
 """Load on each runner: requests of this VM, and those that the other VMs report."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.pipelines.chain import Chain
+from heathershunt.pipelines.waiting import WaitingLedger
 
 # Load received from the other VMs is used for this long; after that, each of them is
 # assumed to have the same load as this VM.
@@ -37,6 +38,9 @@
 class LoadLedger:
     """Counts the load of this VM on each runner, and keeps that of the other VMs.
 
+    :ivar waiting: streams that wait for room, here and at the other VMs.
+    :ivar on_end: called with the service of each request that ends at its runners.
+
     .. versionadded:: 0.2
     """
 
@@ -46,6 +50,8 @@
         self._by_runner: dict[str, RunnerLoad] = {}
         self._others_by_runner: Mapping[str, RunnerLoad] = {}
         self._others_received_at: Millis | None = None
+        self.waiting = WaitingLedger(clock)
+        self.on_end: Callable[[str], None] = lambda service: None
 
     def own(self) -> dict[str, RunnerLoad]:
         """Return the load of this VM by runner id."""
@@ -107,3 +113,4 @@
                 load.head_requests -= 1
             if not load.requests:
                 del self._by_runner[part.runner.id]
+        self.on_end(chain.head.service)
--- a/src/heathershunt/pipelines/load_exchange.py
+++ b/src/heathershunt/pipelines/load_exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 
 import logbook
@@ -18,9 +19,10 @@
 from heathershunt.logs import RepeatLimiter
 from heathershunt.pipelines.load import LoadLedger, RunnerLoad
 from heathershunt.pipelines.notes import PeerNotes, RunnerNote, merge_notes
+from heathershunt.pipelines.waiting import REPORT_PERIODS, WaitingKey
 from heathershunt.ratelimits import LimitDigest, LimitGuard
 from heathershunt.schema.decoding import MalformedError, brief, decode_untrusted
-from heathershunt.schema.fields import Count, SignedAmount, Text
+from heathershunt.schema.fields import MAX_COUNT, Count, SignedAmount, SignedWhole, Text
 
 log = logbook.Logger("heathershunt.pipelines")
 
@@ -33,6 +35,8 @@
 # The last load of a VM is dropped after this many periods without a new one.
 MAX_AGE_PERIODS = 3.2
 MAX_REPLY_BYTES = 1_048_576
+# Rows of a message on streams that wait; those of the highest priorities are sent.
+MAX_WAITING_ROWS = 64
 
 
 class _Row(msgspec.Struct, array_like=True):
@@ -43,17 +47,25 @@
     kv: SignedAmount
 
 
+class _WaitingRow(msgspec.Struct, array_like=True):
+    service: Text
+    rank: SignedWhole
+    streams: Count
+
+
 class _LoadMessage(msgspec.Struct, array_like=True):
     """Load and notes of one VM in a request; those of all others in a reply.
 
     :param crashes: evidence on crashes that the sender knows, from whatever VM.
     :param limits: limits of targets and demands of VMs that it knows, likewise.
+    :param waiting: streams that wait in line for capacity.
     """
 
     rows: list[_Row]
     notes: list[RunnerNote]
     crashes: CrashDigest = CrashDigest()
     limits: LimitDigest = LimitDigest()
+    waiting: list[_WaitingRow] = []
 
 
 _decode = msgspec.msgpack.Decoder(_LoadMessage).decode
@@ -89,7 +101,10 @@
 
     def others(self, vm: str) -> _LoadMessage:
         """Return the total load and the merged notes of all VMs but one."""
-        limit = self._clock.now() - MAX_AGE_PERIODS * _period_ms(self._fleet_factor())
+        now, period_ms = self._clock.now(), _period_ms(self._fleet_factor())
+        limit = now - MAX_AGE_PERIODS * period_ms
+        waiting_limit = now - REPORT_PERIODS * period_ms
+        waiting: Counter[WaitingKey] = Counter()
         total: dict[str, RunnerLoad] = {}
         notes = []
         for name, (received_at, message) in list(self._message_by_vm.items()):
@@ -98,11 +113,14 @@
             elif name != vm:
                 _add_rows(total, message.rows)
                 notes.append(message.notes)
+                if received_at >= waiting_limit:
+                    _add_waiting(waiting, message.waiting)
         return _LoadMessage(
             _rows(total),
             merge_notes(notes),
             self._guard.digest(),
             self._limits.digest(),
+            _waiting_rows(waiting),
         )
 
     async def handle(self, request: Request) -> Response:
@@ -174,6 +192,7 @@
             self._notes.own(),
             self._guard.digest(),
             self._limits.digest(),
+            _waiting_rows(self._ledger.waiting.own()),
         )
         self._aggregator.put(self._vm, message)
         for address in self._aggregators():
@@ -193,6 +212,10 @@
         if factor > 1:
             loads = {name: load.scaled(factor) for name, load in loads.items()}
         self._ledger.set_others(loads)
+        waiting: Counter[WaitingKey] = Counter()
+        _add_waiting(waiting, others.waiting)
+        scaled = {key: round(count * factor) for key, count in waiting.items()}
+        self._ledger.waiting.set_others(scaled, _period_ms(factor))
         self._notes.set_others(others.notes)
         self._guard.merge(others.crashes)
         self._limits.merge(others.limits)
@@ -245,3 +268,18 @@
         load.requests += row.requests
         load.head_requests += row.head_requests
         load.kv += row.kv
+
+
+def _waiting_rows(by_key: Mapping[WaitingKey, int]) -> list[_WaitingRow]:
+    rows = [
+        _WaitingRow(service, rank, min(count, MAX_COUNT))
+        for (service, rank), count in by_key.items()
+    ]
+    if len(rows) > MAX_WAITING_ROWS:
+        rows = sorted(rows, key=lambda row: row.rank)[:MAX_WAITING_ROWS]
+    return rows
+
+
+def _add_waiting(total: Counter[WaitingKey], rows: list[_WaitingRow]) -> None:
+    for row in rows:
+        total[row.service, row.rank] += row.streams
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -1,16 +1,24 @@
 """Choice of a chain for a stream, and the wait for free capacity."""
 
 import asyncio
+import random
 from collections.abc import Callable, Collection
 
+from heathershunt.admission import Waiter
+from heathershunt.clock import Millis
 from heathershunt.discovery import Target
+from heathershunt.logs.run_events import LineLeft
 from heathershunt.pipelines import Chain
 from heathershunt.relay.attempts import Attempts
-from heathershunt.relay.capacity import CAPACITY_POLL_MS, CapacityGate
+from heathershunt.relay.capacity import CAPACITY_POLL_MS, CapacityGate, Place
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.progress import StreamProgress
 from heathershunt.relay.spec import StreamSpec
 
+# Largest random factor on the time after which refused callers return, so that they do
+# not return together.
+RETURN_SPREAD = 1.5
+
 
 class ChainSelection:
     """Chooses chains for one stream.
@@ -46,6 +54,10 @@
         self._job = spec.job
         self.limit_wait_ms: int | None = None
         self.wait_detail = ""
+        # Streams of public routes have their turns as those of one account.
+        self._waiter = Waiter(
+            spec.account or "", spec.rank, spec.deadline, spec.job.tokens
+        )
 
     async def wait_for_chain(self) -> Chain | None:
         """Return a chain, if need be after a short wait; ``None`` if there is none.
@@ -66,8 +78,62 @@
             self.wait_detail = "all runners have the requests that they take"
             return None
         with self._capacity.counted(service):
+            if self._spec.is_ordered and not self._was_sent:
+                return await self._wait_in_line(service)
             return await self._wait_for_capacity(service)
 
+    async def _wait_in_line(self, service: str) -> Chain | None:
+        """Return a chain when the turn of this stream comes, or the fallback."""
+        line, waiter = self._capacity.line(service), self._waiter
+        wait_ms = line.wait_ms(waiter)
+        if wait_ms is not None and wait_ms > self._wait_left_ms(
+            self._timeouts.capacity_wait_ms
+        ):
+            self.wait_detail = f"its turn would come after {wait_ms:.0f} ms"
+            self._emit_line_left("refused", self._context.clock.now())
+            return None
+        joined_at = self._context.clock.now()
+        outcome = "left"
+        with line.place(waiter) as place:
+            try:
+                chain, outcome = await self._wait_for_turn(place)
+            finally:
+                self._emit_line_left(outcome, joined_at)
+        return chain
+
+    async def _wait_for_turn(self, place: Place) -> tuple[Chain | None, str]:
+        """Return a chain, if any, and how the wait ended."""
+        while not self._is_blocked() and not self._is_held_up():
+            if place.has_turn:
+                chain = self._choose(self._suspects(), needs_room=True)
+                if chain is not None:
+                    place.take()
+                    return chain, "placed"
+                place.pass_on(self._is_restricted())
+            left_ms = self._wait_left_ms(self._timeouts.capacity_wait_ms)
+            if left_ms <= 0:
+                chain = self._choose_fallback()
+                if chain is None:
+                    return None, "unplaced"
+                place.take()
+                return chain, "fallback"
+            await place.wait(min(CAPACITY_POLL_MS, left_ms))
+        return None, "left"
+
+    def _emit_line_left(self, outcome: str, joined_at: Millis) -> None:
+        """Log how a wait in line ended, unless there was none."""
+        waited_ms = self._context.clock.now() - joined_at
+        if outcome == "placed" and not waited_ms:
+            return
+        spec = self._spec
+        event = LineLeft(spec.request.id, outcome, spec.service, spec.rank, waited_ms)
+        self._context.events.emit(event)
+
+    def _is_restricted(self) -> bool:
+        """Return whether this stream may not use all runners that others may."""
+        attempts = self._attempts
+        return bool(attempts.avoided) or attempts.allowed_heads() is not None
+
     async def _wait_for_capacity(self, service: str) -> Chain | None:
         while not self._is_blocked() and not self._is_held_up():
             if self._capacity.may_search(service):
@@ -136,7 +202,14 @@
         pause_ms = availability.first_wait_ms(self._listed(), self._hold_layers)
         if pause_ms:
             return availability.retry_after_ms(pause_ms)
-        return self.limit_wait_ms or 0
+        return self.limit_wait_ms or self._return_ms()
+
+    def _return_ms(self) -> int:
+        """Return the time that what waits before this stream is expected to take."""
+        if not self._spec.is_ordered:
+            return 0
+        return_ms = self._capacity.line(self._spec.service).return_ms(self._waiter)
+        return int(return_ms * random.uniform(1, RETURN_SPREAD))
 
     def _is_held_up(self) -> bool:
         """Return whether pauses hold up the stream for longer than it may wait.
--- a/src/heathershunt/relay/spec.py
+++ b/src/heathershunt/relay/spec.py
@@ -17,6 +17,9 @@
     :param engine: engine of that service.
     :param account: name of the client account; ``None`` if the route needs no API key.
     :param deadline: time by which the stream must have ended.
+    :param rank: priority, that of the account if it has one; 0 is the highest.
+    :param is_ordered: whether the stream waits for capacity in the order of priorities
+        and accounts.
 
     .. versionadded:: 0.3
     """
@@ -27,6 +30,8 @@
     engine: Engine
     account: str | None
     deadline: Millis
+    rank: int = 0
+    is_ordered: bool = False
 
     @property
     def timeouts(self) -> StreamTimeouts:
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -132,7 +132,7 @@
             left_ms,
             self._spec.account,
             chain,
-            self._spec.route.rank,
+            self._spec.rank,
             self._progress.last_id,
         )
         context.events.emit(
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -15,7 +15,8 @@
 
     def __init__(self, context: RelayContext) -> None:
         self._context = context
-        self._capacity = CapacityGate(context.clock)
+        self._capacity = CapacityGate(context.clock, context.ledger.waiting)
+        context.ledger.on_end = self._capacity.on_run_end
 
     async def relay(self, spec: StreamSpec) -> Response | StreamResponse:
         """Return the stream once its first event has arrived, or a refusal."""
--- a/src/heathershunt/schema/fields.py
+++ b/src/heathershunt/schema/fields.py
@@ -13,13 +13,14 @@
 MAX_WHOLE = 2**53
 MAX_TEXT_CHARACTERS = 255
 MAX_LAYERS = 100_000
+MAX_COUNT = 10**9
 
 Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
 # Position in a sequence; -1 before the first one.
 Position = Annotated[int, Meta(ge=-1, le=MAX_WHOLE)]
 SignedWhole = Annotated[int, Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 # Requests or tokens that a process has at a time.
-Count = Annotated[int, Meta(ge=0, le=10**9)]
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 # Number of a layer, or of the layer after the last one.
 Layer = Annotated[int, Meta(ge=0, le=MAX_LAYERS)]
 # Version of a model's weights.
