--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -31,6 +31,7 @@
         limits=LimitGuard(clock, "vm-1", list, registry.get, print),
         availability=AvailabilityTable(clock, registry.get, print, random.Random(1)),
         vm_count=lambda: 1,
+        events=SimpleNamespace(emit=print),
     )
 
 
