Refuse invalid priorities, weights and limits with the name of their field

Priorities below 0 or above 9, the lowest that targets are told, came into force and were clamped on the way to the targets, so VMs and targets would have ordered streams differently. Limits of 0 turned all callers away, and an infinite time in the settings ended the process with a traceback. The bounds are now those of the fields' types, whose errors name the field; the configuration in force stays. The weight 0 of a service in a split stays valid: operators take a service out of the split with it. Bundles were checked already.

--- a/src/heathershunt/platform/configuration.py
+++ b/src/heathershunt/platform/configuration.py
@@ -24,8 +24,9 @@
     LongText,
     Milliseconds,
     PositiveAmount,
-    SignedAmount,
-    SignedWhole,
+    PositiveWhole,
+    Rank,
+    TimeLimit,
     Whole,
 )
 
@@ -38,7 +39,8 @@
 
 class _TrafficShare(msgspec.Struct):
     service: Label
-    weight: SignedAmount = 1.0
+    # 0 takes the service out of the split.
+    weight: Amount = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -48,7 +50,7 @@
     kind: LongText
     timeout_ms: Milliseconds
     target_latency_ms: Milliseconds = 0.0
-    priority: SignedWhole = 0
+    priority: Rank = 0
     service: Label | None = None
     # If not empty, replaces ``service``: requests are distributed by weight.
     traffic_split: list[_TrafficShare] = []
@@ -95,17 +97,17 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: Whole = 16_384
+    max_header_bytes: PositiveWhole = 16_384
     max_body_bytes: Whole = 1_048_576
-    header_timeout_ms: Milliseconds = 10_000
-    idle_timeout_ms: Milliseconds = 75_000
+    header_timeout_ms: TimeLimit = 10_000
+    idle_timeout_ms: TimeLimit = 75_000
 
 
 class _Tenant(msgspec.Struct):
     # Sent to targets in a header field.
     name: HeaderText
     api_keys: list[LongText] = []
-    priority: SignedWhole | None = None
+    priority: Rank | None = None
 
 
 class _Configuration(msgspec.Struct):
--- a/src/heathershunt/platform/headers.py
+++ b/src/heathershunt/platform/headers.py
@@ -11,7 +11,7 @@
 from heathershunt.platform.runners import encode_chain
 from heathershunt.ratelimits import decode_limit
 from heathershunt.relay import CallerRequest, Dispatch, ReplyHead
-from heathershunt.schema.fields import MAX_WHOLE
+from heathershunt.schema.fields import MAX_RANK, MAX_WHOLE
 from heathershunt.verdict import Refusal
 
 # Fields that concern one connection only (RFC 9110, section 7.6.1).
@@ -53,7 +53,6 @@
         names.PROMPT_PARTS,
     }
 )
-MAX_RANK = 9
 MAX_PART_ID_CHARACTERS = 64
 REJECTION_STATUSES = frozenset({421})
 
--- a/src/heathershunt/platform/settings.py
+++ b/src/heathershunt/platform/settings.py
@@ -9,6 +9,14 @@
 from heathershunt.gateway.config import Bounds, GatewayConfig, Listeners
 from heathershunt.http import Address
 from heathershunt.platform.names import SETTINGS_VARIABLE
+from heathershunt.schema.fields import (
+    Amount,
+    Factor,
+    Milliseconds,
+    PositiveAmount,
+    PositiveWhole,
+    TimeLimit,
+)
 
 
 class PlatformSettingsError(Exception):
@@ -25,25 +33,25 @@
 
 
 class _Bounds(msgspec.Struct):
-    grace_s: float = 8
-    config_apply_ms: float = 2000
-    revoke_ms: float = 5000
+    grace_s: Amount = 8
+    config_apply_ms: TimeLimit = 2000
+    revoke_ms: TimeLimit = 5000
     strict_revocation: bool = False
-    retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10
-    retry_budget_slack: float = 0
-    ttl_max_s: float = 5
-    stall_ms: float = 3000
-    pass_ms: float = 120
+    retry_budget_ratio: Factor = 0.2
+    budget_window_s: PositiveAmount = 10
+    retry_budget_slack: Amount = 0
+    ttl_max_s: Amount = 5
+    stall_ms: Milliseconds = 3000
+    pass_ms: Milliseconds = 120
 
 
 class _Limits(msgspec.Struct):
-    max_fds: int = 1024
+    max_fds: PositiveWhole = 1024
 
 
 class _Platform(msgspec.Struct):
     address: str
-    min_ttl_ms: float = 1000
+    min_ttl_ms: Milliseconds = 1000
 
 
 class _Settings(msgspec.Struct):
--- a/src/heathershunt/schema/fields.py
+++ b/src/heathershunt/schema/fields.py
@@ -14,13 +14,18 @@
 MAX_TEXT_CHARACTERS = 255
 MAX_LAYERS = 100_000
 MAX_COUNT = 10**9
+# Lowest priority that targets are told.
+MAX_RANK = 9
 
 Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
+PositiveWhole = Annotated[int, Meta(ge=1, le=MAX_WHOLE)]
 # Position in a sequence; -1 before the first one.
 Position = Annotated[int, Meta(ge=-1, le=MAX_WHOLE)]
 SignedWhole = Annotated[int, Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 # Requests or tokens that a process has at a time.
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+# Priority of a request; 0 is the highest.
+Rank = Annotated[int, Meta(ge=0, le=MAX_RANK)]
 # Number of a layer, or of the layer after the last one.
 Layer = Annotated[int, Meta(ge=0, le=MAX_LAYERS)]
 # Version of a model's weights.
@@ -31,6 +36,8 @@
 # A time as a multiple of the usual time.
 Factor = Annotated[float, Meta(ge=0, le=1e6)]
 Milliseconds = Annotated[float, Meta(ge=0, le=1e10)]
+# Time limit that is not over at once.
+TimeLimit = Annotated[float, Meta(ge=1, le=1e10)]
 # Age of a statement in milliseconds; clocks of two VMs may differ.
 Age = SignedWhole
 # Text that is only compared and logged.
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -70,3 +70,34 @@
 ):
     found = route("/a/", kind=kind, is_resumable=is_resumable)
     assert found.is_retryable is is_retryable
+
+
+def ranks(*routes, accounts=(), has_accounts=True):
+    found = Catalog.from_parts(1, routes, (), accounts, CallerLimits(), has_accounts)
+    return found.ranks_by_service["s"]
+
+
+@pytest.mark.parametrize(
+    ("routes", "accounts", "expected"),
+    [
+        ([route("/a/", rank=1)], [None], {1}),
+        ([route("/a/", rank=1), route("/b/", rank=2)], [None], {1, 2}),
+        ([route("/a/", rank=1)], [0], {0}),
+        ([route("/a/", rank=1)], [0, None], {0, 1}),
+        ([route("/a/", rank=1, is_public=True)], [0], {1}),
+    ],
+)
+def test_priorities_of_a_service_are_those_that_its_requests_may_have(
+    routes, accounts, expected
+):
+    accounts = [ClientAccount(f"{n}", (), rank) for n, rank in enumerate(accounts)]
+    assert ranks(*routes, accounts=accounts) == expected
+
+
+def test_priorities_without_accounts_are_those_of_the_routes():
+    assert ranks(route("/a/", rank=3), has_accounts=False) == {3}
+
+
+@pytest.mark.parametrize(("rank", "expected"), [(None, 1), (0, 0), (2, 2)])
+def test_priority_of_an_account_takes_precedence(rank, expected):
+    assert ClientAccount("a", (), rank).rank_on(route("/a/", rank=1)) == expected
--- a/tests/pipelines/test_load_exchange.py
+++ b/tests/pipelines/test_load_exchange.py
@@ -2,11 +2,12 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from heathershunt.clock import ManualClock
 from heathershunt.crashes import PartGuard
-from heathershunt.http import Address, HttpClient, HttpServer, correlated
+from heathershunt.http import Address, HttpClient, HttpServer, Request, correlated
 from heathershunt.pipelines import (
     Chain,
     ChainChooser,
@@ -20,8 +21,13 @@
     RunnerNote,
 )
 from heathershunt.pipelines.load import LOAD_MAX_AGE_MS
-from heathershunt.pipelines.load_exchange import EXCHANGE_PERIOD_MS, MAX_AGE_PERIODS
+from heathershunt.pipelines.load_exchange import (
+    EXCHANGE_PERIOD_MS,
+    MAX_AGE_PERIODS,
+    MAX_WAITING_ROWS,
+)
 from heathershunt.pipelines.notes import NOTES_MAX_AGE_MS
+from heathershunt.pipelines.waiting import REPORT_PERIODS
 from heathershunt.ratelimits import LimitGuard
 
 JOB = Job(760, 167)
@@ -200,3 +206,82 @@
     await fleet.exchange()
     fleet.clock.advance(NOTES_MAX_AGE_MS + 1)
     assert fleet.peer_notes[3].pace("r1") == 1.0
+
+
+def urgent_at(fleet, rank=2):
+    return [ledger.waiting.urgent_elsewhere("s", rank) for ledger in fleet.ledgers]
+
+
+def add_waiting(fleet, number, count, rank=0):
+    for _ in range(count):
+        fleet.ledgers[number].waiting.add("s", rank)
+
+
+async def test_each_vm_learns_what_waits_at_the_others(fleet):
+    add_waiting(fleet, 0, 2, rank=0)
+    add_waiting(fleet, 1, 3, rank=1)
+    add_waiting(fleet, 3, 9, rank=2)
+    await fleet.exchange()
+    assert urgent_at(fleet) == [3, 2, 5, 5]
+    assert urgent_at(fleet, rank=1) == [0, 2, 2, 2]
+    assert urgent_at(fleet, rank=0) == [0, 0, 0, 0]
+
+
+async def test_waiting_streams_of_a_group_are_scaled_to_a_large_fleet(fleet):
+    fleet.factor = 9.0
+    add_waiting(fleet, 0, 2)
+    await fleet.exchange()
+    assert urgent_at(fleet) == [0, 18, 18, 18]
+
+
+async def test_late_reports_count_as_if_nothing_waited(fleet):
+    # Guards against VMs that give way to a VM that is lost, frozen or cut off.
+    add_waiting(fleet, 3, 5)
+    await fleet.exchange()
+    fleet.clock.advance(REPORT_PERIODS * EXCHANGE_PERIOD_MS)
+    assert urgent_at(fleet)[1] == 5
+    fleet.clock.advance(1)
+    assert urgent_at(fleet)[1] == 0, "the reply is late"
+    for load_exchange in fleet.load_exchanges[:3]:
+        await load_exchange.run_once()
+    assert urgent_at(fleet)[1] == 0, "the report of the VM is late at the aggregator"
+
+
+async def test_waiting_streams_are_forgotten_when_they_were_placed(fleet):
+    add_waiting(fleet, 0, 1)
+    await fleet.exchange()
+    fleet.ledgers[0].waiting.remove("s", 0)
+    await fleet.exchange()
+    assert urgent_at(fleet) == [0, 0, 0, 0]
+
+
+async def test_message_of_a_vm_without_the_field_is_understood(fleet):
+    # Case: some VMs still run the version before, which reports no waiting streams.
+    aggregator = fleet.aggregators[0]
+    body = msgspec.msgpack.encode([[["r", 1, 1, 5.0]], []])
+    request = Request("POST", "/load/vm-9", {}, {}, body)
+    assert (await aggregator.handle(request)).status == 200
+    assert [row.runner for row in aggregator.others("vm-0").rows] == ["r"]
+
+
+async def test_message_is_understood_by_a_vm_without_the_field(fleet):
+    add_waiting(fleet, 1, 2)
+    await fleet.exchange()
+
+    class OldMessage(msgspec.Struct, array_like=True):
+        rows: list
+        notes: list
+
+    raw = msgspec.msgpack.encode(fleet.aggregators[0].others("vm-0"))
+    assert msgspec.msgpack.decode(raw, type=OldMessage).rows == []
+
+
+# Load pattern: many services, each with streams of all priorities waiting.
+async def test_report_of_many_services_is_bounded(fleet):
+    for service in range(100):
+        for rank in range(3):
+            fleet.ledgers[1].waiting.add(f"service-{service}", rank)
+    await fleet.exchange()
+    rows = fleet.aggregators[0].others("vm-0").waiting
+    assert len(rows) == MAX_WAITING_ROWS
+    assert {row.rank for row in rows} == {0}
--- a/tests/relay/test_lines.py
+++ b/tests/relay/test_lines.py
@@ -317,4 +317,3 @@
     vm.end_run(rooms=3)
     await vm.settle()
     assert vm.ledger.by_rank() == {0: 0, 2: 0}
-
