Hold back searches in proportion to all streams that wait, and model the line

The fraction of rounds now is that of the streams that are not more urgent among all that wait, and a stream is refused at once only if its turn is expected after 1.5 times its wait limit.

--- a/src/heathershunt/admission/line.py
+++ b/src/heathershunt/admission/line.py
@@ -7,6 +7,7 @@
 
 import math
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from heathershunt.admission.ranks import RANK_RATIO, RankedQueue
@@ -29,6 +30,8 @@
     :param looked_at: waiters that are looked at for those searches.
     :param turns_window_ms: age up to which turns count for the rate of turns.
     :param min_turns: turns from which that rate is known.
+    :param late_factor: factor by which the expected wait exceeds what a stream may wait
+        when it is refused at once. A rate of 8 turns may be wrong by a third.
     :param min_return_ms: shortest time after which refused callers may return.
     :param max_return_ms: longest such time, before the random part.
 
@@ -42,6 +45,7 @@
     looked_at: int = 16
     turns_window_ms: int = 2000
     min_turns: int = 8
+    late_factor: float = 1.5
     min_return_ms: int = 500
     max_return_ms: int = 10_000
 
@@ -146,16 +150,15 @@
             earliest = max(now, self._rested_at + self.config.min_rest_ms)
             self.next_at = Millis(min(self.next_at, earliest))
 
-    def next_turn(self, now: Millis, urgent_elsewhere: int) -> Waiter | None:
+    def next_turn(self, now: Millis, elsewhere: Mapping[int, int]) -> Waiter | None:
         """Return the stream that gets the turn now; ``None`` if none does.
 
-        :param urgent_elsewhere: streams at other VMs that are more urgent than any
-            here.
+        :param elsewhere: streams that wait at other VMs, by priority.
         """
         if self.turn is not None or not self._queue:
             return None
         if not self._is_open:
-            if now < self.next_at or not self._may_begin(now, urgent_elsewhere):
+            if now < self.next_at or not self._may_begin(now, elsewhere):
                 return None
             self._is_open = True
         self.turn = self._next_candidate()
@@ -170,6 +173,14 @@
             return None
         return self._queue.work_before(waiter, EQUAL_SHARE) * turn_ms
 
+    def is_too_late(self, waiter: Waiter, left_ms: float, now: Millis) -> bool:
+        """Return whether the turn of a stream that joins now would come too late.
+
+        :param left_ms: time for which the stream may wait.
+        """
+        wait_ms = self.wait_ms(waiter, now)
+        return wait_ms is not None and wait_ms > left_ms * self.config.late_factor
+
     def return_ms(self, waiter: Waiter, now: Millis) -> int:
         """Return the time after which the caller of a refused stream may return."""
         turn_ms = self._turn_ms(now) or self.config.rest_ms
@@ -184,14 +195,16 @@
             return None
         return max(1.0, (now - self._turns[0]) / len(self._turns))
 
-    def _may_begin(self, now: Millis, urgent_elsewhere: int) -> bool:
+    def _may_begin(self, now: Millis, elsewhere: Mapping[int, int]) -> bool:
         """Return whether a round begins, or is left to more urgent streams elsewhere.
 
         The fraction of rounds is added up, so that a low priority gets its part in any
         case.
         """
-        own = len(self._queue)
-        share = own / (own + urgent_elsewhere)
+        best = self.best_rank
+        urgent = sum(count for rank, count in elsewhere.items() if rank < best)
+        waiting = len(self._queue) + sum(elsewhere.values())
+        share = 1 - urgent / waiting
         self._credit += max(1 / self.config.rank_ratio, share)
         if self._credit >= 1:
             self._credit -= 1
--- a/src/heathershunt/pipelines/waiting.py
+++ b/src/heathershunt/pipelines/waiting.py
@@ -52,12 +52,12 @@
         self._others = others
         self._others_until = Millis(self._clock.now() + REPORT_PERIODS * period_ms)
 
-    def urgent_elsewhere(self, service: str, rank: int) -> int:
-        """Return how many streams of a higher priority wait at the other VMs."""
+    def elsewhere(self, service: str) -> dict[int, int]:
+        """Return the streams of a service that wait at the other VMs, by priority."""
         if not self._others or self._clock.now() > self._others_until:
-            return 0
-        return sum(
-            count
-            for (name, other_rank), count in self._others.items()
-            if name == service and other_rank < rank
-        )
+            return {}
+        return {
+            rank: count
+            for (name, rank), count in self._others.items()
+            if name == service
+        }
--- a/src/heathershunt/relay/capacity.py
+++ b/src/heathershunt/relay/capacity.py
@@ -104,9 +104,12 @@
         self.waiting_line.on_room(self._clock.now())
         self.advance()
 
-    def wait_ms(self, waiter: Waiter) -> float | None:
-        """Return how long a stream that joins now would wait; ``None`` if unknown."""
-        return self.waiting_line.wait_ms(waiter, self._clock.now())
+    def is_too_late(self, waiter: Waiter, left_ms: float) -> bool:
+        """Return whether the turn of a stream that joins now would come too late.
+
+        :param left_ms: time for which the stream may wait.
+        """
+        return self.waiting_line.is_too_late(waiter, left_ms, self._clock.now())
 
     def return_ms(self, waiter: Waiter) -> int:
         """Return the time after which the caller of a refused stream may return."""
@@ -115,11 +118,10 @@
     def advance(self) -> None:
         """Give the turn to the next stream if it may search now, else set the timer."""
         now = self._clock.now()
-        rank = self.waiting_line.best_rank
-        if rank is None or self.waiting_line.turn is not None:
+        if not self.waiting_line or self.waiting_line.turn is not None:
             return
-        urgent = self._ledger.urgent_elsewhere(self._service, rank)
-        waiter = self.waiting_line.next_turn(now, urgent)
+        elsewhere = self._ledger.elsewhere(self._service)
+        waiter = self.waiting_line.next_turn(now, elsewhere)
         if waiter is not None:
             self._places_by_waiter[waiter].wake()
             return
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -85,11 +85,10 @@
     async def _wait_in_line(self, service: str) -> Chain | None:
         """Return a chain when the turn of this stream comes, or the fallback."""
         line, waiter = self._capacity.line(service), self._waiter
-        wait_ms = line.wait_ms(waiter)
-        if wait_ms is not None and wait_ms > self._wait_left_ms(
-            self._timeouts.capacity_wait_ms
-        ):
-            self.wait_detail = f"its turn would come after {wait_ms:.0f} ms"
+        left_ms = self._wait_left_ms(self._timeouts.capacity_wait_ms)
+        if line.is_too_late(waiter, left_ms):
+            waiting = self._capacity.waiting(service)
+            self.wait_detail = f"its turn would come too late, {waiting} streams wait"
             self._emit_line_left("refused", self._context.clock.now())
             return None
         joined_at = self._context.clock.now()
