Give the lowest priority its eighth also while the highest waits for moments

Under overload with streams of the highest priority that wait for a moment each, the lowest priority got 1 turn for 52 of the middle one, in place of about 6: its turn was charged by the priorities that waited at that moment, 64 while all three did, and the middle one by 1 while the highest did not. Each priority now shares the turns with all lower ones together, so what lower ones get among them does not depend on it. The daemon's queue uses the same code.

Streams that found no room where another one did, or may not use all runners, are no longer reported to other VMs, which would leave them room that they cannot use.

--- a/src/heathershunt/admission/line.py
+++ b/src/heathershunt/admission/line.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -89,6 +89,7 @@
         self.held_rounds = 0
         self._is_open = False
         self._tried: set[Waiter] = set()
+        self._stuck: set[Waiter] = set()
         # Size from which a stream without restrictions found no chain in this round.
         self._hopeless_size = math.inf
         self._has_new_room = False
@@ -110,6 +111,14 @@
         """Return the highest priority that waits; ``None`` if none does."""
         return min(self._queue.counts(), default=None)
 
+    def stuck(self) -> Counter[int]:
+        """Return how many wait for a reason of their own, by priority.
+
+        There was room that they could not use, so room that others leave to them would
+        stay unused.
+        """
+        return Counter(waiter.rank for waiter in self._stuck)
+
     def join(self, waiter: Waiter) -> None:
         """Add a stream."""
         self._queue.add(waiter, EQUAL_SHARE, ready=True)
@@ -123,6 +132,7 @@
         """Remove a stream that has a chain, and charge its account with a turn."""
         self._queue.take(waiter, EQUAL_SHARE)
         if self.turn is waiter:
+            self._stuck |= self._tried
             self._turns.append(now)
             # Each turn counts as a round when rounds are held back for other VMs. Those
             # that searched in this round are left out of the next: there is less room.
@@ -139,7 +149,9 @@
             return
         self.turn = None
         self._tried.add(waiter)
-        if not is_restricted:
+        if is_restricted:
+            self._stuck.add(waiter)
+        else:
             self._hopeless_size = min(self._hopeless_size, waiter.size)
 
     def on_room(self, now: Millis) -> None:
@@ -234,6 +246,7 @@
 
     def _on_gone(self, waiter: Waiter) -> None:
         self._tried.discard(waiter)
+        self._stuck.discard(waiter)
         if self.turn is waiter:
             self.turn = None
         if not self._queue:
--- a/src/heathershunt/admission/ranks.py
+++ b/src/heathershunt/admission/ranks.py
@@ -1,6 +1,13 @@
-"""Order of what waits: priorities by weight, and accounts within a priority."""
+"""Order of what waits: priorities by weight, and accounts within a priority.
 
-from collections.abc import Callable
+Each priority shares the turns with all lower ones together, by start-time fair queueing
+of these two. So what a priority gets of the turns that a higher one leaves does not
+depend on whether that one waits at the moment.
+"""
+
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from copy import copy
 from dataclasses import dataclass, field
 from typing import Any, Generic, Protocol, TypeVar
 
@@ -27,15 +34,46 @@
 T = TypeVar("T", bound=Ranked)
 
 
-@dataclass(eq=False, slots=True)
-class _Rank(Generic[T]):
-    """Waiting items of one priority.
+@dataclass(slots=True)
+class _Division:
+    """Division of the turns between a priority and all lower ones together.
 
-    :param finish: finish tag of the last item that was taken, in virtual time.
+    :param own_finish: finish tag of the last item of the priority, in virtual time.
+    :param lower_finish: the same for the last item of a lower one.
     """
 
+    virtual_time: float = 0.0
+    own_finish: float = 0.0
+    lower_finish: float = 0.0
+
+    @property
+    def is_own_first(self) -> bool:
+        """Return whether the priority has its turn before the lower ones."""
+        return max(self.virtual_time, self.own_finish) <= max(
+            self.virtual_time, self.lower_finish
+        )
+
+    def charge_own(self, size: float, is_first: bool) -> None:
+        """Charge the priority; virtual time advances if the item was the first one."""
+        start = max(self.virtual_time, self.own_finish)
+        self.own_finish = start + size
+        if is_first:
+            self.virtual_time = start
+
+    def charge_lower(self, size: float, is_first: bool) -> None:
+        """Charge the lower priorities, likewise."""
+        start = max(self.virtual_time, self.lower_finish)
+        self.lower_finish = start + size
+        if is_first:
+            self.virtual_time = start
+
+
+@dataclass(eq=False, slots=True)
+class _Rank(Generic[T]):
+    """Waiting items of one priority."""
+
     queue: FairQueue[T]
-    finish: float = 0.0
+    division: _Division = field(default_factory=_Division)
     count: int = 0
     share: float = 0.0
     cost_by_account: dict[str, float] = field(default_factory=dict)
@@ -59,7 +97,6 @@
         self._ratio = ratio
         self._order = order
         self._ranks_by_number: dict[int, _Rank[T]] = {}
-        self._virtual_time = 0.0
         self._count = 0
         self._cost = 0.0
 
@@ -106,14 +143,15 @@
         :param ready: whether the account of this name may be served; an account that
             may not is skipped until the next ``activate``.
         """
-        best: tuple[float, int] | None = None
-        for number, rank in self._ranks_by_number.items():
-            if rank.count and rank.queue.peek(ready) is not None:
-                choice = (max(self._virtual_time, rank.finish), number)
-                best = choice if best is None else min(best, choice)
-        if best is None:
+        eligible = sorted(
+            number
+            for number, rank in self._ranks_by_number.items()
+            if rank.count and rank.queue.peek(ready) is not None
+        )
+        if not eligible:
             return None
-        return self._ranks_by_number[best[1]].queue.peek(ready)[1]
+        number = _next_rank(eligible, self._divisions())
+        return self._ranks_by_number[number].queue.peek(ready)[1]
 
     def pop(self, item: T, share: float) -> None:
         """Remove the item that ``peek`` returned, and charge its account.
@@ -121,11 +159,8 @@
         :param share: weight of its account.
         """
         rank = self._ranks_by_number[item.rank]
-        start = max(self._virtual_time, rank.finish)
-        weight = self._weight(item.rank)
         rank.queue.pop(item.cost / share)
-        self._virtual_time = start
-        rank.finish = start + item.cost / weight
+        self._charge(self._divisions(), item, is_first=True)
         self._subtract(item, rank)
 
     def first(self, count: int) -> list[T]:
@@ -133,17 +168,24 @@
 
         :param count: most items to return.
         """
-        found = []
-        for number, rank in self._ranks_by_number.items():
-            if not rank.count:
-                continue
-            weight = self._weight(number)
-            start = max(self._virtual_time, rank.finish)
-            for _, item in rank.queue.first(count, lambda item: item.cost):
-                found.append((start, number, item))
-                start += item.cost / weight
-        found.sort(key=lambda entry: entry[:2])
-        return [item for _, _, item in found[:count]]
+        items_by_rank = {
+            number: deque(
+                item for _, item in rank.queue.first(count, lambda item: item.cost)
+            )
+            for number, rank in sorted(self._ranks_by_number.items())
+            if rank.count
+        }
+        # The turns are played on a copy.
+        divisions = {n: copy(division) for n, division in self._divisions().items()}
+        found: list[T] = []
+        while len(found) < count:
+            waiting = [number for number, items in items_by_rank.items() if items]
+            if not waiting:
+                break
+            item = items_by_rank[_next_rank(waiting, divisions)].popleft()
+            self._charge(divisions, item, is_first=True)
+            found.append(item)
+        return found
 
     def take(self, item: T, share: float) -> None:
         """Remove an item that may not be the next one, and charge its account.
@@ -154,10 +196,9 @@
             self.pop(item, share)
             return
         rank = self._ranks_by_number[item.rank]
-        weight = self._weight(item.rank)
         rank.queue.take(item.account, item, item.cost / share)
         # Virtual time stays where it is, as the items before this one still wait.
-        rank.finish = max(self._virtual_time, rank.finish) + item.cost / weight
+        self._charge(self._divisions(), item, is_first=False)
         self._subtract(item, rank)
 
     def remove(self, item: T) -> None:
@@ -201,11 +242,24 @@
         weights = [self._ratio**-above for above in range(len(active))]
         return weights[active.index(number)] / sum(weights)
 
-    def _weight(self, number: int) -> float:
-        above = sum(
-            1 for n, rank in self._ranks_by_number.items() if rank.count and n < number
-        )
-        return self._ratio**-above
+    def _divisions(self) -> dict[int, _Division]:
+        return {n: rank.division for n, rank in self._ranks_by_number.items()}
+
+    def _charge(
+        self, divisions: Mapping[int, _Division], item: T, is_first: bool
+    ) -> None:
+        """Charge an item that still counts as waiting in all divisions it belongs to.
+
+        :param is_first: whether it was the next one, so that virtual time advances.
+        """
+        waiting = self.counts()
+        for number, division in divisions.items():
+            if number == item.rank:
+                division.charge_own(item.cost, is_first)
+            elif number < item.rank:
+                lower = sum(1 for other in waiting if other > number)
+                weight = sum(self._ratio**-below for below in range(1, lower + 1))
+                division.charge_lower(item.cost / weight, is_first)
 
     def _subtract(self, item: T, rank: _Rank[T]) -> None:
         """Subtract an item that was removed from its fair queue from all counts."""
@@ -219,3 +273,14 @@
             rank.share -= rank.share_by_account.pop(item.account)
         if not self._count:
             self._cost = 0.0
+
+
+def _next_rank(waiting: Sequence[int], divisions: Mapping[int, _Division]) -> int:
+    """Return the priority that has the next turn.
+
+    :param waiting: priorities that wait, the highest first.
+    """
+    for number in waiting[:-1]:
+        if divisions[number].is_own_first:
+            return number
+    return waiting[-1]
--- a/src/heathershunt/pipelines/waiting.py
+++ b/src/heathershunt/pipelines/waiting.py
@@ -22,6 +22,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._own: Counter[WaitingKey] = Counter()
+        self._stuck_by_service: dict[str, Mapping[int, int]] = {}
         self._others: Mapping[WaitingKey, int] = {}
         self._others_until = Millis(0)
 
@@ -33,9 +34,21 @@
         """Undo :meth:`add` with the same arguments."""
         self._own[service, rank] -= 1
 
+    def set_stuck(self, service: str, by_rank: Mapping[int, int]) -> None:
+        """Replace the streams of a service that wait for a reason of their own.
+
+        Other VMs are not told of them, as they cannot use the room that is there.
+        """
+        self._stuck_by_service[service] = by_rank
+
     def own(self) -> dict[WaitingKey, int]:
-        """Return the streams that wait at this VM."""
-        return {key: count for key, count in self._own.items() if count}
+        """Return the streams at this VM that wait for room."""
+        left_by_key = {
+            (service, rank): count
+            - self._stuck_by_service.get(service, {}).get(rank, 0)
+            for (service, rank), count in self._own.items()
+        }
+        return {key: count for key, count in left_by_key.items() if count > 0}
 
     def by_rank(self) -> dict[int, int]:
         """Return the streams at this VM by priority, also 0 if some waited before."""
--- a/src/heathershunt/relay/capacity.py
+++ b/src/heathershunt/relay/capacity.py
@@ -17,6 +17,7 @@
     """Place of one stream in the line of its service.
 
     :ivar is_taken: whether the stream has a chain and no longer waits.
+    :ivar has_waited: whether the stream waited at all.
 
     .. versionadded:: 0.10
     """
@@ -25,6 +26,7 @@
         self._line = line
         self.waiter = waiter
         self.is_taken = False
+        self.has_waited = False
         self._woken = asyncio.Event()
 
     @property
@@ -43,6 +45,7 @@
         """
         self._woken.clear()
         self._line.waiting_line.pass_on(self.waiter, is_restricted)
+        self._line.report_stuck()
         self._line.advance()
 
     def take(self) -> None:
@@ -53,6 +56,7 @@
         """Wait for the turn, at most ``limit_ms``."""
         if self.has_turn:
             return
+        self.has_waited = True
         self._woken.clear()
         try:
             async with asyncio.timeout(limit_ms / 1000):
@@ -97,8 +101,13 @@
                 self.waiting_line.take(waiter, self._clock.now())
             else:
                 self.waiting_line.leave(waiter)
+            self.report_stuck()
             self.advance()
 
+    def report_stuck(self) -> None:
+        """Leave the streams that wait for a reason of their own out of the reports."""
+        self._ledger.set_stuck(self._service, self.waiting_line.stuck())
+
     def on_run_end(self) -> None:
         """Let a stream search, as a run has ended and there may be room."""
         self.waiting_line.on_room(self._clock.now())
--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -97,7 +97,8 @@
             try:
                 chain, outcome = await self._wait_for_turn(place)
             finally:
-                self._emit_line_left(outcome, joined_at)
+                if place.has_waited or outcome != "placed":
+                    self._emit_line_left(outcome, joined_at)
         return chain
 
     async def _wait_for_turn(self, place: Place) -> tuple[Chain | None, str]:
@@ -120,10 +121,8 @@
         return None, "left"
 
     def _emit_line_left(self, outcome: str, joined_at: Millis) -> None:
-        """Log how a wait in line ended, unless there was none."""
+        """Log how a wait in line ended."""
         waited_ms = self._context.clock.now() - joined_at
-        if outcome == "placed" and not waited_ms:
-            return
         spec = self._spec
         event = LineLeft(spec.request.id, outcome, spec.service, spec.rank, waited_ms)
         self._context.events.emit(event)
--- a/tests/admission/test_line.py
+++ b/tests/admission/test_line.py
@@ -155,6 +155,26 @@
     assert search_in_vain(line, CONFIG.rest_ms) == [big], "it keeps its place"
 
 
+# Guards against VMs that leave room to a stream which cannot use it.
+def test_stream_that_could_not_use_the_room_is_stuck(line):
+    big, small = join(line, waiter(rank=1, size=9000), waiter(rank=1, size=100))
+    assert line.next_turn(0, NOBODY) is big
+    line.pass_on(big, is_restricted=False)
+    assert line.stuck() == {}, "there may be no room for anyone"
+    assert line.next_turn(0, NOBODY) is small
+    line.take(small, 0)
+    assert line.stuck() == {1: 1}
+    line.leave(big)
+    assert line.stuck() == {}
+
+
+def test_stream_that_may_use_few_runners_is_stuck(line):
+    (item,) = join(line, waiter(rank=2))
+    line.next_turn(0, NOBODY)
+    line.pass_on(item, is_restricted=True)
+    assert line.stuck() == {2: 1}
+
+
 def test_others_are_tried_when_the_head_may_use_few_runners(line):
     head, other = join(line, waiter(), waiter())
     assert line.next_turn(0, NOBODY) is head
--- a/tests/relay/test_lines.py
+++ b/tests/relay/test_lines.py
@@ -235,6 +235,8 @@
     vm.end_run(rooms=2)
     await vm.settle()
     assert vm.names == ["small-0", "small-1"]
+    assert vm.ledger.own() == {}, "no other VM leaves room to the big one"
+    assert vm.ledger.by_rank() == {0: 1}
 
 
 async def test_stream_behind_one_that_may_use_no_runner_is_placed(vm, context):
@@ -317,3 +319,24 @@
     vm.end_run(rooms=3)
     await vm.settle()
     assert vm.ledger.by_rank() == {0: 0, 2: 0}
+
+
+# Load pattern: for 0.8 s, streams of three priorities and of a large and some small
+# accounts arrive at 1.5 times the rate at which runs end.
+async def test_no_priority_and_no_small_account_is_starved_under_overload(vm):
+    vm.rooms.full = None
+    offered = Counter()
+    for number in range(161):
+        rank, account = number % 3, "large" if number % 4 else f"small-{number % 5}"
+        name = f"{rank}/{account.split('-')[0]}/{number}"
+        offered.update(name.split("/")[:2])
+        await vm.begin(name, rank=rank, account=account)
+        if number % 3:
+            vm.end_run(rooms=1)
+        await asyncio.sleep(0.005)
+    await asyncio.gather(*vm.tasks)
+    placed = Counter(part for name in vm.names for part in name.split("/")[:2])
+    share = {key: placed[key] / offered[key] for key in offered}
+    assert share["0"] == 1
+    assert share["0"] >= share["1"] > share["2"] > 0.05, share
+    assert share["small"] >= share["large"], share
