--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -257,6 +257,7 @@
             leaving_targets=lambda: self.availability.leaving_count,
             paused_targets=lambda: self.availability.paused_count,
             is_cut_off=lambda: self.links.is_cut_off,
+            waiting_by_rank=ledger.waiting.by_rank,
         )
         self.servers = GatewayServers(
             clock,
--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -40,6 +40,9 @@
 ANSWER_MARGIN_MS = 20
 # First status that is no success.
 REDIRECTION = 300
+# Size of a fleet from which streams wait for capacity in order. The order also keeps
+# large accounts from crowding out small ones, which polling does not.
+MIN_ORDERED_VMS = 16
 STOPPING = not_run(
     UNAVAILABLE, "Unavailable", "the VM is about to stop", STOPPING_RETRY_AFTER_MS
 )
@@ -61,8 +64,8 @@
     @property
     def rank(self) -> int:
         """Return the priority of the request; 0 is the highest."""
-        rank = self.account.rank if self.account else None
-        return self.route.rank if rank is None else rank
+        account, route = self.account, self.route
+        return account.rank_on(route) if account else route.rank
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +74,8 @@
 
     :param account: name of the client account; ``None`` on public routes.
     :param deadline: time by which the caller must have the answer.
+    :param rank: priority; 0 is the highest.
+    :param is_ordered: whether it waits for capacity in the order of priorities.
     """
 
     request: CallerRequest
@@ -78,6 +83,8 @@
     service: Service
     account: str | None
     deadline: Millis
+    rank: int
+    is_ordered: bool
 
 
 class RequestHandler:
@@ -246,7 +253,15 @@
             parts=request.prompt_parts,
         )
         self._context.events.emit(event)
-        return _AdmittedRequest(request, route, service, owner, deadline)
+        return _AdmittedRequest(
+            request,
+            route,
+            service,
+            owner,
+            deadline,
+            rank=admission.rank,
+            is_ordered=self._waits_in_order(catalog, name),
+        )
 
     async def _serve(self, admission: _AdmittedRequest) -> Response | StreamResponse:
         """Return the answer of a target, reached through another VM if need be."""
@@ -271,7 +286,15 @@
                 request, route, service.name, account, deadline, earlier, fallback
             )
         spec = StreamSpec(
-            request, route, service.name, service.engine, account, deadline, earlier
+            request,
+            route,
+            service.name,
+            service.engine,
+            account,
+            deadline,
+            earlier,
+            admission.rank,
+            admission.is_ordered,
         )
         return await self.streams.relay(spec, fallback)
 
@@ -305,6 +328,11 @@
         )
         return await self._forwarder.forward(spec)
 
+    def _waits_in_order(self, catalog: Catalog, service: str) -> bool:
+        """Return whether the streams of a service wait in order for capacity."""
+        has_priorities = len(catalog.ranks_by_service.get(service, ())) > 1
+        return has_priorities or self._context.vm_count() >= MIN_ORDERED_VMS
+
     async def _timed(
         self,
         admission: _AdmittedRequest,
--- a/src/heathershunt/relay/spec.py
+++ b/src/heathershunt/relay/spec.py
@@ -19,6 +19,9 @@
     :param account: name of the client account; ``None`` if the route needs no API key.
     :param deadline: time by which the stream must have ended.
     :param earlier: sends of the stream by other VMs.
+    :param rank: priority, that of the account if it has one; 0 is the highest.
+    :param is_ordered: whether the stream waits for capacity in the order of priorities
+        and accounts.
 
     .. versionadded:: 0.3
     """
@@ -30,6 +33,8 @@
     account: str | None
     deadline: Millis
     earlier: EarlierSends = NO_SENDS
+    rank: int = 0
+    is_ordered: bool = False
 
     @property
     def timeouts(self) -> StreamTimeouts:
--- a/src/heathershunt/relay/streams.py
+++ b/src/heathershunt/relay/streams.py
@@ -16,7 +16,8 @@
 
     def __init__(self, context: RelayContext) -> None:
         self._context = context
-        self._capacity = CapacityGate(context.clock)
+        self._capacity = CapacityGate(context.clock, context.ledger.waiting)
+        context.ledger.on_end = self._capacity.on_run_end
 
     def waiting(self, service: str) -> int:
         """Return how many streams of a service wait for a chain.
