Spread the requests of large fleets over unequal runners

Callers saw retries and refusals although the fleet had capacity: all VMs filled the fastest runners by the same old report, so that these rejected 172 sends per 1,000 requests (71 VMs, reports 1 s old) and 1,038 in the first second after a restart of all VMs.

In fleets of 16 VMs or more the cost of a runner now grows with the part of its KV cache in use, how much this counts is drawn for each request, and a report counts less the older it is: what the others have on a runner then approaches the load at which all runners in use cost the same. Drawing one weight for a request, and not only a factor for each runner, keeps the parts of a chain alike, so that a fast runner is not held up by a slow one. A rejection counts as a report that the runner was full, and other VMs learn of it with the notes. New runners take part in a share of the choices that grows over 1 s.

--- a/measure/_load_fleet.py
+++ b/measure/_load_fleet.py
@@ -29,7 +29,8 @@
     PaceTracker,
     plan_layout,
 )
-from heathershunt.pipelines.chooser import HOP_MS, kv_capacity
+from heathershunt.pipelines.chooser import HOP_MS
+from heathershunt.pipelines.estimates import kv_capacity
 from heathershunt.pipelines.load import RunnerLoad
 
 SLOTS = 96
--- a/measure/even_load.py
+++ b/measure/even_load.py
@@ -17,6 +17,7 @@
 STEADY_WARMUP_MS = 4000
 # Requests of the first second after a restart.
 RESTART = [551]
+ORACLE_START_S = 2
 SEED = 1
 
 
@@ -43,6 +44,10 @@
     """Return the figures of one run."""
     rates = RESTART if is_restart else STEADY
     warmup_ms = 0 if is_restart else STEADY_WARMUP_MS
+    if has_oracle:
+        # A ledger is not reliable in its first moments.
+        rates = [0] * ORACLE_START_S + rates
+        warmup_ms += 1000 * ORACLE_START_S
     return LoadFleet(vms, report_ms, has_oracle, rates, warmup_ms, SEED).run()
 
 
--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -32,7 +32,7 @@
 )
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory
 from heathershunt.gateway.exchanges import PeerExchanges
-from heathershunt.gateway.gauges import add_gauges
+from heathershunt.gateway.gauges import add_gauges, add_load_gauges
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.ports import Ports
 from heathershunt.gateway.request_handler import RequestHandler
@@ -176,7 +176,7 @@
             lambda: state.leader,
             events.emit,
         )
-        ledger = LoadLedger(clock)
+        self._ledger = ledger = LoadLedger(clock)
         self._paces = paces = PaceTracker(clock, events.emit, notes)
         self._exchanges = PeerExchanges(
             http,
@@ -247,6 +247,7 @@
             leaving_targets=lambda: self.availability.leaving_count,
             paused_targets=lambda: self.availability.paused_count,
         )
+        add_load_gauges(self.metrics, ledger, self.relay_context.chooser)
         self.servers = GatewayServers(
             clock,
             ports.decoder,
@@ -374,7 +375,8 @@
 
     def _notes_for_peers(self) -> list[RunnerNote]:
         """Return the notes on runners that this VM sends to its peers."""
-        return self._paces.notes() + self.suspects.notes()
+        rejected = self._ledger.rejections.notes()
+        return self._paces.notes() + self.suspects.notes() + rejected
 
     def _member_value(self) -> tuple[str, bytes] | None:
         if not self.directory.accepts_callers:
--- a/src/heathershunt/gateway/gauges.py
+++ b/src/heathershunt/gateway/gauges.py
@@ -4,6 +4,7 @@
 
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.state import SiteState
+from heathershunt.pipelines import ChainChooser, LoadLedger
 
 
 def add_gauges(
@@ -64,3 +65,37 @@
         ),
     ):
         metrics.add_gauge(name, doc, read)
+
+
+def add_load_gauges(
+    metrics: GatewayMetrics, ledger: LoadLedger, chooser: ChainChooser
+) -> None:
+    """Add the gauges that show how evenly the runners are used.
+
+    :param ledger: load of all VMs on each runner, and recent rejections.
+    :param chooser: has the use of the runners as of its last choice.
+    """
+    candidates = chooser.candidates
+    for name, doc, read in (
+        (
+            "mean_runner_use",
+            "part of all KV caches in use, as of the last choice of a chain",
+            lambda: candidates.mean_use,
+        ),
+        (
+            "largest_runner_use",
+            "part of the KV cache in use at the fullest runner, likewise",
+            lambda: candidates.largest_use,
+        ),
+        (
+            "full_runners",
+            "runners that rejected a request as full and count as such",
+            lambda: len(ledger.rejections),
+        ),
+        (
+            "load_age_ms",
+            "mean age of the load of the other VMs, if it is used",
+            lambda: ledger.report_age_ms,
+        ),
+    ):
+        metrics.add_gauge(name, doc, read)
--- a/src/heathershunt/pipelines/__init__.py
+++ b/src/heathershunt/pipelines/__init__.py
@@ -1,7 +1,8 @@
 """Chains of runners that hold ranges of layers: choice, load and placement."""
 
 from heathershunt.pipelines.chain import Chain, ChainPart
-from heathershunt.pipelines.chooser import ChainChooser, Job
+from heathershunt.pipelines.chooser import ChainChooser
+from heathershunt.pipelines.estimates import Job
 from heathershunt.pipelines.layout import LayoutConfig, Placement, plan_layout
 from heathershunt.pipelines.load import LoadLedger
 from heathershunt.pipelines.load_exchange import LOAD_PATH, LoadAggregator, LoadExchange
--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -2,13 +2,15 @@
 
 import random
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
 from itertools import groupby
 
 from heathershunt.catalog import Engine
 from heathershunt.discovery import Target
+from heathershunt.pipelines.candidates import ANY_HEAD, CandidateMaker, Heads
 from heathershunt.pipelines.chain import Chain, ChainPart
-from heathershunt.pipelines.load import LoadLedger, RunnerLoad
+from heathershunt.pipelines.estimates import Job
+from heathershunt.pipelines.load import LoadLedger
+from heathershunt.pipelines.newcomers import Newcomers
 from heathershunt.pipelines.notes import USUAL_PACE
 from heathershunt.pipelines.pace import PaceTracker
 from heathershunt.pipelines.search import (
@@ -25,13 +27,12 @@
 # Extra time of a hop to another failure domain, for each token: the network delay, and
 # the wait for a link that all chains share and that the transfer of prompts blocks.
 CROSS_DOMAIN_MS = 25.0
-# Share of a runner's KV cache that is kept free.
-MIN_FREE_KV_FRACTION = 0.05
 # Largest random factor on the cost of a runner that may replace a dead one.
 REPLACEMENT_JITTER = 1.5
-# From this number of VMs on, a request searches DOMAINS_TRIED random domains first. So
-# many VMs with the same view of the load would all choose one domain until the next
-# exchange of loads. A small fleet sends few requests between two exchanges.
+# From this number of VMs on, requests are spread (``spread.py``) and search
+# DOMAINS_TRIED random domains first. So many VMs with the same view of the load would
+# all choose one domain, and the same runners in it, until the next exchange of loads. A
+# small fleet sends few requests between two exchanges.
 LARGE_FLEET_VMS = 16
 # Number of runners that indicates so many VMs: a VM that has just started does not have
 # the other VMs in its list yet.
@@ -40,7 +41,7 @@
 # The same while the load of the other VMs is stale or incomplete, as after a restart of
 # all VMs at once.
 DOMAINS_TRIED_STALE_LOAD = 1
-# Largest random factor on the cost of each runner in that case.
+# Largest random factor on the cost of each runner in that case, in a small fleet.
 STALE_LOAD_JITTER = 1.5
 # Runners of each domain that a search considers first. More would hardly give a better
 # chain, and the time of the search grows with their number.
@@ -51,43 +52,12 @@
 Found = tuple[float, Chain] | None
 
 
-@dataclass(frozen=True, slots=True)
-class Job:
-    """Size of a request, for estimates of its time and its KV cache.
-
-    :param prompt_tokens: tokens of the prompt.
-    :param answer_tokens: expected number of output tokens.
-
-    .. versionadded:: 0.2
-    """
-
-    prompt_tokens: float
-    answer_tokens: float
-
-    @property
-    def tokens(self) -> float:
-        """Return the tokens in the KV cache at the end of the request."""
-        return self.prompt_tokens + self.answer_tokens
-
-
-@dataclass(frozen=True, slots=True)
-class _Heads:
-    """Ids of the runners that may come first in a chain, ``None`` for all but some."""
-
-    allowed: Collection[str] | None = None
-    barred: Collection[str] = ()
-
-    def may_be_first(self, runner: Target) -> bool:
-        if self.allowed is not None:
-            return runner.id in self.allowed
-        return runner.id not in self.barred
-
-
 class ChainChooser:
     """Finds the chains with the least estimated time.
 
     :param ledger: load of all VMs on each runner.
     :param paces: how slow each runner is now.
+    :ivar candidates: makes the candidates of a search.
 
     .. versionadded:: 0.2
     """
@@ -95,6 +65,8 @@
     def __init__(self, ledger: LoadLedger, paces: PaceTracker) -> None:
         self._ledger = ledger
         self._paces = paces
+        self.candidates = CandidateMaker(ledger, paces)
+        self._newcomers = Newcomers(ledger.clock)
 
     def has_layers(
         self, engine: Engine, runners: Iterable[Target], avoided: Collection[str] = ()
@@ -136,8 +108,12 @@
         if heads is not None and all(runner.id not in heads for runner in usable):
             return None
         terms = SearchTerms(engine.layers, *_hop_costs(job), head, needs_room)
-        sampled = _sample_each_domain(usable, set(heads or ()))
-        allowed = _Heads(heads, barred_heads)
+        needed = set(heads or ())
+        sampled = _sample_each_domain(usable, needed)
+        if self._is_spread(vms, len(usable)):
+            service = usable[0].service if usable else ""
+            sampled = self._newcomers.thinned(service, runners, sampled, needed)
+        allowed = Heads(heads, barred_heads)
         found = self._search(engine, sampled, job, vms, allowed, terms)
         if _lacks_room(found) and len(sampled) < len(usable):
             found = self._search(engine, usable, job, vms, allowed, terms)
@@ -201,7 +177,7 @@
             first, last = max(start, runner.held.first), min(end, runner.held.end)
             if first >= last:
                 continue
-            item = self._candidate(engine, runner, job, vms, _Heads())
+            item = self.candidates.by_time(engine, runner, job, vms, ANY_HEAD)
             item.first, item.end = first - start, last - start
             item.has_slot = True
             candidates.append(item)
@@ -227,24 +203,27 @@
         usable: list[Target],
         job: Job,
         vms: int,
-        heads: "_Heads",
+        heads: Heads,
         terms: SearchTerms,
     ) -> Found:
         """Return the cheapest chain inside a domain, or over several where needed."""
-        candidates = [
-            self._candidate(engine, runner, job, vms, heads)
-            for runner in usable
-            if runner.held.first < engine.layers
-        ]
+        holders = [item for item in usable if item.held.first < engine.layers]
+        is_spread = self._is_spread(vms, len(holders))
+        if is_spread:
+            candidates = self.candidates.spread(engine, holders, job, vms, heads)
+        else:
+            candidates = [
+                self.candidates.by_time(engine, runner, job, vms, heads)
+                for runner in holders
+            ]
+            if self._risks_herding(len(holders)):
+                _add_jitter(candidates, STALE_LOAD_JITTER)
         by_domain: dict[str, list[Candidate]] = {}
         for candidate in candidates:
             by_domain.setdefault(candidate.runner.domain, []).append(candidate)
         complete = [c for c in by_domain.values() if _can_form_chain(c, terms)]
         random.shuffle(complete)
-        tried = DOMAINS_TRIED if vms >= LARGE_FLEET_VMS else len(complete)
-        if self._risks_herding(vms, len(candidates)):
-            tried = DOMAINS_TRIED_STALE_LOAD
-            _add_jitter(candidates, STALE_LOAD_JITTER)
+        tried = self._domains_tried(is_spread, len(holders)) or len(complete)
         found = _cheapest_of(complete[:tried], terms)
         if _lacks_room(found):
             found = _cheaper(found, _cheapest_of(complete[tried:], terms))
@@ -255,10 +234,23 @@
             found = _cheaper(found, find_cheapest(candidates, terms))
         return found
 
-    def _risks_herding(self, vms: int, runners: int) -> bool:
-        """Return whether many VMs may choose now without the load of the others."""
-        is_large = vms >= LARGE_FLEET_VMS or runners >= LARGE_FLEET_RUNNERS
-        return is_large and not self._ledger.is_reliable
+    def _is_spread(self, vms: int, runners: int) -> bool:
+        """Return whether so many VMs share the runners that requests are spread."""
+        if vms >= LARGE_FLEET_VMS:
+            return True
+        return runners >= LARGE_FLEET_RUNNERS and self._ledger.is_starting
+
+    def _risks_herding(self, runners: int) -> bool:
+        """Return whether several VMs may choose now without the load of the others."""
+        return runners >= LARGE_FLEET_RUNNERS and not self._ledger.is_reliable
+
+    def _domains_tried(self, is_spread: bool, runners: int) -> int | None:
+        """Return how many domains a request searches first; ``None`` for all."""
+        if self._risks_herding(runners):
+            return DOMAINS_TRIED_STALE_LOAD
+        if not is_spread:
+            return None
+        return DOMAINS_TRIED if self._ledger.is_reliable else DOMAINS_TRIED_STALE_LOAD
 
     def _has_slow_runner(self, found: Found) -> bool:
         if found is None:
@@ -267,42 +259,6 @@
             self._paces.pace(part.runner.id) > USUAL_PACE for part in found[1].parts
         )
 
-    def _candidate(
-        self,
-        engine: Engine,
-        runner: Target,
-        job: Job,
-        vms: int,
-        heads: "_Heads",
-    ) -> Candidate:
-        load = self._ledger.total(runner.id, vms)
-        free = kv_capacity(engine, runner) * (1 - MIN_FREE_KV_FRACTION) - load.kv
-        return Candidate(
-            runner,
-            runner.held.first,
-            min(runner.held.end, engine.layers),
-            self._request_ms(engine, runner, job, load) / engine.layers,
-            free / max(1.0, job.tokens),
-            heads.may_be_first(runner),
-            load.head_requests < runner.slots,
-        )
-
-    def _request_ms(
-        self, engine: Engine, runner: Target, job: Job, load: RunnerLoad
-    ) -> float:
-        """Return the estimated time of the request if this runner had all layers."""
-        kind = engine.kinds_by_name.get(runner.kind)
-        pace = kind.pace if kind else 1.0
-        prefill_factor = kind.prefill_factor if kind else 1.0
-        running = load.requests
-        context = engine.context_ms * job.tokens / 1000
-        step_ms = engine.step_ms + (running + 1) * (engine.sequence_ms + context)
-        prefill_ms = prefill_factor * job.prompt_tokens / engine.prefill_tokens_per_ms
-        # Running requests prefill too, each once, spread over its output tokens.
-        prefill_share_ms = prefill_ms * running / max(1.0, job.answer_tokens)
-        usual_ms = prefill_ms + job.answer_tokens * (pace * step_ms + prefill_share_ms)
-        return usual_ms * self._paces.pace(runner.id)
-
 
 def _add_jitter(candidates: Iterable[Candidate], max_factor: float) -> None:
     """Multiply the cost of each runner by a random factor of at least 1.
@@ -372,15 +328,3 @@
     random.shuffle(drawn)
     ids = {runner.id for runner in drawn}
     return drawn + [r for r in runners if r.id in needed and r.id not in ids]
-
-
-def kv_capacity(engine: Engine, runner: Target) -> float:
-    """Return the KV cache size of a runner in tokens times layers.
-
-    It is infinite if the kind of the runner or the KV cache of a token is unknown.
-    """
-    kind = engine.kinds_by_name.get(runner.kind)
-    if kind is None or not engine.kv_mb:
-        return float("inf")
-    held = runner.held.size if runner.held else 0
-    return max(0.0, (kind.memory_mb - held * engine.layer_mb) / engine.kv_mb)
--- a/src/heathershunt/pipelines/load.py
+++ b/src/heathershunt/pipelines/load.py
@@ -1,10 +1,12 @@
 """Load on each runner: requests of this VM, and those that the other VMs report."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.pipelines.chain import Chain
+from heathershunt.pipelines.notes import RunnerNote
+from heathershunt.pipelines.rejections import Rejections
 
 # Load received from the other VMs is used for this long; after that, each of them is
 # assumed to have the same load as this VM.
@@ -34,9 +36,15 @@
         return RunnerLoad(requests, head_requests, self.kv * factor)
 
 
+# Must not be changed.
+NO_LOAD = RunnerLoad()
+
+
 class LoadLedger:
     """Counts the load of this VM on each runner, and keeps that of the other VMs.
 
+    :ivar rejections: runners that rejected a request as they were full.
+
     .. versionadded:: 0.2
     """
 
@@ -46,15 +54,42 @@
         self._by_runner: dict[str, RunnerLoad] = {}
         self._others_by_runner: Mapping[str, RunnerLoad] = {}
         self._others_received_at: Millis | None = None
+        self._period_ms = 0
+        self.rejections = Rejections(clock)
+
+    @property
+    def clock(self) -> Clock:
+        """Return the clock of the ledger."""
+        return self._clock
 
     def own(self) -> dict[str, RunnerLoad]:
         """Return the load of this VM by runner id."""
         return self._by_runner
 
-    def set_others(self, by_runner: Mapping[str, RunnerLoad]) -> None:
-        """Replace the load of all other VMs, by runner id."""
+    def set_others(
+        self, by_runner: Mapping[str, RunnerLoad], notes: Iterable[RunnerNote] = ()
+    ) -> None:
+        """Replace the load of all other VMs, by runner id.
+
+        :param notes: notes of the other VMs, for the rejections that they saw.
+        """
+        now = self._clock.now()
+        if self._others_received_at is not None:
+            self._period_ms = min(LOAD_MAX_AGE_MS, now - self._others_received_at)
         self._others_by_runner = by_runner
-        self._others_received_at = self._clock.now()
+        self._others_received_at = now
+        # Each VM sends its load once in a period, so some loads are that old.
+        self.rejections.set_others(notes, Millis(now - self._period_ms))
+
+    @property
+    def report_age_ms(self) -> float | None:
+        """Return the mean age of the others' load, or ``None`` if it is not reliable.
+
+        When it is received, it is half a period old on the average.
+        """
+        if self._others_received_at is None or not self.is_reliable:
+            return None
+        return self._clock.now() - self._others_received_at + self._period_ms / 2
 
     @property
     def is_fresh(self) -> bool:
@@ -63,10 +98,19 @@
             return False
         return self._clock.now() - self._others_received_at <= LOAD_MAX_AGE_MS
 
+    @property
+    def is_starting(self) -> bool:
+        """Return whether the view of the other VMs may be incomplete."""
+        return self._clock.now() < self._warmed_up_at
+
     @property
     def is_reliable(self) -> bool:
         """Return whether the load of the others is fresh and likely to be complete."""
-        return self.is_fresh and self._clock.now() >= self._warmed_up_at
+        return self.is_fresh and not self.is_starting
+
+    def recent_others(self) -> Mapping[str, RunnerLoad]:
+        """Return the load of the other VMs by runner id; none if it is not fresh."""
+        return self._others_by_runner if self.is_fresh else {}
 
     def total(self, runner_id: str, vms: int) -> RunnerLoad:
         """Return the load of all VMs on a runner.
--- a/src/heathershunt/pipelines/load_exchange.py
+++ b/src/heathershunt/pipelines/load_exchange.py
@@ -192,7 +192,7 @@
         factor = self._fleet_factor()
         if factor > 1:
             loads = {name: load.scaled(factor) for name, load in loads.items()}
-        self._ledger.set_others(loads)
+        self._ledger.set_others(loads, others.notes)
         self._notes.set_others(others.notes)
         self._guard.merge(others.crashes)
         self._limits.merge(others.limits)
--- a/src/heathershunt/pipelines/notes.py
+++ b/src/heathershunt/pipelines/notes.py
@@ -1,4 +1,4 @@
-"""Notes that VMs exchange on runners that are slow or have failed.
+"""Notes that VMs exchange on runners that are slow, full or have failed.
 
 In a large fleet a VM uses few of the runners at a time. Without notes from other VMs,
 it would detect each slow runner only when streams of its own are late already.
@@ -22,7 +22,7 @@
 
 
 class RunnerNote(msgspec.Struct, array_like=True, frozen=True):
-    """State of a slow or failed runner, as one VM detected it or several VMs together.
+    """State of a slow, failed or full runner, as one VM or several VMs detected it.
 
     :param runner: id of the runner.
     :param incarnation: wall time in milliseconds when the process that failed started;
@@ -30,6 +30,8 @@
     :param pace: time of its work as a multiple of the usual time.
     :param is_failed: whether the runner failed and is avoided; the pace does not count
         then.
+    :param rejected_ms: time since the runner rejected a request as it was full, if it
+        did so a short time ago. Earlier versions read only the pace of such a note.
 
     .. versionadded:: 0.4
     """
@@ -38,6 +40,7 @@
     incarnation: Whole = 0
     pace: Factor = USUAL_PACE
     is_failed: bool = False
+    rejected_ms: Whole | None = None
 
 
 class PeerNotes:
@@ -69,12 +72,14 @@
         for note in notes:
             self._emit_if_new(note)
         self._received_at = self._clock.now()
-        self._pace_by_id = {n.runner: n.pace for n in notes if not n.is_failed}
+        self._pace_by_id = {n.runner: n.pace for n in notes if _is_on_pace(n)}
         self._failed = frozenset(
             (n.runner, n.incarnation) for n in notes if n.is_failed
         )
 
     def _emit_if_new(self, note: RunnerNote) -> None:
+        if not note.is_failed and not _is_on_pace(note):
+            return
         is_known = note.runner in self._pace_by_id
         if note.is_failed:
             is_known = (note.runner, note.incarnation) in self._failed
@@ -99,20 +104,40 @@
 
 
 def merge_notes(notes_by_vm: Iterable[Sequence[RunnerNote]]) -> list[RunnerNote]:
-    """Merge notes: the slowest pace of each runner, and failures with a quorum."""
-    pace_by_id: dict[str, float] = {}
+    """Merge notes: slowest pace, last rejection, and failures with a quorum."""
+    merged_by_id: dict[str, RunnerNote] = {}
     failures: Counter[tuple[str, int]] = Counter()
     for notes in notes_by_vm:
         for note in notes:
             if note.is_failed:
                 failures[note.runner, note.incarnation] += 1
             else:
-                known = pace_by_id.get(note.runner, USUAL_PACE)
-                pace_by_id[note.runner] = max(known, note.pace)
-    merged = [RunnerNote(runner, pace=pace) for runner, pace in pace_by_id.items()]
+                known = merged_by_id.get(note.runner)
+                merged_by_id[note.runner] = _merged(known, note)
+    merged = list(merged_by_id.values())
     merged += [
         RunnerNote(runner, incarnation, is_failed=True)
         for (runner, incarnation), count in failures.items()
         if count >= FAILURE_QUORUM
     ]
     return merged
+
+
+def _is_on_pace(note: RunnerNote) -> bool:
+    """Return whether a note states a pace, and not only a rejection."""
+    if note.is_failed:
+        return False
+    return note.rejected_ms is None or note.pace > USUAL_PACE
+
+
+def _merged(known: RunnerNote | None, note: RunnerNote) -> RunnerNote:
+    """Return one note on the pace and the last rejection of a runner."""
+    if known is None:
+        pace = max(USUAL_PACE, note.pace)
+        return RunnerNote(note.runner, pace=pace, rejected_ms=note.rejected_ms)
+    ages = [n.rejected_ms for n in (known, note) if n.rejected_ms is not None]
+    return RunnerNote(
+        note.runner,
+        pace=max(known.pace, note.pace),
+        rejected_ms=min(ages, default=None),
+    )
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -275,6 +275,9 @@
         event = SendRejected(self._request.id, runner.id, head.status)
         self._context.events.emit(event)
         self.release(run)
+        if not head.notice:
+            # A runner that leaves or pauses is left out for that reason.
+            self._context.ledger.rejections.record(runner.id)
         self._context.diagnosis.check_rejection(runner)
 
     def _avoid(self, runner: Target) -> None:
--- a/tests/pipelines/test_chooser.py
+++ b/tests/pipelines/test_chooser.py
@@ -7,7 +7,8 @@
 
 from heathershunt.clock import ManualClock
 from heathershunt.pipelines import ChainChooser, Job, LoadLedger, PaceTracker
-from heathershunt.pipelines.chooser import kv_capacity
+from heathershunt.pipelines.chooser import LARGE_FLEET_VMS
+from heathershunt.pipelines.estimates import kv_capacity
 from heathershunt.pipelines.pace import PACE_MAX_AGE_MS
 from heathershunt.pipelines.runners import RunnerReport
 from tests.pipelines import engines
@@ -230,7 +231,7 @@
 
 
 class CountingLedger(LoadLedger):
-    """Counts the calls of ``total`` in ``asked``."""
+    """Counts in ``asked`` how often the load of a runner is read."""
 
     asked = 0
 
@@ -238,6 +239,16 @@
         self.asked += 1
         return super().total(runner_id, vms)
 
+    def own(self):
+        ledger, loads = self, super().own()
+
+        class Loads(dict):
+            def get(self, runner_id, default=None):
+                ledger.asked += 1
+                return super().get(runner_id, default)
+
+        return Loads(loads)
+
 
 def test_search_does_not_grow_with_the_number_of_runners(engine, runner, clock, paces):
     # With 3,000 runners and 300 VMs, a search over all runners takes longer than the
@@ -249,7 +260,7 @@
     for_few, ledger.asked = ledger.asked, 0
     chain = chooser.choose(engine, large_fleet(runner), JOB, 1)
     assert chain.covers(80)
-    assert ledger.asked <= 10 * for_few
+    assert 0 < ledger.asked <= 10 * for_few
 
 
 def test_search_reads_the_load_of_each_runner_once(engine, runner, clock, paces):
@@ -262,6 +273,8 @@
     assert ledger.asked == 0
     chooser.choose(engine, runners, JOB, 1)
     assert ledger.asked == len(runners)
+    chooser.choose(engine, runners, JOB, LARGE_FLEET_VMS)
+    assert ledger.asked == 2 * len(runners)
 
 
 def test_runner_with_layers_beyond_the_model_is_ignored(engine, runner, chooser):
--- a/tests/pipelines/test_stale_load.py
+++ b/tests/pipelines/test_stale_load.py
@@ -6,7 +6,7 @@
 import pytest
 
 from heathershunt.pipelines import ChainChooser, Job, LoadLedger, PaceTracker
-from heathershunt.pipelines.chooser import kv_capacity
+from heathershunt.pipelines.estimates import kv_capacity
 from heathershunt.pipelines.load import RunnerLoad
 
 JOB = Job(760, 167)
