Test the spread of requests under load and under failure

They found that the first report of a VM discarded the rejections that came with it, as its period was not known yet.

--- a/measure/_load_fleet.py
+++ b/measure/_load_fleet.py
@@ -32,6 +32,7 @@
 from heathershunt.pipelines.chooser import HOP_MS
 from heathershunt.pipelines.estimates import kv_capacity
 from heathershunt.pipelines.load import RunnerLoad
+from heathershunt.pipelines.notes import merge_notes
 
 SLOTS = 96
 KINDS = {
@@ -158,6 +159,7 @@
     :param has_oracle: all VMs decide with one ledger, which holds all loads.
     :param rates: requests a second of the whole fleet, by second.
     :param warmup_ms: time before the measurement.
+    :param silent_vms: number of VMs that send and receive no reports.
     """
 
     def __init__(
@@ -168,7 +170,7 @@
         rates: list[int],
         warmup_ms: int,
         seed: int,
-        **options: object,
+        silent_vms: int = 0,
     ) -> None:
         random.seed(seed)
         self._random = random.Random(seed)
@@ -181,18 +183,19 @@
         self._rates = rates
         self._warmup_ms = warmup_ms
         count = 1 if has_oracle else vms
-        self._vms = [self._start_vm(options) for _ in range(count)]
+        self._vms = [self._start_vm() for _ in range(count)]
         groups = -(-vms // GROUP_SIZE)
-        self._groups = [self._vms[number::groups] for number in range(groups)]
+        heard = self._vms[silent_vms:]
+        self._groups = [heard[number::groups] for number in range(groups)]
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._sends: Counter[str] = Counter()
         self.figures = Figures()
 
-    def _start_vm(self, options: dict[str, object]) -> ModelVm:
+    def _start_vm(self) -> ModelVm:
         ledger = LoadLedger(self._clock)
         paces = PaceTracker(self._clock, print)
-        return ModelVm(ledger, ChainChooser(ledger, paces, **options))
+        return ModelVm(ledger, ChainChooser(ledger, paces))
 
     def run(self) -> Figures:
         """Simulate all seconds and return the figures."""
@@ -249,7 +252,13 @@
         factor = (len(self._vms) - 1) / max(1, len(group) - 1)
         if factor > 1:
             others = {name: load.scaled(factor) for name, load in others.items()}
-        vm.ledger.set_others(others)
+        notes = [
+            note
+            for other in group
+            if other is not vm
+            for note in other.ledger.rejections.notes()
+        ]
+        vm.ledger.set_others(others, merge_notes([notes]))
 
     # Requests
 
@@ -277,6 +286,7 @@
             return
         self.figures.rejections += self._is_measured
         vm.backed_off_until[full.id] = now + BACKOFF_MS
+        vm.ledger.rejections.record(full.id)
 
         def send_again() -> None:
             vm.ledger.remove(chain, JOB.tokens)
@@ -287,7 +297,7 @@
     def _choose(self, vm: ModelVm, needs_room: bool) -> Chain | None:
         now = self._clock.now()
         avoided = {name for name, at in vm.backed_off_until.items() if at > now}
-        began_at = time.perf_counter()
+        began_at = time.process_time()
         chain = vm.chooser.choose(
             ENGINE,
             self._targets,
@@ -296,7 +306,7 @@
             avoided,
             needs_room=needs_room,
         )
-        self.figures.search_s += time.perf_counter() - began_at
+        self.figures.search_s += time.process_time() - began_at
         self.figures.searches += 1
         return chain
 
--- a/src/heathershunt/pipelines/candidates.py
+++ b/src/heathershunt/pipelines/candidates.py
@@ -123,7 +123,8 @@
     ) -> tuple[list[RunnerUse], list[int]]:
         """Return what is known of each runner, and its requests as the first one."""
         own_by_id, others_by_id = self._ledger.own(), self._ledger.recent_others()
-        rejected_ms_by_id = self._ledger.rejections.ages()
+        rejections = self._ledger.rejections
+        rejected_ms_by_id, full = rejections.ages(), rejections.full()
         usual = _UsualFigures(engine, job)
         uses, head_requests = [], []
         for runner in runners:
@@ -131,8 +132,16 @@
             own = own_by_id.get(name, NO_LOAD)
             others = others_by_id.get(name, NO_LOAD)
             layer_ms, capacity = usual.of(runner, self._paces.pace(name))
-            rejected_ms = rejected_ms_by_id.get(name)
-            uses.append(RunnerUse(layer_ms, capacity, own.kv, others.kv, rejected_ms))
+            uses.append(
+                RunnerUse(
+                    layer_ms,
+                    capacity,
+                    own.kv,
+                    others.kv,
+                    rejected_ms_by_id.get(name),
+                    name in full,
+                )
+            )
             head_requests.append(own.head_requests + others.head_requests)
         return uses, head_requests
 
--- a/src/heathershunt/pipelines/load.py
+++ b/src/heathershunt/pipelines/load.py
@@ -79,7 +79,8 @@
         self._others_by_runner = by_runner
         self._others_received_at = now
         # Each VM sends its load once in a period, so some loads are that old.
-        self.rejections.set_others(notes, Millis(now - self._period_ms))
+        oldest_ms = self._period_ms or LOAD_MAX_AGE_MS
+        self.rejections.set_others(notes, Millis(now - oldest_ms))
 
     @property
     def report_age_ms(self) -> float | None:
--- a/src/heathershunt/pipelines/rejections.py
+++ b/src/heathershunt/pipelines/rejections.py
@@ -1,6 +1,6 @@
 """Runners that rejected a request as they were full, as this VM or others saw it."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from heathershunt.clock import Clock, Millis
 from heathershunt.pipelines.notes import RunnerNote
@@ -50,6 +50,11 @@
         }
         self._discard_before(reported_since)
 
+    def full(self) -> Collection[str]:
+        """Return ids of the runners that rejected a request of this VM."""
+        self._discard_before(Millis(self._clock.now() - REJECTION_MAX_AGE_MS))
+        return self._own_at_by_id.keys()
+
     def ages(self) -> dict[str, int]:
         """Return the time since the last rejection in milliseconds, by runner id."""
         if not self._own_at_by_id and not self._others_at_by_id:
--- a/src/heathershunt/pipelines/spread.py
+++ b/src/heathershunt/pipelines/spread.py
@@ -48,6 +48,7 @@
     :param own: KV cache that requests of this VM have reserved.
     :param others: the same for the other VMs by their last report.
     :param rejected_ms: time since it rejected a request as full, if it did so.
+    :param is_full: whether it rejected a request of this VM since the last report.
     """
 
     layer_ms: float
@@ -55,6 +56,7 @@
     own: float
     others: float
     rejected_ms: int | None = None
+    is_full: bool = False
 
 
 class Spread:
@@ -103,7 +105,13 @@
         return random.uniform(mean - width, mean + width)
 
     def reserved(self, use: RunnerUse) -> float:
-        """Return the KV cache that all VMs are expected to have reserved now."""
+        """Return the KV cache that all VMs are expected to have reserved now.
+
+        A rejection that another VM saw counts as a report of its age: if it counted as
+        one that the runner is still full, all VMs would leave the runner together.
+        """
+        if use.is_full:
+            return use.capacity
         part = max(0.0, 1 - use.layer_ms / self._level_ms)
         expected = part * use.capacity * self._others_part
         if self._is_known:
@@ -112,7 +120,6 @@
             others = max(expected, use.own * self._others_vms, use.others)
         reserved = use.own + others
         if use.rejected_ms is not None and reserved < use.capacity:
-            # The runner was full then, which counts as a report of that age.
             reserved += _trust(use.rejected_ms) * (use.capacity - reserved)
         return reserved
 
