--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -33,7 +33,7 @@
 )
 from heathershunt.gateway.directory import ANSWER_TTL_S, Directory
 from heathershunt.gateway.exchanges import PeerExchanges
-from heathershunt.gateway.gauges import add_gauges
+from heathershunt.gateway.gauges import add_gauges, add_load_gauges
 from heathershunt.gateway.hops import GatewayHops
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.ports import Ports
@@ -176,7 +176,7 @@
             lambda: state.leader,
             events.emit,
         )
-        ledger = LoadLedger(clock)
+        self._ledger = ledger = LoadLedger(clock)
         self._paces = paces = PaceTracker(clock, events.emit, notes)
         self._exchanges = PeerExchanges(
             http,
@@ -259,6 +259,7 @@
             is_cut_off=lambda: self.links.is_cut_off,
             waiting_by_rank=ledger.waiting.by_rank,
         )
+        add_load_gauges(self.metrics, ledger, self.relay_context.chooser)
         self.servers = GatewayServers(
             clock,
             ports.decoder,
@@ -394,7 +395,8 @@
 
     def _notes_for_peers(self) -> list[RunnerNote]:
         """Return the notes on runners that this VM sends to its peers."""
-        return self._paces.notes() + self.suspects.notes()
+        rejected = self._ledger.rejections.notes()
+        return self._paces.notes() + self.suspects.notes() + rejected
 
     def _member_value(self) -> tuple[str, bytes] | None:
         if not self.directory.accepts_callers:
--- a/src/heathershunt/gateway/where_streams.py
+++ b/src/heathershunt/gateway/where_streams.py
@@ -7,7 +7,7 @@
 from heathershunt.gateway.where_messages import PartRow, ServiceRow, TargetRow
 from heathershunt.gateway.where_reasons import TargetReasons
 from heathershunt.pipelines import Chain
-from heathershunt.pipelines.chooser import kv_capacity
+from heathershunt.pipelines.estimates import kv_capacity
 from heathershunt.pipelines.search import Candidate
 from heathershunt.pipelines.versions import of_newest_version
 from heathershunt.relay import RelayContext, StreamSpec
--- a/src/heathershunt/pipelines/load_exchange.py
+++ b/src/heathershunt/pipelines/load_exchange.py
@@ -211,7 +211,7 @@
         factor = self._fleet_factor()
         if factor > 1:
             loads = {name: load.scaled(factor) for name, load in loads.items()}
-        self._ledger.set_others(loads)
+        self._ledger.set_others(loads, others.notes)
         waiting: Counter[WaitingKey] = Counter()
         _add_waiting(waiting, others.waiting)
         scaled = {key: round(count * factor) for key, count in waiting.items()}
