Divide the retry budget of a large fleet by need

Callers saw streams refused after one rejection while the budget of the fleet was hardly used, as a VM's share by head count is one retry at 71 VMs. From 9 VMs on, each VM uses 0.8 of what its own requests earn and its part of a quarter of the slack, and asks the first VM of its group for more. Requests wait for the answer; streams as long as for capacity. Fleets of up to 8 VMs divide as before.

--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -36,6 +36,7 @@
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.ports import Ports
 from heathershunt.gateway.request_handler import RequestHandler
+from heathershunt.gateway.retries import retry_budget
 from heathershunt.gateway.servers import GatewayServers
 from heathershunt.gateway.state import (
     LEADER_KEY,
@@ -70,8 +71,6 @@
     Endings,
     RelayContext,
     SuspectList,
-    WindowBudget,
-    WindowBudgetConfig,
 )
 from heathershunt.verdict import may_have_run
 
@@ -178,6 +177,14 @@
         )
         ledger = LoadLedger(clock)
         self._paces = paces = PaceTracker(clock, events.emit, notes)
+        budget = retry_budget(
+            http,
+            clock,
+            config,
+            state.members,
+            self._topology,
+            lambda: self.view.age_ms,
+        )
         self._exchanges = PeerExchanges(
             http,
             clock,
@@ -187,19 +194,17 @@
             notes,
             self.guard,
             self.limits,
+            budget.pool,
         )
         self._evidence_keeper = EvidenceKeeper(ports.store, self.guard)
         runners = CountedRunners(ports.runners, self.limits, clock)
-        budget = WindowBudgetConfig(
-            bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
-        )
         self.relay_context = RelayContext(
             clock=clock,
             http=http,
             wire=ports.wire,
             registry=state.registry,
             suspects=self.suspects,
-            budget=WindowBudget(clock, budget),
+            budget=budget,
             ledger=ledger,
             chooser=ChainChooser(ledger, paces),
             runners=runners,
@@ -246,6 +251,7 @@
             limited_targets=lambda: self.limits.limited_count,
             leaving_targets=lambda: self.availability.leaving_count,
             paused_targets=lambda: self.availability.paused_count,
+            retries=budget,
         )
         self.servers = GatewayServers(
             clock,
@@ -273,6 +279,7 @@
             self.placer.run,
             *self._exchanges.loops(),
             self._evidence_keeper.run,
+            self.relay_context.budget.run,
             partial(polls, self.state.registry.get),
             self._tick,
         )
--- a/src/heathershunt/gateway/exchanges.py
+++ b/src/heathershunt/gateway/exchanges.py
@@ -15,12 +15,14 @@
     PeerNotes,
 )
 from heathershunt.ratelimits import LimitDigest, LimitGuard
+from heathershunt.retrybudget import RETRIES_PATH, RetryPool
 
 
 class PeerExchanges:
-    """Exchanges loads, evidence on crashes and limits of targets.
+    """Exchanges loads, evidence on crashes, limits of targets, and retries.
 
     :param vm: name of this VM.
+    :param retries: answers the calls of VMs that need retries.
 
     .. versionadded:: 0.7
     """
@@ -35,7 +37,9 @@
         notes: PeerNotes,
         guard: PartGuard,
         limits: LimitGuard,
+        retries: RetryPool,
     ) -> None:
+        self._retries = retries
         self._aggregator = LoadAggregator(clock, topology.fleet_factor, guard, limits)
         self._loads = LoadExchange(
             http,
@@ -67,5 +71,7 @@
         """Answer a request of another VM; ``None`` if it is not of an exchange."""
         if request.path.startswith(LOAD_PATH):
             return await self._aggregator.handle(request)
+        if request.path == RETRIES_PATH:
+            return await self._retries.handle(request)
         exchange = self._news_by_path.get(request.path)
         return None if exchange is None else await exchange.handle(request)
--- a/src/heathershunt/gateway/gauges.py
+++ b/src/heathershunt/gateway/gauges.py
@@ -4,6 +4,7 @@
 
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.state import SiteState
+from heathershunt.relay import RetryBudget
 
 
 def add_gauges(
@@ -16,6 +17,7 @@
     limited_targets: Callable[[], int],
     leaving_targets: Callable[[], int],
     paused_targets: Callable[[], int],
+    retries: RetryBudget,
 ) -> None:
     """Add the gauges of one gateway to its metrics.
 
@@ -26,6 +28,7 @@
     :param limited_targets: returns the number of targets that name a limit.
     :param leaving_targets: returns the number of targets that leave by their answers.
     :param paused_targets: returns the number of targets that asked for a pause.
+    :param retries: retry budget of this VM.
     """
     for name, doc, read in (
         ("view_age_ms", "age of the view of the store", view_age_ms),
@@ -62,5 +65,20 @@
             "targets that asked this VM for a pause that is not over",
             paused_targets,
         ),
+        (
+            "retries_left",
+            "retries that this VM has left, of the service with the fewest",
+            retries.own_left,
+        ),
+        (
+            "pool_retries_left",
+            "retries left to grant, if this VM is a coordinator",
+            retries.pool_left,
+        ),
+        (
+            "waiting_for_retries",
+            "requests that wait for a retry",
+            lambda: len(retries.pool.queue),
+        ),
     ):
         metrics.add_gauge(name, doc, read)
--- a/src/heathershunt/gateway/topology.py
+++ b/src/heathershunt/gateway/topology.py
@@ -52,10 +52,17 @@
 
     def aggregators(self) -> list[Address | None]:
         """Return the aggregators of loads by preference; ``None`` is this VM."""
-        names = self._group()[:WATCHERS]
+        names = self.group()[:WATCHERS]
         members = self._members.members_named(names)
         return [None if m.vm == self._vm else m.peers for m in members]
 
+    def coordinator(self) -> Address | None:
+        """Return the address of the first VM of this VM's group.
+
+        It is ``None`` if this VM is the first one, or if that one has no address.
+        """
+        return next(iter(self._peers(self.group()[:1])), None)
+
     def rank(self) -> int:
         """Return the number of VMs in the list before this one."""
         return sum(name < self._vm for name in self._members.names())
@@ -87,7 +94,7 @@
         The load of the group times this ratio estimates the load of the fleet, as
         callers choose among all VMs at random.
         """
-        in_group = len(self._group()) - 1
+        in_group = len(self.group()) - 1
         return max(1.0, (len(self._members) - 1) / in_group) if in_group > 0 else 1.0
 
     def wait_ms(self) -> int:
@@ -104,12 +111,12 @@
         watchers = self._watchers()
         if self._vm in watchers:
             return []
-        intermediates = self._group()[:INTERMEDIATES_PER_GROUP]
+        intermediates = self.group()[:INTERMEDIATES_PER_GROUP]
         return (
             watchers if self._vm in intermediates else intermediates if watchers else []
         )
 
-    def _group(self) -> list[str]:
+    def group(self) -> list[str]:
         """Return the names of this VM's group; the first one if it has none."""
         groups = self._groups(sorted(self._members.names()))
         own = (group for group in groups if self._vm in group)
--- a/src/heathershunt/logs/event_types.py
+++ b/src/heathershunt/logs/event_types.py
@@ -38,6 +38,7 @@
     request_events.SendFailed,
     request_events.SendRejected,
     request_events.CallBroken,
+    request_events.RetryGranted,
     request_events.RetryDenied,
     run_events.PauseExamined,
     run_events.ChainReplaced,
--- a/src/heathershunt/logs/request_events.py
+++ b/src/heathershunt/logs/request_events.py
@@ -141,13 +141,54 @@
     key: str
 
 
+@dataclass(frozen=True)
+class RetryGranted(RequestEvent):
+    """A retry was taken from the retry budget that the VMs share.
+
+    :param origin: ``own`` if it is from this VM's part, ``pool`` if it was granted.
+    :param used: retries of this VM in the window without a grant.
+    :param allowed: how many of them are allowed for a request of this kind.
+    :param granted: retries of this VM in the window with a grant.
+    :param waited_ms: time for which the request waited for it.
+    """
+
+    name: ClassVar[str] = "retry_granted"
+    sentence: ClassVar[str] = (
+        "a retry was taken ({origin}) after {waited_ms} ms; this VM has used {used} of "
+        "{allowed} and {granted} that were granted"
+    )
+    outcome_field: ClassVar[str | None] = "origin"
+    service: str
+    origin: str
+    used: int
+    allowed: float
+    granted: int
+    waited_ms: int
+
+
 @dataclass(frozen=True)
 class RetryDenied(RequestEvent):
-    """The retry budget that the VMs share is used up, so there was no retry."""
+    """The retry budget that the VMs share is used up, so there was no retry.
+
+    :param pool: what the last call for a grant led to; ``not_asked`` without one.
+    :param used: retries of this VM in the window without a grant.
+    :param allowed: how many of them are allowed for a request of this kind.
+    :param granted: retries of this VM in the window with a grant.
+    :param waited_ms: time for which the request waited for one.
+    """
 
     name: ClassVar[str] = "retry_denied"
-    sentence: ClassVar[str] = "no retry was left in the shared retry budget"
+    sentence: ClassVar[str] = (
+        "no retry was left in the shared retry budget after {waited_ms} ms; this VM "
+        "has used {used} of {allowed} and {granted} that were granted; pool: {pool}"
+    )
+    outcome_field: ClassVar[str | None] = "pool"
     service: str
+    pool: str
+    used: int
+    allowed: float
+    granted: int
+    waited_ms: int
 
 
 @dataclass(frozen=True)
--- a/src/heathershunt/relay/__init__.py
+++ b/src/heathershunt/relay/__init__.py
@@ -1,6 +1,6 @@
 """Relay of requests to targets: plain calls, streams and the retry budget."""
 
-from heathershunt.relay.budget import WindowBudget, WindowBudgetConfig
+from heathershunt.relay.budget import RetryBudget, RetryOrigin
 from heathershunt.relay.calls import CallRelay
 from heathershunt.relay.context import RelayContext
 from heathershunt.relay.diagnosis import Diagnosis
@@ -24,11 +24,11 @@
     "Endings",
     "RelayContext",
     "ReplyHead",
+    "RetryBudget",
+    "RetryOrigin",
     "StreamRelay",
     "StreamSpec",
     "SuspectList",
     "TargetWire",
-    "WindowBudget",
-    "WindowBudgetConfig",
     "refuse",
 ]
--- a/src/heathershunt/relay/budget.py
+++ b/src/heathershunt/relay/budget.py
@@ -1,124 +1,149 @@
-"""A retry budget over a sliding window, divided among the VMs."""
+"""Retries as the relays take them: from this VM's own part, or granted on demand."""
 
-from collections import deque
-from dataclasses import dataclass
+import asyncio
+from collections.abc import Callable
+from enum import Enum
 
-from heathershunt.clock import Clock, Millis
+from heathershunt.clock import Clock
+from heathershunt.retrybudget import (
+    Balance,
+    GrantLedger,
+    HeldGrants,
+    RetryPool,
+    Standing,
+    Turns,
+    WindowBudget,
+    WindowBudgetConfig,
+)
 
-# Fraction of the shared budget that is used. A VM does not see the retries of other
-# VMs, nor those of its process before a restart.
-USED_FRACTION = 0.5
-# Time after the start of a process until it knows the other VMs.
-SETTLING_MS = 2000
-# Retries of each service that a process takes from the slack in any case.
-FIRST_RETRIES = 1
-# Fraction of a VM's share for requests of which nothing was delivered; the rest is kept
-# for streams that have begun.
-UNSTARTED_FRACTION = 0.6
-# Fraction of a VM's share for requests that leave a chain that is only slow; without a
-# retry that chain may still serve them.
-REROUTE_FRACTION = 0.3
+# Interval at which the place of this VM and the waiting requests are examined.
+TICK_MS = 100
 
 
-@dataclass(frozen=True)
-class WindowBudgetConfig:
-    """Limits on the retries of all VMs together.
+class RetryOrigin(Enum):
+    """Part of the budget that a retry was taken from.
 
-    :param window_ms: length of the window, in milliseconds.
-    :param ratio: retries allowed for each request in the window.
-    :param slack: retries allowed in the window beyond that.
-
-    .. versionadded:: 0.2
+    .. versionadded:: 0.10
     """
 
-    window_ms: int
-    ratio: float
-    slack: float
-
-
-class _Window:
-    """Counts events in a sliding window."""
-
-    def __init__(self) -> None:
-        self._times: deque[Millis] = deque()
+    OWN = "own"
+    POOL = "pool"
 
-    def add(self, now: Millis) -> None:
-        self._times.append(now)
 
-    def count(self, since: int) -> int:
-        while self._times and self._times[0] <= since:
-            self._times.popleft()
-        return len(self._times)
+class RetryBudget:
+    """Takes retries for requests, and lets them wait for grants in a large fleet.
 
+    :param turns: rounding of shares, which is kept up to date here.
+    :param ledger: grants of this VM as a coordinator, likewise.
+    :param held: grants to this VM.
+    :param pool: asks for grants.
+    :param standing: returns the place of this VM in the fleet.
 
-class WindowBudget:
-    """Counts the requests of each service on this VM, and limits their retries.
-
-    A process earns its share of the slack over the first window of its life,
-    after it has come to know the other VMs: the process before it may have used the
-    same share a moment ago, and one that knows no other VM takes the whole for its own.
-
-    .. versionadded:: 0.2
+    .. versionadded:: 0.10
     """
 
-    def __init__(self, clock: Clock, config: WindowBudgetConfig) -> None:
-        self._clock = clock
-        self._config = config
-        self._requests_by_service: dict[str, _Window] = {}
-        self._retries_by_service: dict[str, _Window] = {}
-        self._max_vms = 1
-        self._started_at = self._max_vms_at = clock.now()
+    def __init__(
+        self,
+        clock: Clock,
+        config: WindowBudgetConfig,
+        turns: Turns,
+        ledger: GrantLedger,
+        held: HeldGrants,
+        pool: RetryPool,
+        standing: Callable[[], Standing],
+    ) -> None:
+        self.own = WindowBudget(clock, config, turns)
+        self.pool = pool
+        self._turns = turns
+        self._ledger = ledger
+        self._held = held
+        self._standing = standing
 
     def record_request(self, service: str) -> None:
         """Count a request of a caller."""
-        window = self._requests_by_service.setdefault(service, _Window())
-        window.add(self._clock.now())
+        self.own.record_request(service)
 
-    def take(self, service: str, vms: int, *, has_begun: bool = False) -> bool:
-        """Take one retry; return whether there was one left.
+    def take(
+        self, service: str, vms: int, *, has_begun: bool = False
+    ) -> RetryOrigin | None:
+        """Take one retry; return where it is from, ``None`` if none is left.
 
         :param vms: VMs that share the budget.
         :param has_begun: whether a part of the answer was already delivered.
         """
-        if not self.may_take(service, vms, has_begun=has_begun):
-            return False
-        self._retries_by_service[service].add(self._clock.now())
-        return True
+        if self.own.take(service, vms, has_begun=has_begun):
+            return RetryOrigin.OWN
+        if self.own.is_large(vms) and self._held.take(service, has_begun):
+            self.own.record_granted(service)
+            return RetryOrigin.POOL
+        return None
 
     def may_take(self, service: str, vms: int, *, has_begun: bool = False) -> bool:
         """Return whether :meth:`take` would take a retry now."""
-        fraction = 1.0 if has_begun else UNSTARTED_FRACTION
-        return self._has_left(service, vms, fraction)
+        if self.own.may_take(service, vms, has_begun=has_begun):
+            return True
+        return self.own.is_large(vms) and self._held.count(service, has_begun) > 0
 
     def may_reroute(self, service: str, vms: int) -> bool:
         """Return whether a retry is left for a request that leaves a slow chain.
 
-        :param vms: VMs that share the budget.
+        No retry is asked for: the chain that the request leaves still serves it.
+        """
+        return self.own.may_reroute(service, vms)
+
+    async def wait(
+        self, service: str, vms: int, limit_ms: float, *, has_begun: bool = False
+    ) -> bool:
+        """Wait until :meth:`take` may succeed; return whether to try it.
+
+        In a small fleet nothing is granted, so that the wait ends at once.
+
+        :param limit_ms: longest wait.
         """
-        return self._has_left(service, vms, REROUTE_FRACTION)
-
-    def _has_left(self, service: str, vms: int, fraction: float) -> bool:
-        """Return whether a fraction of this VM's share has a retry left."""
-        now = self._clock.now()
-        since = now - self._config.window_ms
-        vms = self._update_max_vms(vms, now)
-        requests = self._requests_by_service.setdefault(service, _Window())
-        retries = self._retries_by_service.setdefault(service, _Window())
-        config = self._config
-        earned = requests.count(since) * config.ratio * USED_FRACTION
-        allowed = earned + self._slack(vms, now)
-        return retries.count(since) + 1 <= allowed * fraction
-
-    def _slack(self, vms: int, now: Millis) -> float:
-        """Return the retries that this process may take beyond those by requests."""
-        share = USED_FRACTION * self._config.slack / max(1, vms)
-        earning_ms = max(0, now - self._started_at - SETTLING_MS)
-        earned = share * min(1.0, earning_ms / self._config.window_ms)
-        return max(earned, min(share, FIRST_RETRIES))
-
-    def _update_max_vms(self, vms: int, now: Millis) -> int:
-        """Return the most VMs in the last window; those that left used their share."""
-        if vms >= self._max_vms or now - self._max_vms_at > self._config.window_ms:
-            self._max_vms = vms
-            self._max_vms_at = now
-        return self._max_vms
+        if limit_ms <= 0 or not self.own.is_large(vms):
+            return False
+        return await self.pool.wait(service, has_begun, limit_ms)
+
+    def balance(self, service: str, vms: int, *, has_begun: bool = False) -> Balance:
+        """Return what this VM has used and may use without a grant."""
+        return self.own.balance(service, vms, has_begun=has_begun)
+
+    async def run(self) -> None:
+        """Keep the division up to date and serve waiting requests, until cancelled."""
+        try:
+            while True:
+                self.update()
+                await asyncio.sleep(TICK_MS / 1000)
+        finally:
+            self.pool.close()
+
+    def update(self) -> None:
+        """Take over changes of the fleet, and wake requests that find a retry."""
+        standing = self._standing()
+        self._turns.update()
+        self._ledger.update(standing)
+        queue = self.pool.queue
+        for service in queue.services():
+            for has_begun in (True, False):
+                if self.may_take(service, standing.vms, has_begun=has_begun):
+                    queue.call_next(service, 1, only_begun=has_begun)
+            self.pool.ask(service)
+
+    # Gauges
+
+    def own_left(self) -> float | None:
+        """Return the retries that this VM has left, of the service with the fewest."""
+        vms = self._standing().vms
+        balances = (
+            self.own.balance(service, vms, has_begun=True)
+            for service in self.own.services()
+        )
+        return min((item.allowed - item.used for item in balances), default=None)
+
+    def pool_left(self) -> int | None:
+        """Return the retries left in the pool of this VM; ``None`` if it has none."""
+        left = (
+            self._ledger.left(service, has_begun=True)
+            for service in self.own.services()
+        )
+        return min((item for item in left if item is not None), default=None)
--- a/src/heathershunt/relay/call.py
+++ b/src/heathershunt/relay/call.py
@@ -11,6 +11,7 @@
 from heathershunt.http import Response, TransportError
 from heathershunt.relay.call_crashes import CallWitness
 from heathershunt.relay.messages import CallerRequest, ReplyHead
+from heathershunt.relay.retrying import RequestRetries
 from heathershunt.verdict import Progress
 
 SERVER_ERROR = 500
@@ -42,13 +43,13 @@
 
     :param deadline: time by which the caller must have the response.
     :param witness: reports crashes of the call's targets.
+    :param retries: takes the retries of the call.
     :ivar tried: ids of the targets that the call was sent to.
     :ivar sends: sends that may have reached a target.
     :ivar connect_failures: sends that failed before any byte was sent.
     :ivar may_have_started: whether a target may have run the call.
     :ivar held: exchange with a silent target that is waited for while others are
         tried; ``None`` without one.
-    :ivar is_denied: whether a retry was denied and logged.
 
     .. versionadded:: 0.8
     """
@@ -59,12 +60,12 @@
     account: str | None
     deadline: Millis
     witness: CallWitness
+    retries: RequestRetries
     tried: set[str] = field(default_factory=set)
     sends: int = 0
     connect_failures: int = 0
     may_have_started: bool = False
     held: asyncio.Future | None = None
-    is_denied: bool = False
 
     @property
     def may_be_sent(self) -> bool:
--- a/src/heathershunt/relay/calls.py
+++ b/src/heathershunt/relay/calls.py
@@ -14,7 +14,6 @@
 from heathershunt.http import Response, TransportError
 from heathershunt.logs.request_events import (
     CallEnded,
-    RetryDenied,
     SendFailed,
     SendRejected,
     Sent,
@@ -38,6 +37,8 @@
     Dispatch,
     refuse,
 )
+from heathershunt.relay.retrying import RequestRetries
+from heathershunt.retrybudget import SHORT_WAIT_MS
 from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
 
 CONNECT_MS = 250
@@ -84,7 +85,8 @@
         context.budget.record_request(service)
         context.limits.record_request()
         witness = CallWitness(context, request, account)
-        call = Call(request, route, service, account, deadline, witness)
+        retries = RequestRetries(context, request.id, service)
+        call = Call(request, route, service, account, deadline, witness, retries)
         outcome = await self._try_targets(call)
         if isinstance(outcome, Refusal):
             response = refuse(context.wire, outcome, request)
@@ -116,8 +118,10 @@
             left_ms = call.deadline - context.clock.now()
             if target is None or left_ms <= 0:
                 break
-            if call.sends and not context.budget.take(call.service, context.vm_count()):
-                self._record_denial(call)
+            if call.sends and not call.retries.take(has_begun=False):
+                if await call.retries.wait(min(SHORT_WAIT_MS, left_ms), False):
+                    continue
+                call.retries.record_denial(has_begun=False)
                 break
             self._record_send(call, target)
             sent_at = context.clock.now()
@@ -134,13 +138,6 @@
             await asyncio.wait({call.held})
         return self._conclude(call, last)
 
-    def _record_denial(self, call: Call) -> None:
-        """Log once that the budget allows no retry; a held call tries again."""
-        if not call.is_denied:
-            call.is_denied = True
-            event = RetryDenied(call.request.id, call.service)
-            self._context.events.emit(event)
-
     def _record_send(self, call: Call, target: Target) -> None:
         context, request = self._context, call.request
         call.tried.add(target.id)
--- a/src/heathershunt/relay/context.py
+++ b/src/heathershunt/relay/context.py
@@ -11,7 +11,7 @@
 from heathershunt.logs import EventLog
 from heathershunt.pipelines import ChainChooser, LoadLedger, RunnerApi
 from heathershunt.ratelimits import LimitGuard
-from heathershunt.relay.budget import WindowBudget
+from heathershunt.relay.budget import RetryBudget
 from heathershunt.relay.diagnosis import Diagnosis
 from heathershunt.relay.endings import Endings
 from heathershunt.relay.messages import TargetWire
@@ -36,7 +36,7 @@
     wire: TargetWire
     registry: TargetRegistry
     suspects: SuspectList
-    budget: WindowBudget
+    budget: RetryBudget
     ledger: LoadLedger
     chooser: ChainChooser
     runners: RunnerApi
--- a/src/heathershunt/relay/starting.py
+++ b/src/heathershunt/relay/starting.py
@@ -6,7 +6,7 @@
 
 from heathershunt.discovery import Target
 from heathershunt.http import Response, TransportError
-from heathershunt.logs.request_events import RetryDenied, SendFailed, SendRejected, Sent
+from heathershunt.logs.request_events import SendFailed, SendRejected, Sent
 from heathershunt.logs.run_events import StreamBroken, StreamResumed
 from heathershunt.pipelines import Chain
 from heathershunt.ratelimits import Statement
@@ -17,9 +17,11 @@
 from heathershunt.relay.messages import Dispatch
 from heathershunt.relay.progress import StreamProgress
 from heathershunt.relay.reading import read_error_body
+from heathershunt.relay.retrying import RequestRetries
 from heathershunt.relay.runs import Run, RunPausedError, cancel_request
 from heathershunt.relay.selection import ChainSelection
 from heathershunt.relay.spec import StreamSpec
+from heathershunt.retrybudget import SHORT_WAIT_MS
 from heathershunt.verdict import Progress, Refusal, may_have_run, not_run
 
 CONNECT_MS = 250
@@ -57,7 +59,7 @@
         self._selection = selection
         self._head_wait = head_wait
         self._may_have_run = False
-        self._is_denied = False
+        self._retries = RequestRetries(context, spec.request.id, spec.service)
         self.detail = "no chain of runners holds all layers"
         self._tokens = spec.job.tokens
 
@@ -73,24 +75,24 @@
             return self._refusal(is_timeout=True)
         if self._attempts.sends >= MAX_SENDS or not self._may_run_again():
             return self._refusal()
-        if is_spare and not self._may_take_retry():
+        if is_spare and not self._may_take_retry() and not await self._wait_for_retry():
             return self._deny()
-        chain = await self._selection.wait_for_chain()
-        blocked = self._crashes.refusal(self._may_have_run)
-        if blocked is not None:
-            return blocked
-        if chain is None:
-            self.detail = self._selection.wait_detail or self.detail
-            return self._refusal()
-        if self._attempts.deliveries and not self._take_retry():
-            return self._deny()
-        return self._send(chain)
+        while True:
+            chain = await self._selection.wait_for_chain()
+            blocked = self._crashes.refusal(self._may_have_run)
+            if blocked is not None:
+                return blocked
+            if chain is None:
+                self.detail = self._selection.wait_detail or self.detail
+                return self._refusal()
+            if not self._attempts.deliveries or self._take_retry():
+                return self._send(chain)
+            # Another chain may be the better one after the wait.
+            if not await self._wait_for_retry():
+                return self._deny()
 
     def _deny(self) -> Refusal:
-        if not self._is_denied:
-            self._is_denied = True
-            event = RetryDenied(self._request.id, self._spec.service)
-            self._context.events.emit(event)
+        self._retries.record_denial(self._progress.has_begun)
         return self._refusal()
 
     def _is_late(self) -> bool:
@@ -103,18 +105,21 @@
     def _may_take_retry(self) -> bool:
         if self._attempts.has_reserved_retry:
             return True
-        context = self._context
-        return context.budget.may_take(
-            self._spec.service, context.vm_count(), has_begun=self._progress.has_begun
-        )
+        return self._retries.may_take(self._progress.has_begun)
 
     def _take_retry(self) -> bool:
         if self._attempts.use_reserved_retry():
             return True
-        context = self._context
-        return context.budget.take(
-            self._spec.service, context.vm_count(), has_begun=self._progress.has_begun
-        )
+        return self._retries.take(self._progress.has_begun)
+
+    async def _wait_for_retry(self) -> bool:
+        """Wait for a retry as long as for capacity; return whether to try again."""
+        progress = self._progress
+        wait_ms = self._spec.timeouts.capacity_wait_ms - progress.paused_ms
+        left_ms = self._spec.deadline - self._context.clock.now()
+        limit_ms = min(max(SHORT_WAIT_MS, wait_ms), left_ms)
+        was_called = await self._retries.wait(limit_ms, progress.has_begun)
+        return was_called and not self._is_late()
 
     def _refusal(self, is_timeout: bool = False) -> Refusal:
         if self._may_have_run:
--- /dev/null
+++ b/src/heathershunt/retrybudget/__init__.py
@@ -0,0 +1,23 @@
+"""Retry budget of the whole fleet: the part of each VM, and grants on demand."""
+
+from heathershunt.retrybudget.budget import Balance, WindowBudget
+from heathershunt.retrybudget.config import WindowBudgetConfig
+from heathershunt.retrybudget.grants import HeldGrants
+from heathershunt.retrybudget.ledger import GrantLedger, GrantReason, Standing
+from heathershunt.retrybudget.messages import RETRIES_PATH
+from heathershunt.retrybudget.pool import SHORT_WAIT_MS, RetryPool
+from heathershunt.retrybudget.turns import Turns
+
+__all__ = [
+    "RETRIES_PATH",
+    "SHORT_WAIT_MS",
+    "Balance",
+    "GrantLedger",
+    "GrantReason",
+    "HeldGrants",
+    "RetryPool",
+    "Standing",
+    "Turns",
+    "WindowBudget",
+    "WindowBudgetConfig",
+]
--- /dev/null
+++ b/src/heathershunt/retrybudget/budget.py
@@ -0,0 +1,185 @@
+"""The part of the retry budget that a VM uses without asking another one."""
+
+from dataclasses import dataclass
+
+from heathershunt.clock import Clock
+from heathershunt.retrybudget.config import WindowBudgetConfig
+from heathershunt.retrybudget.turns import Turns
+from heathershunt.retrybudget.window import EventWindow
+
+# Fraction of the shared budget that is used in a fleet that is divided by head count. A
+# VM does not see the retries of other VMs, nor those of its process before a restart.
+USED_FRACTION = 0.5
+# Time after the start of a process until it knows the other VMs.
+SETTLING_MS = 2000
+# Retries of each service that a process takes from the slack in any case; in a large
+# fleet, the most that it takes before it knows the other VMs.
+FIRST_RETRIES = 1
+# Fraction of a VM's share for requests of which nothing was delivered; the rest is kept
+# for streams that have begun.
+UNSTARTED_FRACTION = 0.6
+# Fraction of a VM's share for requests that leave a chain that is only slow; without a
+# retry that chain may still serve them.
+REROUTE_FRACTION = 0.3
+
+# In a large fleet: fraction of what requests earn that is used at the VM where they
+# are.
+EARNED_FRACTION = 0.8
+# Fraction of the slack that is divided among the VMs.
+SHARED_FRACTION = 0.25
+# The same for processes in their first window: the processes before them may have used
+# their shares a moment ago. Three restarts of all VMs in one window and the pool, which
+# their coordinators may have granted, add up to 0.9 of the slack.
+NEW_SHARED_FRACTION = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Balance:
+    """What a VM has used of a service's budget in the last window, and may use.
+
+    :param requests: requests of callers of this VM.
+    :param used: retries without a grant.
+    :param granted: retries with a grant of the coordinator.
+    :param allowed: retries without a grant that are allowed.
+
+    .. versionadded:: 0.10
+    """
+
+    requests: int
+    used: int
+    granted: int
+    allowed: float
+
+
+class WindowBudget:
+    """Counts the requests of each service on this VM, and limits their retries.
+
+    In a small fleet, a process earns its share of the slack over the first window of
+    its life, after it has come to know the other VMs: the process before it may have
+    used the same share a moment ago, and one that knows no other VM takes the whole for
+    its own. In a large fleet the share is smaller, and smaller still in the first
+    window.
+
+    :param turns: rounds shares in a large fleet; ``None`` to round them down.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self, clock: Clock, config: WindowBudgetConfig, turns: Turns | None = None
+    ) -> None:
+        self._clock = clock
+        self._config = config
+        self._turns = turns
+        self._requests_by_service: dict[str, EventWindow] = {}
+        self._retries_by_service: dict[str, EventWindow] = {}
+        self._granted_by_service: dict[str, EventWindow] = {}
+        self._max_vms = 1
+        self._started_at = self._max_vms_at = clock.now()
+
+    def record_request(self, service: str) -> None:
+        """Count a request of a caller."""
+        window = self._requests_by_service.setdefault(service, EventWindow())
+        window.add(self._clock.now())
+
+    def record_granted(self, service: str) -> None:
+        """Count a retry for which another VM granted."""
+        window = self._granted_by_service.setdefault(service, EventWindow())
+        window.add(self._clock.now())
+
+    def is_large(self, vms: int) -> bool:
+        """Return whether a part of the slack is granted on demand.
+
+        :param vms: VMs that share the budget.
+        """
+        return self._update_max_vms(vms) > self._config.max_flat_vms
+
+    def take(self, service: str, vms: int, *, has_begun: bool = False) -> bool:
+        """Take one retry; return whether there was one left.
+
+        :param vms: VMs that share the budget.
+        :param has_begun: whether a part of the answer was already delivered.
+        """
+        if not self.may_take(service, vms, has_begun=has_begun):
+            return False
+        self._retries_by_service.setdefault(service, EventWindow()).add(
+            self._clock.now()
+        )
+        return True
+
+    def may_take(self, service: str, vms: int, *, has_begun: bool = False) -> bool:
+        """Return whether :meth:`take` would take a retry now."""
+        fraction = 1.0 if has_begun else UNSTARTED_FRACTION
+        return self._has_left(service, vms, fraction)
+
+    def may_reroute(self, service: str, vms: int) -> bool:
+        """Return whether a retry is left for a request that leaves a slow chain.
+
+        :param vms: VMs that share the budget.
+        """
+        return self._has_left(service, vms, REROUTE_FRACTION)
+
+    def balance(self, service: str, vms: int, *, has_begun: bool = False) -> Balance:
+        """Return what was used and what is allowed, as for :meth:`take`."""
+        fraction = 1.0 if has_begun else UNSTARTED_FRACTION
+        return self._balance(service, vms, fraction)
+
+    def services(self) -> list[str]:
+        """Return the services that had requests."""
+        return list(self._requests_by_service)
+
+    def _has_left(self, service: str, vms: int, fraction: float) -> bool:
+        """Return whether a fraction of this VM's part has a retry left."""
+        balance = self._balance(service, vms, fraction)
+        used = balance.used
+        if not self.is_large(vms):
+            # The share of a VM was large enough for those that were granted.
+            used += balance.granted
+        return used + 1 <= balance.allowed
+
+    def _balance(self, service: str, vms: int, fraction: float) -> Balance:
+        since = self._clock.now() - self._config.window_ms
+        requests, retries, granted = (
+            window_by_service[service].count(since)
+            if service in window_by_service
+            else 0
+            for window_by_service in (
+                self._requests_by_service,
+                self._retries_by_service,
+                self._granted_by_service,
+            )
+        )
+        vms = self._update_max_vms(vms)
+        earned = requests * self._config.ratio
+        if vms <= self._config.max_flat_vms:
+            allowed = (earned * USED_FRACTION + self._flat_slack(vms)) * fraction
+        else:
+            allowed = earned * EARNED_FRACTION * fraction + self._share(vms, fraction)
+        return Balance(requests, retries, granted, allowed)
+
+    def _flat_slack(self, vms: int) -> float:
+        """Return the retries that this process may take beyond those by requests."""
+        share = USED_FRACTION * self._config.slack / max(1, vms)
+        earning_ms = max(0, self._age_ms - SETTLING_MS)
+        earned = share * min(1.0, earning_ms / self._config.window_ms)
+        return max(earned, min(share, FIRST_RETRIES))
+
+    def _share(self, vms: int, fraction: float) -> int:
+        """Return the same in a large fleet, as a whole number."""
+        is_new = self._age_ms < self._config.window_ms
+        part = NEW_SHARED_FRACTION if is_new else SHARED_FRACTION
+        share = part * self._config.slack / vms * fraction
+        whole = int(share) if self._turns is None else self._turns.rounded(share)
+        return min(whole, FIRST_RETRIES) if self._age_ms < SETTLING_MS else whole
+
+    @property
+    def _age_ms(self) -> int:
+        return self._clock.now() - self._started_at
+
+    def _update_max_vms(self, vms: int) -> int:
+        """Return the most VMs in the last window; those that left used their share."""
+        now = self._clock.now()
+        if vms >= self._max_vms or now - self._max_vms_at > self._config.window_ms:
+            self._max_vms = vms
+            self._max_vms_at = now
+        return self._max_vms
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -153,7 +153,7 @@
         gateway = Gateway(config, ports, http, clock, events)
         self.gateways[vm] = gateway
         # As one that has run for a while, with its whole share of the retry budget.
-        gateway.relay_context.budget._started_at -= 60_000
+        gateway.relay_context.budget.own._started_at -= 60_000
         await gateway.start()
         await self.until(lambda: gateway.directory.accepts_callers)
         return gateway
--- a/tests/relay/test_budget.py
+++ b/tests/retrybudget/test_budget.py
@@ -1,7 +1,7 @@
 import pytest
 
-from heathershunt.relay import WindowBudget, WindowBudgetConfig
-from heathershunt.relay.budget import (
+from heathershunt.retrybudget import WindowBudget, WindowBudgetConfig
+from heathershunt.retrybudget.budget import (
     FIRST_RETRIES,
     REROUTE_FRACTION,
     SETTLING_MS,
