--- a/src/heathershunt/gateway/retries.py
+++ b/src/heathershunt/gateway/retries.py
@@ -56,6 +56,6 @@
         Turns(clock, config.vm, members.names, limits.window_ms, MAX_FLAT_FLEET + 1),
         ledger,
         held,
-        RetryPool(http, clock, config.vm, topology.coordinator, ledger, held),
+        RetryPool(http, clock, config.vm, topology.coordinators, ledger, held),
         standing,
     )
--- a/src/heathershunt/gateway/topology.py
+++ b/src/heathershunt/gateway/topology.py
@@ -1,5 +1,7 @@
 """Division of the fleet into VMs that watch the store, followers and groups."""
 
+import random
+
 from heathershunt.discovery import MemberList
 from heathershunt.http import Address
 
@@ -56,12 +58,22 @@
         members = self._members.members_named(names)
         return [None if m.vm == self._vm else m.peers for m in members]
 
-    def coordinator(self) -> Address | None:
-        """Return the address of the first VM of this VM's group.
+    def coordinators(self) -> list[Address | None]:
+        """Return the first VM of each group, that of this VM's group first.
 
-        It is ``None`` if this VM is the first one, or if that one has no address.
+        ``None`` stands for this VM. The others are in random order, which spreads the
+        calls.
         """
-        return next(iter(self._peers(self.group()[:1])), None)
+        own = self.group()[:1]
+        groups = self._groups(sorted(self._members.names()))
+        others = [group[0] for group in groups if group[:1] != own]
+        names = own + random.sample(others, len(others))
+        members = self._members.members_named(names)
+        return [
+            None if member.vm == self._vm else member.peers
+            for member in members
+            if member.vm == self._vm or member.peers is not None
+        ]
 
     def rank(self) -> int:
         """Return the number of VMs in the list before this one."""
--- a/src/heathershunt/retrybudget/budget.py
+++ b/src/heathershunt/retrybudget/budget.py
@@ -25,12 +25,21 @@
 # In a large fleet: fraction of what requests earn that is used at the VM where they
 # are.
 EARNED_FRACTION = 0.8
+# The same for a process in its first window, as the process before it may have used 0.8
+# a moment ago. It earns as others do until it has NEW_EARNED_MAX of what the requests
+# of a whole window earn, which takes 0.6 s; later it earns NEW_EARNED_FRACTION. All VMs
+# together then stay within what requests earn, also if they restart every 4 s: 0.8
+# before that, 0.072 in 4 s, 0.072 in 4 s and 0.05 in 2 s.
+NEW_EARNED_FRACTION = 0.18
+NEW_EARNED_MAX = 0.05
 # Fraction of the slack that is divided among the VMs.
 SHARED_FRACTION = 0.25
 # The same for processes in their first window: the processes before them may have used
 # their shares a moment ago. Three restarts of all VMs in one window and the pool, which
 # their coordinators may have granted, add up to 0.9 of the slack.
 NEW_SHARED_FRACTION = 0.1
+# Sums of parts may end slightly below a whole number.
+ROUNDING = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +69,7 @@
     its own. In a large fleet the share is smaller, and smaller still in the first
     window.
 
-    :param turns: rounds shares in a large fleet; ``None`` to round them down.
+    :param turns: rounds parts in a large fleet; ``None`` to round them down.
 
     .. versionadded:: 0.2
     """
@@ -154,7 +163,8 @@
         if vms <= self._config.max_flat_vms:
             allowed = (earned * USED_FRACTION + self._flat_slack(vms)) * fraction
         else:
-            allowed = earned * EARNED_FRACTION * fraction + self._share(vms, fraction)
+            part = earned * self._earned_fraction() + self._share(vms)
+            allowed = part * fraction + self._offset()
         return Balance(requests, retries, granted, allowed)
 
     def _flat_slack(self, vms: int) -> float:
@@ -164,13 +174,32 @@
         earned = share * min(1.0, earning_ms / self._config.window_ms)
         return max(earned, min(share, FIRST_RETRIES))
 
-    def _share(self, vms: int, fraction: float) -> int:
-        """Return the same in a large fleet, as a whole number."""
-        is_new = self._age_ms < self._config.window_ms
-        part = NEW_SHARED_FRACTION if is_new else SHARED_FRACTION
-        share = part * self._config.slack / vms * fraction
-        whole = int(share) if self._turns is None else self._turns.rounded(share)
-        return min(whole, FIRST_RETRIES) if self._age_ms < SETTLING_MS else whole
+    def _share(self, vms: int) -> float:
+        """Return the same in a large fleet."""
+        fraction = NEW_SHARED_FRACTION if self._is_new else SHARED_FRACTION
+        share = fraction * self._config.slack / vms
+        return min(share, FIRST_RETRIES) if self._age_ms < SETTLING_MS else share
+
+    def _earned_fraction(self) -> float:
+        """Return the fraction of what requests earn that is used in a large fleet."""
+        if not self._is_new:
+            return EARNED_FRACTION
+        most = NEW_EARNED_MAX * self._config.window_ms / max(1, self._age_ms)
+        return max(NEW_EARNED_FRACTION, min(EARNED_FRACTION, most))
+
+    def _offset(self) -> float:
+        """Return what is added to a part before it is rounded down.
+
+        Without any retry to divide there is no fraction of one.
+        """
+        if self._turns is None or not self._config.slack:
+            return ROUNDING
+        return self._turns.offset() + ROUNDING
+
+    @property
+    def _is_new(self) -> bool:
+        """Return whether the process before may have used retries of this window."""
+        return self._age_ms < self._config.window_ms
 
     @property
     def _age_ms(self) -> int:
--- a/src/heathershunt/retrybudget/grants.py
+++ b/src/heathershunt/retrybudget/grants.py
@@ -81,13 +81,16 @@
         grant.retries -= 1
         return True
 
-    def take_unused(self, service: str) -> dict[GrantId, int]:
+    def take_unused(self, service: str, term: str | None) -> dict[GrantId, int]:
         """Return the retries that ended without use, and forget them.
 
         They are told once: a coordinator that got them twice would grant too much.
+
+        :param term: term of the coordinator that is told; ``None`` if it is not known.
         """
         self._drop_ended(service)
-        return self._unused_by_service.pop(service, {})
+        unused = self._unused_by_service.get(service, {})
+        return {grant: unused.pop(grant) for grant in [*unused] if grant.term == term}
 
     def _usable(self, service: str, has_begun: bool) -> list[Grant]:
         self._drop_ended(service)
--- a/src/heathershunt/retrybudget/pool.py
+++ b/src/heathershunt/retrybudget/pool.py
@@ -1,13 +1,13 @@
-"""Calls of a VM for retries of its group's pool, and the answers to such calls."""
+"""Calls of a VM for retries of the pools, and the answers to such calls."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import logbook
 import msgspec
 from result import Err
 
-from heathershunt.clock import Clock
+from heathershunt.clock import Clock, Millis
 from heathershunt.http import Address, HttpClient, Request, Response
 from heathershunt.logs import RepeatLimiter
 from heathershunt.retrybudget.grants import GrantId, HeldGrants
@@ -22,7 +22,7 @@
     decode_answer,
     decode_request,
 )
-from heathershunt.retrybudget.pacing import CallPacer
+from heathershunt.retrybudget.pacing import CallPacer, RecentNeeds
 from heathershunt.retrybudget.waiting import RetryQueue
 from heathershunt.schema.decoding import MalformedError, decode_untrusted
 
@@ -33,16 +33,18 @@
 # A late answer may still serve streams that wait for longer than others.
 CALL_TIMEOUT_MS = 300
 MAX_ANSWER_BYTES = 4096
+# Coordinators whose terms are kept; it exceeds the groups of the largest fleet.
+MAX_TERMS = 64
 NO_ANSWER = "no_answer"
 NOT_ASKED = "not_asked"
 
 
 class RetryPool:
-    """Asks the coordinator for the retries that requests wait for.
+    """Asks coordinators for the retries that requests wait for.
 
     :param vm: name of this VM.
-    :param coordinator: returns the address of the coordinator; ``None`` if this VM is
-        the coordinator itself, or if there is none.
+    :param coordinators: returns the addresses of the coordinators by preference, that
+        of the own group first; ``None`` stands for this VM itself.
     :param ledger: grants of this VM if it is the coordinator.
     :param held: receives what is granted to this VM.
     :ivar queue: requests that wait.
@@ -55,19 +57,21 @@
         http: HttpClient,
         clock: Clock,
         vm: str,
-        coordinator: Callable[[], Address | None],
+        coordinators: Callable[[], Sequence[Address | None]],
         ledger: GrantLedger,
         held: HeldGrants,
     ) -> None:
         self._http = http
         self._clock = clock
         self._vm = vm
-        self._coordinator = coordinator
+        self._coordinators = coordinators
         self._ledger = ledger
         self._held = held
         self._pacer = CallPacer(clock)
+        self._needs = RecentNeeds(clock)
         self._lines = RepeatLimiter(clock)
         self._reason_by_service: dict[str, str] = {}
+        self._term_by_address: dict[Address | None, str] = {}
         self._calls: set[asyncio.Task[None]] = set()
         self.queue = RetryQueue()
 
@@ -81,29 +85,38 @@
         :param has_begun: whether a part of the answer was already delivered.
         :param limit_ms: longest wait.
         """
-        is_short = limit_ms <= SHORT_WAIT_MS
-        if is_short and self._pacer.wait_ms(service) > limit_ms:
-            return False
+        self._needs.record(service, has_begun)
         with self.queue.joined(service, has_begun) as turn:
             self.ask(service)
             done, _ = await asyncio.wait({turn}, timeout=limit_ms / 1000)
             return bool(done)
 
     def ask(self, service: str) -> None:
-        """Ask for what requests of a service wait for, if a call may start now."""
-        begun = self.queue.count(service, True)
-        wanted = begun or self.queue.count(service, False)
-        if not wanted:
-            return
-        address = self._coordinator()
-        if address is not None and not self._pacer.may_call(service):
-            return
-        unused = self._held.take_unused(service)
+        """Ask for what requests of a service wait for, if that may be done now.
+
+        A coordinator of another group is asked if that of the own group has nothing.
+        """
+        for _ in range(2):
+            has_begun = self.queue.count(service, True) > 0
+            if not self.queue.count(service, has_begun):
+                return
+            usable = self._pacer.usable(service, self._coordinators())
+            if not usable:
+                return
+            self._ask(usable[0], service, has_begun)
+            if usable[0] is not None:
+                return
+
+    def _ask(self, address: Address | None, service: str, has_begun: bool) -> None:
+        wanted = self.queue.count(service, has_begun)
+        if address is not None:
+            wanted += self._needs.count(service, has_begun)
+        unused = self._held.take_unused(service, self._term_by_address.get(address))
         message = RetryRequest.from_unused(
-            self._vm, service, min(wanted, MAX_RETRIES_PER_GRANT), begun > 0, unused
+            self._vm, service, min(wanted, MAX_RETRIES_PER_GRANT), has_begun, unused
         )
         if address is None:
-            self._apply(message, self._answer(message), self._clock.now())
+            self._apply(None, message, self._answer(message), self._clock.now())
             return
         self._pacer.start(service)
         call = asyncio.create_task(self._call(address, message))
@@ -122,10 +135,10 @@
         finally:
             self._pacer.end(message.service)
         if answer is None:
-            self._pacer.record_failure()
+            self._pacer.record_failure(address)
             self._reason_by_service[message.service] = NO_ANSWER
             return
-        self._apply(message, answer, asked_at)
+        self._apply(address, message, answer, asked_at)
         self.ask(message.service)
 
     async def _send(
@@ -153,12 +166,22 @@
             self._log(address, f"malformed answer on retries: {error}")
             return None
 
-    def _apply(self, message: RetryRequest, answer: RetryAnswer, asked_at: int) -> None:
+    def _apply(
+        self,
+        address: Address | None,
+        message: RetryRequest,
+        answer: RetryAnswer,
+        asked_at: Millis,
+    ) -> None:
         service = message.service
         self._reason_by_service[service] = answer.reason.value
         if not answer.retries:
-            self._pacer.record_empty(service)
+            self._pacer.record_empty(service, address)
             return
+        self._term_by_address = {
+            **dict(list(self._term_by_address.items())[-MAX_TERMS:]),
+            address: answer.term,
+        }
         grant_id = GrantId(answer.term, answer.number)
         self._held.add(service, grant_id, answer.retries, message.has_begun, asked_at)
         usable = self._held.count(service, message.has_begun)
--- a/src/heathershunt/retrybudget/turns.py
+++ b/src/heathershunt/retrybudget/turns.py
@@ -1,7 +1,7 @@
-"""Rounding of shares that are fractions of a retry, so that their sum is kept.
+"""Rounding of parts that are fractions of a retry, so that their sum is kept.
 
-The VMs are ordered by a hash, the same order at all VMs. With a share of 0.2 of a
-retry, the first fifth of them has one retry and the others have none.
+The VMs are ordered by a hash, the same order at all VMs. With a part of 0.2 of a retry,
+the first fifth of them has one retry and the others have none.
 """
 
 import hashlib
@@ -15,11 +15,11 @@
 
 
 class Turns:
-    """Decides by how much this VM rounds its shares up.
+    """Decides how much is added to the part of this VM before it is rounded down.
 
     :param vm: name of this VM.
     :param vms: called for the names of all VMs that receive requests.
-    :param min_vms: size of the smallest fleet in which shares are rounded.
+    :param min_vms: size of the smallest fleet in which anything is added.
 
     .. versionadded:: 0.10
     """
@@ -54,8 +54,8 @@
             return
         self._offsets.append((self._clock.now(), _offset(self._vm, names, turn)))
 
-    def rounded(self, share: float) -> int:
-        """Return a share as a whole number of retries.
+    def offset(self) -> float:
+        """Return what to add to a part before it is rounded down.
 
         It is the lowest one of the last window. Without this, VMs that have lost a
         retry by a change and VMs that have gained one would use both in one window.
@@ -64,14 +64,13 @@
         offsets = self._offsets
         while len(offsets) > 1 and offsets[1][0] <= since:
             offsets.popleft()
-        offset = min((item for _, item in offsets), default=0.0)
-        return int(share + offset + 1e-9)
+        return min((offset for _, offset in offsets), default=0.0)
 
 
 def _offset(vm: str, names: Collection[str], turn: int) -> float:
     """Return the offset of a VM; those of ``n`` VMs are ``0, 1/n, ... (n - 1)/n``.
 
-    So the shares ``s``, each with its offset and rounded down, add up to ``n * s``
+    So equal parts ``s``, each with its offset and rounded down, add up to ``n * s``
     rounded down.
     """
     own = _hash(vm, turn)
