Ask other groups for retries, and serve waiting requests by one call

A VM whose group's pool is empty asks another group; requests that begin to wait in one moment are asked for in one call.

--- a/measure/_retry_fleet.py
+++ b/measure/_retry_fleet.py
@@ -43,6 +43,7 @@
 # Shortest time from the start of a VM until its entry is written, and more at random.
 LISTED_MS = 300
 LISTED_SPREAD_MS = 700
+UPDATE_MS = 1000
 # Larger than any fleet: all VMs divide by head count, as they did before.
 NEVER = 10**6
 
@@ -63,6 +64,10 @@
     frozen_until: int = 0
     is_ended: bool = False
     view_at: int = 0
+    is_changed: bool = True
+    updated_at: int = 0
+    group: list[str] = field(default_factory=list)
+    coordinators: list[Address | None] = field(default_factory=list)
     hidden_until: dict[str, int] = field(default_factory=dict)
     term_by_address: dict[Address | None, str] = field(default_factory=dict)
 
@@ -173,6 +178,7 @@
         """Let a VM see whether another one is listed."""
         if self._is_away(process, lambda: self._learn(process, name)):
             return
+        process.is_changed = True
         hidden_ms = process.hidden_until.get(name, 0) - self.clock.now()
         if hidden_ms > 0:
             process.members.remove(name)
@@ -215,13 +221,23 @@
             self._advance(self.clock.now() + STEP_MS)
             for process in self.running():
                 process.view_at = self.clock.now()
-                process.turns.update()
+                self._update(process)
                 process.ledger.update(self._standing(process))
             self._receive_requests()
             for process in self.running():
                 act(process)
             self._judge()
 
+    def _update(self, process: Process) -> None:
+        """Let a VM take over a change of the others, or of the turn in time."""
+        now = self.clock.now()
+        if process.is_changed or now - process.updated_at >= UPDATE_MS:
+            process.is_changed = False
+            process.updated_at = now
+            process.turns.update()
+            process.group = process.topology.group()
+            process.coordinators = process.topology.coordinators()
+
     def _advance(self, until: int) -> None:
         while self._events and self._events[0][0] <= until:
             at, _, action = heapq.heappop(self._events)
@@ -287,7 +303,7 @@
         return True
 
     def _standing(self, process: Process) -> Standing:
-        group = process.topology.group()
+        group = process.group
         view_age_ms = self.clock.now() - process.view_at
         is_first = group[:1] == [process.name]
         vms = max(1, len(process.members))
@@ -303,7 +319,7 @@
         """Let a VM ask for retries, if it may."""
         if not process.own.is_large(max(1, len(process.members))):
             return
-        usable = process.pacer.usable(SERVICE, process.topology.coordinators())
+        usable = process.pacer.usable(SERVICE, process.coordinators)
         if not usable:
             return
         address = usable[0]
--- a/src/heathershunt/gateway/topology.py
+++ b/src/heathershunt/gateway/topology.py
@@ -1,6 +1,7 @@
 """Division of the fleet into VMs that watch the store, followers and groups."""
 
 import random
+from itertools import pairwise
 
 from heathershunt.discovery import MemberList
 from heathershunt.http import Address
@@ -137,7 +138,5 @@
     def _groups(self, names: list[str]) -> list[list[str]]:
         """Return all groups, of which there is at least one; sizes differ by one."""
         count = max(1, -(-len(names) // MAX_GROUP_SIZE))
-        groups: list[list[str]] = [[] for _ in range(count)]
-        for rank, name in enumerate(names):
-            groups[rank * count // len(names)].append(name)
-        return groups
+        bounds = [-(-number * len(names) // count) for number in range(count + 1)]
+        return [names[start:end] for start, end in pairwise(bounds)]
--- a/src/heathershunt/relay/budget.py
+++ b/src/heathershunt/relay/budget.py
@@ -122,6 +122,7 @@
         standing = self._standing()
         self._turns.update()
         self._ledger.update(standing)
+        self.pool.update()
         queue = self.pool.queue
         for service in queue.services():
             for has_begun in (True, False):
--- a/src/heathershunt/retrybudget/pacing.py
+++ b/src/heathershunt/retrybudget/pacing.py
@@ -14,7 +14,7 @@
 AVOID_MS = 1000
 # Time after an answer that granted nothing in which a coordinator is not called for the
 # same service.
-EMPTY_MS = 500
+EMPTY_MS = 300
 
 
 class CallPacer:
--- a/src/heathershunt/retrybudget/pool.py
+++ b/src/heathershunt/retrybudget/pool.py
@@ -64,7 +64,8 @@
         self._http = http
         self._clock = clock
         self._vm = vm
-        self._coordinators = coordinators
+        self._read_coordinators = coordinators
+        self._coordinators: Sequence[Address | None] = ()
         self._ledger = ledger
         self._held = held
         self._pacer = CallPacer(clock)
@@ -75,6 +76,10 @@
         self._calls: set[asyncio.Task[None]] = set()
         self.queue = RetryQueue()
 
+    def update(self) -> None:
+        """Take over changes of the coordinators; called at short intervals."""
+        self._coordinators = self._read_coordinators()
+
     def last_reason(self, service: str) -> str:
         """Return what the last call for a service led to."""
         return self._reason_by_service.get(service, NOT_ASKED)
@@ -96,50 +101,53 @@
 
         A coordinator of another group is asked if that of the own group has nothing.
         """
-        for _ in range(2):
-            has_begun = self.queue.count(service, True) > 0
-            if not self.queue.count(service, has_begun):
-                return
-            usable = self._pacer.usable(service, self._coordinators())
-            if not usable:
-                return
-            self._ask(usable[0], service, has_begun)
-            if usable[0] is not None:
-                return
-
-    def _ask(self, address: Address | None, service: str, has_begun: bool) -> None:
+        usable = self._pacer.usable(service, self._coordinators)
+        if usable[:1] == [None]:
+            message = self._request(None, service)
+            if message is not None:
+                answer, now = self._answer(message), self._clock.now()
+                self._apply(None, message, answer, now)
+            usable = self._pacer.usable(service, self._coordinators)
+        if usable and usable[0] is not None and service in self.queue.services():
+            self._pacer.start(service)
+            call = asyncio.create_task(self._call(usable[0], service))
+            self._calls.add(call)
+            call.add_done_callback(self._calls.discard)
+
+    def _request(self, address: Address | None, service: str) -> RetryRequest | None:
+        """Return the request for what is waited for; ``None`` if there is nothing."""
+        has_begun = self.queue.count(service, True) > 0
         wanted = self.queue.count(service, has_begun)
+        if not wanted:
+            return None
         if address is not None:
             wanted += self._needs.count(service, has_begun)
         unused = self._held.take_unused(service, self._term_by_address.get(address))
-        message = RetryRequest.from_unused(
+        return RetryRequest.from_unused(
             self._vm, service, min(wanted, MAX_RETRIES_PER_GRANT), has_begun, unused
         )
-        if address is None:
-            self._apply(None, message, self._answer(message), self._clock.now())
-            return
-        self._pacer.start(service)
-        call = asyncio.create_task(self._call(address, message))
-        self._calls.add(call)
-        call.add_done_callback(self._calls.discard)
 
     def close(self) -> None:
         """Cancel the calls in flight."""
         for call in self._calls:
             call.cancel()
 
-    async def _call(self, address: Address, message: RetryRequest) -> None:
+    async def _call(self, address: Address, service: str) -> None:
+        """Call a coordinator for all requests that began to wait in one moment."""
+        message = self._request(address, service)
         asked_at = self._clock.now()
+        answer = None
         try:
-            answer = await self._send(address, message)
+            if message is not None:
+                answer = await self._send(address, message)
         finally:
-            self._pacer.end(message.service)
-        if answer is None:
+            self._pacer.end(service)
+        if answer is not None:
+            self._apply(address, message, answer, asked_at)
+            self.ask(service)
+        elif message is not None:
             self._pacer.record_failure(address)
-            self._reason_by_service[message.service] = NO_ANSWER
-            return
-        self._apply(address, message, answer, asked_at)
-        self.ask(message.service)
+            self._reason_by_service[service] = NO_ANSWER
 
     async def _send(
         self, address: Address, message: RetryRequest
