--- a/src/heathershunt/gateway/retries.py
+++ b/src/heathershunt/gateway/retries.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 
 from heathershunt.clock import Clock
-from heathershunt.discovery import MemberList
+from heathershunt.coordination import Store
 from heathershunt.gateway.config import GatewayConfig
+from heathershunt.gateway.state import SiteState
 from heathershunt.gateway.topology import MAX_FLAT_FLEET, Topology
 from heathershunt.http import HttpClient
 from heathershunt.relay import RetryBudget
 from heathershunt.retrybudget import (
+    FleetSizeKeeper,
     GrantLedger,
     HeldGrants,
     RetryPool,
@@ -22,13 +24,13 @@
     http: HttpClient,
     clock: Clock,
     config: GatewayConfig,
-    members: MemberList,
+    state: SiteState,
     topology: Topology,
     view_age_ms: Callable[[], int | None],
 ) -> RetryBudget:
     """Return the retry budget of a VM.
 
-    :param members: VMs that share it.
+    :param state: lists the VMs that share it.
     :param view_age_ms: returns the age of the view of the store; ``None`` before the
         first answer of the store.
 
@@ -40,6 +42,7 @@
     )
     ledger = GrantLedger(clock, limits)
     held = HeldGrants(clock)
+    members = state.members
 
     def standing() -> Standing:
         group = topology.group()
@@ -58,4 +61,29 @@
         held,
         RetryPool(http, clock, config.vm, topology.coordinators, ledger, held),
         standing,
+        lambda: state.fleet_size,
+    )
+
+
+def fleet_size_keeper(
+    store: Store,
+    clock: Clock,
+    state: SiteState,
+    topology: Topology,
+    is_current: Callable[[], bool],
+) -> FleetSizeKeeper:
+    """Return what keeps the size of the fleet in the store.
+
+    :param is_current: returns whether this VM sees the store as it is now.
+
+    .. versionadded:: 0.10
+    """
+    return FleetSizeKeeper(
+        store,
+        clock,
+        lambda: len(state.members),
+        lambda: state.fleet_size,
+        topology.rank,
+        is_current,
+        MAX_FLAT_FLEET,
     )
--- a/src/heathershunt/relay/budget.py
+++ b/src/heathershunt/relay/budget.py
@@ -38,6 +38,7 @@
     :param held: grants to this VM.
     :param pool: asks for grants.
     :param standing: returns the place of this VM in the fleet.
+    :param fleet_size: returns the VMs of the fleet as the store has it; 0 without it.
 
     .. versionadded:: 0.10
     """
@@ -51,6 +52,7 @@
         held: HeldGrants,
         pool: RetryPool,
         standing: Callable[[], Standing],
+        fleet_size: Callable[[], int],
     ) -> None:
         self.own = WindowBudget(clock, config, turns)
         self.pool = pool
@@ -58,6 +60,7 @@
         self._ledger = ledger
         self._held = held
         self._standing = standing
+        self._fleet_size = fleet_size
 
     def record_request(self, service: str) -> None:
         """Count a request of a caller."""
@@ -71,6 +74,7 @@
         :param vms: VMs that share the budget.
         :param has_begun: whether a part of the answer was already delivered.
         """
+        vms = self._known(vms)
         if self.own.take(service, vms, has_begun=has_begun):
             return RetryOrigin.OWN
         if self.own.is_large(vms) and self._held.take(service, has_begun):
@@ -80,6 +84,7 @@
 
     def may_take(self, service: str, vms: int, *, has_begun: bool = False) -> bool:
         """Return whether :meth:`take` would take a retry now."""
+        vms = self._known(vms)
         if self.own.may_take(service, vms, has_begun=has_begun):
             return True
         return self.own.is_large(vms) and self._held.count(service, has_begun) > 0
@@ -89,7 +94,7 @@
 
         No retry is asked for: the chain that the request leaves still serves it.
         """
-        return self.own.may_reroute(service, vms)
+        return self.own.may_reroute(service, self._known(vms))
 
     async def wait(
         self, service: str, vms: int, limit_ms: float, *, has_begun: bool = False
@@ -100,13 +105,13 @@
 
         :param limit_ms: longest wait.
         """
-        if limit_ms <= 0 or not self.own.is_large(vms):
+        if limit_ms <= 0 or not self.own.is_large(self._known(vms)):
             return False
         return await self.pool.wait(service, has_begun, limit_ms)
 
     def balance(self, service: str, vms: int, *, has_begun: bool = False) -> Balance:
         """Return what this VM has used and may use without a grant."""
-        return self.own.balance(service, vms, has_begun=has_begun)
+        return self.own.balance(service, self._known(vms), has_begun=has_begun)
 
     async def run(self) -> None:
         """Keep the division up to date and serve waiting requests, until cancelled."""
@@ -130,11 +135,15 @@
                     queue.call_next(service, 1, only_begun=has_begun)
             self.pool.ask(service)
 
+    def _known(self, vms: int) -> int:
+        """Return the VMs that share the budget, also if they are not listed yet."""
+        return max(vms, self._fleet_size()) if self.own.is_settling else vms
+
     # Gauges
 
     def own_left(self) -> float | None:
         """Return the retries that this VM has left, of the service with the fewest."""
-        vms = self._standing().vms
+        vms = self._known(self._standing().vms)
         balances = (
             self.own.balance(service, vms, has_begun=True)
             for service in self.own.services()
--- a/src/heathershunt/retrybudget/__init__.py
+++ b/src/heathershunt/retrybudget/__init__.py
@@ -2,6 +2,11 @@
 
 from heathershunt.retrybudget.budget import Balance, WindowBudget
 from heathershunt.retrybudget.config import WindowBudgetConfig
+from heathershunt.retrybudget.fleet_size import (
+    FLEET_SIZE_KEY,
+    FleetSizeKeeper,
+    decode_fleet_size,
+)
 from heathershunt.retrybudget.grants import HeldGrants
 from heathershunt.retrybudget.ledger import GrantLedger, GrantReason, Standing
 from heathershunt.retrybudget.messages import RETRIES_PATH
@@ -9,9 +14,11 @@
 from heathershunt.retrybudget.turns import Turns
 
 __all__ = [
+    "FLEET_SIZE_KEY",
     "RETRIES_PATH",
     "SHORT_WAIT_MS",
     "Balance",
+    "FleetSizeKeeper",
     "GrantLedger",
     "GrantReason",
     "HeldGrants",
@@ -20,4 +27,5 @@
     "Turns",
     "WindowBudget",
     "WindowBudgetConfig",
+    "decode_fleet_size",
 ]
--- a/src/heathershunt/retrybudget/budget.py
+++ b/src/heathershunt/retrybudget/budget.py
@@ -96,6 +96,11 @@
         window = self._granted_by_service.setdefault(service, EventWindow())
         window.add(self._clock.now())
 
+    @property
+    def is_settling(self) -> bool:
+        """Return whether this process may not know all other VMs yet."""
+        return self._age_ms < SETTLING_MS
+
     def is_large(self, vms: int) -> bool:
         """Return whether a part of the slack is granted on demand.
 
@@ -178,7 +183,7 @@
         """Return the same in a large fleet."""
         fraction = NEW_SHARED_FRACTION if self._is_new else SHARED_FRACTION
         share = fraction * self._config.slack / vms
-        return min(share, FIRST_RETRIES) if self._age_ms < SETTLING_MS else share
+        return min(share, FIRST_RETRIES) if self.is_settling else share
 
     def _earned_fraction(self) -> float:
         """Return the fraction of what requests earn that is used in a large fleet."""
