--- a/src/heathershunt/gateway/app.py
+++ b/src/heathershunt/gateway/app.py
@@ -38,6 +38,7 @@
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.ports import Ports
 from heathershunt.gateway.request_handler import RequestHandler
+from heathershunt.gateway.retries import fleet_size_keeper, retry_budget
 from heathershunt.gateway.servers import GatewayServers
 from heathershunt.gateway.state import (
     LEADER_KEY,
@@ -70,8 +71,6 @@
     Diagnosis,
     RelayContext,
     SuspectList,
-    WindowBudget,
-    WindowBudgetConfig,
 )
 from heathershunt.verdict import may_have_run
 
@@ -178,6 +177,13 @@
         )
         self._ledger = ledger = LoadLedger(clock)
         self._paces = paces = PaceTracker(clock, events.emit, notes)
+        topology = self._topology
+        budget = retry_budget(
+            http, clock, config, state, topology, lambda: self.view.age_ms
+        )
+        self._fleet_size_keeper = fleet_size_keeper(
+            ports.store, clock, state, topology, self._has_current_view
+        )
         self._exchanges = PeerExchanges(
             http,
             clock,
@@ -187,6 +193,7 @@
             notes,
             self.guard,
             self.limits,
+            budget.pool,
         )
         hops = GatewayHops(
             config, clock, http, state, self.suspects, self.availability, events
@@ -194,16 +201,13 @@
         self.links = hops.links
         self._evidence_keeper = EvidenceKeeper(ports.store, self.guard)
         runners = CountedRunners(ports.runners, self.limits, clock)
-        budget = WindowBudgetConfig(
-            bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
-        )
         self.relay_context = RelayContext(
             clock=clock,
             http=http,
             wire=ports.wire,
             registry=state.registry,
             suspects=self.suspects,
-            budget=WindowBudget(clock, budget),
+            budget=budget,
             ledger=ledger,
             chooser=ChainChooser(ledger, paces),
             runners=runners,
@@ -258,6 +262,7 @@
             paused_targets=lambda: self.availability.paused_count,
             is_cut_off=lambda: self.links.is_cut_off,
             waiting_by_rank=ledger.waiting.by_rank,
+            retries=budget,
         )
         add_load_gauges(self.metrics, ledger, self.relay_context.chooser)
         self.servers = GatewayServers(
@@ -295,6 +300,8 @@
             self.placer.run,
             *self._exchanges.loops(),
             self._evidence_keeper.run,
+            self.relay_context.budget.run,
+            self._fleet_size_keeper.run,
             partial(polls, self.state.registry.get),
             self.links.run,
             self._tick,
--- a/src/heathershunt/gateway/gauges.py
+++ b/src/heathershunt/gateway/gauges.py
@@ -5,6 +5,7 @@
 from heathershunt.gateway.metrics import GatewayMetrics
 from heathershunt.gateway.state import SiteState
 from heathershunt.pipelines import ChainChooser, LoadLedger
+from heathershunt.relay import RetryBudget
 
 
 def add_gauges(
@@ -19,6 +20,7 @@
     paused_targets: Callable[[], int],
     is_cut_off: Callable[[], bool],
     waiting_by_rank: Callable[[], Mapping[int, int]],
+    retries: RetryBudget,
 ) -> None:
     """Add the gauges of one gateway to its metrics.
 
@@ -32,6 +34,7 @@
     :param is_cut_off: returns whether this VM reaches no target.
     :param waiting_by_rank: returns the number of streams that wait in line, by
         priority.
+    :param retries: retry budget of this VM.
     """
     metrics.add_gauge_by(
         "waiting_streams",
@@ -79,6 +82,21 @@
             "whether this VM reaches no target and forwards requests",
             lambda: int(is_cut_off()),
         ),
+        (
+            "retries_left",
+            "retries that this VM has left, of the service with the fewest",
+            retries.own_left,
+        ),
+        (
+            "pool_retries_left",
+            "retries left to grant, if this VM is a coordinator",
+            retries.pool_left,
+        ),
+        (
+            "waiting_for_retries",
+            "requests that wait for a retry",
+            lambda: len(retries.pool.queue),
+        ),
     ):
         metrics.add_gauge(name, doc, read)
 
--- a/src/heathershunt/gateway/topology.py
+++ b/src/heathershunt/gateway/topology.py
@@ -1,5 +1,8 @@
 """Division of the fleet into VMs that watch the store, followers and groups."""
 
+import random
+from itertools import pairwise
+
 from heathershunt.discovery import MemberList
 from heathershunt.http import Address
 
@@ -52,10 +55,27 @@
 
     def aggregators(self) -> list[Address | None]:
         """Return the aggregators of loads by preference; ``None`` is this VM."""
-        names = self._group()[:WATCHERS]
+        names = self.group()[:WATCHERS]
         members = self._members.members_named(names)
         return [None if m.vm == self._vm else m.peers for m in members]
 
+    def coordinators(self) -> list[Address | None]:
+        """Return the first VM of each group, that of this VM's group first.
+
+        ``None`` stands for this VM. The others are in random order, which spreads the
+        calls.
+        """
+        own = self.group()[:1]
+        groups = self._groups(sorted(self._members.names()))
+        others = [group[0] for group in groups if group[:1] != own]
+        names = own + random.sample(others, len(others))
+        members = self._members.members_named(names)
+        return [
+            None if member.vm == self._vm else member.peers
+            for member in members
+            if member.vm == self._vm or member.peers is not None
+        ]
+
     def rank(self) -> int:
         """Return the number of VMs in the list before this one."""
         return sum(name < self._vm for name in self._members.names())
@@ -87,7 +107,7 @@
         The load of the group times this ratio estimates the load of the fleet, as
         callers choose among all VMs at random.
         """
-        in_group = len(self._group()) - 1
+        in_group = len(self.group()) - 1
         return max(1.0, (len(self._members) - 1) / in_group) if in_group > 0 else 1.0
 
     def wait_ms(self) -> int:
@@ -104,12 +124,12 @@
         watchers = self._watchers()
         if self._vm in watchers:
             return []
-        intermediates = self._group()[:INTERMEDIATES_PER_GROUP]
+        intermediates = self.group()[:INTERMEDIATES_PER_GROUP]
         return (
             watchers if self._vm in intermediates else intermediates if watchers else []
         )
 
-    def _group(self) -> list[str]:
+    def group(self) -> list[str]:
         """Return the names of this VM's group; the first one if it has none."""
         groups = self._groups(sorted(self._members.names()))
         own = (group for group in groups if self._vm in group)
@@ -118,7 +138,5 @@
     def _groups(self, names: list[str]) -> list[list[str]]:
         """Return all groups, of which there is at least one; sizes differ by one."""
         count = max(1, -(-len(names) // MAX_GROUP_SIZE))
-        groups: list[list[str]] = [[] for _ in range(count)]
-        for rank, name in enumerate(names):
-            groups[rank * count // len(names)].append(name)
-        return groups
+        bounds = [-(-number * len(names) // count) for number in range(count + 1)]
+        return [names[start:end] for start, end in pairwise(bounds)]
