--- a/src/heathershunt/admission/line.py
+++ b/src/heathershunt/admission/line.py
@@ -228,6 +228,8 @@
     def _next_candidate(self) -> Waiter | None:
         if len(self._tried) >= self.config.vain_searches:
             return None
+        if not self._tried and self._hopeless_size == math.inf:
+            return self._queue.peek(lambda account: True)
         for waiter in self._queue.first(self.config.looked_at):
             if waiter not in self._tried and waiter.size < self._hopeless_size:
                 return waiter
--- a/tests/gateway/test_priorities.py
+++ b/tests/gateway/test_priorities.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from copy import deepcopy
+from functools import partial
 
 import pytest
 
+from heathershunt.gateway.request_handler import MIN_ORDERED_VMS
 from heathershunt.http import Address
 from heathershunt.logs.run_events import LineLeft
 from heathershunt.platform.configuration import decode_configuration
@@ -31,20 +33,27 @@
 
 
 @pytest.fixture
-def fill(gateway, monkeypatch):
-    """Return a function that lets all chains seem full, or no longer."""
-    chooser = gateway.relay_context.chooser
-    choose = chooser.choose
+def fill_one(monkeypatch):
+    """Return a function that lets all chains of a VM seem full, or no longer."""
+
+    def fill_one(gateway, is_full):
+        chooser = gateway.relay_context.chooser
+        choose = type(chooser).choose
 
-    def fill(is_full):
         def choose_if_free(*args, needs_room=False, **options):
             if needs_room and is_full:
                 return None
-            return choose(*args, needs_room=needs_room, **options)
+            return choose(chooser, *args, needs_room=needs_room, **options)
 
         monkeypatch.setattr(chooser, "choose", choose_if_free)
 
-    return fill
+    return fill_one
+
+
+@pytest.fixture
+def fill(gateway, fill_one):
+    """Return a function that lets all chains seem full, or no longer."""
+    return partial(fill_one, gateway)
 
 
 async def test_priority_of_the_account_takes_precedence_over_the_route(site, gateway):
@@ -99,6 +108,20 @@
     assert not gateway.relay_context.ledger.waiting.by_rank()
 
 
+async def test_streams_wait_in_line_in_a_large_fleet(site, fill_one):
+    # Load pattern: a large account beside small ones, all of one priority.
+    gateway = site.gateways["vm-1"]
+    for number in range(2, MIN_ORDERED_VMS + 1):
+        site.store.put(f"vm/vm-{number}", {"callers": "127.0.0.1:1"})
+    await site.until(lambda: len(gateway.state.members) == MIN_ORDERED_VMS)
+    fill_one(gateway, True)
+    waiting = gateway.relay_context.ledger.waiting
+    stream = asyncio.create_task(site.open_stream(2))
+    await site.until(lambda: waiting.own() == {("engine", 1): 1})
+    fill_one(gateway, False)
+    await (await stream).read()
+
+
 async def test_stream_in_line_ends_its_wait_when_its_caller_leaves(site, gateway, fill):
     fill(True)
     waiting = gateway.relay_context.ledger.waiting
