Bound the searches of a line whose streams differ in size

With streams of all sizes, each round that a run's end begins had up to four searches without a result, up to 100 times a second. Such a round now has one, and passes over streams that could not use the room of an earlier round; a full round comes each 60 ms.

--- a/measure/waiting_line.py
+++ b/measure/waiting_line.py
@@ -32,6 +32,8 @@
 RANK_WEIGHTS = (2, 3, 5)
 ACCOUNTS = 24
 LARGE_ACCOUNTS = 3
+# Logarithm of the tokens of a stream: mean and standard deviation.
+SIZE = (6.6, 0.6)
 # Part of the streams of the large accounts together.
 LARGE_PART = 0.6
 SERVICE = "s"
@@ -138,7 +140,8 @@
             account = self._traffic.randrange(LARGE_ACCOUNTS)
         else:
             account = self._traffic.randrange(LARGE_ACCOUNTS, ACCOUNTS)
-        waiter = Waiter(str(account), rank, Millis(self.now + 5000))
+        size = self._traffic.lognormvariate(*SIZE)
+        waiter = Waiter(str(account), rank, Millis(self.now + 5000), size)
         counted = COUNTED_MS[0] <= self.now < COUNTED_MS[1]
         vm = self._traffic.randrange(self.vms)
         hold_ms = self._traffic.expovariate(1 / HOLD_MS)
--- a/src/heathershunt/admission/line.py
+++ b/src/heathershunt/admission/line.py
@@ -1,8 +1,9 @@
 """Order in which streams that wait for capacity search for a chain.
 
 One stream at a time has the turn to search. If it finds a chain, the next one has its
-turn at once; if it finds none, the next ones that may do better search within the same
-round, and after that the line rests.
+turn at once; if it finds none, the line rests until the next round. A run that ends
+begins a short round, in which one search may be in vain. In a full round, those that
+may do better than the head search as well: it may fit nowhere, for a reason of its own.
 """
 
 import math
@@ -23,11 +24,14 @@
 
     :param rank_ratio: weight of a priority relative to the next lower one that waits;
         also the largest factor by which rounds are held back for other VMs.
-    :param rest_ms: time between two rounds of searches while no chain has room.
-    :param min_rest_ms: shortest time between them when runs end. A search takes up to
-        3 ms of CPU time, and runs may end more often.
-    :param vain_searches: most searches of one round that find no chain.
+    :param rest_ms: time between two full rounds while no chain has room.
+    :param min_rest_ms: shortest time between two rounds when runs end. A search takes
+        up to 3 ms of CPU time, and runs may end more often.
+    :param vain_searches: most searches of a full round that find no chain.
     :param looked_at: waiters that are looked at for those searches.
+    :param smaller: part of the size of a stream that found no chain, below which
+        another one may find one. Most streams differ in size, so without it each full
+        round would have all its searches.
     :param turns_window_ms: age up to which turns count for the rate of turns.
     :param min_turns: turns from which that rate is known.
     :param late_factor: factor by which the expected wait exceeds what a stream may wait
@@ -43,6 +47,7 @@
     min_rest_ms: int = 10
     vain_searches: int = 4
     looked_at: int = 16
+    smaller: float = 0.5
     turns_window_ms: int = 2000
     min_turns: int = 8
     late_factor: float = 1.5
@@ -88,9 +93,11 @@
         self.next_at = Millis(0)
         self.held_rounds = 0
         self._is_open = False
+        self._is_full_round = True
+        self._next_full_at = Millis(0)
         self._tried: set[Waiter] = set()
         self._stuck: set[Waiter] = set()
-        # Size from which a stream without restrictions found no chain in this round.
+        # Size from which no stream without restrictions is tried in this round.
         self._hopeless_size = math.inf
         self._has_new_room = False
         self._rested_at = Millis(-config.min_rest_ms)
@@ -152,7 +159,8 @@
         if is_restricted:
             self._stuck.add(waiter)
         else:
-            self._hopeless_size = min(self._hopeless_size, waiter.size)
+            hopeless_size = waiter.size * self.config.smaller
+            self._hopeless_size = min(self._hopeless_size, hopeless_size)
 
     def on_room(self, now: Millis) -> None:
         """Let the next round begin soon, as a run has ended."""
@@ -170,6 +178,7 @@
         if self.turn is not None or not self._queue:
             return None
         if not self._is_open:
+            self._is_full_round = now >= self._next_full_at
             if now < self.next_at or not self._may_begin(now, elsewhere):
                 return None
             self._is_open = True
@@ -226,14 +235,19 @@
         return False
 
     def _next_candidate(self) -> Waiter | None:
-        if len(self._tried) >= self.config.vain_searches:
+        config = self.config
+        if len(self._tried) >= (config.vain_searches if self._is_full_round else 1):
             return None
-        if not self._tried and self._hopeless_size == math.inf:
-            return self._queue.peek(lambda account: True)
-        for waiter in self._queue.first(self.config.looked_at):
-            if waiter not in self._tried and waiter.size < self._hopeless_size:
-                return waiter
-        return None
+        head = self._queue.peek(lambda account: True)
+        if self._may_search(head):
+            return head
+        candidates = self._queue.first(config.looked_at)
+        return next(filter(self._may_search, candidates), None)
+
+    def _may_search(self, waiter: Waiter) -> bool:
+        if waiter in self._tried or (not self._is_full_round and waiter in self._stuck):
+            return False
+        return waiter.size < self._hopeless_size
 
     def _rest(self, now: Millis) -> None:
         """End the round; the next one begins later, or when a run ends."""
@@ -242,8 +256,12 @@
         self._tried.clear()
         self._hopeless_size = math.inf
         self._rested_at = now
-        rest_ms = config.min_rest_ms if self._has_new_room else config.rest_ms
-        self.next_at = Millis(now + rest_ms)
+        if self._is_full_round:
+            self._next_full_at = Millis(now + config.rest_ms)
+        soonest = Millis(now + config.min_rest_ms)
+        self.next_at = (
+            soonest if self._has_new_room else max(soonest, self._next_full_at)
+        )
         self._has_new_room = False
 
     def _on_gone(self, waiter: Waiter) -> None:
--- a/tests/admission/test_line.py
+++ b/tests/admission/test_line.py
@@ -182,6 +182,37 @@
     assert line.next_turn(0, NOBODY) is other
 
 
+# Load pattern: streams of all sizes wait, and runs end all the time without room for
+# the head of line. Guards against searches that use up the CPU.
+def test_short_round_has_one_search_in_vain(line):
+    for size in range(16, 0, -1):
+        join(line, waiter(size=2**size))
+    assert len(search_in_vain(line, 0)) == CONFIG.vain_searches
+    for now in range(10, CONFIG.rest_ms, 10):
+        line.on_room(now)
+        assert len(search_in_vain(line, now)) == 1
+    assert len(search_in_vain(line, CONFIG.rest_ms)) == CONFIG.vain_searches
+
+
+def test_stream_that_is_hardly_smaller_is_not_tried_after_the_head(line):
+    head, _ = join(line, waiter(size=1000), waiter(size=600))
+    assert search_in_vain(line, 0) == [head]
+
+
+# Guards against streams that wait for a full round behind one that fits nowhere.
+def test_short_round_passes_over_a_stuck_head(line):
+    big, *small = join(line, waiter(size=9000), *(waiter() for _ in range(3)))
+    assert line.next_turn(0, NOBODY) is big
+    line.pass_on(big, is_restricted=False)
+    assert line.next_turn(0, NOBODY) is small[0]
+    line.take(small[0], 0)
+    assert line.next_turn(0, NOBODY) is small[1]
+    line.pass_on(small[1], is_restricted=False)
+    assert line.next_turn(0, NOBODY) is None
+    line.on_room(30)
+    assert line.next_turn(30, NOBODY) is small[1]
+
+
 def test_searches_without_a_result_are_bounded_in_a_round(line):
     join_many(line, 50)
     tried = search_in_vain(line, 0, is_restricted=True)
--- a/tests/relay/test_lines.py
+++ b/tests/relay/test_lines.py
@@ -232,9 +232,13 @@
     await vm.begin("big", tokens=9000)
     await vm.begin("small-0", tokens=100)
     await vm.begin("small-1", tokens=100)
+    await vm.begin("small-2", tokens=100)
     vm.end_run(rooms=2)
-    await vm.settle()
+    await asyncio.sleep(0.02 + CAPACITY_POLL_MS / 1000)
     assert vm.names == ["small-0", "small-1"]
+    vm.end_run(rooms=1)
+    await vm.settle()
+    assert vm.names == ["small-0", "small-1", "small-2"]
     assert vm.ledger.own() == {}, "no other VM leaves room to the big one"
     assert vm.ledger.by_rank() == {0: 1}
 
