--- a/src/heathershunt/admission/line.py
+++ b/src/heathershunt/admission/line.py
@@ -47,7 +47,7 @@
     min_rest_ms: int = 10
     vain_searches: int = 4
     looked_at: int = 16
-    smaller: float = 0.5
+    smaller: float = 0.25
     turns_window_ms: int = 2000
     min_turns: int = 8
     late_factor: float = 1.5
