Keep the fallback of streams whose first connection failed

A stream that enters the line after a failed connection has little of its wait limit left, so it would have been refused at once where it was sent to a chain that seems full before. Also tests that a line never stands still, over 300 sequences of events.

--- a/src/heathershunt/relay/selection.py
+++ b/src/heathershunt/relay/selection.py
@@ -86,7 +86,9 @@
         """Return a chain when the turn of this stream comes, or the fallback."""
         line, waiter = self._capacity.line(service), self._waiter
         left_ms = self._wait_left_ms(self._timeouts.capacity_wait_ms)
-        if line.is_too_late(waiter, left_ms):
+        # After a failed connection little or none of the time is left; such a stream
+        # still has its fallback.
+        if not self._attempts.sends and line.is_too_late(waiter, left_ms):
             waiting = self._capacity.waiting(service)
             self.wait_detail = f"its turn would come too late, {waiting} streams wait"
             self._emit_line_left("refused", self._context.clock.now())
--- a/tests/admission/test_line.py
+++ b/tests/admission/test_line.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from heathershunt.admission import LineConfig, Waiter, WaitingLine
 
@@ -340,3 +341,49 @@
         place(line, 1, now)
     join_many(line, 5)
     assert line.wait_ms(waiter(), 20) is None
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("join", "take", "pass", "leave", "fallback", "room")),
+        st.integers(0, 2),
+        st.integers(0, 30),
+    ),
+    max_size=60,
+)
+
+
+# Guards against a line that stands still: each stream that waits gets a search,
+# whatever the others do, and also while other VMs have urgent streams.
+@settings(max_examples=300)
+@given(steps=STEPS)
+def test_line_never_stands_still(steps):
+    line = WaitingLine.from_config(CONFIG)
+    waiting, now = [], 0
+    for step, rank, passed_ms in steps:
+        now += passed_ms
+        turn = line.turn
+        if step == "join":
+            waiting.append(waiter(str(rank), rank, size=100 * 10**rank))
+            line.join(waiting[-1])
+        elif step == "room":
+            line.on_room(now)
+        elif step in ("leave", "fallback") and waiting:
+            item = waiting.pop(rank % len(waiting))
+            line.leave(item) if step == "leave" else line.take(item, now)
+        elif step == "take" and turn is not None:
+            waiting.remove(turn)
+            line.take(turn, now)
+        elif step == "pass" and turn is not None:
+            line.pass_on(turn, is_restricted=bool(rank))
+        line.next_turn(now, {0: 5})
+        assert line.turn is None or line.turn in waiting
+        assert len(line) == len(waiting)
+        assert line.stuck().total() <= len(waiting)
+    for _ in range(20 * len(waiting)):
+        if line.turn is None:
+            now = max(now, line.next_at)
+            line.next_turn(now, {0: 5})
+        if line.turn is not None:
+            line.take(line.turn, now)
+    assert len(line) == 0
--- a/tests/relay/test_lines.py
+++ b/tests/relay/test_lines.py
@@ -305,6 +305,20 @@
     assert urgent.told_wait_ms() < late.told_wait_ms()
 
 
+# Case: the first runner of a stream could not be connected to, which took a while.
+async def test_stream_after_a_failed_connection_has_its_fallback(vm, context, clock):
+    for number in range(60):
+        await vm.begin(f"{number}", account="large", rank=1)
+    for _ in range(10):
+        vm.end_run(rooms=1)
+        await asyncio.sleep(0.015)
+    attempts = Attempts(context.registry, 2)
+    attempts.sends = 1
+    progress = StreamProgress(clock, clock.now() - CAPACITY_WAIT_MS, None)
+    late = vm.selection("late", attempts, progress, account="large", rank=1)
+    assert await late.wait_for_chain() == "full"
+
+
 async def test_refused_callers_do_not_return_together(vm):
     selection = vm.selection("a")
     told = {selection.told_wait_ms() for _ in range(50)}
