--- a/tests/admission/test_line.py
+++ b/tests/admission/test_line.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from heathershunt.admission import LineConfig, Waiter, WaitingLine
 
@@ -182,6 +183,37 @@
     assert line.next_turn(0, NOBODY) is other
 
 
+# Load pattern: streams of all sizes wait, and runs end all the time without room for
+# the head of line. Guards against searches that use up the CPU.
+def test_short_round_has_one_search_in_vain(line):
+    for size in range(10, 0, -1):
+        join(line, waiter(size=5**size))
+    assert len(search_in_vain(line, 0)) == CONFIG.vain_searches
+    for now in range(10, CONFIG.rest_ms, 10):
+        line.on_room(now)
+        assert len(search_in_vain(line, now)) == 1
+    assert len(search_in_vain(line, CONFIG.rest_ms)) == CONFIG.vain_searches
+
+
+def test_stream_that_is_hardly_smaller_is_not_tried_after_the_head(line):
+    head, _ = join(line, waiter(size=1000), waiter(size=400))
+    assert search_in_vain(line, 0) == [head]
+
+
+# Guards against streams that wait for a full round behind one that fits nowhere.
+def test_short_round_passes_over_a_stuck_head(line):
+    big, *small = join(line, waiter(size=9000), *(waiter() for _ in range(3)))
+    assert line.next_turn(0, NOBODY) is big
+    line.pass_on(big, is_restricted=False)
+    assert line.next_turn(0, NOBODY) is small[0]
+    line.take(small[0], 0)
+    assert line.next_turn(0, NOBODY) is small[1]
+    line.pass_on(small[1], is_restricted=False)
+    assert line.next_turn(0, NOBODY) is None
+    line.on_room(30)
+    assert line.next_turn(30, NOBODY) is small[1]
+
+
 def test_searches_without_a_result_are_bounded_in_a_round(line):
     join_many(line, 50)
     tried = search_in_vain(line, 0, is_restricted=True)
@@ -309,3 +341,49 @@
         place(line, 1, now)
     join_many(line, 5)
     assert line.wait_ms(waiter(), 20) is None
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("join", "take", "pass", "leave", "fallback", "room")),
+        st.integers(0, 2),
+        st.integers(0, 30),
+    ),
+    max_size=60,
+)
+
+
+# Guards against a line that stands still: each stream that waits gets a search,
+# whatever the others do, and also while other VMs have urgent streams.
+@settings(max_examples=300)
+@given(steps=STEPS)
+def test_line_never_stands_still(steps):
+    line = WaitingLine.from_config(CONFIG)
+    waiting, now = [], 0
+    for step, rank, passed_ms in steps:
+        now += passed_ms
+        turn = line.turn
+        if step == "join":
+            waiting.append(waiter(str(rank), rank, size=100 * 10**rank))
+            line.join(waiting[-1])
+        elif step == "room":
+            line.on_room(now)
+        elif step in ("leave", "fallback") and waiting:
+            item = waiting.pop(rank % len(waiting))
+            line.leave(item) if step == "leave" else line.take(item, now)
+        elif step == "take" and turn is not None:
+            waiting.remove(turn)
+            line.take(turn, now)
+        elif step == "pass" and turn is not None:
+            line.pass_on(turn, is_restricted=bool(rank))
+        line.next_turn(now, {0: 5})
+        assert line.turn is None or line.turn in waiting
+        assert len(line) == len(waiting)
+        assert line.stuck().total() <= len(waiting)
+    for _ in range(20 * len(waiting)):
+        if line.turn is None:
+            now = max(now, line.next_at)
+            line.next_turn(now, {0: 5})
+        if line.turn is not None:
+            line.take(line.turn, now)
+    assert len(line) == 0
