--- a/src/heathershunt/forwarding/hop.py
+++ b/src/heathershunt/forwarding/hop.py
@@ -93,6 +93,8 @@
             outcome = await self._ask(member, message, left_ms)
         if isinstance(outcome, HopEnd):
             self._chooser.leave_out(member.vm)
+        else:
+            self._chooser.record_taken(member.vm)
         return outcome
 
     async def _ask(
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -77,3 +77,33 @@
 def test_vm_without_a_listener_for_vms_is_not_asked(clock):
     chooser = HopChooser(clock, "a1", "a", lambda: [Member("a2", "1.1.1.1:1", "a")])
     assert not chooser.has_others
+
+
+def test_large_domain_without_links_is_left_after_a_few_vms(clock):
+    # Guards against requests that ask their four VMs in a domain that is cut off whole,
+    # which has more VMs than decline within a second.
+    vms = [f"{domain}{number}" for domain in "abc" for number in range(130)]
+    members = [member(vm) for vm in vms]
+    chooser = HopChooser(clock, "a0", "a", lambda: members, random.Random(1))
+    failed = 0
+    for _ in range(50):
+        clock.advance(60)
+        asked = []
+        while len(asked) < 4:
+            chosen = chooser.choose(asked)
+            asked.append(chosen.vm)
+            if chosen.domain != "a":
+                chooser.record_taken(chosen.vm)
+                break
+            chooser.leave_out(chosen.vm)
+        else:
+            failed += 1
+    assert failed == 0
+
+
+def test_vms_that_took_requests_are_preferred_after_two_that_did_not(chooser):
+    # Guards against requests that fail though VMs are known that take them.
+    chooser.record_taken("b2")
+    chooser.leave_out("a2")
+    chooser.leave_out("a3")
+    assert set(draw(chooser, asked=("a2", "a3"))) == {"b2"}
