Pass on only answers that another VM marks as served

A VM of an earlier version answers 404 to a forwarded request, and a listener with too many connections 503; callers would have got these as the answer. An answer now needs a mark of the receiver, else the next VM is asked. The line of a forwarded request also ends the request in the log, so that its lines are not held on. A refused connection is compared with three targets that are not known to have ended.

--- a/src/heathershunt/forwarding/hop.py
+++ b/src/heathershunt/forwarding/hop.py
@@ -14,6 +14,7 @@
     FORWARD_PATH,
     NOT_TAKEN_HEADER,
     SENT_TO_HEADER,
+    SERVED_HEADER,
     caller_headers,
     decode_ids,
 )
@@ -22,6 +23,7 @@
 
 # VMs of a site reach each other within milliseconds.
 CONNECT_MS = 100
+INTERNAL_ERROR = 500
 # For connections that end early, and answers that are not HTTP.
 READ_ERRORS = (OSError, TimeoutError, h11.RemoteProtocolError)
 
@@ -127,6 +129,12 @@
         if NOT_TAKEN_HEADER in headers:
             response.close()
             return HopEnd(HopFailure.DECLINED, headers[NOT_TAKEN_HEADER])
+        if SERVED_HEADER not in headers:
+            response.close()
+            # Only a handler that failed may have sent the request somewhere.
+            is_failed = response.status == INTERNAL_ERROR
+            failure = HopFailure.LOST if is_failed else HopFailure.DECLINED
+            return HopEnd(failure, f"status {response.status} without a mark")
         head = Response(response.status, caller_headers(headers))
         if "transfer-encoding" in headers:
             return HopAnswer(head, None, response)
--- a/src/heathershunt/forwarding/links.py
+++ b/src/heathershunt/forwarding/links.py
@@ -19,9 +19,8 @@
 # Longest wait of a request for the outcome of a check: the rest of one that runs, and
 # one more.
 SETTLE_MS = 600
-# Connections for the question whether another target is reached; one target may be
-# down, too.
-OTHERS_TRIED = 2
+# Connections for the question whether another target is reached; some may be down, too.
+OTHERS_TRIED = 3
 
 
 class LinkWatch:
@@ -74,12 +73,18 @@
         """Return whether another target was reached after a time, or is reached now."""
         if self._reachability.has_reached_since(since):
             return True
-        others = self._next_targets(OTHERS_TRIED, {target_id})
+        ended = filter(self._has_refused, self._registry.ids())
+        others = self._next_targets(OTHERS_TRIED, {target_id, *ended})
         if not others:
             # There is no other target to compare with.
             return not self.is_cut_off
         return any(await asyncio.gather(*map(self._probe, others)))
 
+    def _has_refused(self, target_id: str) -> bool:
+        """Return whether a target is known to have ended."""
+        target = self._registry.get(target_id)
+        return target is not None and self._registry.has_refused(target)
+
     async def settle(self) -> None:
         """Wait until it is known whether this VM is cut off, for a bounded time."""
         if not self._reachability.is_in_doubt:
--- a/src/heathershunt/forwarding/messages.py
+++ b/src/heathershunt/forwarding/messages.py
@@ -18,11 +18,15 @@
 NOT_TAKEN_HEADER = "x-not-taken"
 # Targets to which the receiver sent a request that it then refused.
 SENT_TO_HEADER = "x-sent-to"
+# The answer is one for the caller. An answer without this field is from a listener that
+# took no request, as it has too many connections, or from an earlier version.
+SERVED_HEADER = "x-served"
 # Fields for the sending VM alone, and those that concern one connection.
 _DROPPED_FIELDS = frozenset(
     {
         NOT_TAKEN_HEADER,
         SENT_TO_HEADER,
+        SERVED_HEADER,
         "connection",
         "content-length",
         "transfer-encoding",
--- a/src/heathershunt/forwarding/receiver.py
+++ b/src/heathershunt/forwarding/receiver.py
@@ -10,6 +10,7 @@
     FORWARD_PATH,
     NOT_TAKEN_HEADER,
     SENT_TO_HEADER,
+    SERVED_HEADER,
     decode_forward,
     encode_ids,
 )
@@ -90,8 +91,9 @@
         self, answer: Answer, unserved: Unserved | None, earlier: EarlierSends
     ) -> Answer:
         """Return an answer with the mark of a refusal, and without marks of targets."""
-        marks = (NOT_TAKEN_HEADER, SENT_TO_HEADER)
+        marks = (NOT_TAKEN_HEADER, SENT_TO_HEADER, SERVED_HEADER)
         headers = {k: v for k, v in answer.headers.items() if k.lower() not in marks}
+        headers[SERVED_HEADER] = "1"
         if unserved is not None:
             new_ids = unserved.sends.target_ids - earlier.target_ids
             if self._links.is_cut_off and unserved.sends.sends <= earlier.sends:
--- a/src/heathershunt/logs/forward_events.py
+++ b/src/heathershunt/logs/forward_events.py
@@ -4,7 +4,11 @@
 from typing import ClassVar
 
 from heathershunt.logs.events import Event
-from heathershunt.logs.request_events import RequestEvent
+from heathershunt.logs.request_events import (
+    SERVER_ERROR,
+    TOO_MANY_REQUESTS,
+    RequestEvent,
+)
 
 
 @dataclass(frozen=True)
@@ -59,11 +63,17 @@
         "ms; VMs asked: {asked}"
     )
     outcome_field: ClassVar[str | None] = "status"
+    ends_request: ClassVar[bool] = True
     through: str
     status: int
     asked: int
     elapsed_ms: int
 
+    @property
+    def is_failure(self) -> bool:
+        """Return whether the request was refused or failed."""
+        return self.status >= SERVER_ERROR or self.status == TOO_MANY_REQUESTS
+
 
 @dataclass(frozen=True)
 class ForwardNotTaken(RequestEvent):
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -362,6 +362,43 @@
     assert [len(run.events) for run in stream_runs(site)] == [60]
 
 
+@pytest.mark.parametrize("status", [404, 413, 503])
+async def test_answer_of_a_listener_is_not_passed_on(site, status):
+    # Guards against answers of VMs of an earlier version, or of a listener with too
+    # many connections, that callers would take for theirs.
+    await add_gateways(site, 3)
+    await cut_off(site, CUT)
+
+    async def answer(request):
+        return Response(status)
+
+    receiver_of(site.gateways["vm-3"]).handle = answer
+    calls = (site.call("POST", "/orders/7", b"x", vm=CUT) for _ in range(10))
+    assert [answer[0] for answer in await asyncio.gather(*calls)] == [200] * 10
+
+
+async def test_request_is_counted_once_in_the_retry_budgets(site):
+    # Guards against retries that requests earn at both VMs.
+    await add_gateways(site, 3)
+    await cut_off(site, CUT)
+
+    def counted():
+        windows = [
+            gateway.relay_context.budget._requests_by_service.get("desk")
+            for gateway in site.gateways.values()
+        ]
+        return sum(window.count(0) for window in windows if window is not None)
+
+    before = counted()
+    for _ in range(5):
+        await site.call("POST", "/orders/7", b"x", vm=CUT)
+    assert counted() == before + 5
+    await cut_off(site, "vm-3")
+    # One request found out, one was forwarded at once.
+    await site.call("POST", "/orders/7", b"x", vm="vm-3")
+    assert counted() == before + 7
+
+
 # Callers that leave, and requests under load
 
 
