--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -13,6 +13,7 @@
     return json.dumps(header | order | fields)
 
 
+DECLINED = {"progress": "declined", "detail": "cut off"}
 BROKEN_STREAM = [
     line(90, "target_gone", target="other", vm="vm-2"),
     line(100, "admitted", request="r1", route="d", service="s", left_ms=900),
@@ -92,3 +93,34 @@
 def test_command_says_that_no_line_names_the_request(log_file, capsys, request_id):
     assert run(["explain", request_id or "none", "--logs", str(log_file)]) != 0
     assert "no line of the logs names" in capsys.readouterr().err
+
+
+def test_forwarded_request_is_shown_at_both_vms():
+    # Guards against a request whose way ends at the VM that forwarded it.
+    lines = [
+        line(90, "cut_off", failed=3, after_ms=500),
+        line(100, "admitted", request="r1", route="d", service="s", left_ms=900),
+        line(101, "forward_not_taken", request="r1", through="vm-3", **DECLINED),
+        line(103, "forward_received", "vm-2", request="r1", sender="vm-1", left_ms=897),
+        line(104, "sent", "vm-2", request="r1", target="run-1", waited_ms=1, sends=0),
+        line(
+            120,
+            "forwarded",
+            request="r1",
+            through="vm-2",
+            status=200,
+            asked=2,
+            elapsed_ms=20,
+        ),
+    ]
+    text = explain_request(read_lines(lines), "r1")
+    assert "VM vm-2, which answered 200 after 20 ms" in text[0]
+    assert [shown.split(":")[0].split()[-1] for shown in text[1:]] == [
+        "vm-1",
+        "vm-1",
+        "vm-1",
+        "vm-2",
+        "vm-2",
+        "vm-1",
+    ]
+    assert "cut off from the targets" in text[1]
