--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -6,6 +6,10 @@
 HOWS = ("hang", "refuse")
 
 
+async def _never(size):
+    await asyncio.sleep(3600)
+
+
 class TargetLinks:
     """Connections of one gateway to all targets of a site.
 
@@ -34,9 +38,12 @@
         self._open.add(connection)
         return connection
 
-    def cut(self, how, resets_open=False):
-        """Let new connections fail; reset those that are open on request."""
+    def cut(self, how, resets_open=False, silences_open=False):
+        """Let new connections fail; reset or silence those that are open on request."""
         self.how = how
+        if silences_open:
+            for connection in list(self._open):
+                connection._reader.read = _never
         if resets_open:
             for connection in list(self._open):
                 connection.close()
--- a/tests/gateway/test_forwarding_failures.py
+++ b/tests/gateway/test_forwarding_failures.py
@@ -200,6 +200,18 @@
     assert not site.gateways[CUT].guard.has_evidence
 
 
+async def test_stream_behind_a_silent_link_goes_on_through_another_vm(site):
+    # Guards against streams that wait for their deadline behind a link that hangs.
+    await add_gateways(site, 2)
+    whole = await (await site.open_stream(events=60, vm="vm-1")).read()
+    links = TargetLinks(site, CUT)
+    response = await site.open_stream(events=60, vm=CUT)
+    await asyncio.sleep(0.05)
+    links.cut("hang", silences_open=True)
+    async with asyncio.timeout(2.5):
+        assert await response.read() == whole
+
+
 async def test_stream_on_a_connection_that_stays_open_is_kept(site):
     # Guards against runs that are ended though their connections are sound.
     await add_gateways(site, 2)
