--- a/tests/forwarding/test_choice_of_domains.py
+++ b/tests/forwarding/test_choice_of_domains.py
@@ -24,9 +24,8 @@
     while len(asked) < MAX_ASKED:
         member = chooser.choose(asked)
         asked.add(member.vm)
-        with chooser.running(member.vm):
-            pass
         if member.vm not in cut:
+            chooser.record_taken(member.vm)
             return len(asked)
         chooser.leave_out(member.vm)
     return None
--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -6,6 +6,10 @@
 HOWS = ("hang", "refuse")
 
 
+async def _never(size):
+    await asyncio.sleep(3600)
+
+
 class TargetLinks:
     """Connections of one gateway to all targets of a site.
 
@@ -34,9 +38,12 @@
         self._open.add(connection)
         return connection
 
-    def cut(self, how, resets_open=False):
-        """Let new connections fail; reset those that are open on request."""
+    def cut(self, how, resets_open=False, silences_open=False):
+        """Let new connections fail; reset or silence those that are open on request."""
         self.how = how
+        if silences_open:
+            for connection in list(self._open):
+                connection._reader.read = _never
         if resets_open:
             for connection in list(self._open):
                 connection.close()
@@ -76,3 +83,15 @@
     await site.until(lambda: gateway.links.is_cut_off)
     await calling
     return links
+
+
+def refused(answers):
+    """Return the statuses and bodies of the answers that are not successful."""
+    return [(status, body) for status, _, body in answers if status != 200]
+
+
+def events_of(gateway):
+    """Return the list to which the events of a gateway are added from now on."""
+    events = []
+    gateway.relay_context.events.add_observer(events.append)
+    return events
