--- a/tests/retrybudget/test_budget.py
+++ b/tests/retrybudget/test_budget.py
@@ -1,10 +1,16 @@
 import pytest
 
-from heathershunt.retrybudget import WindowBudget, WindowBudgetConfig
+from heathershunt.retrybudget import FleetRecord, WindowBudget, WindowBudgetConfig
 from heathershunt.retrybudget.budget import (
+    EARNED_FRACTION,
     FIRST_RETRIES,
+    FIRST_SHARED_FRACTION,
+    NEW_EARNED_FRACTION,
+    NEW_EARNED_MAX,
+    NEW_SHARED_FRACTION,
     REROUTE_FRACTION,
     SETTLING_MS,
+    SHARED_FRACTION,
     UNSTARTED_FRACTION,
     USED_FRACTION,
 )
@@ -116,3 +122,61 @@
 def test_process_has_its_whole_share_after_a_window(clock):
     budget = settled(clock, FLEET)
     assert take_all(budget, vms=4) == int(USED_FRACTION * FLEET.slack / 4)
+
+
+# A fleet of 35 VMs, in which a share is 2.5 retries and 1 for a new process.
+LARGE = 35
+
+
+def test_large_fleet_divides_a_quarter_of_the_slack(clock):
+    budget = settled(clock, FLEET)
+    assert take_all(budget, LARGE) == int(SHARED_FRACTION * FLEET.slack / LARGE)
+
+
+def test_requests_earn_retries_where_they_are(clock):
+    budget = settled(clock, WindowBudgetConfig(window_ms=10_000, ratio=0.2, slack=0))
+    for _ in range(50):
+        budget.record_request("s")
+    assert take_all(budget, LARGE) == int(EARNED_FRACTION * 0.2 * 50)
+
+
+@pytest.mark.parametrize(
+    ("starts", "share"),
+    [([], NEW_SHARED_FRACTION), ([1], FIRST_SHARED_FRACTION)],
+)
+def test_new_process_has_less_for_a_window(clock, starts, share):
+    # Guards against two whole shares in one window: the process before may have used
+    # one a moment ago.
+    config = WindowBudgetConfig(window_ms=10_000, ratio=0.2, slack=3500)
+    fleet = FleetRecord(LARGE, starts)
+    budget = WindowBudget(clock, config, None, lambda: fleet)
+    assert take_all(budget, LARGE) == FIRST_RETRIES
+    clock.advance(SETTLING_MS)
+    assert take_all(budget, LARGE) + FIRST_RETRIES == int(share * 3500 / LARGE)
+    clock.advance(config.window_ms - SETTLING_MS)
+    taken = take_all(budget, LARGE) + int(share * 3500 / LARGE)
+    assert taken - FIRST_RETRIES == int(SHARED_FRACTION * 3500 / LARGE)
+
+
+@pytest.mark.parametrize("age_ms", [500, 2000, 9900])
+def test_new_process_uses_little_of_what_requests_earn(clock, age_ms):
+    # Guards against retries of two processes for the requests of one window.
+    config = WindowBudgetConfig(window_ms=10_000, ratio=0.2, slack=0)
+    budget = WindowBudget(clock, config)
+    per_window = 10_000
+    for _ in range(age_ms):
+        clock.advance(1)
+        budget.record_request("s")
+    most = max(NEW_EARNED_MAX, NEW_EARNED_FRACTION * age_ms / config.window_ms)
+    assert take_all(budget, LARGE) <= most * 0.2 * per_window
+    clock.advance(config.window_ms - age_ms)
+    assert take_all(budget, LARGE) > 0
+
+
+def test_granted_retries_count_as_the_fleet_becomes_small(clock):
+    # Guards against a VM that used the pool and then half of the budget too.
+    config = WindowBudgetConfig(window_ms=1000, ratio=0.5, slack=100)
+    budget = settled(clock, config)
+    for _ in range(5):
+        budget.record_granted("s")
+    assert take_all(budget, vms=8) == int(USED_FRACTION * 100 / 8) - 5
