Compare listed runners at once when their number changes

A runner listed within the 50 ms between two comparisons was not known as new and got its whole share at once.

--- a/src/heathershunt/pipelines/chooser.py
+++ b/src/heathershunt/pipelines/chooser.py
@@ -82,7 +82,7 @@
     def choose(
         self,
         engine: Engine,
-        runners: Iterable[Target],
+        runners: Collection[Target],
         job: Job,
         vms: int,
         avoided: Collection[str] = (),
--- a/src/heathershunt/pipelines/newcomers.py
+++ b/src/heathershunt/pipelines/newcomers.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass, field
 
 from heathershunt.clock import Clock, Millis
-from heathershunt.discovery import LayerRange, Target
+from heathershunt.discovery import Target
 
 # Time over which the share of choices that consider a new runner grows to all of them.
 GROWTH_MS = 1000
 # Time after the start for which no runner counts as new: this VM sees all of them for
 # the first time.
 START_MS = 1500
-# The runners are compared with those seen before at most this often, as there may be
-# thousands of them.
-CHECK_PERIOD_MS = 50
+# The runners are compared with those seen before this often, and when their number has
+# changed. There may be thousands of them.
+CHECK_PERIOD_MS = 100
 
 
 @dataclass(slots=True)
@@ -22,23 +22,28 @@
     """Runners of one service as of the last check.
 
     :param checked_at: time of the check.
-    :param states: incarnation and layers of each runner, by id.
+    :param runners: the runners by id.
     :param new_since: when each new runner was seen first, by id.
     """
 
     checked_at: Millis
-    states: dict[str, tuple[int, LayerRange | None]] = field(default_factory=dict)
+    runners: dict[str, Target] = field(default_factory=dict)
     new_since: dict[str, Millis] = field(default_factory=dict)
 
-    def update(self, runners: Collection[Target], now: Millis, has_new: bool) -> None:
+    def is_due(self, listed: Collection[Target], now: Millis) -> bool:
+        """Return whether the runners are to be compared."""
+        is_old = now - self.checked_at >= CHECK_PERIOD_MS
+        return is_old or len(listed) != len(self.runners)
+
+    def update(self, listed: Collection[Target], now: Millis, has_new: bool) -> None:
         """Replace the runners with those that are listed now."""
         self.checked_at = now
-        states = {item.id: (item.incarnation, item.held) for item in runners}
+        known = self.runners
+        self.runners = {runner.id: runner for runner in listed}
         if has_new:
-            for runner_id, state in states.items():
-                if self.states.get(runner_id) != state:
+            for runner_id, runner in self.runners.items():
+                if _is_new(runner, known.get(runner_id)):
                     self.new_since[runner_id] = now
-        self.states = states
         limit = now - GROWTH_MS
         for runner_id, since in list(self.new_since.items()):
             if since <= limit:
@@ -77,7 +82,7 @@
         if listing is None:
             listing = self._listing_by_service[service] = _Listing(now)
             listing.update(listed, now, has_new=False)
-        elif now - listing.checked_at >= CHECK_PERIOD_MS:
+        elif listing.is_due(listed, now):
             has_new = now - self._started_at >= START_MS
             listing.update(listed, now, has_new)
         new_since = listing.new_since
@@ -90,5 +95,14 @@
         ]
 
 
+def _is_new(runner: Target, known: Target | None) -> bool:
+    """Return whether a runner was not listed, or by another process or range."""
+    if runner is known:
+        return False
+    if known is None or runner.incarnation != known.incarnation:
+        return True
+    return runner.held != known.held
+
+
 def _is_drawn(since: Millis | None, now: Millis) -> bool:
     return since is None or random.random() * GROWTH_MS < now - since
