--- a/src/heathershunt/pipelines/candidates.py
+++ b/src/heathershunt/pipelines/candidates.py
@@ -109,7 +109,7 @@
                     held.first,
                     min(held.end, engine.layers),
                     spread.cost_ms(use, free),
-                    (use.capacity - reserved) / tokens,
+                    spread.room(use, reserved) / tokens,
                     heads.may_be_first(runner),
                     running < runner.slots,
                 )
@@ -122,7 +122,7 @@
         self, engine: Engine, runners: Collection[Target], job: Job
     ) -> tuple[list[RunnerUse], list[int]]:
         """Return what is known of each runner, and its requests as the first one."""
-        own_by_id, others_by_id = self._ledger.own(), self._ledger.recent_others()
+        own_by_id, others_by_id = self._ledger.own(), self._ledger.last_others()
         rejections = self._ledger.rejections
         rejected_ms_by_id, full = rejections.ages(), rejections.full()
         usual = _UsualFigures(engine, job)
