Count each target that is reached as evidence of sound links

Successes were not recorded while the links were sound, so each runner that ended led to connections to three others, to see whether the links had failed.

Successes are now recorded always; the target is looked up by its address in a table. The test fails before.

--- a/src/heathershunt/discovery/registry.py
+++ b/src/heathershunt/discovery/registry.py
@@ -30,6 +30,7 @@
         self._by_id: dict[str, Target] = {}
         self._missing_since: dict[str, Millis] = {}
         self._ids_by_service: dict[str, set[str]] = {}
+        self._ids_by_address: dict[Address, str] = {}
         self._ends = KnownEnds(clock)
         self._recovered_at: Millis | None = None
         self._copies = OldCopies(clock)
@@ -59,8 +60,7 @@
 
     def id_at(self, address: Address) -> str | None:
         """Return the id of the target at an address; ``None`` if there is none."""
-        targets = self._by_id.values()
-        return next((item.id for item in targets if item.address == address), None)
+        return self._ids_by_address.get(address)
 
     def put(self, target: Target) -> None:
         """Add or update a target, unless a restored store holds an old copy of it."""
@@ -77,7 +77,9 @@
             return
         if previous is not None:
             self._ids_by_service[previous.service].discard(target.id)
+            self._forget_address(previous)
         self._by_id[target.id] = target
+        self._ids_by_address[target.address] = target.id
         self._ids_by_service.setdefault(target.service, set()).add(target.id)
         self._on_change(target.id)
 
@@ -170,4 +172,10 @@
         if target is not None:
             self._copies.on_removed(target)
             self._ids_by_service[target.service].discard(target_id)
+            self._forget_address(target)
             self._on_change(target_id)
+
+    def _forget_address(self, target: Target) -> None:
+        """Forget where a target was, unless a later one has its address."""
+        if self._ids_by_address.get(target.address) == target.id:
+            del self._ids_by_address[target.address]
--- a/src/heathershunt/forwarding/links.py
+++ b/src/heathershunt/forwarding/links.py
@@ -143,14 +143,14 @@
     def _on_connection(self, address: Address, is_established: bool) -> None:
         """Record how a new connection of the HTTP client ended."""
         reachability = self._reachability
-        if is_established and reachability.is_sound:
-            # Frequent, so the target is not looked up.
-            return
         target_id = self._registry.id_at(address)
         if target_id is None:
             return
         if is_established:
+            was_sound = reachability.is_sound
             cut_ms = reachability.record_success()
+            if was_sound:
+                return
             if cut_ms is not None:
                 self._emit(ReachedAgain(target_id, cut_ms))
         elif reachability.record_failure(target_id):
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -78,3 +78,15 @@
     assert ids(registry) == {"t1"}
     assert {item.id for item in registry.listed("s")} == {"t1", "t2"}
     assert registry.listed("other") == []
+
+
+def test_target_is_found_by_its_latest_address(clock):
+    # Guards against an outcome that counts for a target that left its address.
+    registry = TargetRegistry(clock, lambda target_id: None)
+    address, later = Address("10.0.0.1", 1), Address("10.0.0.1", 2)
+    registry.put(Target("t1", "s", address, "a", 4, 1))
+    registry.put(Target("t1", "s", later, "a", 4, 2))
+    assert registry.id_at(address) is None
+    registry.put(Target("t2", "s", later, "a", 4, 3))
+    registry.remove("t1")
+    assert registry.id_at(later) == "t2"
--- a/tests/forwarding/test_link_watch.py
+++ b/tests/forwarding/test_link_watch.py
@@ -122,3 +122,12 @@
     assert await links.has_reached_other("t0", since)
     client.tried.clear()
     assert await links.has_reached_other("t0", since - 1)
+
+
+async def test_use_of_another_target_answers_without_a_check(links, client):
+    # Guards against three connections for each target that ends, though requests that
+    # reached others show that the links are sound.
+    since = SystemClock().now() - 1
+    client.on_connection(client.registry.get("t1").address, True)
+    assert await links.has_reached_other("t0", since)
+    assert not client.tried
