Let the first requests of a process wait for its configuration

In its first second a process lets requests wait until the configuration is known. Later, as in an outage of the store, they are refused at once.

--- a/src/heathershunt/gateway/request_handler.py
+++ b/src/heathershunt/gateway/request_handler.py
@@ -10,6 +10,7 @@
 from heathershunt.clock import Millis
 from heathershunt.forwarding import Forwarder, ForwardSpec, LinkWatch
 from heathershunt.gateway.config import Bounds
+from heathershunt.gateway.startup import StartupWait
 from heathershunt.gateway.stopping import AnswerTimes, StopGate
 from heathershunt.http import Response, StreamResponse
 from heathershunt.logs.request_events import Admitted, CallerDisconnected, Refused
@@ -121,11 +122,13 @@
         self._times = AnswerTimes(context.clock)
         self.gate = StopGate(context.clock, self._times)
         self.is_stopping = False
+        self._startup = StartupWait(context.clock, lambda: catalog() is not None)
         self.calls = CallRelay(context)
         self.streams = StreamRelay(context)
 
     async def handle(self, request: CallerRequest) -> Response | StreamResponse:
         """Return the response to a request, relayed from a target or a refusal."""
+        await self._startup.wait(request.deadline)
         admission = self._admit(request)
         if isinstance(admission, Refusal):
             return self._refuse(request, admission)
