--- a/tests/gateway/test_forwarding_failures.py
+++ b/tests/gateway/test_forwarding_failures.py
@@ -245,7 +245,7 @@
 
     def counted():
         windows = [
-            gateway.relay_context.budget._requests_by_service.get("desk")
+            gateway.relay_context.budget.own._requests_by_service.get("desk")
             for gateway in site.gateways.values()
         ]
         return sum(window.count(0) for window in windows if window is not None)
