--- a/src/heathershunt/pipelines/spread.py
+++ b/src/heathershunt/pipelines/spread.py
@@ -18,9 +18,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-# Time in which the weight of a report falls to 1/e. With 33 VMs and reports 1 s old, 7
-# of 1,000 requests are rejected with 600 ms, 30 with 800 ms and 124 with 1,500 ms. With
-# 400 ms requests take longer, as runners that are free are noticed late.
+# Time in which the weight of a report falls to 1/e. With a longer one VMs fill runners
+# that were free a second ago; with a shorter one runners that are free now are noticed
+# late.
 TRUST_MS = 600
 # Largest weight of the use of a runner's KV cache in its cost. The mean is half of it.
 MAX_USE_WEIGHT = 2.0
@@ -33,12 +33,11 @@
 # VMs, as after a restart of all VMs.
 UNKNOWN_USE = 0.3
 # Most requests of other VMs on a runner that one of this VM stands for when room is
-# looked for without reports. With the number of VMs, one request makes a runner full in
-# a large fleet, and streams wait 400 ms for room just after a restart of 71 VMs.
+# looked for without reports. If it stood for one of each VM, a single request would
+# make a runner full in a large fleet, and streams would wait for room after a start.
 MAX_OWN_FACTOR = 40
-# Reports older than this may lack a demand that has grown since, so that no less is
-# assumed to be in use then either: after a start with reports 3 s old, 8 % of the
-# requests were rejected without this at 33 VMs.
+# Reports older than this may lack a demand that has grown since, as after a start, so
+# no less than UNKNOWN_USE is assumed to be in use then either.
 OLD_REPORT_MS = 2000
 # Smallest and largest part of all KV caches that the expected load may take.
 MIN_USE = 0.02
