Check the links once for a target that is down alone

A target whose failure was followed by a success elsewhere counts as at fault itself for 3 s: its failures neither raise doubt nor count for a cut. Real cuts show at the others.

--- a/src/heathershunt/forwarding/reachability.py
+++ b/src/heathershunt/forwarding/reachability.py
@@ -9,6 +9,10 @@
 MIN_FAILED_TARGETS = 3
 # Time within which these connections fail.
 EVIDENCE_MS = 1000
+# Time for which failures at a target count as its own, after another one was reached.
+# Without it, each VM would check its links again and again while single targets are
+# down.
+OWN_FAULT_MS = 3000
 
 
 class Reachability:
@@ -28,6 +32,7 @@
         self._clock = clock
         self._listed = listed
         self._failed_at_by_id: dict[str, Millis] = {}
+        self._own_fault_until_by_id: dict[str, Millis] = {}
         self._reached_at: Millis | None = None
         self.cut_since: Millis | None = None
 
@@ -61,6 +66,8 @@
 
     def record_failure(self, target_id: str) -> bool:
         """Record a failed connection; return whether the VM is cut off from now on."""
+        if not self.is_cut_off and self._is_own_fault(target_id):
+            return False
         self._failed_at_by_id[target_id] = self._clock.now()
         if self.is_cut_off:
             return False
@@ -78,10 +85,23 @@
         """
         now = self._clock.now()
         cut_since, self.cut_since = self.cut_since, None
+        if cut_since is None:
+            until = Millis(now + OWN_FAULT_MS)
+            self._own_fault_until_by_id.update(dict.fromkeys(self._recent(), until))
         self._failed_at_by_id.clear()
         self._reached_at = now
         return None if cut_since is None else now - cut_since
 
+    def _is_own_fault(self, target_id: str) -> bool:
+        """Return whether other targets were reached while this one was not."""
+        until = self._own_fault_until_by_id.get(target_id)
+        if until is None:
+            return False
+        if self._clock.now() < until:
+            return True
+        del self._own_fault_until_by_id[target_id]
+        return False
+
     def _recent(self) -> dict[str, Millis]:
         """Return the failures that count, after dropping those that are too old."""
         if self._failed_at_by_id:
--- a/tests/forwarding/test_reachability.py
+++ b/tests/forwarding/test_reachability.py
@@ -1,7 +1,11 @@
 import pytest
 
 from heathershunt.forwarding import Reachability
-from heathershunt.forwarding.reachability import EVIDENCE_MS
+from heathershunt.forwarding.reachability import (
+    EVIDENCE_MS,
+    MIN_FAILED_TARGETS,
+    OWN_FAULT_MS,
+)
 
 
 @pytest.fixture
@@ -70,3 +74,26 @@
     reachability.record_success()
     assert reachability.has_reached_since(before)
     assert not reachability.has_reached_since(clock.now())
+
+
+def test_target_that_is_down_alone_raises_no_further_doubt(clock, reachability):
+    # Guards against checks of the links that go on while single targets are down.
+    reachability.record_failure("t1")
+    assert reachability.is_in_doubt
+    reachability.record_success()
+    clock.advance(500)
+    reachability.record_failure("t1")
+    assert not reachability.is_in_doubt
+    reachability.record_failure("t2")
+    assert reachability.is_in_doubt
+    clock.advance(OWN_FAULT_MS)
+    reachability.record_failure("t1")
+    assert reachability.is_in_doubt
+
+
+def test_cut_is_found_beside_targets_that_are_down_alone(clock, reachability):
+    reachability.record_failure("t1")
+    reachability.record_success()
+    for number in range(2, 2 + MIN_FAILED_TARGETS):
+        is_cut = reachability.record_failure(f"t{number}")
+    assert is_cut and reachability.is_cut_off
