--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps:src:.:review/shared-2 python3 - <<'PYTHON'
-import harness, manifest, standins.layer_runner, standins.metadata_store  # noqa: E401,F401
+import crashing, harness, manifest, standins.layer_runner, standins.metadata_store  # noqa: E401,F401
 print("the stand-ins of the review can be started")
 PYTHON
